--- /dev/null
+++ b/crates/fulmarline/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/httpio/src/http_client.rs
@@ -0,0 +1,229 @@
+//! The client side: pooled HTTP/1.1 connections, optionally from a fixed local address.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::{fmt, time};
+
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper::{Request, Response};
+use hyper_util::rt;
+
+use crate::body::ReplyBody;
+
+/// Keeps idle connections per address and opens new ones when none is idle.
+///
+/// A request is never sent twice: a caller decides on a retry, because only it knows whether the call is idempotent.
+#[derive(Clone)]
+pub struct HttpClient {
+    local: Option<IpAddr>,
+    connect_timeout: time::Duration,
+    idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
+}
+
+struct IdleConnection {
+    sender: SendRequest<ReplyBody>,
+    since: time::Instant,
+}
+
+/// An answer whose body can still be read; the connection returns to the pool through [`HttpReply::recycle`].
+#[derive(Debug)]
+pub struct HttpReply {
+    /// The answer with its unread body.
+    pub response: Response<Incoming>,
+    sender: SendRequest<ReplyBody>,
+    address: SocketAddr,
+}
+
+/// Why a request got no answer.
+#[derive(Debug)]
+pub enum ClientError {
+    /// No connection could be opened, so the request has not been sent.
+    NotSent(std::io::Error),
+    /// The connection ended after the request may have been sent: the outcome is unknown.
+    Lost(hyper::Error),
+}
+
+impl fmt::Display for ClientError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(err) => write!(f, "the request was not sent: {err}"),
+            Self::Lost(err) => write!(f, "the connection ended before the answer: {err}"),
+        }
+    }
+}
+
+impl std::error::Error for ClientError {}
+
+impl fmt::Debug for HttpClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HttpClient")
+            .field("local", &self.local)
+            .finish_non_exhaustive()
+    }
+}
+
+impl HttpClient {
+    /// Creates a client that gives up connecting after `connect_timeout` and binds `local` where it is given.
+    pub fn new(local: Option<IpAddr>, connect_timeout: time::Duration) -> Self {
+        Self {
+            local,
+            connect_timeout,
+            idle: Arc::default(),
+        }
+    }
+
+    /// Sends `request` to `address` and returns the head of the answer.
+    ///
+    /// The URI of the request must be in origin form (`/path?query`); the `Host` header is added.
+    /// Dropping the future or the reply's body closes the connection, which cancels the request at the other side.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError::NotSent`] is a proof that the other side has not seen the request.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<ReplyBody>,
+    ) -> Result<HttpReply, ClientError> {
+        let mut sender = match self.take_idle(address).await {
+            Some(it) => it,
+            None => self.connect(address).await.map_err(ClientError::NotSent)?,
+        };
+        let request = with_host(request, address);
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok(HttpReply {
+                response,
+                sender,
+                address,
+            }),
+            // `hyper` hands the request back when not a byte of it was written: an idle connection had been closed.
+            Err(mut err) => match err.take_message() {
+                Some(request) => self.send_fresh(address, request).await,
+                None => Err(ClientError::Lost(err.into_error())),
+            },
+        }
+    }
+
+    async fn send_fresh(
+        &self,
+        address: SocketAddr,
+        request: Request<ReplyBody>,
+    ) -> Result<HttpReply, ClientError> {
+        let mut sender = self.connect(address).await.map_err(ClientError::NotSent)?;
+        let response = sender
+            .send_request(request)
+            .await
+            .map_err(ClientError::Lost)?;
+        Ok(HttpReply {
+            response,
+            sender,
+            address,
+        })
+    }
+
+    /// Returns a connection whose answer was read to its end to the pool.
+    pub fn recycle(&self, sender: SendRequest<ReplyBody>, address: SocketAddr) {
+        if sender.is_closed() {
+            return;
+        }
+        let mut idle = self
+            .idle
+            .lock()
+            .expect("no holder of the pool's lock panics");
+        let connections = idle.entry(address).or_default();
+        if connections.len() < MAX_IDLE_PER_ADDRESS {
+            connections.push(IdleConnection {
+                sender,
+                since: time::Instant::now(),
+            });
+        }
+    }
+
+    async fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<ReplyBody>> {
+        loop {
+            let connection = {
+                let mut idle = self
+                    .idle
+                    .lock()
+                    .expect("no holder of the pool's lock panics");
+                idle.get_mut(&address)?.pop()?
+            };
+            if connection.since.elapsed() > MAX_IDLE || connection.sender.is_closed() {
+                continue;
+            }
+            let mut sender = connection.sender;
+            if sender.ready().await.is_ok() {
+                return Some(sender);
+            }
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<SendRequest<ReplyBody>> {
+        let stream = tokio::time::timeout(self.connect_timeout, self.open(address))
+            .await
+            .map_err(|_| {
+                std::io::Error::new(std::io::ErrorKind::TimedOut, "connecting took too long")
+            })??;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = hyper::client::conn::http1::handshake(rt::TokioIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
+    async fn open(&self, address: SocketAddr) -> std::io::Result<tokio::net::TcpStream> {
+        let Some(local) = self.local else {
+            return tokio::net::TcpStream::connect(address).await;
+        };
+        let socket = match address {
+            SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
+        };
+        socket.bind(SocketAddr::new(local, 0))?;
+        socket.connect(address).await
+    }
+}
+
+impl HttpReply {
+    /// Reads the whole body and returns the connection to the pool of `client`.
+    ///
+    /// # Errors
+    ///
+    /// As [`crate::read_limited`].
+    pub async fn read(
+        self,
+        client: &HttpClient,
+        max_bytes: usize,
+        timeout: time::Duration,
+    ) -> std::io::Result<Response<bytes::Bytes>> {
+        let (parts, body) = self.response.into_parts();
+        let bytes = crate::body::read_limited(body, max_bytes, timeout).await?;
+        client.recycle(self.sender, self.address);
+        Ok(Response::from_parts(parts, bytes))
+    }
+
+    /// Takes the reply apart so that a streamed body can be read and the connection recycled afterwards.
+    pub fn into_parts(self) -> (Response<Incoming>, SendRequest<ReplyBody>, SocketAddr) {
+        (self.response, self.sender, self.address)
+    }
+}
+
+fn with_host(mut request: Request<ReplyBody>, address: SocketAddr) -> Request<ReplyBody> {
+    if !request.headers().contains_key(hyper::header::HOST) {
+        let value = hyper::header::HeaderValue::from_str(&address.to_string())
+            .expect("a socket address consists of header characters");
+        request.headers_mut().insert(hyper::header::HOST, value);
+    }
+    request
+}
+
+/// Idle connections that are kept per address.
+const MAX_IDLE_PER_ADDRESS: usize = 64;
+
+/// Age at which an idle connection is not used any more; below the header timeout of the servers.
+const MAX_IDLE: time::Duration = time::Duration::from_secs(5);
--- /dev/null
+++ b/crates/httpio/src/lib.rs
@@ -0,0 +1,19 @@
+//! HTTP/1.1 edges over `hyper`: a server with limits and a client that can bind a local address.
+//!
+//! Every streamed answer in fulmarline passes through here. The crate exists because `rouille` and `tiny_http`
+//! offer neither read timeouts nor notice of a caller that went away
+//! (see `docs/decisions/0002-http-libraries.md`). It knows sockets and bytes; it must not know
+//! models, routing or any decision.
+
+mod body;
+mod http_client;
+mod http_server;
+mod server_limits;
+
+pub use body::{BodySender, ReplyBody, empty, full, read_limited, stream};
+pub use http_client::{ClientError, HttpClient, HttpReply};
+pub use http_server::{HttpServer, ServerHandle, StopSignal};
+pub use server_limits::ServerLimits;
+
+pub use hyper::body::Incoming;
+pub use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
