Shared vocabulary: names, digests, result codes, manifests, rows

Cause: the crates are to be written side by side and need one set of types. Change: crates/model with checked names, digests (hex for people, raw bytes between processes), the numbered result codes with run status, the manifest and its version digest, configuration and its deltas, and the rows that agents and entries report.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,1 +1,80 @@
-//! Placeholder.
+//! Shared vocabulary: names, digests, revisions, result codes, manifests and the typed messages between processes.
+//!
+//! Every other crate builds on it. It knows values only: no sockets, no files, no clocks and no decisions.
+
+mod attempt_id;
+mod chunk_announcement;
+mod chunk_set;
+mod command_id;
+mod config_delta;
+mod content_digest;
+mod entry_row;
+mod fencing_number;
+mod fleet_config;
+mod gate_state;
+mod load_sample;
+mod manifest_error;
+mod model_config;
+mod name_error;
+mod names;
+mod order_policy;
+mod organisation_config;
+mod request_id;
+mod result_code;
+mod revision;
+mod service_config;
+mod switch_permit;
+mod target_kind;
+mod target_row;
+mod transfer_state;
+mod weight_manifest;
+
+pub use attempt_id::AttemptId;
+pub use chunk_announcement::ChunkAnnouncement;
+pub use chunk_set::ChunkSet;
+pub use command_id::CommandId;
+pub use config_delta::{ConfigChange, ConfigDelta};
+pub use content_digest::{ContentDigest, VersionDigest};
+pub use entry_row::EntryRow;
+pub use fencing_number::FencingNumber;
+pub use fleet_config::FleetConfig;
+pub use gate_state::GateState;
+pub use load_sample::LoadSample;
+pub use manifest_error::ManifestError;
+pub use model_config::ModelConfig;
+pub use name_error::NameError;
+pub use names::{
+    HostName, ModelName, OrganisationName, RegionName, ServiceName, VersionLabel, ZoneName,
+};
+pub use order_policy::OrderPolicy;
+pub use organisation_config::OrganisationConfig;
+pub use request_id::RequestId;
+pub use result_code::{ResultCode, RunStatus};
+pub use revision::ConfigRevision;
+pub use service_config::ServiceConfig;
+pub use switch_permit::SwitchPermit;
+pub use target_kind::TargetKind;
+pub use target_row::{Incarnation, TargetRow};
+pub use transfer_state::TransferState;
+pub use weight_manifest::WeightManifest;
+
+/// Header that carries the result code of every answer, as `CODE name`.
+pub const RESULT_HEADER: &str = "fulmarline-result";
+/// Header that names the version digest which computed an answer.
+pub const VERSION_HEADER: &str = "x-model-version";
+/// Header with the id of a request, the same on every attempt.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Header with the id of one attempt at a request, by which the gate recognises and revokes it.
+pub const ATTEMPT_HEADER: &str = "fulmarline-attempt";
+/// Header with the time that is left for a request, in milliseconds.
+pub const DEADLINE_HEADER: &str = "fulmarline-deadline-ms";
+/// Header with the priority of a request, 0 (low) to 9 (high).
+pub const PRIORITY_HEADER: &str = "x-priority";
+/// Header with the organisation that a request belongs to.
+pub const ORGANISATION_HEADER: &str = "x-organisation";
+/// Header by which a caller marks repeats of one order.
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// Header that asks an engine to continue an answer from a token index.
+pub const RESUME_HEADER: &str = "x-resume-from";
+/// Header that binds a request at the gate to one version digest.
+pub const REQUIRE_VERSION_HEADER: &str = "fulmarline-require-version";
--- /dev/null
+++ b/crates/model/src/request_id.rs
@@ -0,0 +1,23 @@
+//! Ids of requests.
+
+use std::{fmt, str};
+
+use serde::{Deserialize, Serialize};
+
+/// Random id of a request, the same on every attempt and on every process that it passes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestId(pub u128);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl str::FromStr for RequestId {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
