settings: walker over the syntax tree, every error with its place

Cause: a process must check its settings whole before it starts anything, and deserialising through serde stops at the first error and knows no columns.

--- /dev/null
+++ b/crates/settings/src/platform_settings.rs
@@ -0,0 +1,30 @@
+//! Where the platform is.
+
+use std::net::SocketAddr;
+
+use crate::walker::Section;
+
+/// Addresses of the platform's services; `docs/PLATFORM.md` is the contract with them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// The transactional table service.
+    pub table: SocketAddr,
+    /// The object store.
+    pub objects: SocketAddr,
+    /// The list of live and leaving hosts.
+    pub hosts: Option<SocketAddr>,
+}
+
+impl PlatformSettings {
+    pub(crate) fn read(mut section: Section<'_>) -> Option<Self> {
+        let table = section.required("table", |it| it.peer_address());
+        let objects = section.required("objects", |it| it.peer_address());
+        let hosts = section.optional("hosts", |it| it.peer_address());
+        section.finish();
+        Some(Self {
+            table: table?,
+            objects: objects?,
+            hosts,
+        })
+    }
+}
