--- a/crates/settings/src/setting_problem.rs
+++ b/crates/settings/src/setting_problem.rs
@@ -141,18 +141,16 @@
             Self::EmptyValue => write!(f, "the text is empty"),
             Self::EmptyList => write!(f, "the list needs at least one element"),
             Self::UnreadableFile { file, reason } => {
-                write!(f, "the file {} cannot be read: {reason}", file.display())
+                write!(f, "the file {file:?} cannot be read: {reason}")
             }
-            Self::EmptySecret { file } => write!(f, "the file {} is empty", file.display()),
+            Self::EmptySecret { file } => write!(f, "the file {file:?} is empty"),
             Self::ShortSecret { file, min_bytes } => write!(
                 f,
-                "the secret in {} is shorter than {min_bytes} bytes",
-                file.display()
+                "the secret in {file:?} is shorter than {min_bytes} bytes"
             ),
             Self::UnprintableSecret { file } => write!(
                 f,
-                "the secret in {} holds a space or a character outside printable ASCII",
-                file.display()
+                "the secret in {file:?} holds a space or a character outside printable ASCII"
             ),
         }
     }
