settings: Settings holds the settings of a role without a box

Cause: the roles take their settings by value, and both variants have about the same size, so a box brings nothing.

--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -17,9 +17,9 @@
 #[derive(Clone, Debug)]
 pub enum Settings {
     /// The process runs on an entry host.
-    Entry(Box<EntrySettings>),
+    Entry(EntrySettings),
     /// The process runs in the slot of a target host.
-    Agent(Box<AgentSettings>),
+    Agent(AgentSettings),
 }
 
 /// Reads and checks the settings file at `path`; files that it names are looked up relative to its folder.
@@ -98,7 +98,7 @@
     let mut root: Section<'_> = Field::root(context, value).section()?;
     let role = root.required("role", |it| it.choice(&["entry", "agent"]))?;
     match role {
-        0 => EntrySettings::read(root).map(|it| Settings::Entry(Box::new(it))),
-        _ => AgentSettings::read(root).map(|it| Settings::Agent(Box::new(it))),
+        0 => EntrySettings::read(root).map(Settings::Entry),
+        _ => AgentSettings::read(root).map(Settings::Agent),
     }
 }
