Platform clients and the control protocol

Cause: entries and agents need typed calls to the outside and to each other. Change: crates/platform sorts every failed call into no effect, lost or malformed; crates/wire has the tarpc services, a mutual keyed handshake with a numbered refusal, and byte accounting.

--- /dev/null
+++ b/crates/platform/src/table_transaction.rs
@@ -0,0 +1,54 @@
+//! Transactions of the table service.
+
+use serde::{Deserialize, Serialize};
+
+/// Writes that are applied at once, or not at all when an expectation does not hold.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TableTransaction {
+    /// What must hold.
+    pub expect: Vec<RowExpectation>,
+    /// Rows to write.
+    pub put: Vec<RowWrite>,
+    /// Keys of rows to delete.
+    pub delete: Vec<String>,
+}
+
+/// The version that a row must have.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowExpectation {
+    /// The key.
+    pub key: String,
+    /// The version, or `None` for an absent row.
+    pub version: Option<u64>,
+}
+
+/// A row to write.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RowWrite {
+    /// The key.
+    pub key: String,
+    /// The new value.
+    pub value: serde_json::Value,
+}
+
+impl TableTransaction {
+    /// Adds an expectation.
+    #[must_use]
+    pub fn expect(mut self, key: impl Into<String>, version: Option<u64>) -> Self {
+        self.expect.push(RowExpectation {
+            key: key.into(),
+            version,
+        });
+        self
+    }
+
+    /// Adds a write.
+    #[must_use]
+    pub fn put(mut self, key: impl Into<String>, value: serde_json::Value) -> Self {
+        self.put.push(RowWrite {
+            key: key.into(),
+            value,
+        });
+        self
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,29 @@
-//! Placeholder.
+//! The services between fulmarline's own processes, over `tarpc` and an authenticated TCP connection.
+//!
+//! Entries offer [`EntryControl`], agents [`AgentControl`]. Requests of callers and chunks of weights do not pass
+//! here: they are streams and go over `httpio`. The crate must not know any decision.
+
+mod agent_control;
+mod chunk_plan;
+mod connect;
+mod counting_stream;
+mod entry_control;
+mod entry_summary;
+mod handshake;
+mod heartbeat_reply;
+mod revoke_outcome;
+mod serve;
+mod wire_counters;
+
+pub use agent_control::{AgentControl, AgentControlClient};
+pub use chunk_plan::{ChunkAssignment, PlanReply, PlanRequest, SourceKind};
+pub use connect::{WireError, connect_agent, connect_entry};
+pub use entry_control::{EntryControl, EntryControlClient};
+pub use entry_summary::EntrySummary;
+pub use handshake::HandshakeError;
+pub use heartbeat_reply::HeartbeatReply;
+pub use revoke_outcome::RevokeOutcome;
+pub use serve::{AgentTransport, EntryTransport, serve_agent, serve_entry};
+pub use wire_counters::WireCounters;
+
+pub use tarpc::context;
