--- /dev/null
+++ b/crates/agent/src/control/agent_view.rs
@@ -0,0 +1,89 @@
+//! What the control thread lets the other threads see.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard};
+
+use model::{ConfigRevision, FencingNumber, Incarnation};
+use serde_json::json;
+
+/// Control state as of the control thread's last step.
+#[derive(Debug)]
+pub(crate) struct AgentView {
+    incarnation: Incarnation,
+    state: Mutex<ViewState>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ViewState {
+    revision: ConfigRevision,
+    fencing: FencingNumber,
+    entries: Vec<SocketAddr>,
+    engine_error: Option<String>,
+}
+
+impl AgentView {
+    pub(crate) fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            state: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    pub(crate) fn revision(&self) -> ConfigRevision {
+        self.lock().revision
+    }
+
+    pub(crate) fn fencing(&self) -> FencingNumber {
+        self.lock().fencing
+    }
+
+    pub(crate) fn publish(
+        &self,
+        revision: ConfigRevision,
+        fencing: FencingNumber,
+        engine_error: Option<String>,
+    ) {
+        let mut state = self.lock();
+        state.revision = revision;
+        state.fencing = fencing;
+        state.engine_error = engine_error;
+    }
+
+    /// Replaces the addresses of live entries.
+    pub(crate) fn set_entries(&self, mut entries: Vec<SocketAddr>) {
+        entries.sort_unstable();
+        self.lock().entries = entries;
+    }
+
+    /// Returns the addresses of live entries, the settings' own where none are known.
+    pub(crate) fn entries_or(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut entries = self.lock().entries.clone();
+        for seed in seeds {
+            if !entries.contains(seed) {
+                entries.push(*seed);
+            }
+        }
+        entries
+    }
+
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        let state = self.lock().clone();
+        json!({
+            "incarnation": self.incarnation,
+            "revision": state.revision,
+            "fencing": state.fencing,
+            "entries": state.entries,
+            "engine_error": state.engine_error,
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ViewState> {
+        self.state
+            .lock()
+            .expect("no holder of the view's lock panics")
+    }
+}
--- /dev/null
+++ b/crates/agent/src/control/control_server.rs
@@ -0,0 +1,55 @@
+//! Answers the control calls of entries.
+
+use std::sync::Arc;
+
+use anyhow::Context;
+use futures::StreamExt;
+use model::AttemptId;
+use settings::AgentSettings;
+use slog::Logger;
+use tarpc::server::{BaseChannel, Channel};
+use wire::{AgentControl, RevokeOutcome, WireCounters, context};
+
+use crate::gate::GateShared;
+
+/// Starts the listener for control calls.
+pub(crate) async fn serve(
+    settings: &Arc<AgentSettings>,
+    gate: Arc<GateShared>,
+    counters: WireCounters,
+    log: Logger,
+) -> anyhow::Result<()> {
+    let listener = tokio::net::TcpListener::bind(settings.listen.control)
+        .await
+        .with_context(|| format!("cannot listen on {}", settings.listen.control))?;
+    let settings = settings.clone();
+    tokio::spawn(async move {
+        let answer = move |transport| {
+            let calls = BaseChannel::with_defaults(transport)
+                .execute(RevokeServer { gate: gate.clone() }.serve());
+            tokio::spawn(calls.for_each(|call| async {
+                tokio::spawn(call);
+            }));
+        };
+        wire::serve_agent(
+            listener,
+            settings.shared_key.reveal(),
+            counters,
+            log,
+            answer,
+        )
+        .await;
+    });
+    Ok(())
+}
+
+#[derive(Clone)]
+struct RevokeServer {
+    gate: Arc<GateShared>,
+}
+
+impl AgentControl for RevokeServer {
+    async fn revoke(self, _: context::Context, attempt: AttemptId) -> RevokeOutcome {
+        self.gate.revoke(attempt)
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,1 +1,162 @@
-//! Placeholder.
+//! The agent role: one small process in the slot of a target host.
+//!
+//! It is the only way to its engine or service, so that admitting and refusing are atomic; it fetches weights and
+//! serves them to its peers; it gives the engine its orders. See `docs/ARCHITECTURE.md`. The crate is an edge: threads,
+//! listeners and clients. It must not know the insides of an entry.
+
+mod control;
+mod gate;
+mod operators;
+mod transfer;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use model::{Incarnation, TargetKind};
+use settings::{AgentSettings, TargetSettings};
+use slog::{Logger, info, warn};
+
+use crate::control::{AgentView, ControlThread};
+use crate::gate::GateShared;
+use crate::transfer::ChunkStore;
+
+/// Runs an agent until a planned stop has ended.
+///
+/// # Errors
+///
+/// Returns an error when a listener cannot be bound or a thread cannot be started.
+pub fn run(settings: AgentSettings, log: Logger) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(TRAFFIC_THREADS)
+        .enable_all()
+        .build()
+        .context("cannot start the traffic threads")?;
+    let settings = Arc::new(settings);
+    let gate = Arc::new(GateShared::new(max_in_flight(&settings.target)));
+    let store = Arc::new(ChunkStore::new(settings.spread.memory_bytes));
+    let counters = wire::WireCounters::default();
+    let view = Arc::new(AgentView::new(Incarnation(new_incarnation())));
+
+    let control = ControlThread::start(
+        &settings,
+        gate.clone(),
+        store.clone(),
+        view.clone(),
+        log.clone(),
+    )?;
+    runtime.block_on(async {
+        let gate_listener = gate::serve(&settings, gate.clone(), log.clone())?;
+        let _peers = transfer::serve(&settings, store.clone())?;
+        control::serve(&settings, gate.clone(), counters.clone(), log.clone()).await?;
+        tokio::spawn(control::heartbeat_loop(
+            settings.clone(),
+            view.clone(),
+            gate.clone(),
+            store.clone(),
+            control.sender(),
+            counters.clone(),
+            log.clone(),
+        ));
+        tokio::spawn(transfer::transfer_loop(
+            settings.clone(),
+            store.clone(),
+            view.clone(),
+            counters.clone(),
+            log.clone(),
+        ));
+        operators::serve(
+            settings.listen.operators,
+            view.clone(),
+            gate.clone(),
+            store,
+            counters,
+        )?;
+        info!(log, "agent started"; "gate" => %settings.listen.gate);
+        wait_for_stop().await?;
+        info!(log, "planned stop requested");
+        control.request_stop();
+        wait_until_idle(&gate, settings.drain_warn, &log).await;
+        gate_listener.stop();
+        // The answers are written; the connections get a moment to carry them away.
+        tokio::time::sleep(FLUSH_TIME).await;
+        info!(log, "agent stopped"; "in_flight" => gate.in_flight());
+        anyhow::Ok(())
+    })?;
+    runtime.shutdown_timeout(FLUSH_TIME);
+    Ok(())
+}
+
+/// Returns what stands behind an agent with these settings.
+pub(crate) fn target_kind(target: &TargetSettings) -> TargetKind {
+    match target {
+        TargetSettings::Model { model, .. } => TargetKind::Model(model.clone()),
+        TargetSettings::Service { service, .. } => TargetKind::Service(service.clone()),
+    }
+}
+
+/// Returns the address of the engine or service.
+pub(crate) fn back_end(target: &TargetSettings) -> SocketAddr {
+    match target {
+        TargetSettings::Model { engine, .. } => *engine,
+        TargetSettings::Service { address, .. } => *address,
+    }
+}
+
+fn max_in_flight(target: &TargetSettings) -> u32 {
+    match target {
+        TargetSettings::Model { max_in_flight, .. }
+        | TargetSettings::Service { max_in_flight, .. } => *max_in_flight,
+    }
+}
+
+async fn wait_for_stop() -> anyhow::Result<()> {
+    use tokio::signal::unix;
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Waits until no request is in progress; a stop that takes long is told, never forced.
+async fn wait_until_idle(gate: &GateShared, warn_after: Duration, log: &Logger) {
+    let start = tokio::time::Instant::now();
+    let mut next_warning = start + warn_after;
+    // The leaving state has to reach the entries before the listener closes, or they would see refused connections.
+    tokio::time::sleep(LEAVING_NOTICE).await;
+    while gate.in_flight() > 0 {
+        tokio::time::sleep(IDLE_POLL).await;
+        if tokio::time::Instant::now() >= next_warning {
+            warn!(log, "planned stop is waiting for requests in progress";
+                "in_flight" => gate.in_flight(), "waited_ms" => start.elapsed().as_millis() as u64);
+            next_warning += warn_after;
+        }
+    }
+}
+
+fn new_incarnation() -> u64 {
+    let since_epoch = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
+    (since_epoch.as_millis() as u64) << INCARNATION_RANDOM_BITS
+        | u64::from(rand::random::<u16>()) >> (16 - INCARNATION_RANDOM_BITS)
+}
+
+/// Low bits of an incarnation that are random, so that two starts in one millisecond differ.
+const INCARNATION_RANDOM_BITS: u32 = 12;
+
+/// Threads that carry requests and chunks.
+const TRAFFIC_THREADS: usize = 2;
+
+/// Time for the last bytes of answers to leave.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
+/// Time in which heartbeats tell the entries that this target is leaving.
+const LEAVING_NOTICE: Duration = Duration::from_millis(1500);
+
+/// Pause between looks at the requests in progress.
+const IDLE_POLL: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/crates/entry/src/calls/call_refusal.rs
@@ -0,0 +1,53 @@
+//! Answers that carry a result code instead of an answer.
+
+use httpio::{ReplyBody, Response, StatusCode};
+use model::{RequestId, ResultCode};
+
+/// A refusal or failure with a text for the caller.
+#[derive(Clone, Debug)]
+pub(crate) struct CallRefusal {
+    pub(crate) code: ResultCode,
+    pub(crate) message: String,
+}
+
+impl CallRefusal {
+    pub(crate) fn new(code: ResultCode, message: impl Into<String>) -> Self {
+        Self { code, message: message.into() }
+    }
+
+    /// Returns the answer for the caller, with a time to come back where a repeat may succeed.
+    pub(crate) fn into_response(self, request: RequestId) -> Response<ReplyBody> {
+        let body = serde_json::json!({
+            "code": self.code.number(),
+            "name": self.code.name(),
+            "message": self.message,
+            "request_id": request.to_string(),
+        });
+        let mut response = Response::new(httpio::full(body.to_string()));
+        *response.status_mut() = StatusCode::from_u16(self.code.http_status())
+            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = response.headers_mut();
+        headers.insert(httpio::header::CONTENT_TYPE, JSON);
+        if self.code.may_retry() {
+            headers.insert(httpio::header::RETRY_AFTER, RETRY_AFTER_S);
+        }
+        mark(&mut response, self.code, request);
+        response
+    }
+}
+
+/// Adds the result code and the id of the request to an answer.
+pub(crate) fn mark(response: &mut Response<ReplyBody>, code: ResultCode, request: RequestId) {
+    let headers = response.headers_mut();
+    if let Ok(value) = code.to_string().parse() {
+        headers.insert(model::RESULT_HEADER, value);
+    }
+    if let Ok(value) = request.to_string().parse() {
+        headers.insert(model::REQUEST_ID_HEADER, value);
+    }
+}
+
+const JSON: httpio::HeaderValue = httpio::HeaderValue::from_static("application/json");
+
+/// Seconds after which a refused caller may come back.
+const RETRY_AFTER_S: httpio::HeaderValue = httpio::HeaderValue::from_static("1");
--- /dev/null
+++ b/crates/entry/src/control/control_snapshot.rs
@@ -0,0 +1,59 @@
+//! What the control thread lets the other threads see.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, RwLock};
+use std::time::Instant;
+
+use model::{EntryRow, FleetConfig, HostName, SwitchPermit, TargetRow};
+
+/// The control state after one step; readers keep it as long as they need.
+#[derive(Debug, Default)]
+pub(crate) struct ControlSnapshot {
+    /// The newest configuration seen, or `None` before the first.
+    pub(crate) config: Option<Arc<FleetConfig>>,
+    /// Every live target.
+    pub(crate) targets: BTreeMap<HostName, SeenTarget>,
+    /// Every other live entry.
+    pub(crate) entries: BTreeMap<HostName, SeenEntry>,
+    /// This entry.
+    pub(crate) own: Option<EntryRow>,
+    /// Permits that any driver granted lately.
+    pub(crate) permits: Vec<SwitchPermit>,
+    /// Permits that this entry's driver granted.
+    pub(crate) own_permits: Vec<SwitchPermit>,
+}
+
+/// A target's newest row.
+#[derive(Clone, Debug)]
+pub(crate) struct SeenTarget {
+    pub(crate) row: TargetRow,
+    pub(crate) seen: Instant,
+    /// Whether the agent itself sent the row to this entry.
+    pub(crate) direct: bool,
+}
+
+/// Another entry's newest row.
+#[derive(Clone, Debug)]
+pub(crate) struct SeenEntry {
+    pub(crate) row: EntryRow,
+    pub(crate) seen: Instant,
+    pub(crate) permits: Vec<SwitchPermit>,
+}
+
+/// Holds the newest snapshot.
+#[derive(Debug, Default)]
+pub(crate) struct SnapshotCell {
+    newest: RwLock<Arc<ControlSnapshot>>,
+}
+
+impl SnapshotCell {
+    /// Returns the newest snapshot.
+    pub(crate) fn load(&self) -> Arc<ControlSnapshot> {
+        self.newest.read().expect("no holder of the snapshot's lock panics").clone()
+    }
+
+    /// Replaces the snapshot.
+    pub(crate) fn store(&self, snapshot: ControlSnapshot) {
+        *self.newest.write().expect("no holder of the snapshot's lock panics") = Arc::new(snapshot);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/mod.rs
@@ -0,0 +1,20 @@
+//! The entry's control state: configuration, membership, rollouts, operators' commands.
+
+mod command_runner;
+mod config_poller;
+mod control_event;
+mod control_server;
+mod control_snapshot;
+mod control_thread;
+mod exchange_loop;
+mod operator_server;
+mod rollout_driver;
+
+pub(crate) use config_poller::start_poller;
+pub(crate) use control_event::ControlEvent;
+pub(crate) use control_server::serve;
+pub(crate) use control_snapshot::{ControlSnapshot, SeenEntry, SeenTarget, SnapshotCell};
+pub(crate) use control_thread::ControlThread;
+pub(crate) use exchange_loop::exchange_loop;
+pub(crate) use operator_server::OperatorServer;
+pub(crate) use rollout_driver::start_driver;
--- /dev/null
+++ b/crates/entry/src/control/rollout_driver.rs
@@ -0,0 +1,154 @@
+//! Drives rollouts from the entry that holds the lease.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::time::{Duration, Instant};
+
+use model::{FencingNumber, GateState, HostName, SwitchPermit, TargetKind, ZoneName};
+use platform::{TableClient, TableError, TableTransaction};
+use serde::{Deserialize, Serialize};
+use settings::EntrySettings;
+use slog::{Logger, info, warn};
+
+use crate::control::control_event::ControlEvent;
+use crate::control::control_snapshot::{ControlSnapshot, SeenTarget, SnapshotCell};
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct LeaseRow {
+    holder: String,
+    fencing: FencingNumber,
+}
+
+/// The lease as this process saw it last.
+struct LeaseView {
+    version: Option<u64>,
+    row: Option<LeaseRow>,
+    unchanged_since: Instant,
+    held_until: Option<Instant>,
+}
+
+/// Starts the thread that takes the lease when it is free and grants permits while it holds it.
+pub(crate) fn start_driver(
+    settings: &Arc<EntrySettings>,
+    table: TableClient,
+    snapshots: Arc<SnapshotCell>,
+    events: Sender<ControlEvent>,
+    log: Logger,
+) -> anyhow::Result<()> {
+    let holder = format!("{}-{:08x}", settings.host.name, rand::random::<u32>());
+    std::thread::Builder::new().name("rollout-driver".to_string()).spawn(move || {
+        let mut lease =
+            LeaseView { version: None, row: None, unchanged_since: Instant::now(), held_until: None };
+        loop {
+            keep_lease(&mut lease, &holder, &table, &log);
+            let fencing = lease.row.as_ref().map(|it| it.fencing).unwrap_or_default();
+            // A process that was paused finds its deadline in the past and does nothing.
+            let held = lease.held_until.is_some_and(|it| Instant::now() < it);
+            let permits =
+                if held { grant(&snapshots.load(), fencing) } else { Vec::new() };
+            if events.send(ControlEvent::Permits(permits)).is_err() {
+                return;
+            }
+            std::thread::sleep(DRIVER_INTERVAL);
+        }
+    })?;
+    Ok(())
+}
+
+fn keep_lease(lease: &mut LeaseView, holder: &str, table: &TableClient, log: &Logger) {
+    let asked = Instant::now();
+    let read = match table.read(LEASE_KEY) {
+        Ok(it) => it,
+        Err(err) => {
+            warn!(log, "lease was not read"; "reason" => %err);
+            return;
+        }
+    };
+    let version = read.as_ref().map(|it| it.version);
+    if version != lease.version {
+        lease.version = version;
+        lease.unchanged_since = asked;
+        lease.row = read.and_then(|it| serde_json::from_value(it.value).ok());
+    }
+    let own = lease.row.as_ref().is_some_and(|it| it.holder == holder);
+    // Another holder's time is measured by this process's own clock from the last change that it saw.
+    if !own && lease.row.is_some() && lease.unchanged_since.elapsed() < LEASE_TIME + LEASE_MARGIN {
+        lease.held_until = None;
+        return;
+    }
+    let last = lease.row.as_ref().map(|it| it.fencing).unwrap_or_default();
+    let fencing = if own { last } else { FencingNumber(last.0 + 1) };
+    let row = LeaseRow { holder: holder.to_string(), fencing };
+    let value = serde_json::to_value(&row).expect("a lease row is plain data");
+    let transaction = TableTransaction::default().expect(LEASE_KEY, version).put(LEASE_KEY, value);
+    match table.transact(&transaction) {
+        Ok(version) => {
+            if !own {
+                info!(log, "rollout lease taken"; "fencing" => %fencing);
+            }
+            lease.version = Some(version);
+            lease.row = Some(row);
+            lease.unchanged_since = asked;
+            lease.held_until = Some(asked + LEASE_TIME);
+        }
+        Err(TableError::Conflict { .. }) => lease.held_until = None,
+        Err(err) => warn!(log, "lease was not renewed"; "reason" => %err),
+    }
+}
+
+fn grant(snapshot: &ControlSnapshot, fencing: FencingNumber) -> Vec<SwitchPermit> {
+    let Some(config) = &snapshot.config else { return Vec::new() };
+    let mut permits = Vec::new();
+    for (name, wanted) in &config.models {
+        let version = wanted.manifest.version();
+        let mut zones: BTreeMap<&ZoneName, Vec<&SeenTarget>> = BTreeMap::new();
+        for target in snapshot.targets.values() {
+            let leaving = target.row.state == GateState::Leaving;
+            if target.row.kind == TargetKind::Model(name.clone()) && !leaving {
+                zones.entry(&target.row.zone).or_default().push(target);
+            }
+        }
+        let granted: BTreeSet<&HostName> =
+            snapshot.own_permits.iter().filter(|it| it.version == version).map(|it| &it.host).collect();
+        for targets in zones.values() {
+            let allowed = (targets.len() * usize::from(wanted.max_out_percent) / 100).max(1);
+            let mut out = targets.iter().filter(|it| it.row.state == GateState::Switching).count();
+            for target in targets {
+                let row = &target.row;
+                if row.serving == Some(version) {
+                    continue;
+                }
+                let complete =
+                    row.transfer.is_some_and(|it| it.version == version && it.is_complete());
+                let empty = row.serving.is_none();
+                let known = granted.contains(&row.host);
+                let counted = row.state == GateState::Switching;
+                if !complete || wanted.paused && !known {
+                    continue;
+                }
+                // A replica that serves nothing takes nothing out of service by loading.
+                if !(empty || counted || known || out < allowed) {
+                    continue;
+                }
+                if !empty && !counted {
+                    out += 1;
+                }
+                permits.push(SwitchPermit { host: row.host.clone(), version, fencing });
+            }
+        }
+    }
+    permits
+}
+
+/// Key of the lease row.
+const LEASE_KEY: &str = "lease/rollout";
+
+/// Time for which a renewal holds.
+const LEASE_TIME: Duration = Duration::from_secs(3);
+
+/// Extra time that others wait, for clocks that run at different rates.
+const LEASE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time between looks at the lease and the rollouts.
+const DRIVER_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,125 @@
-//! Placeholder.
+//! The entry role: callers' HTTP, routing, the control state of the deployment and the tracker of chunks.
+//!
+//! An entry host keeps nothing: whatever must last is in the platform's table. See `docs/ARCHITECTURE.md`.
+//! The crate is an edge: threads, listeners and clients. It must not know the insides of an agent.
+
+mod calls;
+mod control;
+mod tracker;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use model::Incarnation;
+use platform::TableClient;
+use settings::EntrySettings;
+use slog::{Logger, info, warn};
+
+use crate::calls::{CallCounters, CallServer};
+use crate::control::{ControlThread, SnapshotCell};
+use crate::tracker::ChunkTracker;
+
+/// Runs an entry until a planned stop has ended.
+///
+/// # Errors
+///
+/// Returns an error when a listener cannot be bound or a thread cannot be started.
+pub fn run(settings: EntrySettings, log: Logger) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(TRAFFIC_THREADS)
+        .enable_all()
+        .build()
+        .context("cannot start the traffic threads")?;
+    let settings = Arc::new(settings);
+    let snapshots = Arc::new(SnapshotCell::default());
+    let counters = wire::WireCounters::default();
+    let calls = Arc::new(CallCounters::default());
+    let tracker = Arc::new(ChunkTracker::new(settings.sources.origin));
+    let table = TableClient::new(settings.platform.table, TABLE_TIMEOUT);
+
+    let control = ControlThread::start(
+        settings.clone(),
+        Incarnation(new_incarnation()),
+        snapshots.clone(),
+        calls.clone(),
+        log.clone(),
+    )?;
+    control::start_poller(&settings, table.clone(), control.sender(), log.clone())?;
+    control::start_driver(&settings, table.clone(), snapshots.clone(), control.sender(), log.clone())?;
+    let operators = control::OperatorServer {
+        settings: settings.clone(),
+        snapshots: snapshots.clone(),
+        table: table.clone(),
+        events: control.sender(),
+        counters: counters.clone(),
+        log: log.clone(),
+    };
+    operators.start()?;
+
+    runtime.block_on(async {
+        let events = control.sender();
+        control::serve(&settings, events.clone(), snapshots.clone(), tracker, counters.clone(), log.clone())
+            .await?;
+        tokio::spawn(control::exchange_loop(settings.clone(), snapshots.clone(), events, counters, log.clone()));
+        let server = CallServer::new(settings.clone(), snapshots.clone(), table, calls.clone(), log.clone());
+        let listener = server.start()?;
+        info!(log, "entry started"; "callers" => %settings.listen.callers);
+        wait_for_stop().await?;
+        info!(log, "planned stop requested");
+        control.request_stop();
+        // Callers keep the directory for its time to live and may still come with this address.
+        tokio::time::sleep(settings.limits.directory_ttl).await;
+        let start = tokio::time::Instant::now();
+        let mut next_warning = start + STOP_WARNING;
+        while calls.streams() > 0 {
+            tokio::time::sleep(IDLE_POLL).await;
+            if tokio::time::Instant::now() >= next_warning {
+                warn!(log, "planned stop is waiting for requests in progress"; "streams" => calls.streams());
+                next_warning += STOP_WARNING;
+            }
+        }
+        listener.stop();
+        tokio::time::sleep(FLUSH_TIME).await;
+        info!(log, "entry stopped");
+        anyhow::Ok(())
+    })?;
+    runtime.shutdown_timeout(FLUSH_TIME);
+    Ok(())
+}
+
+async fn wait_for_stop() -> anyhow::Result<()> {
+    use tokio::signal::unix;
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+fn new_incarnation() -> u64 {
+    let since_epoch =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    (since_epoch.as_millis() as u64) << INCARNATION_RANDOM_BITS
+        | u64::from(rand::random::<u16>()) >> (16 - INCARNATION_RANDOM_BITS)
+}
+
+/// Low bits of an incarnation that are random, so that two starts in one millisecond differ.
+const INCARNATION_RANDOM_BITS: u32 = 12;
+
+/// Threads that carry requests.
+const TRAFFIC_THREADS: usize = 2;
+
+/// Time for one call to the table.
+const TABLE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time between warnings about a planned stop that has not ended.
+const STOP_WARNING: Duration = Duration::from_secs(30);
+
+/// Time for the last bytes of answers to leave.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
+/// Pause between looks at the requests in progress.
+const IDLE_POLL: Duration = Duration::from_millis(20);
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -16,4 +16,5 @@
 pub use server_limits::ServerLimits;
 
 pub use hyper::body::Incoming;
+pub use hyper::header::HeaderValue;
 pub use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
