Fix the build of the thin roles

Cause: moved values in a match guard and header types were wrong. Change: the agent re-orders a load whenever the engine neither loads nor serves the wanted version, so an engine that was restarted after the order is loaded again.

--- a/crates/agent/src/control/control_thread.rs
+++ b/crates/agent/src/control/control_thread.rs
@@ -178,10 +178,7 @@
     /// Orders the load once the replica is drained; the gate opens on the engine's own report only.
     fn switch(&mut self, manifest: &WeightManifest, state: &EngineState) {
         let loading = state.state == EnginePhase::Loading;
-        if self.gate.in_flight() > 0
-            || loading
-            || (self.ordered && state.state != EnginePhase::Failed)
-        {
+        if self.gate.in_flight() > 0 || loading {
             return;
         }
         let version = manifest.version();
--- a/crates/agent/src/control/mod.rs
+++ b/crates/agent/src/control/mod.rs
@@ -7,7 +7,6 @@
 mod heartbeat_loop;
 
 pub(crate) use agent_view::AgentView;
-pub(crate) use control_event::ControlEvent;
 pub(crate) use control_server::serve;
 pub(crate) use control_thread::ControlThread;
 pub(crate) use heartbeat_loop::heartbeat_loop;
--- a/crates/agent/src/transfer/transfer_loop.rs
+++ b/crates/agent/src/transfer/transfer_loop.rs
@@ -107,12 +107,16 @@
         let (client, store, manifest, log) =
             (client.clone(), store.clone(), manifest.clone(), log.clone());
         fetches.spawn(async move {
-            match fetch(&client, version, &manifest, &assignment).await {
-                Ok(bytes) if store.insert(version, assignment.chunk as usize, bytes) => {}
-                Ok(_) => warn!(log, "chunk is corrupted";
-                    "chunk" => assignment.chunk, "source" => %assignment.source),
-                Err(err) => debug!(log, "chunk was not fetched";
-                    "chunk" => assignment.chunk, "source" => %assignment.source, "reason" => %err),
+            let (chunk, source) = (assignment.chunk, assignment.source);
+            let bytes = match fetch(&client, version, &manifest, &assignment).await {
+                Ok(it) => it,
+                Err(err) => {
+                    debug!(log, "chunk was not fetched"; "chunk" => chunk, "source" => %source, "reason" => %err);
+                    return;
+                }
+            };
+            if !store.insert(version, chunk as usize, bytes) {
+                warn!(log, "chunk is corrupted"; "chunk" => chunk, "source" => %source);
             }
         });
     }
--- a/crates/entry/src/calls/call_context.rs
+++ b/crates/entry/src/calls/call_context.rs
@@ -28,10 +28,19 @@
     headers: &HeaderMap,
     settings: &EntrySettings,
 ) -> Result<OrganisationName, CallRefusal> {
-    let refused = || CallRefusal::new(ResultCode::Unauthorized, "the bearer token is missing or unknown");
+    let refused = || {
+        CallRefusal::new(
+            ResultCode::Unauthorized,
+            "the bearer token is missing or unknown",
+        )
+    };
     let value = single(headers, "authorization")?.ok_or_else(refused)?;
     let token = value.strip_prefix("Bearer ").ok_or_else(refused)?;
-    let caller = settings.callers.iter().find(|it| it.token.matches(token)).ok_or_else(refused)?;
+    let caller = settings
+        .callers
+        .iter()
+        .find(|it| it.token.matches(token))
+        .ok_or_else(refused)?;
     Ok(caller.organisation.clone())
 }
 
@@ -41,34 +50,57 @@
     default: Duration,
     now: Instant,
 ) -> Result<Instant, CallRefusal> {
-    let Some(text) = single(headers, model::DEADLINE_HEADER)? else { return Ok(now + default) };
+    let Some(text) = single(headers, model::DEADLINE_HEADER)? else {
+        return Ok(now + default);
+    };
     match text.parse::<u64>() {
-        Ok(millis) if (1..=MAX_DEADLINE_MS).contains(&millis) => Ok(now + Duration::from_millis(millis)),
-        _ => Err(bad_header(model::DEADLINE_HEADER, "is not a number of milliseconds from 1 to 86400000")),
+        Ok(millis) if (1..=MAX_DEADLINE_MS).contains(&millis) => {
+            Ok(now + Duration::from_millis(millis))
+        }
+        _ => Err(bad_header(
+            model::DEADLINE_HEADER,
+            "is not a number of milliseconds from 1 to 86400000",
+        )),
     }
 }
 
 /// Reads the priority header.
 pub(crate) fn priority(headers: &HeaderMap, default: u8) -> Result<u8, CallRefusal> {
-    let Some(text) = single(headers, model::PRIORITY_HEADER)? else { return Ok(default) };
+    let Some(text) = single(headers, model::PRIORITY_HEADER)? else {
+        return Ok(default);
+    };
     match text.parse::<u8>() {
         Ok(priority) if priority <= 9 => Ok(priority),
-        _ => Err(bad_header(model::PRIORITY_HEADER, "is not a number from 0 to 9")),
+        _ => Err(bad_header(
+            model::PRIORITY_HEADER,
+            "is not a number from 0 to 9",
+        )),
     }
 }
 
 /// Returns the only value of a header; a header that comes twice could be read in two ways.
-pub(crate) fn single<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, CallRefusal> {
+pub(crate) fn single<'a>(
+    headers: &'a HeaderMap,
+    name: &str,
+) -> Result<Option<&'a str>, CallRefusal> {
     let mut values = headers.get_all(name).iter();
-    let Some(value) = values.next() else { return Ok(None) };
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
     if values.next().is_some() {
         return Err(bad_header(name, "is given more than once"));
     }
-    value.to_str().map(Some).map_err(|_| bad_header(name, "is not plain text"))
+    value
+        .to_str()
+        .map(Some)
+        .map_err(|_| bad_header(name, "is not plain text"))
 }
 
 fn bad_header(name: &str, reason: &str) -> CallRefusal {
-    CallRefusal::new(ResultCode::BadRequest, format!("the header {name} {reason}"))
+    CallRefusal::new(
+        ResultCode::BadRequest,
+        format!("the header {name} {reason}"),
+    )
 }
 
 /// Longest deadline that a caller may ask for, a day in milliseconds.
--- a/crates/entry/src/calls/call_refusal.rs
+++ b/crates/entry/src/calls/call_refusal.rs
@@ -12,7 +12,10 @@
 
 impl CallRefusal {
     pub(crate) fn new(code: ResultCode, message: impl Into<String>) -> Self {
-        Self { code, message: message.into() }
+        Self {
+            code,
+            message: message.into(),
+        }
     }
 
     /// Returns the answer for the caller, with a time to come back where a repeat may succeed.
--- a/crates/entry/src/calls/call_server.rs
+++ b/crates/entry/src/calls/call_server.rs
@@ -4,11 +4,10 @@
 use std::time::Instant;
 
 use anyhow::Context;
-use hyper::http::response as http_parts;
 use httpio::{HttpServer, Incoming, Method, ReplyBody, Request, Response, ServerLimits};
+use hyper::http::response as http_parts;
 use model::{
-    AttemptId, FleetConfig, ModelName, OrderPolicy, RequestId, ResultCode, ServiceName,
-    TargetKind,
+    AttemptId, FleetConfig, ModelName, OrderPolicy, RequestId, ResultCode, ServiceName, TargetKind,
 };
 use platform::TableClient;
 use serde::Deserialize;
@@ -55,7 +54,14 @@
         log: Logger,
     ) -> Self {
         let dispatcher = Dispatcher::new(settings.clone(), snapshots.clone(), log.clone());
-        Self { settings, snapshots, dispatcher, orders: OrderBook::new(table), counters, log }
+        Self {
+            settings,
+            snapshots,
+            dispatcher,
+            orders: OrderBook::new(table),
+            counters,
+            log,
+        }
     }
 
     /// Starts the listener.
@@ -68,8 +74,8 @@
             header_timeout: limits.header_timeout,
         };
         let address = self.settings.listen.callers;
-        let server =
-            HttpServer::bind(address, limits).with_context(|| format!("cannot listen on {address}"))?;
+        let server = HttpServer::bind(address, limits)
+            .with_context(|| format!("cannot listen on {address}"))?;
         Ok(server.serve(move |request, _peer| {
             let server = self.clone();
             async move { server.answer(request).await }
@@ -102,14 +108,23 @@
             let body = directory::directory(&snapshot, self.settings.limits.directory_ttl);
             return Ok(Response::new(httpio::full(body.to_string())));
         }
-        let Some(guard) = CallCounters::enter(&self.counters, self.settings.limits.max_streams) else {
-            return Err(CallRefusal::new(ResultCode::Overloaded, "this entry has no room for more requests"));
+        let Some(guard) = CallCounters::enter(&self.counters, self.settings.limits.max_streams)
+        else {
+            return Err(CallRefusal::new(
+                ResultCode::Overloaded,
+                "this entry has no room for more requests",
+            ));
         };
         let call = self.check(request, id, &snapshot).await?;
         match path.as_str() {
-            "/v1/chat/completions" | "/v1/completions" => self.model_call(call, &snapshot, guard).await,
+            "/v1/chat/completions" | "/v1/completions" => {
+                self.model_call(call, &snapshot, guard).await
+            }
             _ if path.starts_with(SERVICE_PREFIX) => self.service_call(call, guard).await,
-            _ => Err(CallRefusal::new(ResultCode::NotFound, format!("the path {path:?} does not exist"))),
+            _ => Err(CallRefusal::new(
+                ResultCode::NotFound,
+                format!("the path {path:?} does not exist"),
+            )),
         }
     }
 
@@ -123,7 +138,10 @@
         let limits = &self.settings.limits;
         let organisation = call_context::authenticate(&parts.headers, &self.settings)?;
         let Some(config) = &snapshot.config else {
-            return Err(CallRefusal::new(ResultCode::NotReady, "this entry has no configuration yet"));
+            return Err(CallRefusal::new(
+                ResultCode::NotReady,
+                "this entry has no configuration yet",
+            ));
         };
         let policy = config.organisation(&organisation);
         if policy.denied {
@@ -141,20 +159,35 @@
             deadline,
             priority,
             method: parts.method,
-            path: parts.uri.path_and_query().map_or_else(|| "/".to_string(), ToString::to_string),
+            path: parts
+                .uri
+                .path_and_query()
+                .map_or_else(|| "/".to_string(), ToString::to_string),
             content_type: parts.headers.get(httpio::header::CONTENT_TYPE).cloned(),
             body,
             idempotency_key: idempotency_key(&parts.headers)?,
         })
     }
 
-    async fn model_call(&self, call: CallContext, snapshot: &ControlSnapshot, guard: CallGuard) -> Reply {
+    async fn model_call(
+        &self,
+        call: CallContext,
+        snapshot: &ControlSnapshot,
+        guard: CallGuard,
+    ) -> Reply {
         if call.method != Method::POST {
             return Err(CallRefusal::new(ResultCode::MethodNotAllowed, "use POST"));
         }
-        let request: ModelRequest = serde_json::from_slice(&call.body)
-            .map_err(|err| CallRefusal::new(ResultCode::BadRequest, format!("the body is not a request: {err}")))?;
-        let known = snapshot.config.as_ref().is_some_and(|it| it.models.contains_key(&request.model));
+        let request: ModelRequest = serde_json::from_slice(&call.body).map_err(|err| {
+            CallRefusal::new(
+                ResultCode::BadRequest,
+                format!("the body is not a request: {err}"),
+            )
+        })?;
+        let known = snapshot
+            .config
+            .as_ref()
+            .is_some_and(|it| it.models.contains_key(&request.model));
         if !known {
             let message = format!("the model {} does not exist", request.model);
             return Err(CallRefusal::new(ResultCode::NotFound, message));
@@ -188,10 +221,19 @@
             .map_err(|err| CallRefusal::new(ResultCode::BadRequest, err.to_string()))?;
         call.path = format!("/{path}");
         let snapshot = self.snapshots.load();
-        let config = snapshot.config.as_deref().map_or_else(FleetConfig::default, FleetConfig::clone);
-        let known = snapshot.targets.values().any(|it| it.row.kind == TargetKind::Service(service.clone()));
+        let config = snapshot
+            .config
+            .as_deref()
+            .map_or_else(FleetConfig::default, FleetConfig::clone);
+        let known = snapshot
+            .targets
+            .values()
+            .any(|it| it.row.kind == TargetKind::Service(service.clone()));
         if !known {
-            return Err(CallRefusal::new(ResultCode::NotFound, format!("the service {service} does not exist")));
+            return Err(CallRefusal::new(
+                ResultCode::NotFound,
+                format!("the service {service} does not exist"),
+            ));
         }
         let lookup = match config.service(&service).orders {
             OrderPolicy::Lookups => true,
@@ -207,7 +249,8 @@
                 _ => server.single_call(&call, service, lookup).await,
             }
         });
-        work.await.unwrap_or_else(|_| Err(CallRefusal::new(ResultCode::Internal, "the request failed")))
+        work.await
+            .unwrap_or_else(|_| Err(CallRefusal::new(ResultCode::Internal, "the request failed")))
     }
 
     async fn single_call(&self, call: &CallContext, service: ServiceName, lookup: bool) -> Reply {
@@ -229,12 +272,7 @@
         }
     }
 
-    async fn keyed_order(
-        &self,
-        call: &CallContext,
-        service: ServiceName,
-        key: &str,
-    ) -> Reply {
+    async fn keyed_order(&self, call: &CallContext, service: ServiceName, key: &str) -> Reply {
         let row_key = order_book::order_key(&call.organisation, &service, key);
         let mut row = OrderRow {
             attempt: AttemptId(rand::random()),
@@ -268,7 +306,10 @@
         self.record(row_key, version, row.clone()).await;
         match &row.state {
             OrderState::Done { .. } => done_response(&row.state, ResultCode::Ok),
-            _ => Err(CallRefusal::new(ResultCode::OrderUnknown, "the order may have run")),
+            _ => Err(CallRefusal::new(
+                ResultCode::OrderUnknown,
+                "the order may have run",
+            )),
         }
     }
 
@@ -312,13 +353,19 @@
 }
 
 fn key_header(call: &CallContext) -> Vec<(&'static str, String)> {
-    call.idempotency_key.iter().map(|it| (model::IDEMPOTENCY_HEADER, it.clone())).collect()
+    call.idempotency_key
+        .iter()
+        .map(|it| (model::IDEMPOTENCY_HEADER, it.clone()))
+        .collect()
 }
 
 fn order_digest(call: &CallContext) -> String {
     let mut hasher = blake3::Hasher::new();
     hasher.update(call.method.as_str().as_bytes()).update(b"\n");
-    hasher.update(call.path.as_bytes()).update(b"\n").update(&call.body);
+    hasher
+        .update(call.path.as_bytes())
+        .update(b"\n")
+        .update(&call.body);
     hasher.finalize().to_string()
 }
 
@@ -329,24 +376,36 @@
     }
     match &known.state {
         OrderState::Done { .. } => done_response(&known.state, ResultCode::Replayed),
-        OrderState::Claimed => {
-            Err(CallRefusal::new(ResultCode::OrderInProgress, "the same order is in progress"))
-        }
-        OrderState::Unknown => {
-            Err(CallRefusal::new(ResultCode::OrderUnknown, "the order may have run"))
-        }
+        OrderState::Claimed => Err(CallRefusal::new(
+            ResultCode::OrderInProgress,
+            "the same order is in progress",
+        )),
+        OrderState::Unknown => Err(CallRefusal::new(
+            ResultCode::OrderUnknown,
+            "the order may have run",
+        )),
     }
 }
 
 fn done_response(state: &OrderState, code: ResultCode) -> Reply {
-    let OrderState::Done { status, body, content_type } = state else {
-        return Err(CallRefusal::new(ResultCode::Internal, "the order has no outcome"));
+    let OrderState::Done {
+        status,
+        body,
+        content_type,
+    } = state
+    else {
+        return Err(CallRefusal::new(
+            ResultCode::Internal,
+            "the order has no outcome",
+        ));
     };
     let mut response = Response::new(httpio::full(body.clone()));
     *response.status_mut() =
         httpio::StatusCode::from_u16(*status).unwrap_or(httpio::StatusCode::BAD_GATEWAY);
     if let Some(Ok(value)) = content_type.as_deref().map(str::parse) {
-        response.headers_mut().insert(httpio::header::CONTENT_TYPE, value);
+        response
+            .headers_mut()
+            .insert(httpio::header::CONTENT_TYPE, value);
     }
     if let Ok(value) = code.to_string().parse() {
         response.headers_mut().insert(model::RESULT_HEADER, value);
@@ -363,7 +422,9 @@
     OrderState::Done {
         status: parts.status.as_u16(),
         body: String::from_utf8_lossy(&bytes).into_owned(),
-        content_type: content_type.and_then(|it| it.to_str().ok()).map(str::to_string),
+        content_type: content_type
+            .and_then(|it| it.to_str().ok())
+            .map(str::to_string),
     }
 }
 
@@ -384,7 +445,9 @@
         }
     }
     if let Some(value) = parts.headers.get(model::VERSION_HEADER) {
-        response.headers_mut().insert(model::VERSION_HEADER, value.clone());
+        response
+            .headers_mut()
+            .insert(model::VERSION_HEADER, value.clone());
     }
     response
 }
--- a/crates/entry/src/calls/directory.rs
+++ b/crates/entry/src/calls/directory.rs
@@ -9,7 +9,9 @@
 /// Returns the body of `GET /v1/entries`.
 pub(crate) fn directory(snapshot: &ControlSnapshot, ttl: Duration) -> serde_json::Value {
     let others = snapshot.entries.values().map(|it| &it.row);
-    let rows = others.chain(&snapshot.own).filter(|it| it.ready && !it.leaving);
+    let rows = others
+        .chain(&snapshot.own)
+        .filter(|it| it.ready && !it.leaving);
     let entries: Vec<_> = rows
         .map(|it| json!({ "address": it.callers, "zone": it.zone, "region": it.region, "weight": 1 }))
         .collect();
--- a/crates/entry/src/calls/dispatcher.rs
+++ b/crates/entry/src/calls/dispatcher.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use httpio::{ClientError, HttpClient, Request};
-use model::{AttemptId, GateState, HostName, ResultCode, RunStatus, TargetKind, TargetRow, VersionDigest};
+use model::{
+    AttemptId, GateState, HostName, ResultCode, RunStatus, TargetKind, TargetRow, VersionDigest,
+};
 use rand::seq::IndexedRandom;
 use settings::EntrySettings;
 use slog::{Logger, info};
@@ -41,9 +43,19 @@
 }
 
 impl Dispatcher {
-    pub(crate) fn new(settings: Arc<EntrySettings>, snapshots: Arc<SnapshotCell>, log: Logger) -> Self {
+    pub(crate) fn new(
+        settings: Arc<EntrySettings>,
+        snapshots: Arc<SnapshotCell>,
+        log: Logger,
+    ) -> Self {
         let client = HttpClient::new(None, CONNECT_TIMEOUT);
-        Self { settings, snapshots, client, counters: WireCounters::default(), log }
+        Self {
+            settings,
+            snapshots,
+            client,
+            counters: WireCounters::default(),
+            log,
+        }
     }
 
     /// Attempts a request until a target answers, no target is left or the outcome is unknown.
@@ -55,7 +67,9 @@
             if Instant::now() >= call.deadline {
                 return AttemptOutcome::NotRun(ResultCode::DeadlineNotRun);
             }
-            let Some(target) = choose(&self.snapshots.load(), plan, &tried) else { break };
+            let Some(target) = choose(&self.snapshots.load(), plan, &tried) else {
+                break;
+            };
             tried.insert(target.host.clone());
             match self.attempt(call, plan, &target, attempt).await {
                 AttemptOutcome::NotRun(code) => last = code,
@@ -83,12 +97,23 @@
         let left = call.deadline.saturating_duration_since(Instant::now());
         let reply = match tokio::time::timeout(left, self.client.send(target.gate, request)).await {
             Ok(Ok(reply)) => reply,
-            Ok(Err(ClientError::NotSent(_))) => return AttemptOutcome::NotRun(ResultCode::TargetRefused),
-            Ok(Err(ClientError::Lost(_))) => return self.revoke(target, attempt, ResultCode::TargetLost).await,
-            Err(_) => return self.revoke(target, attempt, ResultCode::DeadlineUnknown).await,
+            Ok(Err(ClientError::NotSent(_))) => {
+                return AttemptOutcome::NotRun(ResultCode::TargetRefused);
+            }
+            Ok(Err(ClientError::Lost(_))) => {
+                return self.revoke(target, attempt, ResultCode::TargetLost).await;
+            }
+            Err(_) => {
+                return self
+                    .revoke(target, attempt, ResultCode::DeadlineUnknown)
+                    .await;
+            }
         };
         let (response, _sender, _address) = reply.into_parts();
-        let code = response.headers().get(model::RESULT_HEADER).and_then(|it| it.to_str().ok());
+        let code = response
+            .headers()
+            .get(model::RESULT_HEADER)
+            .and_then(|it| it.to_str().ok());
         match code.and_then(ResultCode::from_header) {
             Some(ResultCode::Ok) => AttemptOutcome::Answer(response),
             Some(code) if code.run_status() == RunStatus::NotRun => AttemptOutcome::NotRun(code),
@@ -98,13 +123,23 @@
     }
 
     /// Asks the gate to forget an attempt that may be on its way; only its word makes "not run" a fact.
-    async fn revoke(&self, target: &TargetRow, attempt: AttemptId, unknown: ResultCode) -> AttemptOutcome {
+    async fn revoke(
+        &self,
+        target: &TargetRow,
+        attempt: AttemptId,
+        unknown: ResultCode,
+    ) -> AttemptOutcome {
         let secret = self.settings.shared_key.reveal();
         let revoke = async {
-            let client = wire::connect_agent(target.control, None, secret, &self.counters).await.ok()?;
+            let client = wire::connect_agent(target.control, None, secret, &self.counters)
+                .await
+                .ok()?;
             client.revoke(context::current(), attempt).await.ok()
         };
-        let outcome = tokio::time::timeout(REVOKE_TIMEOUT, revoke).await.ok().flatten();
+        let outcome = tokio::time::timeout(REVOKE_TIMEOUT, revoke)
+            .await
+            .ok()
+            .flatten();
         info!(self.log, "attempt revoked"; "attempt" => %attempt, "target" => %target.host,
             "outcome" => ?outcome);
         match outcome {
@@ -126,7 +161,7 @@
         .header(model::ATTEMPT_HEADER, attempt.to_string())
         .header(model::REQUEST_ID_HEADER, call.id.to_string())
         .header(model::ORGANISATION_HEADER, call.organisation.as_str())
-        .header(model::PRIORITY_HEADER, call.priority)
+        .header(model::PRIORITY_HEADER, u16::from(call.priority))
         .header(model::DEADLINE_HEADER, left.as_millis().to_string());
     if let Some(version) = plan.version {
         builder = builder.header(model::REQUIRE_VERSION_HEADER, version.to_string());
@@ -141,7 +176,11 @@
 }
 
 /// Picks the less loaded of two random targets that take work.
-fn choose(snapshot: &ControlSnapshot, plan: &AttemptPlan, tried: &BTreeSet<HostName>) -> Option<TargetRow> {
+fn choose(
+    snapshot: &ControlSnapshot,
+    plan: &AttemptPlan,
+    tried: &BTreeSet<HostName>,
+) -> Option<TargetRow> {
     let drains = snapshot.config.as_ref().map(|it| &it.drains);
     let open: Vec<_> = snapshot
         .targets
@@ -153,7 +192,8 @@
         .filter(|it| plan.version.is_none() || it.serving == plan.version)
         .collect();
     let pair = open.sample(&mut rand::rng(), 2);
-    pair.min_by_key(|it| it.load.in_flight).map(|it| (*it).clone())
+    pair.min_by_key(|it| it.load.in_flight)
+        .map(|it| (*it).clone())
 }
 
 /// Attempts at one request.
--- a/crates/entry/src/calls/order_book.rs
+++ b/crates/entry/src/calls/order_book.rs
@@ -50,8 +50,15 @@
 }
 
 /// Names the row of an order.
-pub(crate) fn order_key(organisation: &OrganisationName, service: &ServiceName, key: &str) -> String {
-    format!("order/{organisation}/{service}/{}", blake3::hash(key.as_bytes()))
+pub(crate) fn order_key(
+    organisation: &OrganisationName,
+    service: &ServiceName,
+    key: &str,
+) -> String {
+    format!(
+        "order/{organisation}/{service}/{}",
+        blake3::hash(key.as_bytes())
+    )
 }
 
 impl OrderBook {
@@ -61,7 +68,9 @@
 
     /// Claims an order before anything is sent.
     pub(crate) fn claim(&self, key: &str, row: &OrderRow) -> Result<ClaimOutcome, CallRefusal> {
-        let transaction = TableTransaction::default().expect(key, None).put(key, to_value(row));
+        let transaction = TableTransaction::default()
+            .expect(key, None)
+            .put(key, to_value(row));
         match self.table.transact(&transaction) {
             Ok(version) => Ok(ClaimOutcome::Claimed(version)),
             Err(TableError::Unavailable(reason)) => Err(unavailable(&reason)),
@@ -71,7 +80,10 @@
 
     /// Reads the row back after a conflict or a lost reply; the attempt id tells whose claim it is.
     fn settle(&self, key: &str, row: &OrderRow) -> Result<ClaimOutcome, CallRefusal> {
-        let found = self.table.read(key).map_err(|err| unavailable(&err.to_string()))?;
+        let found = self
+            .table
+            .read(key)
+            .map_err(|err| unavailable(&err.to_string()))?;
         let Some(found) = found else {
             return Err(unavailable("the claim was not applied"));
         };
@@ -85,8 +97,9 @@
 
     /// Records what became of an order.
     pub(crate) fn record(&self, key: &str, version: u64, row: &OrderRow) -> Result<(), TableError> {
-        let transaction =
-            TableTransaction::default().expect(key, Some(version)).put(key, to_value(row));
+        let transaction = TableTransaction::default()
+            .expect(key, Some(version))
+            .put(key, to_value(row));
         self.table.transact(&transaction).map(drop)
     }
 
@@ -99,7 +112,10 @@
 }
 
 fn unavailable(reason: &str) -> CallRefusal {
-    CallRefusal::new(ResultCode::TableUnavailable, format!("the order was not started: {reason}"))
+    CallRefusal::new(
+        ResultCode::TableUnavailable,
+        format!("the order was not started: {reason}"),
+    )
 }
 
 fn to_value(row: &OrderRow) -> serde_json::Value {
--- a/crates/entry/src/calls/stream_relay.rs
+++ b/crates/entry/src/calls/stream_relay.rs
@@ -17,7 +17,9 @@
             () = sender.closed() => return,
         };
         let Some(Ok(frame)) = frame else { break };
-        let Ok(bytes) = frame.into_data() else { continue };
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
         remember_tail(&mut tail, &bytes);
         if sender.send(Ok(Frame::data(bytes))).await.is_err() {
             return;
--- a/crates/entry/src/control/command_runner.rs
+++ b/crates/entry/src/control/command_runner.rs
@@ -30,12 +30,20 @@
 
 impl CommandOutcome {
     pub(crate) fn new(code: ResultCode, message: impl Into<String>) -> Self {
-        Self { code: code.number(), name: code.name(), message: message.into(), revision: None }
+        Self {
+            code: code.number(),
+            name: code.name(),
+            message: message.into(),
+            revision: None,
+        }
     }
 
     fn accepted(revision: ConfigRevision) -> Self {
         let message = format!("accepted at revision {revision}");
-        Self { revision: Some(revision), ..Self::new(ResultCode::Ok, message) }
+        Self {
+            revision: Some(revision),
+            ..Self::new(ResultCode::Ok, message)
+        }
     }
 }
 
@@ -51,12 +59,22 @@
     let change = match control::parse(text) {
         Ok(Statement::Change(it)) => it,
         Ok(Statement::Query(_)) => {
-            return (CommandOutcome::new(ResultCode::NotFound, "queries are not answered yet"), None);
+            return (
+                CommandOutcome::new(ResultCode::NotFound, "queries are not answered yet"),
+                None,
+            );
+        }
+        Err(err) => {
+            return (
+                CommandOutcome::new(ResultCode::BadCommand, err.to_string()),
+                None,
+            );
         }
-        Err(err) => return (CommandOutcome::new(ResultCode::BadCommand, err.to_string()), None),
     };
-    commit(&change, text, id, operator, snapshot, table, source)
-        .map_or_else(|outcome| (outcome, None), |config| (CommandOutcome::accepted(config.0), config.1))
+    commit(&change, text, id, operator, snapshot, table, source).map_or_else(
+        |outcome| (outcome, None),
+        |config| (CommandOutcome::accepted(config.0), config.1),
+    )
 }
 
 type Committed = (ConfigRevision, Option<model::FleetConfig>);
@@ -92,9 +110,18 @@
     let changes = control::plan_change(change, &config, &context)
         .map_err(|err| CommandOutcome::new(ResultCode::BadCommand, err.to_string()))?;
     let revision = config.revision.next();
-    let delta = ConfigDelta { revision, command: id.clone(), operator: operator.to_string(), changes };
+    let delta = ConfigDelta {
+        revision,
+        command: id.clone(),
+        operator: operator.to_string(),
+        changes,
+    };
     delta.apply(&mut config);
-    let row = CommandRow { revision, operator: operator.to_string(), text: text.to_string() };
+    let row = CommandRow {
+        revision,
+        operator: operator.to_string(),
+        text: text.to_string(),
+    };
     let transaction = TableTransaction::default()
         .expect(HEAD_KEY, version)
         .expect(&command_key, None)
@@ -110,7 +137,10 @@
         Err(TableError::Unknown(reason)) => match table.read(&command_key) {
             Ok(Some(row)) => known_command(row.value, text),
             Ok(None) => Err(CommandOutcome::new(ResultCode::CommandUnknown, reason)),
-            Err(err) => Err(CommandOutcome::new(ResultCode::CommandUnknown, err.to_string())),
+            Err(err) => Err(CommandOutcome::new(
+                ResultCode::CommandUnknown,
+                err.to_string(),
+            )),
         },
     }
 }
@@ -119,7 +149,10 @@
     let row: CommandRow = serde_json::from_value(value)
         .map_err(|err| CommandOutcome::new(ResultCode::Internal, err.to_string()))?;
     if row.text != text {
-        let message = format!("this id was used for {:?} at revision {}", row.text, row.revision);
+        let message = format!(
+            "this id was used for {:?} at revision {}",
+            row.text, row.revision
+        );
         return Err(CommandOutcome::new(ResultCode::KeyReused, message));
     }
     Ok((row.revision, None))
--- a/crates/entry/src/control/config_poller.rs
+++ b/crates/entry/src/control/config_poller.rs
@@ -21,19 +21,21 @@
     events: Sender<ControlEvent>,
     log: Logger,
 ) -> anyhow::Result<()> {
-    std::thread::Builder::new().name("config-poller".to_string()).spawn(move || {
-        loop {
-            match read_head(&table) {
-                Ok((config, _)) => {
-                    if events.send(ControlEvent::Config(Box::new(config))).is_err() {
-                        return;
+    std::thread::Builder::new()
+        .name("config-poller".to_string())
+        .spawn(move || {
+            loop {
+                match read_head(&table) {
+                    Ok((config, _)) => {
+                        if events.send(ControlEvent::Config(Box::new(config))).is_err() {
+                            return;
+                        }
                     }
+                    Err(err) => warn!(log, "configuration was not read"; "reason" => %err),
                 }
-                Err(err) => warn!(log, "configuration was not read"; "reason" => %err),
+                std::thread::sleep(POLL_INTERVAL);
             }
-            std::thread::sleep(POLL_INTERVAL);
-        }
-    })?;
+        })?;
     Ok(())
 }
 
--- a/crates/entry/src/control/control_server.rs
+++ b/crates/entry/src/control/control_server.rs
@@ -33,7 +33,12 @@
         .await
         .with_context(|| format!("cannot listen on {}", settings.listen.control))?;
     let settings = settings.clone();
-    let server = ControlServer { events, snapshots, tracker, counters: counters.clone() };
+    let server = ControlServer {
+        events,
+        snapshots,
+        tracker,
+        counters: counters.clone(),
+    };
     tokio::spawn(async move {
         let answer = move |transport| {
             let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
@@ -41,7 +46,14 @@
                 tokio::spawn(call);
             }));
         };
-        wire::serve_entry(listener, settings.shared_key.reveal(), counters, log, answer).await;
+        wire::serve_entry(
+            listener,
+            settings.shared_key.reveal(),
+            counters,
+            log,
+            answer,
+        )
+        .await;
     });
     Ok(())
 }
@@ -59,8 +71,16 @@
         self.counters.add_message();
         let snapshot = self.snapshots.load();
         let config = newer_config(&snapshot, row.revision);
-        let permit = snapshot.permits.iter().filter(|it| it.host == row.host).max_by_key(|it| it.fencing);
-        let reply = HeartbeatReply { config, permit: permit.cloned(), entries: control_addresses(&snapshot) };
+        let permit = snapshot
+            .permits
+            .iter()
+            .filter(|it| it.host == row.host)
+            .max_by_key(|it| it.fencing);
+        let reply = HeartbeatReply {
+            config,
+            permit: permit.cloned(),
+            entries: control_addresses(&snapshot),
+        };
         let _ = self.events.send(ControlEvent::Heartbeat(Box::new(row)));
         reply
     }
@@ -88,18 +108,27 @@
 }
 
 fn newer_config(snapshot: &ControlSnapshot, known: ConfigRevision) -> Option<FleetConfig> {
-    snapshot.config.as_ref().filter(|it| it.revision > known).map(|it| FleetConfig::clone(it))
+    snapshot
+        .config
+        .as_ref()
+        .filter(|it| it.revision > known)
+        .map(|it| FleetConfig::clone(it))
 }
 
 fn chunk_count(snapshot: &ControlSnapshot, version: VersionDigest) -> Option<usize> {
     let config = snapshot.config.as_ref()?;
     let mut manifests = config.models.values().map(|it| &it.manifest);
-    manifests.find(|it| it.version() == version).map(|it| it.chunk_count())
+    manifests
+        .find(|it| it.version() == version)
+        .map(|it| it.chunk_count())
 }
 
 fn control_addresses(snapshot: &ControlSnapshot) -> Vec<std::net::SocketAddr> {
     let others = snapshot.entries.values().map(|it| &it.row);
-    let live: BTreeSet<_> =
-        others.chain(&snapshot.own).filter(|it| !it.leaving).map(|it| it.control).collect();
+    let live: BTreeSet<_> = others
+        .chain(&snapshot.own)
+        .filter(|it| !it.leaving)
+        .map(|it| it.control)
+        .collect();
     live.into_iter().collect()
 }
--- a/crates/entry/src/control/control_snapshot.rs
+++ b/crates/entry/src/control/control_snapshot.rs
@@ -49,11 +49,17 @@
 impl SnapshotCell {
     /// Returns the newest snapshot.
     pub(crate) fn load(&self) -> Arc<ControlSnapshot> {
-        self.newest.read().expect("no holder of the snapshot's lock panics").clone()
+        self.newest
+            .read()
+            .expect("no holder of the snapshot's lock panics")
+            .clone()
     }
 
     /// Replaces the snapshot.
     pub(crate) fn store(&self, snapshot: ControlSnapshot) {
-        *self.newest.write().expect("no holder of the snapshot's lock panics") = Arc::new(snapshot);
+        *self
+            .newest
+            .write()
+            .expect("no holder of the snapshot's lock panics") = Arc::new(snapshot);
     }
 }
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -5,7 +5,9 @@
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
 
-use model::{ConfigRevision, EntryRow, FleetConfig, HostName, Incarnation, SwitchPermit, TargetRow};
+use model::{
+    ConfigRevision, EntryRow, FleetConfig, HostName, Incarnation, SwitchPermit, TargetRow,
+};
 use settings::EntrySettings;
 use slog::{Logger, info};
 use wire::EntrySummary;
@@ -112,15 +114,29 @@
                 return;
             }
             let direct = direct || known.direct && now.duration_since(known.seen) < DIRECT_AGE;
-            *known = SeenTarget { row, seen: now, direct };
+            *known = SeenTarget {
+                row,
+                seen: now,
+                direct,
+            };
             return;
         }
-        self.targets.insert(row.host.clone(), SeenTarget { row, seen: now, direct });
+        self.targets.insert(
+            row.host.clone(),
+            SeenTarget {
+                row,
+                seen: now,
+                direct,
+            },
+        );
     }
 
     fn take_summary(&mut self, summary: EntrySummary, now: Instant) {
         for row in summary.targets {
-            let known = self.targets.get(&row.host).map(|it| (it.row.incarnation, it.row.sequence));
+            let known = self
+                .targets
+                .get(&row.host)
+                .map(|it| (it.row.incarnation, it.row.sequence));
             if known.is_none_or(|it| it < (row.incarnation, row.sequence)) {
                 self.take_row(row, now, false);
             }
@@ -128,19 +144,29 @@
         if summary.entry.host == self.settings.host.name {
             return;
         }
-        let seen = SeenEntry { row: summary.entry, seen: now, permits: summary.permits };
+        let seen = SeenEntry {
+            row: summary.entry,
+            seen: now,
+            permits: summary.permits,
+        };
         self.entries.insert(seen.row.host.clone(), seen);
     }
 
     fn forget(&mut self, now: Instant) {
-        self.targets.retain(|_, it| now.duration_since(it.seen) < DEAD_AFTER);
-        self.entries.retain(|_, it| now.duration_since(it.seen) < DEAD_AFTER);
+        self.targets
+            .retain(|_, it| now.duration_since(it.seen) < DEAD_AFTER);
+        self.entries
+            .retain(|_, it| now.duration_since(it.seen) < DEAD_AFTER);
     }
 
     fn snapshot(&mut self) -> ControlSnapshot {
         self.sequence += 1;
         let mut permits = self.own_permits.clone();
-        permits.extend(self.entries.values().flat_map(|it| it.permits.iter().cloned()));
+        permits.extend(
+            self.entries
+                .values()
+                .flat_map(|it| it.permits.iter().cloned()),
+        );
         ControlSnapshot {
             config: self.config.clone(),
             targets: self.targets.clone(),
@@ -166,7 +192,10 @@
             leaving: self.leaving,
             streams: self.calls.streams(),
             overloaded_ms: None,
-            revision: self.config.as_ref().map_or(ConfigRevision::default(), |it| it.revision),
+            revision: self
+                .config
+                .as_ref()
+                .map_or(ConfigRevision::default(), |it| it.revision),
         }
     }
 }
--- a/crates/entry/src/control/exchange_loop.rs
+++ b/crates/entry/src/control/exchange_loop.rs
@@ -33,7 +33,9 @@
         let summary = own_summary(&snapshot);
         for address in other_entries(&settings, &snapshot) {
             if let std::collections::btree_map::Entry::Vacant(slot) = clients.entry(address) {
-                match wire::connect_entry(address, None, settings.shared_key.reveal(), &counters).await {
+                match wire::connect_entry(address, None, settings.shared_key.reveal(), &counters)
+                    .await
+                {
                     Ok(it) => drop(slot.insert(it)),
                     Err(err) => {
                         debug!(log, "entry cannot be reached"; "entry" => %address, "reason" => %err);
@@ -49,8 +51,9 @@
             };
             let known = snapshot.config.as_ref().map(|it| it.revision);
             if known.is_none_or(|it| it < reply.revision)
-                && let Ok(Some(config)) =
-                    client.config(context::current(), known.unwrap_or_default()).await
+                && let Ok(Some(config)) = client
+                    .config(context::current(), known.unwrap_or_default())
+                    .await
             {
                 let _ = events.send(ControlEvent::Config(Box::new(config)));
             }
@@ -67,7 +70,10 @@
         entry,
         targets: direct.map(|it| it.row.clone()).collect(),
         permits: snapshot.own_permits.clone(),
-        revision: snapshot.config.as_ref().map_or(ConfigRevision::default(), |it| it.revision),
+        revision: snapshot
+            .config
+            .as_ref()
+            .map_or(ConfigRevision::default(), |it| it.revision),
     }
 }
 
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -11,9 +11,8 @@
 mod rollout_driver;
 
 pub(crate) use config_poller::start_poller;
-pub(crate) use control_event::ControlEvent;
 pub(crate) use control_server::serve;
-pub(crate) use control_snapshot::{ControlSnapshot, SeenEntry, SeenTarget, SnapshotCell};
+pub(crate) use control_snapshot::{ControlSnapshot, SnapshotCell};
 pub(crate) use control_thread::ControlThread;
 pub(crate) use exchange_loop::exchange_loop;
 pub(crate) use operator_server::OperatorServer;
--- a/crates/entry/src/control/operator_server.rs
+++ b/crates/entry/src/control/operator_server.rs
@@ -44,14 +44,19 @@
         let server = rouille::Server::new(address, move |request| self.answer(request, &source))
             .map_err(|err| anyhow::anyhow!("{err}"))
             .with_context(|| format!("cannot listen on {address}"))?;
-        std::thread::Builder::new().name("operators".to_string()).spawn(move || server.run())?;
+        std::thread::Builder::new()
+            .name("operators".to_string())
+            .spawn(move || server.run())?;
         Ok(())
     }
 
     fn answer(&self, request: &rouille::Request, source: &SourceClient) -> rouille::Response {
         let Some(operator) = self.operator(request) else {
             warn!(self.log, "operator refused"; "peer" => %request.remote_addr());
-            return reply(&CommandOutcome::new(ResultCode::Unauthorized, "the token is missing or unknown"));
+            return reply(&CommandOutcome::new(
+                ResultCode::Unauthorized,
+                "the token is missing or unknown",
+            ));
         };
         match (request.method(), request.url().as_str()) {
             ("GET", "/debug/state") => rouille::Response::json(&self.dump()),
@@ -68,14 +73,25 @@
     ) -> rouille::Response {
         let mut text = String::new();
         let Some(body) = request.data() else {
-            return reply(&CommandOutcome::new(ResultCode::BadRequest, "the body is missing"));
+            return reply(&CommandOutcome::new(
+                ResultCode::BadRequest,
+                "the body is missing",
+            ));
         };
         if let Err(err) = body.take(MAX_COMMAND_BYTES).read_to_string(&mut text) {
-            return reply(&CommandOutcome::new(ResultCode::BadRequest, err.to_string()));
+            return reply(&CommandOutcome::new(
+                ResultCode::BadRequest,
+                err.to_string(),
+            ));
         }
         let command: CommandRequest = match serde_json::from_str(&text) {
             Ok(it) => it,
-            Err(err) => return reply(&CommandOutcome::new(ResultCode::BadRequest, err.to_string())),
+            Err(err) => {
+                return reply(&CommandOutcome::new(
+                    ResultCode::BadRequest,
+                    err.to_string(),
+                ));
+            }
         };
         let snapshot = self.snapshots.load();
         let (outcome, config) = command_runner::run_command(
@@ -96,7 +112,11 @@
 
     fn operator(&self, request: &rouille::Request) -> Option<String> {
         let token = request.header("Authorization")?.strip_prefix("Bearer ")?;
-        let known = self.settings.operators.iter().find(|it| it.token.matches(token))?;
+        let known = self
+            .settings
+            .operators
+            .iter()
+            .find(|it| it.token.matches(token))?;
         Some(known.name.clone())
     }
 
--- a/crates/entry/src/control/rollout_driver.rs
+++ b/crates/entry/src/control/rollout_driver.rs
@@ -37,22 +37,31 @@
     log: Logger,
 ) -> anyhow::Result<()> {
     let holder = format!("{}-{:08x}", settings.host.name, rand::random::<u32>());
-    std::thread::Builder::new().name("rollout-driver".to_string()).spawn(move || {
-        let mut lease =
-            LeaseView { version: None, row: None, unchanged_since: Instant::now(), held_until: None };
-        loop {
-            keep_lease(&mut lease, &holder, &table, &log);
-            let fencing = lease.row.as_ref().map(|it| it.fencing).unwrap_or_default();
-            // A process that was paused finds its deadline in the past and does nothing.
-            let held = lease.held_until.is_some_and(|it| Instant::now() < it);
-            let permits =
-                if held { grant(&snapshots.load(), fencing) } else { Vec::new() };
-            if events.send(ControlEvent::Permits(permits)).is_err() {
-                return;
+    std::thread::Builder::new()
+        .name("rollout-driver".to_string())
+        .spawn(move || {
+            let mut lease = LeaseView {
+                version: None,
+                row: None,
+                unchanged_since: Instant::now(),
+                held_until: None,
+            };
+            loop {
+                keep_lease(&mut lease, &holder, &table, &log);
+                let fencing = lease.row.as_ref().map(|it| it.fencing).unwrap_or_default();
+                // A process that was paused finds its deadline in the past and does nothing.
+                let held = lease.held_until.is_some_and(|it| Instant::now() < it);
+                let permits = if held {
+                    grant(&snapshots.load(), fencing)
+                } else {
+                    Vec::new()
+                };
+                if events.send(ControlEvent::Permits(permits)).is_err() {
+                    return;
+                }
+                std::thread::sleep(DRIVER_INTERVAL);
             }
-            std::thread::sleep(DRIVER_INTERVAL);
-        }
-    })?;
+        })?;
     Ok(())
 }
 
@@ -79,9 +88,14 @@
     }
     let last = lease.row.as_ref().map(|it| it.fencing).unwrap_or_default();
     let fencing = if own { last } else { FencingNumber(last.0 + 1) };
-    let row = LeaseRow { holder: holder.to_string(), fencing };
+    let row = LeaseRow {
+        holder: holder.to_string(),
+        fencing,
+    };
     let value = serde_json::to_value(&row).expect("a lease row is plain data");
-    let transaction = TableTransaction::default().expect(LEASE_KEY, version).put(LEASE_KEY, value);
+    let transaction = TableTransaction::default()
+        .expect(LEASE_KEY, version)
+        .put(LEASE_KEY, value);
     match table.transact(&transaction) {
         Ok(version) => {
             if !own {
@@ -98,7 +112,9 @@
 }
 
 fn grant(snapshot: &ControlSnapshot, fencing: FencingNumber) -> Vec<SwitchPermit> {
-    let Some(config) = &snapshot.config else { return Vec::new() };
+    let Some(config) = &snapshot.config else {
+        return Vec::new();
+    };
     let mut permits = Vec::new();
     for (name, wanted) in &config.models {
         let version = wanted.manifest.version();
@@ -109,18 +125,26 @@
                 zones.entry(&target.row.zone).or_default().push(target);
             }
         }
-        let granted: BTreeSet<&HostName> =
-            snapshot.own_permits.iter().filter(|it| it.version == version).map(|it| &it.host).collect();
+        let granted: BTreeSet<&HostName> = snapshot
+            .own_permits
+            .iter()
+            .filter(|it| it.version == version)
+            .map(|it| &it.host)
+            .collect();
         for targets in zones.values() {
             let allowed = (targets.len() * usize::from(wanted.max_out_percent) / 100).max(1);
-            let mut out = targets.iter().filter(|it| it.row.state == GateState::Switching).count();
+            let mut out = targets
+                .iter()
+                .filter(|it| it.row.state == GateState::Switching)
+                .count();
             for target in targets {
                 let row = &target.row;
                 if row.serving == Some(version) {
                     continue;
                 }
-                let complete =
-                    row.transfer.is_some_and(|it| it.version == version && it.is_complete());
+                let complete = row
+                    .transfer
+                    .is_some_and(|it| it.version == version && it.is_complete());
                 let empty = row.serving.is_none();
                 let known = granted.contains(&row.host);
                 let counted = row.state == GateState::Switching;
@@ -134,7 +158,11 @@
                 if !empty && !counted {
                     out += 1;
                 }
-                permits.push(SwitchPermit { host: row.host.clone(), version, fencing });
+                permits.push(SwitchPermit {
+                    host: row.host.clone(),
+                    version,
+                    fencing,
+                });
             }
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -46,7 +46,13 @@
         log.clone(),
     )?;
     control::start_poller(&settings, table.clone(), control.sender(), log.clone())?;
-    control::start_driver(&settings, table.clone(), snapshots.clone(), control.sender(), log.clone())?;
+    control::start_driver(
+        &settings,
+        table.clone(),
+        snapshots.clone(),
+        control.sender(),
+        log.clone(),
+    )?;
     let operators = control::OperatorServer {
         settings: settings.clone(),
         snapshots: snapshots.clone(),
@@ -100,8 +106,9 @@
 }
 
 fn new_incarnation() -> u64 {
-    let since_epoch =
-        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let since_epoch = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
     (since_epoch.as_millis() as u64) << INCARNATION_RANDOM_BITS
         | u64::from(rand::random::<u16>()) >> (16 - INCARNATION_RANDOM_BITS)
 }
--- a/crates/entry/src/tracker/chunk_tracker.rs
+++ b/crates/entry/src/tracker/chunk_tracker.rs
@@ -24,16 +24,24 @@
 
 impl ChunkTracker {
     pub(crate) fn new(origin: SocketAddr) -> Self {
-        Self { origin, seen: Mutex::default() }
+        Self {
+            origin,
+            seen: Mutex::default(),
+        }
     }
 
     /// Takes an announcement and returns what the host may fetch next.
     pub(crate) fn plan(&self, request: PlanRequest, chunk_count: usize, now: Instant) -> PlanReply {
-        let mut seen = self.seen.lock().expect("no holder of the tracker's lock panics");
+        let mut seen = self
+            .seen
+            .lock()
+            .expect("no holder of the tracker's lock panics");
         let own = request.announcement;
         let hosts = seen.entry(own.version).or_default();
         hosts.retain(|_, it| now.duration_since(it.seen) < FORGET_AFTER);
-        let mut missing: Vec<usize> = (0..chunk_count).filter(|&idx| !own.have.contains(idx)).collect();
+        let mut missing: Vec<usize> = (0..chunk_count)
+            .filter(|&idx| !own.have.contains(idx))
+            .collect();
         missing.shuffle(&mut rand::rng());
         let mut assignments = Vec::new();
         for idx in missing {
@@ -44,16 +52,31 @@
                 .values()
                 .filter(|it| it.announcement.host != own.host && it.announcement.have.contains(idx))
                 .collect();
-            let near: Vec<_> =
-                holders.iter().filter(|it| it.announcement.region == own.region).copied().collect();
-            let holder = near.choose(&mut rand::rng()).or_else(|| holders.choose(&mut rand::rng()));
+            let near: Vec<_> = holders
+                .iter()
+                .filter(|it| it.announcement.region == own.region)
+                .copied()
+                .collect();
+            let holder = near
+                .choose(&mut rand::rng())
+                .or_else(|| holders.choose(&mut rand::rng()));
             let (source, kind) = match holder {
                 Some(it) => (it.announcement.peers, SourceKind::Peer),
                 None => (self.origin, SourceKind::Origin),
             };
-            assignments.push(ChunkAssignment { chunk: idx as u32, source, kind });
+            assignments.push(ChunkAssignment {
+                chunk: idx as u32,
+                source,
+                kind,
+            });
         }
-        hosts.insert(own.host.clone(), SeenHost { announcement: own, seen: now });
+        hosts.insert(
+            own.host.clone(),
+            SeenHost {
+                announcement: own,
+                seen: now,
+            },
+        );
         PlanReply { assignments }
     }
 }
