Stand-ins of the platform, the engine and the service

Cause: the thin whole path needs the outside of docs/PLATFORM.md to run against, with switches for faults and counters that fulmarline has no hand in. Change: standin hosts a table, object store, origin and weight store, host list, engine and plain service in one runtime, each with faults as methods and over POST /standin/faults; docs/PLATFORM.md now says what a cache event's prefix is. The workspace names form_urlencoded (already in the lock file) for the query parameters of the table. Result: cargo test -p standin, 2 tests green: a lost reply after commit is applied, an engine that read corrupted bytes serves another digest than the manifest's.

--- /dev/null
+++ b/crates/standin/src/engine/engine_request.rs
@@ -0,0 +1,74 @@
+//! What a caller asks of an engine.
+
+use httpio::{Incoming, ReplyBody, Request, Response, StatusCode};
+use serde::Deserialize;
+
+use crate::answers;
+
+/// A request for tokens, whichever of the two paths it came by.
+#[derive(Clone, Debug)]
+pub(crate) struct TokenRequest {
+    pub(crate) request_id: String,
+    pub(crate) prompt: String,
+    pub(crate) max_tokens: usize,
+    pub(crate) stream: bool,
+    pub(crate) chat: bool,
+    pub(crate) priority: u8,
+    pub(crate) resume_from: usize,
+}
+
+#[derive(Debug, Deserialize)]
+struct RequestBody {
+    prompt: Option<String>,
+    messages: Option<Vec<ChatMessage>>,
+    max_tokens: Option<usize>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatMessage {
+    content: String,
+}
+
+/// Tokens of an answer to a request that names no number.
+const DEFAULT_MAX_TOKENS: usize = 16;
+
+/// Priority of a request that names none.
+const DEFAULT_PRIORITY: u8 = 5;
+
+impl TokenRequest {
+    /// Reads `request`, or returns the answer to a malformed one.
+    pub(crate) async fn read(
+        request: Request<Incoming>,
+        chat: bool,
+    ) -> Result<Self, Box<Response<ReplyBody>>> {
+        let request_id = answers::header_text(&request, model::REQUEST_ID_HEADER)
+            .unwrap_or("none")
+            .to_owned();
+        let priority = answers::header_text(&request, model::PRIORITY_HEADER)
+            .and_then(|it| it.parse().ok())
+            .unwrap_or(DEFAULT_PRIORITY);
+        let resume_from = answers::header_text(&request, model::RESUME_HEADER)
+            .and_then(|it| it.parse().ok())
+            .unwrap_or(0);
+        let body: RequestBody = answers::read_json(request).await?;
+        let prompt = match (body.prompt, body.messages) {
+            (Some(prompt), None) if !chat => prompt,
+            (None, Some(messages)) if chat => messages.into_iter().map(|it| it.content).collect(),
+            _ => {
+                let refusal = "completions take `prompt`, chat completions take `messages`";
+                return Err(Box::new(answers::text(StatusCode::BAD_REQUEST, refusal)));
+            }
+        };
+        Ok(Self {
+            request_id,
+            prompt,
+            max_tokens: body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+            stream: body.stream,
+            chat,
+            priority,
+            resume_from,
+        })
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,30 @@
-//! Placeholder.
+//! Stand-ins of everything around fulmarline: the platform, engines, services, links and callers.
+//!
+//! Tests, the demo and the benches host many of them in one process and reach their fault switches and counters as
+//! methods; the binary `fulmarline-standin` starts single ones, with the same switches over HTTP. They follow
+//! `docs/PLATFORM.md`. Nothing here is shipped, and no shipped crate depends on it, so that what a stand-in counts is
+//! evidence that fulmarline has no hand in.
+
+mod answers;
+mod counted_runs;
+mod engine;
+mod host_list;
+mod object_store;
+mod plain_service;
+mod rate_limiter;
+mod standin_runtime;
+mod table;
+mod weights;
+
+pub use counted_runs::{CountedRuns, RunCount};
+pub use engine::{
+    AnswerScript, EngineFaults, EngineOptions, EngineReport, ModelEngine, expected_token,
+    prefix_digests,
+};
+pub use host_list::{HostList, ListedHost};
+pub use object_store::{ObjectStore, StoreCounters, StoreFaults};
+pub use plain_service::{PlainService, ServiceAnswer, ServiceFaults};
+pub use rate_limiter::RateLimiter;
+pub use standin_runtime::StandinRuntime;
+pub use table::{TableCounters, TableFaults, TableService};
+pub use weights::{ServedBytes, WeightCatalog, WeightFaults, WeightSource, synthetic_weights};
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,85 @@
+//! The binary `fulmarline-standin`: single stand-ins as processes of their own.
+
+mod flags;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::Context;
+use flags::{FulmarlineStandin, FulmarlineStandinCmd, Platform};
+use model::{ModelName, VersionLabel};
+use standin::{
+    EngineOptions, HostList, ModelEngine, ObjectStore, PlainService, StandinRuntime, TableService,
+    WeightCatalog, WeightSource, synthetic_weights,
+};
+
+/// Threads of one stand-in process.
+const THREADS: usize = 2;
+
+/// Size of a chunk of the weights of `platform`, in bytes.
+const CHUNK_BYTES: u64 = 256 * 1024;
+
+fn main() -> anyhow::Result<()> {
+    let flags = FulmarlineStandin::from_env_or_exit();
+    let runtime = StandinRuntime::new(THREADS)?;
+    match flags.subcommand {
+        FulmarlineStandinCmd::Platform(flags) => play_platform(&runtime, &flags)?,
+        FulmarlineStandinCmd::Engine(flags) => {
+            let mut options = EngineOptions {
+                checks_fencing: !flags.ignore_fencing,
+                loads_beside: flags.beside,
+                ..EngineOptions::default()
+            };
+            if let Some(ms) = flags.token_ms {
+                options.token_interval = Duration::from_millis(ms);
+            }
+            let engine = ModelEngine::start(&runtime, listen(flags.listen), options)?;
+            println!("engine {}", engine.address());
+        }
+        FulmarlineStandinCmd::Service(flags) => {
+            let service = PlainService::start(&runtime, listen(flags.listen), &flags.name)?;
+            println!("service {}", service.address());
+        }
+    }
+    runtime
+        .block_on(tokio::signal::ctrl_c())
+        .context("the signal handler cannot be set")
+}
+
+fn play_platform(runtime: &StandinRuntime, flags: &Platform) -> anyhow::Result<()> {
+    let mut catalog = WeightCatalog::default();
+    let bytes = flags.weights_bytes.unwrap_or(DEFAULT_WEIGHTS_BYTES);
+    for number in 1..=flags.versions.unwrap_or(DEFAULT_VERSIONS) {
+        let label = VersionLabel::new(format!("v{number}"))?;
+        let data = synthetic_weights(number, bytes);
+        catalog.add(ModelName::new("demo")?, label, CHUNK_BYTES, data);
+    }
+    let table = TableService::start(runtime, listen(None))?;
+    let objects = ObjectStore::start(runtime, listen(None))?;
+    let origin = WeightSource::start(runtime, listen(None), catalog.clone())?;
+    let store = WeightSource::start(runtime, listen(None), catalog)?;
+    let hosts = HostList::start(runtime, listen(None), HOST_LIST_LAG)?;
+    origin.set_faults(standin::WeightFaults {
+        bytes_per_s: flags.origin_rate,
+        ..standin::WeightFaults::default()
+    });
+    println!("table {}", table.address());
+    println!("objects {}", objects.address());
+    println!("origin {}", origin.address());
+    println!("weight_store {}", store.address());
+    println!("hosts {}", hosts.address());
+    Ok(())
+}
+
+fn listen(address: Option<SocketAddr>) -> SocketAddr {
+    address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+/// Size of the weights without the flag, in bytes.
+const DEFAULT_WEIGHTS_BYTES: usize = 8 << 20;
+
+/// Versions without the flag.
+const DEFAULT_VERSIONS: u64 = 2;
+
+/// Lag of the host list.
+const HOST_LIST_LAG: Duration = Duration::from_secs(3);
--- /dev/null
+++ b/crates/standin/src/object_store.rs
@@ -0,0 +1,141 @@
+//! The object store.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use httpio::{Incoming, Method, ReplyBody, Request, Response, ServerHandle, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::answers;
+use crate::standin_runtime::{self, StandinRuntime};
+
+/// An object store in memory.
+#[derive(Clone, Debug)]
+pub struct ObjectStore {
+    shared: Arc<Mutex<StoreInner>>,
+    server: ServerHandle,
+}
+
+/// What goes wrong at the object store; the default is none.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StoreFaults {
+    /// Whether every call is answered with 503.
+    pub outage: bool,
+    /// Time that every call takes, in milliseconds.
+    pub delay_ms: u64,
+}
+
+/// What the object store has done.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct StoreCounters {
+    /// Objects read.
+    pub reads: u64,
+    /// Objects written.
+    pub writes: u64,
+}
+
+#[derive(Debug, Default)]
+struct StoreInner {
+    objects: BTreeMap<String, Bytes>,
+    faults: StoreFaults,
+    counters: StoreCounters,
+}
+
+impl ObjectStore {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system said when the address cannot be bound.
+    pub fn start(runtime: &StandinRuntime, address: SocketAddr) -> std::io::Result<Self> {
+        let shared = Arc::<Mutex<StoreInner>>::default();
+        let served = shared.clone();
+        let server = standin_runtime::serve(runtime.handle(), address, move |request, _| {
+            let shared = served.clone();
+            async move { answer(&shared, request).await }
+        })?;
+        Ok(Self { shared, server })
+    }
+
+    /// Returns the address of the store.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Replaces all faults.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        lock(&self.shared).faults = faults;
+    }
+
+    /// Returns what the store has done so far.
+    pub fn counters(&self) -> StoreCounters {
+        lock(&self.shared).counters
+    }
+}
+
+async fn answer(shared: &Mutex<StoreInner>, request: Request<Incoming>) -> Response<ReplyBody> {
+    if request.uri().path() == answers::FAULTS_PATH {
+        return match answers::read_json(request).await {
+            Ok(faults) => {
+                lock(shared).faults = faults;
+                answers::json(StatusCode::OK, &json!({}))
+            }
+            Err(refusal) => *refusal,
+        };
+    }
+    if request.uri().path() == answers::COUNTERS_PATH {
+        return answers::json(StatusCode::OK, &lock(shared).counters);
+    }
+    let faults = lock(shared).faults.clone();
+    tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+    if faults.outage {
+        return answers::text(StatusCode::SERVICE_UNAVAILABLE, "the object store is down");
+    }
+    let Some(key) = request.uri().path().strip_prefix("/objects/") else {
+        return answers::text(StatusCode::NOT_FOUND, "no such path");
+    };
+    let key = key.to_owned();
+    match *request.method() {
+        Method::PUT => match answers::read_body(request).await {
+            Ok(bytes) => {
+                let mut inner = lock(shared);
+                inner.counters.writes += 1;
+                inner.objects.insert(key, bytes);
+                answers::json(StatusCode::OK, &json!({}))
+            }
+            Err(err) => answers::text(StatusCode::BAD_REQUEST, &err.to_string()),
+        },
+        Method::GET => {
+            let object = {
+                let mut inner = lock(shared);
+                inner.counters.reads += 1;
+                inner.objects.get(&key).cloned()
+            };
+            read_object(&request, object)
+        }
+        _ => answers::text(StatusCode::METHOD_NOT_ALLOWED, "GET and PUT are known"),
+    }
+}
+
+fn read_object(request: &Request<Incoming>, object: Option<Bytes>) -> Response<ReplyBody> {
+    let Some(object) = object else {
+        return answers::text(StatusCode::NOT_FOUND, "no such object");
+    };
+    let total = object.len() as u64;
+    let Some(range) = answers::byte_range(request, total) else {
+        return answers::text(StatusCode::RANGE_NOT_SATISFIABLE, "the range is not there");
+    };
+    let part = object.slice(range.start as usize..(range.start + range.len) as usize);
+    let mut response = Response::new(httpio::full(part));
+    range.describe(total, &mut response);
+    response
+}
+
+fn lock(shared: &Mutex<StoreInner>) -> MutexGuard<'_, StoreInner> {
+    shared.lock().expect("no holder of the store's lock panics")
+}
--- /dev/null
+++ b/crates/standin/src/table/table_service.rs
@@ -0,0 +1,252 @@
+//! The table service over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use httpio::{Incoming, Method, ReplyBody, Request, Response, ServerHandle, StatusCode};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::answers;
+use crate::rate_limiter::RateLimiter;
+use crate::standin_runtime::{self, StandinRuntime};
+use crate::table::table_faults::TableFaults;
+use crate::table::table_rows::{TableRows, Transaction};
+
+/// A table service that loses replies, slows down or fails when told to.
+#[derive(Clone, Debug)]
+pub struct TableService {
+    shared: Arc<TableShared>,
+    server: ServerHandle,
+}
+
+/// What the table has done.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct TableCounters {
+    /// Rows and scans read.
+    pub reads: u64,
+    /// Transactions applied.
+    pub writes: u64,
+    /// Transactions refused because an expectation did not hold.
+    pub conflicts: u64,
+    /// Calls answered with 429.
+    pub limited: u64,
+    /// Calls answered with 503.
+    pub unavailable: u64,
+    /// Applied transactions whose answers were lost.
+    pub lost: u64,
+}
+
+#[derive(Debug)]
+struct TableShared {
+    inner: Mutex<TableInner>,
+    reads: RateLimiter,
+    writes: RateLimiter,
+}
+
+#[derive(Debug)]
+struct TableInner {
+    rows: TableRows,
+    faults: TableFaults,
+    counters: TableCounters,
+    dice: StdRng,
+}
+
+/// Calls that the limits let through at once after a pause.
+const LIMIT_BURST: Duration = Duration::from_secs(1);
+
+/// Rows of a scan that names no limit.
+const DEFAULT_SCAN_ROWS: usize = 1000;
+
+impl TableService {
+    /// Starts an empty table.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system said when the address cannot be bound.
+    pub fn start(runtime: &StandinRuntime, address: SocketAddr) -> std::io::Result<Self> {
+        let inner = TableInner {
+            rows: TableRows::default(),
+            faults: TableFaults::default(),
+            counters: TableCounters::default(),
+            dice: StdRng::seed_from_u64(0),
+        };
+        let shared = Arc::new(TableShared {
+            inner: Mutex::new(inner),
+            reads: RateLimiter::new(None, LIMIT_BURST),
+            writes: RateLimiter::new(None, LIMIT_BURST),
+        });
+        let served = shared.clone();
+        let server = standin_runtime::serve(runtime.handle(), address, move |request, _| {
+            let shared = served.clone();
+            async move { shared.answer(request).await }
+        })?;
+        Ok(Self { shared, server })
+    }
+
+    /// Returns the address of the table.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Replaces all faults.
+    pub fn set_faults(&self, faults: TableFaults) {
+        self.shared.set_faults(faults);
+    }
+
+    /// Returns what the table has done so far.
+    pub fn counters(&self) -> TableCounters {
+        self.shared.inner().counters
+    }
+
+    /// Returns the value of a row, past all faults, as evidence for a test.
+    pub fn row(&self, key: &str) -> Option<Value> {
+        let row = self.shared.inner().rows.get(key)?;
+        serde_json::to_value(row).ok()?.get("value").cloned()
+    }
+}
+
+impl TableShared {
+    async fn answer(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, answers::FAULTS_PATH) => match answers::read_json(request).await {
+                Ok(faults) => {
+                    self.set_faults(faults);
+                    answers::json(StatusCode::OK, &json!({}))
+                }
+                Err(refusal) => *refusal,
+            },
+            (&Method::GET, answers::COUNTERS_PATH) => {
+                answers::json(StatusCode::OK, &self.inner().counters)
+            }
+            (&Method::GET, "/table/row") => self.read(&request, read_row).await,
+            (&Method::GET, "/table/scan") => self.read(&request, scan_rows).await,
+            (&Method::POST, "/table/transact") => self.transact(request).await,
+            _ => answers::text(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    async fn read(
+        &self,
+        request: &Request<Incoming>,
+        read: fn(&TableRows, &Request<Incoming>) -> Response<ReplyBody>,
+    ) -> Response<ReplyBody> {
+        self.delay().await;
+        if let Some(refusal) = self.refuse(&self.reads) {
+            return refusal;
+        }
+        let mut inner = self.inner();
+        inner.counters.reads += 1;
+        read(&inner.rows, request)
+    }
+
+    async fn transact(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        let transaction: Transaction = match answers::read_json(request).await {
+            Ok(it) => it,
+            Err(refusal) => return *refusal,
+        };
+        self.delay().await;
+        if let Some(refusal) = self.refuse(&self.writes) {
+            return refusal;
+        }
+        let mut inner = self.inner();
+        match inner.rows.transact(transaction) {
+            Ok(version) => {
+                inner.counters.writes += 1;
+                if inner.loses_answer() {
+                    inner.counters.lost += 1;
+                    return answers::lost();
+                }
+                answers::json(StatusCode::OK, &json!({ "version": version }))
+            }
+            Err(failed) => {
+                inner.counters.conflicts += 1;
+                answers::json(StatusCode::CONFLICT, &failed)
+            }
+        }
+    }
+
+    async fn delay(&self) {
+        loop {
+            let (hang, delay_ms) = {
+                let inner = self.inner();
+                (inner.faults.hang, inner.faults.delay_ms)
+            };
+            if delay_ms > 0 {
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            }
+            if !hang {
+                return;
+            }
+            tokio::time::sleep(HANG_POLL).await;
+        }
+    }
+
+    fn refuse(&self, limiter: &RateLimiter) -> Option<Response<ReplyBody>> {
+        let mut inner = self.inner();
+        if inner.faults.outage {
+            inner.counters.unavailable += 1;
+            let answer = answers::text(StatusCode::SERVICE_UNAVAILABLE, "the table is down");
+            return Some(answer);
+        }
+        if !limiter.try_take(1, Instant::now()) {
+            inner.counters.limited += 1;
+            let answer = answers::text(StatusCode::TOO_MANY_REQUESTS, "the rate limit is reached");
+            return Some(answer);
+        }
+        None
+    }
+
+    fn set_faults(&self, faults: TableFaults) {
+        self.reads.set_rate(faults.reads_per_s);
+        self.writes.set_rate(faults.writes_per_s);
+        let mut inner = self.inner();
+        if faults.seed != inner.faults.seed {
+            inner.dice = StdRng::seed_from_u64(faults.seed);
+        }
+        inner.faults = faults;
+    }
+
+    fn inner(&self) -> MutexGuard<'_, TableInner> {
+        self.inner
+            .lock()
+            .expect("no holder of the table's lock panics")
+    }
+}
+
+impl TableInner {
+    fn loses_answer(&mut self) -> bool {
+        if self.faults.lose_next > 0 {
+            self.faults.lose_next -= 1;
+            return true;
+        }
+        self.faults.lose_share > 0.0 && self.dice.random_bool(self.faults.lose_share.min(1.0))
+    }
+}
+
+fn read_row(rows: &TableRows, request: &Request<Incoming>) -> Response<ReplyBody> {
+    let Some(key) = answers::query_value(request, "key") else {
+        return answers::text(StatusCode::BAD_REQUEST, "the parameter key is missing");
+    };
+    match rows.get(&key) {
+        Some(row) => answers::json(StatusCode::OK, &row),
+        None => answers::text(StatusCode::NOT_FOUND, "no such row"),
+    }
+}
+
+fn scan_rows(rows: &TableRows, request: &Request<Incoming>) -> Response<ReplyBody> {
+    let prefix = answers::query_value(request, "prefix").unwrap_or_default();
+    let after = answers::query_value(request, "after").unwrap_or_default();
+    let limit = match answers::query_value(request, "limit").map(|it| it.parse()) {
+        None => DEFAULT_SCAN_ROWS,
+        Some(Ok(limit)) => limit,
+        Some(Err(_)) => return answers::text(StatusCode::BAD_REQUEST, "limit is not a number"),
+    };
+    let rows = rows.scan(&prefix, &after, limit);
+    answers::json(StatusCode::OK, &json!({ "rows": rows }))
+}
+
+/// How often a hanging call looks whether the fault has ended.
+const HANG_POLL: Duration = Duration::from_millis(20);
