Numbered answers to requests whose head never becomes whole; exit codes, panics in the log

Cause: hyper answers malformed or too large heads with a bare status and closes slow ones without a word, so such callers got no result code.

Change: httpio guards the socket and puts our answer in the place of the automatic one; ServerLimits takes the closure that makes it.

--- a/crates/entry/src/calls/call_server.rs
+++ b/crates/entry/src/calls/call_server.rs
@@ -72,6 +72,7 @@
             max_headers: limits.max_headers,
             max_header_bytes: limits.max_header_bytes,
             header_timeout: limits.header_timeout,
+            fault_answer: Some(call_refusal::fault_answer),
         };
         let address = self.settings.listen.callers;
         let server = HttpServer::bind(address, limits)
--- a/crates/fulmarline/src/command_line.rs
+++ b/crates/fulmarline/src/command_line.rs
@@ -7,13 +7,21 @@
 
 xflags::xflags! {
     /// Brings weights to many hosts, routes requests and tells operators the truth.
+    ///
+    /// Exit codes: 0 done; 1 failed; 2 bad arguments or settings, nothing was started;
+    /// 3 the command was refused, nothing was applied; 4 the outcome of the command is not known.
     cmd fulmarline {
-        /// Runs an entry.
+        /// Prints the version.
+        optional --version
+
+        /// Prints a hint when no command is given.
+        default cmd overview {}
+        /// Runs an entry until SIGTERM or SIGINT asks for a planned stop.
         cmd entry {
             /// The settings file.
             required --settings settings: PathBuf
         }
-        /// Runs the agent of a target host.
+        /// Runs the agent of a target host until SIGTERM or SIGINT asks for a planned stop.
         cmd agent {
             /// The settings file.
             required --settings settings: PathBuf
@@ -23,7 +31,5 @@
             /// The settings file.
             required file: PathBuf
         }
-        /// Prints the version.
-        cmd version {}
     }
 }
--- a/crates/fulmarline/src/logging.rs
+++ b/crates/fulmarline/src/logging.rs
@@ -1,20 +1,40 @@
 //! Logs as JSON lines on standard error.
 
+use std::panic;
+
 use settings::{HostSettings, LogLevel, LogSettings};
-use slog::{Drain, Level, Logger, o};
+use slog::{Drain, Level, Logger, crit, o};
+use slog_async::AsyncGuard;
 
-/// Starts a logger whose every line names the role, the host and its zone.
-pub(crate) fn start(role: &'static str, host: &HostSettings, settings: &LogSettings) -> Logger {
+/// Starts a logger whose every line names the role, the host and its availability zone.
+///
+/// Lines are written by a thread of its own, so that a slow reader never holds traffic up. The guard writes what is
+/// left when it is dropped.
+pub(crate) fn start(
+    role: &'static str,
+    host: &HostSettings,
+    settings: &LogSettings,
+) -> (Logger, AsyncGuard) {
     let lines = slog_json::Json::default(std::io::stderr());
-    let drain = slog_async::Async::new(lines.fuse())
+    let (drain, guard) = slog_async::Async::new(lines.fuse())
         .chan_size(QUEUE_LINES)
-        .build()
-        .filter_level(level(settings.level))
-        .fuse();
-    Logger::root(
+        .build_with_guard();
+    let drain = drain.filter_level(level(settings.level)).fuse();
+    let log = Logger::root(
         drain,
         o!("role" => role, "host" => host.name.to_string(), "zone" => host.zone.to_string()),
-    )
+    );
+    log_panics(log.clone());
+    (log, guard)
+}
+
+/// Logs a panic of any thread as a line like all others, since a text on standard error would break the format.
+fn log_panics(log: Logger) {
+    panic::set_hook(Box::new(move |info| {
+        let place = info.location().map(ToString::to_string).unwrap_or_default();
+        let message = info.payload_as_str().unwrap_or("no message");
+        crit!(log, "a thread panicked"; "place" => place, "message" => message);
+    }));
 }
 
 fn level(level: LogLevel) -> Level {
--- a/crates/fulmarline/src/main.rs
+++ b/crates/fulmarline/src/main.rs
@@ -3,25 +3,33 @@
 //! It must not know any decision.
 
 mod command_line;
+mod exit_status;
 mod logging;
 
 use std::path::Path;
 use std::process::ExitCode;
 
-use command_line::{Fulmarline, FulmarlineCmd};
 use settings::Settings;
 
+use crate::command_line::{Fulmarline, FulmarlineCmd};
+use crate::exit_status::ExitStatus;
+
 fn main() -> ExitCode {
     let line = Fulmarline::from_env_or_exit();
-    match line.subcommand {
-        FulmarlineCmd::Entry(it) => run_role(&it.settings, RoleName::Entry),
-        FulmarlineCmd::Agent(it) => run_role(&it.settings, RoleName::Agent),
-        FulmarlineCmd::Check(it) => check(&it.file),
-        FulmarlineCmd::Version(_) => {
-            println!("fulmarline {}", env!("CARGO_PKG_VERSION"));
-            ExitCode::SUCCESS
-        }
+    if line.version {
+        println!("fulmarline {}", env!("CARGO_PKG_VERSION"));
+        return ExitStatus::Done.into();
     }
+    let status = match line.subcommand {
+        FulmarlineCmd::Overview(_) => {
+            eprintln!("fulmarline: a command is required, see fulmarline --help");
+            ExitStatus::BadInput
+        }
+        FulmarlineCmd::Entry(it) => run(&it.settings, RoleName::Entry),
+        FulmarlineCmd::Agent(it) => run(&it.settings, RoleName::Agent),
+        FulmarlineCmd::Check(it) => check(&it.file),
+    };
+    status.into()
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,49 +38,64 @@
     Agent,
 }
 
-fn run_role(file: &Path, role: RoleName) -> ExitCode {
+fn run(file: &Path, role: RoleName) -> ExitStatus {
     let settings = match settings::read(file) {
         Ok(it) => it,
         Err(err) => {
             eprintln!("{err}");
-            return ExitCode::from(BAD_SETTINGS);
+            return ExitStatus::BadInput;
         }
     };
     let result = match (settings, role) {
         (Settings::Entry(it), RoleName::Entry) => {
-            let log = logging::start("entry", &it.host, &it.log);
+            let (log, _guard) = logging::start("entry", &it.host, &it.log);
             entry::run(it, log)
         }
         (Settings::Agent(it), RoleName::Agent) => {
-            let log = logging::start("agent", &it.host, &it.log);
+            let (log, _guard) = logging::start("agent", &it.host, &it.log);
             agent::run(it, log)
         }
-        _ => {
-            eprintln!("{}: the settings are for the other role", file.display());
-            return ExitCode::from(BAD_SETTINGS);
-        }
+        (Settings::Entry(_), RoleName::Agent) => return wrong_role(file, "entry", "agent"),
+        (Settings::Agent(_), RoleName::Entry) => return wrong_role(file, "agent", "entry"),
     };
     match result {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(()) => ExitStatus::Done,
         Err(err) => {
             eprintln!("fulmarline: {err:#}");
-            ExitCode::FAILURE
+            ExitStatus::Failed
         }
     }
 }
 
-fn check(file: &Path) -> ExitCode {
+fn wrong_role(file: &Path, found: &str, asked: &str) -> ExitStatus {
+    eprintln!(
+        "{}: role: these are the settings of an {found}, but the command is {asked}",
+        file.display()
+    );
+    ExitStatus::BadInput
+}
+
+fn check(file: &Path) -> ExitStatus {
     match settings::read(file) {
-        Ok(_) => {
-            println!("{}: valid", file.display());
-            ExitCode::SUCCESS
+        Ok(settings) => {
+            println!(
+                "{}: valid settings of {}",
+                file.display(),
+                summary(&settings)
+            );
+            ExitStatus::Done
         }
         Err(err) => {
             eprintln!("{err}");
-            ExitCode::from(BAD_SETTINGS)
+            ExitStatus::BadInput
         }
     }
 }
 
-/// Exit code of settings or arguments that are not valid.
-const BAD_SETTINGS: u8 = 2;
+fn summary(settings: &Settings) -> String {
+    let (role, host) = match settings {
+        Settings::Entry(it) => ("entry", &it.host),
+        Settings::Agent(it) => ("agent", &it.host),
+    };
+    format!("{role} {} in {}, {}", host.name, host.zone, host.region)
+}
--- /dev/null
+++ b/crates/httpio/src/guarded_socket.rs
@@ -0,0 +1,121 @@
+//! A socket that puts our answers in the place of those which `hyper` writes by itself.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::head_fault::{FaultAnswer, HeadFault, last_answer_bytes};
+
+/// A caller's socket. `hyper` offers no hook for its automatic answers, so they are recognised as they are written.
+#[derive(Debug)]
+pub(crate) struct GuardedSocket {
+    socket: TcpStream,
+    answer: Option<FaultAnswer>,
+    /// Whether bytes have arrived since the last answer: a request has begun.
+    begun: bool,
+    /// What is left to write of an answer that takes the place of an automatic one.
+    substitute: Option<Vec<u8>>,
+}
+
+impl GuardedSocket {
+    /// Guards `socket`; without `answer` the automatic answers pass.
+    pub(crate) fn new(socket: TcpStream, answer: Option<FaultAnswer>) -> Self {
+        Self {
+            socket,
+            answer,
+            begun: false,
+            substitute: None,
+        }
+    }
+
+    /// Answers a request that has begun and did not go on; an idle connection just ends.
+    pub(crate) async fn answer_slow_head(&mut self) {
+        let Some(answer) = self.answer.filter(|_| self.begun) else {
+            return;
+        };
+        let bytes = last_answer_bytes(&answer(HeadFault::TooSlow));
+        // The caller may be gone, and then there is nobody to tell.
+        let _ = self.socket.write_all(&bytes).await;
+        let _ = self.socket.shutdown().await;
+    }
+
+    fn start_substitute(&mut self, bytes: &[u8]) {
+        if self.substitute.is_some() {
+            return;
+        }
+        let Some(answer) = self.answer else {
+            return;
+        };
+        self.substitute =
+            HeadFault::of_automatic_answer(bytes).map(|fault| last_answer_bytes(&answer(fault)));
+    }
+
+    /// Writes the whole substitute and then reports `written` bytes of the automatic answer as written.
+    fn poll_substitute(&mut self, cx: &mut Context<'_>, written: usize) -> Poll<io::Result<usize>> {
+        while let Some(rest) = self.substitute.as_mut().filter(|it| !it.is_empty()) {
+            let count = ready!(Pin::new(&mut self.socket).poll_write(cx, rest))?;
+            rest.drain(..count);
+        }
+        self.substitute = None;
+        Poll::Ready(Ok(written))
+    }
+}
+
+impl AsyncRead for GuardedSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
+        self.begun |= buf.filled().len() > before;
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for GuardedSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.begun = false;
+        self.start_substitute(bytes);
+        if self.substitute.is_some() {
+            return self.poll_substitute(cx, bytes.len());
+        }
+        Pin::new(&mut self.socket).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.begun = false;
+        // An automatic answer has no body, so it is a single slice.
+        if let [bytes] = slices {
+            self.start_substitute(bytes);
+            if self.substitute.is_some() {
+                return self.poll_substitute(cx, bytes.len());
+            }
+        }
+        Pin::new(&mut self.socket).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
+}
--- a/crates/httpio/src/http_server.rs
+++ b/crates/httpio/src/http_server.rs
@@ -6,12 +6,14 @@
 use std::{convert, future};
 
 use hyper::body::Incoming;
+use hyper::server::conn::http1;
 use hyper::service;
 use hyper::{Request, Response};
 use hyper_util::rt;
 use tokio::sync::watch;
 
 use crate::body::ReplyBody;
+use crate::guarded_socket::GuardedSocket;
 use crate::server_limits::ServerLimits;
 
 /// Tells a listener to stop accepting; open connections finish the request at hand.
@@ -154,18 +156,35 @@
         let answer = handler(request, peer);
         async move { Ok::<_, convert::Infallible>(answer.await) }
     });
-    let connection = hyper::server::conn::http1::Builder::new()
+    let mut socket = GuardedSocket::new(socket, limits.fault_answer);
+    let connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_headers(limits.max_headers)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(rt::TokioIo::new(socket), service);
+        .serve_connection(rt::TokioIo::new(&mut socket), service);
+    let ended = run_connection(connection, &mut stop).await;
+    if ended.is_err_and(|it| it.is_timeout()) {
+        socket.answer_slow_head().await;
+    }
+}
+
+/// Runs a connection to its end, which a stop brings about after the request at hand.
+async fn run_connection<I, S>(
+    connection: http1::Connection<I, S>,
+    stop: &mut StopSignal,
+) -> hyper::Result<()>
+where
+    I: hyper::rt::Read + hyper::rt::Write + Unpin,
+    S: service::HttpService<Incoming, ResBody = ReplyBody>,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
-        _ = connection.as_mut() => return,
+        ended = connection.as_mut() => return ended,
         () = wait_for_stop(&mut stop.0) => connection.as_mut().graceful_shutdown(),
     }
-    let _ = connection.await;
+    connection.await
 }
 
 async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -6,11 +6,14 @@
 //! models, routing or any decision.
 
 mod body;
+mod guarded_socket;
+mod head_fault;
 mod http_client;
 mod http_server;
 mod server_limits;
 
 pub use body::{BodySender, ReplyBody, empty, full, read_limited, stream};
+pub use head_fault::{FaultAnswer, HeadFault};
 pub use http_client::{ClientError, HttpClient, HttpReply};
 pub use http_server::{HttpServer, ServerHandle, StopSignal};
 pub use server_limits::ServerLimits;
--- a/crates/httpio/src/server_limits.rs
+++ b/crates/httpio/src/server_limits.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::head_fault::FaultAnswer;
+
 /// What a listener accepts before it refuses or cuts a connection.
 #[derive(Clone, Debug)]
 pub struct ServerLimits {
@@ -13,6 +15,8 @@
     pub max_header_bytes: usize,
     /// Time for a request's headers to arrive, counted from the first wait for them.
     pub header_timeout: Duration,
+    /// Answers requests that break a limit before a handler sees them; without it they get a bare status.
+    pub fault_answer: Option<FaultAnswer>,
 }
 
 impl Default for ServerLimits {
@@ -22,6 +26,7 @@
             max_headers: 64,
             max_header_bytes: 16 * 1024,
             header_timeout: Duration::from_secs(10),
+            fault_answer: None,
         }
     }
 }
