--- /dev/null
+++ b/crates/control/src/change_plan.rs
@@ -0,0 +1,254 @@
+//! Turns a command into changes of the configuration.
+
+use std::collections::BTreeSet;
+
+use model::{
+    CommandId, ConfigChange, FleetConfig, HostName, ModelConfig, ModelName, OrganisationConfig,
+    WeightManifest,
+};
+
+use crate::language::{
+    Change, CommandError, ErrorKind, OrganisationField, ServiceField, Spanned, near_name,
+};
+use crate::parameter_rule::{PARAMETERS, ParameterRule};
+
+/// Share of a zone's replicas out at once when neither the command nor a parameter names one.
+const DEFAULT_MAX_OUT_PERCENT: u8 = 25;
+
+/// What is known beside the configuration when a command is planned.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanContext<'a> {
+    /// Id of the command.
+    pub command: &'a CommandId,
+    /// Hosts that run an agent or that the platform lists.
+    pub hosts: &'a BTreeSet<HostName>,
+    /// The manifest of a rollout's version as the origin gave it, or why it did not; `None` for
+    /// every other command.
+    pub manifest: Option<Result<&'a WeightManifest, &'a str>>,
+}
+
+/// Returns the changes that make `change` true of `config`; none when it is true already.
+///
+/// A command that only repeats what is wanted still becomes a revision, so that its id is recorded
+/// and a repeat gets the same answer.
+///
+/// # Errors
+///
+/// Names that do not exist and values out of range are refused with the place of the token.
+pub fn plan_change(
+    change: &Change,
+    config: &FleetConfig,
+    context: &PlanContext<'_>,
+) -> Result<Vec<ConfigChange>, CommandError> {
+    match change {
+        Change::Rollout {
+            model,
+            label,
+            max_out_percent,
+        } => {
+            let manifest = check_manifest(context, label.span)?;
+            let model = &model.value;
+            Ok(plan_rollout(
+                model,
+                manifest,
+                *max_out_percent,
+                config,
+                context,
+            ))
+        }
+        Change::Pause(model) => set_paused(model, true, config),
+        Change::Resume(model) => set_paused(model, false, config),
+        Change::RollBack(model) => plan_roll_back(model, config, context),
+        Change::Drain(host) => {
+            check_host(host, context.hosts.iter())?;
+            Ok(vec![ConfigChange::Drain(host.value.clone())])
+        }
+        Change::Undrain(host) => {
+            check_host(host, config.drains.union(context.hosts))?;
+            Ok(vec![ConfigChange::Undrain(host.value.clone())])
+        }
+        Change::SetParameter(name, value) => {
+            let rule = check_parameter(name)?;
+            let (min, max) = (rule.min, rule.max);
+            if !(min..=max).contains(&value.value) {
+                let what = rule.name;
+                let kind = ErrorKind::OutOfRange { what, min, max };
+                return Err(CommandError::new(kind, value.span));
+            }
+            Ok(vec![ConfigChange::SetParameter(
+                rule.name.into(),
+                value.value,
+            )])
+        }
+        Change::UnsetParameter(name) => {
+            let rule = check_parameter(name)?;
+            Ok(vec![ConfigChange::UnsetParameter(rule.name.into())])
+        }
+        Change::SetOrganisation(name, field) => {
+            let organisation = config.organisation(&name.value);
+            let organisation = match *field {
+                OrganisationField::Weight(weight) => OrganisationConfig {
+                    weight,
+                    ..organisation
+                },
+                OrganisationField::Priority(priority) => OrganisationConfig {
+                    priority,
+                    ..organisation
+                },
+            };
+            Ok(vec![ConfigChange::SetOrganisation(
+                name.value.clone(),
+                organisation,
+            )])
+        }
+        Change::UnsetOrganisation(name) => {
+            Ok(vec![ConfigChange::UnsetOrganisation(name.value.clone())])
+        }
+        Change::SetService(name, field) => {
+            let mut service = config.service(&name.value);
+            match *field {
+                ServiceField::Orders(policy) => service.orders = policy,
+                ServiceField::KeepOutcome(time) => service.keep_outcome_s = time.as_secs(),
+            }
+            Ok(vec![ConfigChange::SetService(name.value.clone(), service)])
+        }
+        Change::UnsetService(name) => Ok(vec![ConfigChange::UnsetService(name.value.clone())]),
+        Change::Deny(name) | Change::Allow(name) => {
+            let denied = matches!(change, Change::Deny(_));
+            let organisation = OrganisationConfig {
+                denied,
+                ..config.organisation(&name.value)
+            };
+            Ok(vec![ConfigChange::SetOrganisation(
+                name.value.clone(),
+                organisation,
+            )])
+        }
+    }
+}
+
+fn plan_rollout(
+    model: &ModelName,
+    manifest: &WeightManifest,
+    max_out_percent: Option<u8>,
+    config: &FleetConfig,
+    context: &PlanContext<'_>,
+) -> Vec<ConfigChange> {
+    let current = config.models.get(model);
+    let same = |it: &&ModelConfig| it.manifest.version() == manifest.version();
+    let previous = match current.filter(same) {
+        Some(current) => current.previous.clone(),
+        None => current.map(|it| it.manifest.clone()),
+    };
+    let max_out_percent = max_out_percent
+        .or_else(|| current.map(|it| it.max_out_percent))
+        .unwrap_or_else(|| default_max_out(config));
+    let wanted = ModelConfig {
+        manifest: manifest.clone(),
+        rollout: context.command.clone(),
+        paused: false,
+        previous,
+        max_out_percent,
+    };
+    vec![ConfigChange::SetModel(model.clone(), Box::new(wanted))]
+}
+
+fn default_max_out(config: &FleetConfig) -> u8 {
+    config
+        .parameters
+        .get("max_out_percent")
+        .map_or(DEFAULT_MAX_OUT_PERCENT, |it| it.clamp(1.0, 100.0) as u8)
+}
+
+fn plan_roll_back(
+    model: &Spanned<ModelName>,
+    config: &FleetConfig,
+    context: &PlanContext<'_>,
+) -> Result<Vec<ConfigChange>, CommandError> {
+    let current = check_model(model, config)?;
+    let Some(previous) = &current.previous else {
+        return Err(CommandError::new(ErrorKind::NoPrevious, model.span));
+    };
+    let wanted = ModelConfig {
+        manifest: previous.clone(),
+        rollout: context.command.clone(),
+        paused: false,
+        previous: Some(current.manifest.clone()),
+        max_out_percent: current.max_out_percent,
+    };
+    Ok(vec![ConfigChange::SetModel(
+        model.value.clone(),
+        Box::new(wanted),
+    )])
+}
+
+fn set_paused(
+    model: &Spanned<ModelName>,
+    paused: bool,
+    config: &FleetConfig,
+) -> Result<Vec<ConfigChange>, CommandError> {
+    let wanted = ModelConfig {
+        paused,
+        ..check_model(model, config)?.clone()
+    };
+    Ok(vec![ConfigChange::SetModel(
+        model.value.clone(),
+        Box::new(wanted),
+    )])
+}
+
+fn check_manifest<'a>(
+    context: &PlanContext<'a>,
+    label: crate::language::Span,
+) -> Result<&'a WeightManifest, CommandError> {
+    let refuse = |reason: String| CommandError::new(ErrorKind::NoManifest { reason }, label);
+    match context.manifest {
+        Some(Ok(manifest)) => match manifest.check() {
+            Ok(()) => Ok(manifest),
+            Err(err) => Err(refuse(err.to_string())),
+        },
+        Some(Err(reason)) => Err(refuse(reason.to_string())),
+        None => Err(refuse("the origin was not asked".to_string())),
+    }
+}
+
+fn check_model<'a>(
+    model: &Spanned<ModelName>,
+    config: &'a FleetConfig,
+) -> Result<&'a ModelConfig, CommandError> {
+    config.models.get(&model.value).ok_or_else(|| {
+        let names = config.models.keys().map(ModelName::as_str);
+        unknown("model", model.value.as_str(), model.span, names)
+    })
+}
+
+fn check_host<'a>(
+    host: &Spanned<HostName>,
+    mut known: impl Iterator<Item = &'a HostName> + Clone,
+) -> Result<(), CommandError> {
+    if known.clone().any(|it| *it == host.value) {
+        return Ok(());
+    }
+    let names = known.by_ref().map(HostName::as_str);
+    Err(unknown("host", host.value.as_str(), host.span, names))
+}
+
+fn check_parameter(name: &Spanned<String>) -> Result<&'static ParameterRule, CommandError> {
+    ParameterRule::find(&name.value).ok_or_else(|| {
+        let names = PARAMETERS.iter().map(|it| it.name);
+        unknown("parameter", &name.value, name.span, names)
+    })
+}
+
+fn unknown<'a>(
+    what: &'static str,
+    name: &str,
+    span: crate::language::Span,
+    candidates: impl Iterator<Item = &'a str>,
+) -> CommandError {
+    let kind = ErrorKind::Unknown {
+        what,
+        name: name.to_string(),
+    };
+    CommandError::new(kind, span).suggest(near_name(name, candidates))
+}
--- /dev/null
+++ b/crates/control/src/language/mod.rs
@@ -0,0 +1,21 @@
+//! The operators' query and command language; `docs/COMMANDS.md` holds its grammar and examples.
+
+mod change_parser;
+mod command_error;
+mod filter;
+mod lexer;
+mod near_name;
+mod parser;
+mod query_parser;
+mod span;
+mod statement;
+mod table_name;
+mod token;
+
+pub use command_error::{CommandError, ErrorKind};
+pub use filter::{Comparison, Filter, Operand, Operator};
+pub use near_name::near_name;
+pub use parser::parse;
+pub use span::{Span, Spanned};
+pub use statement::{Change, OrderKey, OrganisationField, Query, ServiceField, Statement};
+pub use table_name::{ColumnKind, ColumnRule, TableName};
--- /dev/null
+++ b/crates/control/src/language/table_name.rs
@@ -0,0 +1,127 @@
+//! Tables that queries read.
+
+use crate::language::near_name::near_name;
+
+/// What a column holds; either kind may also hold no value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ColumnKind {
+    /// Texts.
+    Text,
+    /// Numbers.
+    Number,
+}
+
+/// A column of a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColumnRule {
+    /// Its name.
+    pub name: &'static str,
+    /// What it holds.
+    pub kind: ColumnKind,
+}
+
+macro_rules! tables {
+    ($($(#[$doc:meta])* $name:ident = $text:literal { $($column:ident: $kind:ident),* $(,)? })*) => {
+        /// A table that can be shown.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum TableName {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl TableName {
+            /// Every table, in the order of the documentation.
+            pub const ALL: &[Self] = &[$(Self::$name,)*];
+
+            /// Returns the name of the table in the language.
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+
+            /// Returns the columns of the table, in the order in which they are shown.
+            pub const fn columns(self) -> &'static [ColumnRule] {
+                match self {
+                    $(Self::$name => &[
+                        $(ColumnRule { name: stringify!($column), kind: ColumnKind::$kind },)*
+                    ],)*
+                }
+            }
+        }
+    };
+}
+
+tables! {
+    /// One row for each live target.
+    Targets = "targets" {
+        host: Text, zone: Text, region: Text, kind: Text, name: Text, state: Text, serving: Text,
+        label: Text, fetched_percent: Number, in_flight: Number, limit: Number, revision: Number,
+        fencing: Number, gate: Text, age_ms: Number,
+    }
+    /// One row for each host that the platform lists, that runs an agent or that is drained.
+    Hosts = "hosts" {
+        host: Text, zone: Text, ip: Text, platform: Text, drained: Text, state: Text,
+        in_flight: Number, revision: Number, age_ms: Number,
+    }
+    /// One row for each live entry.
+    Entries = "entries" {
+        host: Text, zone: Text, region: Text, callers: Text, operators: Text, ready: Text,
+        leaving: Text, streams: Number, revision: Number, age_ms: Number,
+    }
+    /// One row for each target and entry with its load, and whether it is overloaded.
+    Load = "load" {
+        host: Text, zone: Text, kind: Text, name: Text, in_flight: Number, limit: Number,
+        tokens_owed: Number, first_token_ms: Number, token_gap_ms: Number, refused: Number,
+        overloaded: Text, since_s: Number, cause: Text,
+    }
+    /// One row for each model that has a wanted version.
+    Rollouts = "rollouts" {
+        model: Text, label: Text, version: Text, state: Text, replicas: Number, serving: Number,
+        fetched: Number, out: Number, max_out_percent: Number, previous: Text, rollout: Text,
+        driver: Text,
+    }
+    /// One row for each version that is wanted, was wanted before or is served.
+    Versions = "versions" {
+        model: Text, label: Text, version: Text, use: Text, replicas: Number, bytes: Number,
+        chunks: Number,
+    }
+    /// One row for each organisation that differs from the default or sends requests.
+    Organisations = "organisations" {
+        organisation: Text, weight: Number, priority: Number, denied: Text,
+    }
+    /// One row for each setting of the configuration that differs from its default.
+    Config = "config" {
+        kind: Text, name: Text, field: Text, value: Text,
+    }
+    /// One row for each lease in the table service.
+    Leases = "leases" {
+        lease: Text, holder: Text, fencing: Number, left_ms: Number, state: Text,
+    }
+    /// One row for each process, whether entry or agent.
+    Processes = "processes" {
+        role: Text, host: Text, zone: Text, control: Text, incarnation: Text, state: Text,
+        revision: Number, age_ms: Number,
+    }
+}
+
+impl TableName {
+    /// Finds the table called `text`.
+    pub fn find(text: &str) -> Option<Self> {
+        let named = |it: &&Self| it.name().eq_ignore_ascii_case(text);
+        Self::ALL.iter().find(named).copied()
+    }
+
+    /// Finds the column called `text`.
+    pub fn column(self, text: &str) -> Option<&'static ColumnRule> {
+        let named = |it: &&ColumnRule| it.name.eq_ignore_ascii_case(text);
+        self.columns().iter().find(named)
+    }
+
+    /// Returns the name of the table nearest to `text`.
+    pub(crate) fn near(text: &str) -> Option<&'static str> {
+        near_name(text, Self::ALL.iter().map(|it| it.name()))
+    }
+
+    /// Returns the name of the column nearest to `text`.
+    pub(crate) fn near_column(self, text: &str) -> Option<&'static str> {
+        near_name(text, self.columns().iter().map(|it| it.name))
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! Decisions about the fleet: the operators' language, configuration revisions, membership, leases
+//! and rollouts.
+//!
+//! The edges in `entry`, `agent` and `fulmarline` feed events and the present time in and carry out
+//! what comes back. This crate must not know sockets, threads, clocks or the platform's HTTP calls,
+//! so that each decision can be compared with a naive version under any order of failures
+//! (see `docs/decisions/0030-control.md`).
+
+pub mod language;
+
+mod change_plan;
+mod parameter_rule;
+mod query_table;
+
+pub use change_plan::{PlanContext, plan_change};
+pub use language::{Change, CommandError, Query, Statement, TableName, parse};
+pub use parameter_rule::{PARAMETERS, ParameterRule};
+pub use query_table::{Cell, QueryTable, answer_query};
--- /dev/null
+++ b/crates/control/src/parameter_rule.rs
@@ -0,0 +1,37 @@
+//! Named numbers that operators may set at run time.
+
+/// A named number of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ParameterRule {
+    /// Its name in `set` and `unset`.
+    pub name: &'static str,
+    /// The smallest allowed value.
+    pub min: f64,
+    /// The largest allowed value.
+    pub max: f64,
+    /// What it decides.
+    pub meaning: &'static str,
+}
+
+/// Every named number; a command that sets another one is refused before it is written.
+pub const PARAMETERS: &[ParameterRule] = &[
+    ParameterRule {
+        name: "origin_copies",
+        min: 1.0,
+        max: 1000.0,
+        meaning: "copies of a version that the fleet may fetch from the origin",
+    },
+    ParameterRule {
+        name: "max_out_percent",
+        min: 1.0,
+        max: 100.0,
+        meaning: "share of a zone's replicas out at once when a rollout names none",
+    },
+];
+
+impl ParameterRule {
+    /// Finds the rule of `name`.
+    pub fn find(name: &str) -> Option<&'static Self> {
+        PARAMETERS.iter().find(|it| it.name == name)
+    }
+}
