--- a/crates/model/src/attempt_id.rs
+++ b/crates/model/src/attempt_id.rs
@@ -6,7 +6,8 @@
 
 /// Random id of one attempt at a request, by which a gate admits it at most once and can revoke it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct AttemptId(pub u128);
+#[serde(transparent)]
+pub struct AttemptId(#[serde(with = "crate::hex_id")] pub u128);
 
 impl fmt::Display for AttemptId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,6 +12,7 @@
 mod fencing_number;
 mod fleet_config;
 mod gate_state;
+mod hex_id;
 mod load_sample;
 mod manifest_error;
 mod model_config;
--- a/crates/model/src/request_id.rs
+++ b/crates/model/src/request_id.rs
@@ -6,7 +6,8 @@
 
 /// Random id of a request, the same on every attempt and on every process that it passes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct RequestId(pub u128);
+#[serde(transparent)]
+pub struct RequestId(#[serde(with = "crate::hex_id")] pub u128);
 
 impl fmt::Display for RequestId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
