Metrics over StatsD, and a token for the agent's dump

Cause: no role reported metrics, and anyone on the network could read an agent's state. Change: the program builds one cadence client from the settings and hands it to the role, which reports gauges each second; the agent's dump asks for an operator's token, as the entry's does.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod control;
 mod gate;
+mod metrics;
 mod operators;
 mod transfer;
 
@@ -27,7 +28,11 @@
 /// # Errors
 ///
 /// Returns an error when a listener cannot be bound or a thread cannot be started.
-pub fn run(settings: AgentSettings, log: Logger) -> anyhow::Result<()> {
+pub fn run(
+    settings: AgentSettings,
+    log: Logger,
+    metrics: cadence::StatsdClient,
+) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(TRAFFIC_THREADS)
         .enable_all()
@@ -66,8 +71,15 @@
             counters.clone(),
             log.clone(),
         ));
+        tokio::spawn(metrics::report_loop(
+            metrics,
+            view.clone(),
+            gate.clone(),
+            store.clone(),
+            counters.clone(),
+        ));
         operators::serve(
-            settings.listen.operators,
+            settings.clone(),
             view.clone(),
             gate.clone(),
             store,
--- a/crates/agent/src/operators.rs
+++ b/crates/agent/src/operators.rs
@@ -1,10 +1,11 @@
 //! The operators' listener of an agent: a dump of its state.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anyhow::Context;
+use model::ResultCode;
 use serde_json::json;
+use settings::AgentSettings;
 use wire::WireCounters;
 
 use crate::control::AgentView;
@@ -13,15 +14,19 @@
 
 /// Answers `GET /debug/state` on a thread of its own.
 pub(crate) fn serve(
-    address: SocketAddr,
+    settings: Arc<AgentSettings>,
     view: Arc<AgentView>,
     gate: Arc<GateShared>,
     store: Arc<ChunkStore>,
     counters: WireCounters,
 ) -> anyhow::Result<()> {
+    let address = settings.listen.operators;
     let server = rouille::Server::new(address, move |request| {
+        if !is_operator(request, &settings) {
+            return refusal(ResultCode::Unauthorized);
+        }
         if request.method() != "GET" || request.url() != "/debug/state" {
-            return rouille::Response::empty_404();
+            return refusal(ResultCode::NotFound);
         }
         rouille::Response::json(&json!({
             "role": "agent",
@@ -42,3 +47,16 @@
         .spawn(move || server.run())?;
     Ok(())
 }
+
+fn is_operator(request: &rouille::Request, settings: &AgentSettings) -> bool {
+    let token = request
+        .header("Authorization")
+        .and_then(|it| it.strip_prefix("Bearer "));
+    token.is_some_and(|token| settings.operators.iter().any(|it| it.token.matches(token)))
+}
+
+fn refusal(code: ResultCode) -> rouille::Response {
+    rouille::Response::json(&json!({ "code": code.number(), "name": code.name() }))
+        .with_status_code(code.http_status())
+        .with_unique_header("Fulmarline-Result", code.to_string())
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod control;
+mod metrics;
 mod tracker;
 
 use std::sync::Arc;
@@ -25,7 +26,11 @@
 /// # Errors
 ///
 /// Returns an error when a listener cannot be bound or a thread cannot be started.
-pub fn run(settings: EntrySettings, log: Logger) -> anyhow::Result<()> {
+pub fn run(
+    settings: EntrySettings,
+    log: Logger,
+    metrics: cadence::StatsdClient,
+) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(TRAFFIC_THREADS)
         .enable_all()
@@ -65,6 +70,9 @@
 
     runtime.block_on(async {
         let events = control.sender();
+        let report =
+            metrics::report_loop(metrics, snapshots.clone(), table.clone(), counters.clone());
+        tokio::spawn(report);
         control::serve(&settings, events.clone(), snapshots.clone(), tracker, counters.clone(), log.clone())
             .await?;
         tokio::spawn(control::exchange_loop(settings.clone(), snapshots.clone(), events, counters, log.clone()));
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,61 @@
+//! Reports the entry's metrics at an interval.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cadence::{Gauged, StatsdClient};
+use model::TargetKind;
+use platform::TableClient;
+use wire::WireCounters;
+
+use crate::control::{ControlSnapshot, SnapshotCell};
+
+/// Reports until the runtime ends; `docs/OPERATIONS.md` lists the names.
+pub(crate) async fn report_loop(
+    client: StatsdClient,
+    snapshots: Arc<SnapshotCell>,
+    table: TableClient,
+    counters: WireCounters,
+) {
+    let mut interval = tokio::time::interval(REPORT_INTERVAL);
+    loop {
+        interval.tick().await;
+        report(&client, &snapshots.load());
+        let (reads, writes) = table.counts();
+        gauge(&client, "table.reads", reads);
+        gauge(&client, "table.writes", writes);
+        gauge(&client, "control.received_bytes", counters.received_bytes());
+        gauge(&client, "control.sent_bytes", counters.sent_bytes());
+    }
+}
+
+fn report(client: &StatsdClient, snapshot: &ControlSnapshot) {
+    let Some(own) = &snapshot.own else { return };
+    let models = |it: &&model::TargetRow| matches!(it.kind, TargetKind::Model(_));
+    let rows = snapshot.targets.values().map(|it| &it.row);
+    gauge(client, "entry.streams", u64::from(own.streams));
+    gauge(client, "entry.ready", u64::from(own.ready));
+    gauge(
+        client,
+        "entry.overloaded_ms",
+        own.overloaded_ms.unwrap_or_default(),
+    );
+    gauge(client, "config.revision", own.revision.0);
+    gauge(client, "targets.known", snapshot.targets.len() as u64);
+    gauge(
+        client,
+        "targets.serving",
+        rows.filter(models)
+            .filter(|it| it.serving.is_some())
+            .count() as u64,
+    );
+    gauge(client, "entries.known", snapshot.entries.len() as u64 + 1);
+}
+
+fn gauge(client: &StatsdClient, name: &str, value: u64) {
+    // A metric that cannot be queued is lost; the next report replaces it.
+    let _ = client.gauge(name, value);
+}
+
+/// Time between reports.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/fulmarline/src/main.rs
+++ b/crates/fulmarline/src/main.rs
@@ -4,6 +4,7 @@
 
 mod command_line;
 mod logging;
+mod metrics;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -41,11 +42,13 @@
     let result = match (settings, role) {
         (Settings::Entry(it), RoleName::Entry) => {
             let log = logging::start("entry", &it.host, &it.log);
-            entry::run(it, log)
+            metrics::start("entry", &it.host, it.metrics.as_ref())
+                .and_then(|metrics| entry::run(it, log, metrics))
         }
         (Settings::Agent(it), RoleName::Agent) => {
             let log = logging::start("agent", &it.host, &it.log);
-            agent::run(it, log)
+            metrics::start("agent", &it.host, it.metrics.as_ref())
+                .and_then(|metrics| agent::run(it, log, metrics))
         }
         _ => {
             eprintln!("{}: the settings are for the other role", file.display());
