--- a/crates/fulmarline/src/main.rs
+++ b/crates/fulmarline/src/main.rs
@@ -5,6 +5,7 @@
 mod command_line;
 mod exit_status;
 mod logging;
+mod metrics;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -49,11 +50,13 @@
     let result = match (settings, role) {
         (Settings::Entry(it), RoleName::Entry) => {
             let (log, _guard) = logging::start("entry", &it.host, &it.log);
-            entry::run(it, log)
+            metrics::start("entry", &it.host, it.metrics.as_ref())
+                .and_then(|metrics| entry::run(it, log, metrics))
         }
         (Settings::Agent(it), RoleName::Agent) => {
             let (log, _guard) = logging::start("agent", &it.host, &it.log);
-            agent::run(it, log)
+            metrics::start("agent", &it.host, it.metrics.as_ref())
+                .and_then(|metrics| agent::run(it, log, metrics))
         }
         (Settings::Entry(_), RoleName::Agent) => return wrong_role(file, "entry", "agent"),
         (Settings::Agent(_), RoleName::Entry) => return wrong_role(file, "agent", "entry"),
