Fault proxy and link switch

Cause: the failure tests need a link that delays, stalls, cuts, resets and corrupts, and the spread bench needs links of limited speed between hosts, regions and the origin. Change: FaultProxy before one address; LinkSwitch knows a caller by its loopback address, gives each host one link for both ways and each pair of regions one each way, counts bytes by host, region pair and route.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod counted_runs;
 mod engine;
 mod host_list;
+mod links;
 mod object_store;
 mod plain_service;
 mod rate_limiter;
@@ -22,6 +23,10 @@
     prefix_digests,
 };
 pub use host_list::{HostList, ListedHost};
+pub use links::{
+    FaultProxy, HostBytes, LinkSwitch, NodeFaults, ProxyFaults, SwitchCounters, SwitchNode,
+    SwitchOptions,
+};
 pub use object_store::{ObjectStore, StoreCounters, StoreFaults};
 pub use plain_service::{PlainService, ServiceAnswer, ServiceFaults};
 pub use rate_limiter::RateLimiter;
