--- /dev/null
+++ b/crates/standin/src/harness/process_fleet.rs
@@ -0,0 +1,427 @@
+//! A fleet of real processes among stand-ins.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail};
+use httpio::{HttpClient, Request};
+use model::{ModelName, VersionLabel, WeightManifest};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::engine::{EngineOptions, ModelEngine};
+use crate::harness::child_process::ChildProcess;
+use crate::harness::fleet_plan::{AgentPlan, FleetPlan, TargetPlan};
+use crate::harness::fleet_settings::{
+    self, AgentAddresses, EntryAddresses, OPERATOR_TOKEN, PlatformAddresses,
+};
+use crate::host_list::HostList;
+use crate::object_store::ObjectStore;
+use crate::plain_service::PlainService;
+use crate::standin_runtime::StandinRuntime;
+use crate::table::TableService;
+use crate::weights::{WeightCatalog, WeightFaults, WeightSource, synthetic_weights};
+
+/// Entries and agents as processes, with every stand-in around them in this process.
+#[derive(Debug)]
+pub struct ProcessFleet {
+    /// The table service.
+    pub table: TableService,
+    /// The object store.
+    pub objects: ObjectStore,
+    /// The origin.
+    pub origin: WeightSource,
+    /// The weight store.
+    pub weight_store: WeightSource,
+    /// The host list.
+    pub hosts: HostList,
+    /// The engines, by host.
+    pub engines: BTreeMap<String, ModelEngine>,
+    /// The plain services, by host.
+    pub services: BTreeMap<String, PlainService>,
+    /// The manifests of the versions, by label.
+    pub manifests: BTreeMap<String, WeightManifest>,
+    plan: FleetPlan,
+    processes: BTreeMap<String, FleetProcess>,
+    client: HttpClient,
+    // The threads of the stand-ins end last.
+    runtime: StandinRuntime,
+}
+
+/// What an operator's command was answered.
+#[derive(Clone, Debug, Deserialize)]
+pub struct CommandReply {
+    /// Number of the result.
+    pub code: u16,
+    /// Name of the result.
+    pub name: String,
+    /// Explanation.
+    #[serde(default)]
+    pub message: String,
+    /// Everything that was answered.
+    #[serde(skip)]
+    pub body: Value,
+}
+
+#[derive(Debug)]
+struct FleetProcess {
+    role: &'static str,
+    settings: PathBuf,
+    log: PathBuf,
+    callers: Option<SocketAddr>,
+    operators: SocketAddr,
+    child: Option<ChildProcess>,
+}
+
+impl ProcessFleet {
+    /// Starts all stand-ins and all processes of `plan`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what stood in the way; processes that were started are ended.
+    pub fn start(plan: FleetPlan) -> anyhow::Result<Self> {
+        let mut fleet = Self::prepare(plan)?;
+        let names: Vec<_> = fleet.processes.keys().cloned().collect();
+        for name in names {
+            fleet.start_process(&name)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts all stand-ins and writes all settings, but starts no process.
+    ///
+    /// # Errors
+    ///
+    /// Returns what stood in the way.
+    pub fn prepare(plan: FleetPlan) -> anyhow::Result<Self> {
+        let _ = std::fs::remove_dir_all(&plan.dir);
+        std::fs::create_dir_all(&plan.dir)
+            .with_context(|| format!("cannot create {}", plan.dir.display()))?;
+        fleet_settings::write_secrets(&plan)?;
+        let runtime = StandinRuntime::new(STANDIN_THREADS)?;
+        let (catalog, manifests) = make_catalog(&plan)?;
+        let origin = WeightSource::start(&runtime, any_port(), catalog.clone())?;
+        origin.set_faults(WeightFaults {
+            bytes_per_s: plan.origin_bytes_per_s,
+            ..WeightFaults::default()
+        });
+        let mut fleet = Self {
+            table: TableService::start(&runtime, any_port())?,
+            objects: ObjectStore::start(&runtime, any_port())?,
+            origin,
+            weight_store: WeightSource::start(&runtime, any_port(), catalog)?,
+            hosts: HostList::start(&runtime, any_port(), HOST_LIST_LAG)?,
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            manifests,
+            plan,
+            processes: BTreeMap::new(),
+            client: HttpClient::new(None, CALL_TIMEOUT),
+            runtime,
+        };
+        fleet.prepare_processes()?;
+        Ok(fleet)
+    }
+
+    fn prepare_processes(&mut self) -> anyhow::Result<()> {
+        let platform = PlatformAddresses {
+            table: self.table.address(),
+            objects: self.objects.address(),
+            hosts: self.hosts.address(),
+            origin: self.origin.address(),
+            weight_store: self.weight_store.address(),
+        };
+        let plan = self.plan.clone();
+        let mut entries = Vec::new();
+        for _ in &plan.entries {
+            let ip = fleet_settings::next_ip();
+            let [callers, operators, control] = fleet_settings::free_addresses(ip)?;
+            entries.push(EntryAddresses {
+                ip,
+                callers,
+                operators,
+                control,
+            });
+        }
+        let seeds: Vec<_> = entries.iter().map(|it| it.control).collect();
+        for (entry, own) in plan.entries.iter().zip(&entries) {
+            let file = fleet_settings::write_entry(&plan, entry, own, &seeds, &platform)?;
+            self.add_process(&entry.name, "entry", file, Some(own.callers), own.operators);
+        }
+        for agent in &plan.agents {
+            let ip = fleet_settings::next_ip();
+            let [gate, peers, control, operators] = fleet_settings::free_addresses(ip)?;
+            let own = AgentAddresses {
+                ip,
+                gate,
+                peers,
+                control,
+                operators,
+            };
+            let target = self.start_target(agent)?;
+            // The entry of the agent's own zone comes first.
+            let mut seeds = seeds.clone();
+            let home = plan.entries.iter().position(|it| it.zone == agent.zone);
+            seeds.rotate_left(home.unwrap_or(0));
+            let file = fleet_settings::write_agent(&plan, agent, &own, &seeds, &platform, &target)?;
+            self.add_process(&agent.name, "agent", file, None, operators);
+        }
+        Ok(())
+    }
+
+    fn start_target(&mut self, agent: &AgentPlan) -> anyhow::Result<Value> {
+        match &agent.target {
+            TargetPlan::Engine(options) => {
+                let engine = ModelEngine::start(&self.runtime, any_port(), options.clone())?;
+                let target = engine_target(&self.plan.model, engine.address(), options);
+                self.engines.insert(agent.name.clone(), engine);
+                Ok(target)
+            }
+            TargetPlan::Service(name) => {
+                let service = PlainService::start(&self.runtime, any_port(), name)?;
+                let address = service.address();
+                self.services.insert(agent.name.clone(), service);
+                Ok(json!({ "kind": "service", "service": name, "address": address }))
+            }
+        }
+    }
+
+    fn add_process(
+        &mut self,
+        name: &str,
+        role: &'static str,
+        settings: PathBuf,
+        callers: Option<SocketAddr>,
+        operators: SocketAddr,
+    ) {
+        let process = FleetProcess {
+            role,
+            settings,
+            log: self.plan.dir.join(format!("{name}.log")),
+            callers,
+            operators,
+            child: None,
+        };
+        self.processes.insert(name.to_owned(), process);
+    }
+
+    /// Returns the runtime of the stand-ins.
+    pub fn runtime(&self) -> &StandinRuntime {
+        &self.runtime
+    }
+
+    /// Returns the plan of the fleet.
+    pub fn plan(&self) -> &FleetPlan {
+        &self.plan
+    }
+
+    /// Returns the callers' addresses of all entries.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.processes
+            .values()
+            .filter_map(|it| it.callers)
+            .collect()
+    }
+
+    /// Returns the names of all processes.
+    pub fn process_names(&self) -> Vec<String> {
+        self.processes.keys().cloned().collect()
+    }
+
+    /// Starts the process on host `name`, or starts it again.
+    ///
+    /// # Errors
+    ///
+    /// Fails for an unknown host or when the process cannot be started.
+    pub fn start_process(&mut self, name: &str) -> anyhow::Result<()> {
+        let binary = self.plan.binary.clone();
+        let process = self.processes.get_mut(name).context("no such process")?;
+        let child = ChildProcess::start(&binary, process.role, &process.settings, &process.log)
+            .with_context(|| format!("cannot start {}", binary.display()))?;
+        process.child = Some(child);
+        Ok(())
+    }
+
+    /// Returns the process on host `name`, which must have been started.
+    ///
+    /// # Panics
+    ///
+    /// Panics for a host that the plan does not name, which is a mistake of the caller.
+    pub fn process(&mut self, name: &str) -> &mut ChildProcess {
+        self.processes
+            .get_mut(name)
+            .and_then(|it| it.child.as_mut())
+            .unwrap_or_else(|| panic!("{name} has not been started"))
+    }
+
+    /// Gives an operator's command through the entry `entry`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection ends without an answer.
+    pub fn command(&self, entry: &str, text: &str, id: &str) -> anyhow::Result<CommandReply> {
+        let body = json!({ "command": text, "id": id }).to_string();
+        let body = self.operator_call(entry, "POST", "/v1/command", body)?;
+        let mut reply: CommandReply = serde_json::from_value(body.clone())
+            .with_context(|| format!("{text:?} was answered with {body}"))?;
+        reply.body = body;
+        Ok(reply)
+    }
+
+    /// Gives a command until it is accepted, with the same id each time.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it was not accepted within `timeout`.
+    pub fn command_until_accepted(
+        &self,
+        entry: &str,
+        text: &str,
+        id: &str,
+        timeout: Duration,
+    ) -> anyhow::Result<CommandReply> {
+        let start = Instant::now();
+        loop {
+            let last = match self.command(entry, text, id) {
+                Ok(reply) if reply.code == 0 => return Ok(reply),
+                Ok(reply) => format!("{} {}: {}", reply.code, reply.name, reply.message),
+                Err(err) => format!("{err:#}"),
+            };
+            if start.elapsed() > timeout {
+                bail!("{text:?} was not accepted in {timeout:?}: {last}");
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// Returns the dump of the state of the process on host `name`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not answer.
+    pub fn state(&self, name: &str) -> anyhow::Result<Value> {
+        self.operator_call(name, "GET", "/debug/state", String::new())
+    }
+
+    /// Waits until `probe` returns something.
+    ///
+    /// # Errors
+    ///
+    /// Fails after `timeout`, naming `what` was waited for.
+    pub fn wait_for<T>(
+        &self,
+        what: &str,
+        timeout: Duration,
+        mut probe: impl FnMut(&Self) -> Option<T>,
+    ) -> anyhow::Result<T> {
+        let start = Instant::now();
+        loop {
+            if let Some(it) = probe(self) {
+                return Ok(it);
+            }
+            if start.elapsed() > timeout {
+                bail!("waited {timeout:?} in vain for {what}");
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// Tells whether every engine but those on `except` serves the version `label`.
+    pub fn all_serve(&self, label: &str, except: &[&str]) -> bool {
+        let Some(manifest) = self.manifests.get(label) else {
+            return false;
+        };
+        let wanted = Some(manifest.version());
+        let mut engines = self.engines.iter();
+        engines.all(|(host, it)| except.contains(&host.as_str()) || it.serving() == wanted)
+    }
+
+    /// Tells whether every entry lists all entries as ready for callers and knows `targets` open targets.
+    pub fn entries_know(&self, targets: usize) -> bool {
+        let mut entries = self.processes.iter().filter(|(_, it)| it.role == "entry");
+        entries.all(|(name, _)| {
+            let Ok(state) = self.state(name) else {
+                return false;
+            };
+            let rows = state["targets"].as_array().map_or(&[][..], Vec::as_slice);
+            let open = rows.iter().filter(|it| it["row"]["state"] == "open");
+            open.count() >= targets
+        })
+    }
+
+    fn operator_call(
+        &self,
+        name: &str,
+        method: &str,
+        path: &str,
+        body: String,
+    ) -> anyhow::Result<Value> {
+        let address = self
+            .processes
+            .get(name)
+            .context("no such process")?
+            .operators;
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
+            .header("content-type", "application/json")
+            .body(httpio::full(body))?;
+        let client = &self.client;
+        self.runtime.block_on(async move {
+            let reply = tokio::time::timeout(CALL_TIMEOUT, client.send(address, request)).await??;
+            let response = reply.read(client, MAX_ANSWER_BYTES, CALL_TIMEOUT).await?;
+            Ok(serde_json::from_slice(response.body())?)
+        })
+    }
+}
+
+fn make_catalog(
+    plan: &FleetPlan,
+) -> anyhow::Result<(WeightCatalog, BTreeMap<String, WeightManifest>)> {
+    let mut catalog = WeightCatalog::default();
+    let mut manifests = BTreeMap::new();
+    for number in 1..=plan.versions {
+        let label = format!("v{number}");
+        let manifest = catalog.add(
+            ModelName::new(plan.model.as_str())?,
+            VersionLabel::new(label.as_str())?,
+            plan.chunk_bytes,
+            synthetic_weights(number, plan.weight_bytes),
+        );
+        manifests.insert(label, manifest);
+    }
+    Ok((catalog, manifests))
+}
+
+fn engine_target(model: &str, engine: SocketAddr, options: &EngineOptions) -> Value {
+    json!({
+        "kind": "model",
+        "model": model,
+        "engine": engine,
+        "checks_fencing": options.checks_fencing,
+        "loads_beside": options.loads_beside,
+        "max_in_flight": options.max_batch,
+    })
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Threads of all stand-ins of a fleet together.
+const STANDIN_THREADS: usize = 3;
+
+/// Lag of the host list.
+const HOST_LIST_LAG: Duration = Duration::from_secs(2);
+
+/// Longest wait for an operator's answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Largest answer to an operator, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// How often a condition is looked at.
+const POLL: Duration = Duration::from_millis(20);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 mod answers;
 mod counted_runs;
 mod engine;
+mod harness;
 mod host_list;
 mod links;
 mod object_store;
@@ -22,6 +23,9 @@
     AnswerScript, EngineFaults, EngineOptions, EngineReport, ModelEngine, expected_token,
     prefix_digests,
 };
+pub use harness::{
+    AgentPlan, ChildProcess, CommandReply, EntryPlan, FleetPlan, ProcessFleet, TargetPlan,
+};
 pub use host_list::{HostList, ListedHost};
 pub use links::{
     FaultProxy, HostBytes, LinkSwitch, NodeFaults, ProxyFaults, SwitchCounters, SwitchNode,
