--- a/crates/fulmarline/tests/command_line.rs
+++ b/crates/fulmarline/tests/command_line.rs
@@ -24,31 +24,82 @@
 
 #[test]
 fn version_and_missing_command() {
-    check(&["--version"], expect![[r#""#]]);
-    check(&[], expect![[r#""#]]);
-    check(&["entry"], expect![[r#""#]]);
-    check(&["start"], expect![[r#""#]]);
+    check(
+        &["--version"],
+        expect![[r#"
+        exit 0
+        fulmarline 0.1.0
+    "#]],
+    );
+    check(
+        &[],
+        expect![[r#"
+        exit 2
+        fulmarline: a command is required, see fulmarline --help
+    "#]],
+    );
+    check(
+        &["entry"],
+        expect![[r#"
+        exit 2
+        flag is required: `--settings`
+    "#]],
+    );
+    check(
+        &["start"],
+        expect![[r#"
+        exit 2
+        unexpected argument: "start"
+    "#]],
+    );
 }
 
 #[test]
 fn examples_are_valid() {
-    check(&["check", "prixsaison/entry.jsonc"], expect![[r#""#]]);
+    check(
+        &["check", "prixsaison/entry.jsonc"],
+        expect![[r#"
+        exit 0
+        prixsaison/entry.jsonc: valid settings of entry entry-mtl-1 in mtl-a, montreal
+    "#]],
+    );
     check(
         &["check", "trilhos-miudos/orders-agent.jsonc"],
-        expect![[r#""#]],
+        expect![[r#"
+            exit 0
+            trilhos-miudos/orders-agent.jsonc: valid settings of agent orders-sul-1 in sul-b, sul
+        "#]],
     );
 }
 
 #[test]
 fn bad_settings_start_nothing() {
-    check(&["check", "README.md"], expect![[r#""#]]);
-    check(&["check", "prixsaison/README.md"], expect![[r#""#]]);
+    check(
+        &["check", "README.md"],
+        expect![[r#"
+        exit 2
+        README.md: the file cannot be read: No such file or directory (os error 2)
+    "#]],
+    );
+    check(
+        &["check", "prixsaison/README.md"],
+        expect![[r#"
+        exit 2
+        prixsaison/README.md:1:1: not JSON with comments: unexpected token
+    "#]],
+    );
     check(
         &["entry", "--settings", "prixsaison/README.md"],
-        expect![[r#""#]],
+        expect![[r#"
+            exit 2
+            prixsaison/README.md:1:1: not JSON with comments: unexpected token
+        "#]],
     );
     check(
         &["agent", "--settings", "prixsaison/entry.jsonc"],
-        expect![[r#""#]],
+        expect![[r#"
+            exit 2
+            prixsaison/entry.jsonc: role: these are the settings of an entry, but the command is agent
+        "#]],
     );
 }
