Bad input against real processes; the last answer of a connection reaches its caller

Cause: closing a socket with unread bytes resets the connection, which can take a refusal (413, 431) away before the caller has read it.

Change: httpio shuts the sending side down and reads at most 256 KiB or 1 s before it closes; tests send 28 broken requests, 7 broken commands, slow and truncated ones, and read the logs and dumps of a stopped fleet.

--- /dev/null
+++ b/crates/fulmarline/tests/bad_input.rs
@@ -0,0 +1,390 @@
+//! Broken requests and commands against real processes: each gets a numbered result, and the entry keeps serving.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use standin::{FleetPlan, ProcessFleet};
+
+/// Longest wait for anything; far above what a busy machine needs.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Starts one entry with narrow limits and one service, and accepts a model that nobody serves.
+fn start_fleet(name: &str) -> ProcessFleet {
+    let binary = PathBuf::from(env!("CARGO_BIN_EXE_fulmarline"));
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let mut plan = FleetPlan::even(binary, dir.clone(), 1, 0);
+    plan.weight_bytes = 64 << 10;
+    plan.add_service("shop-1", "shop", 0);
+    let mut fleet = ProcessFleet::prepare(plan).expect("the fleet is prepared");
+    narrow_limits(&dir);
+    for process in fleet.process_names() {
+        fleet.start_process(&process).expect("the process starts");
+    }
+    fleet
+        .command_until_accepted("entry-1", "rollout demo v1", "rollout-1", PATIENCE)
+        .expect("the model is accepted");
+    fleet
+        .wait_for("the service", PATIENCE, |it| {
+            it.entries_know(1).then_some(())
+        })
+        .expect("the service is there");
+    fleet
+}
+
+fn narrow_limits(dir: &Path) {
+    let file = fs::read_dir(dir)
+        .expect("the folder is there")
+        .map(|it| it.expect("the folder can be read").path())
+        .find(|it| it.file_stem().is_some_and(|it| it == "entry-1"))
+        .expect("the entry has settings");
+    let text = fs::read_to_string(&file).expect("the settings can be read");
+    let mut settings: Value = serde_json::from_str(&text).expect("the settings are JSON");
+    settings["limits"]["max_body_bytes"] = json!(1024);
+    settings["limits"]["max_headers"] = json!(16);
+    settings["limits"]["max_header_bytes"] = json!(8192);
+    settings["limits"]["header_timeout_ms"] = json!(700);
+    settings["limits"]["body_timeout_ms"] = json!(700);
+    fs::write(&file, settings.to_string()).expect("the settings can be written");
+}
+
+/// Sends `request` as it is and returns status, result and message of the answer.
+///
+/// With [`Shutdown::Write`] the rest of the request never comes; otherwise the connection stays open.
+fn send(address: SocketAddr, request: &[u8], end: Shutdown) -> String {
+    let mut socket = TcpStream::connect(address).expect("the entry listens");
+    socket
+        .set_read_timeout(Some(PATIENCE))
+        .expect("a timeout can be set");
+    // The entry may refuse and close before it has read everything.
+    let _ = socket.write_all(request);
+    if end == Shutdown::Write {
+        let _ = socket.shutdown(Shutdown::Write);
+    }
+    let answer = read_answer(&mut socket);
+    summary(&answer)
+}
+
+fn read_answer(socket: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    let mut piece = [0; 4096];
+    while !is_whole(&answer) {
+        match socket.read(&mut piece) {
+            Ok(0) | Err(_) => break,
+            Ok(count) => answer.extend_from_slice(&piece[..count]),
+        }
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn is_whole(answer: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(answer);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    header(head, "content-length").is_some_and(|it| it.parse() == Ok(body.len()))
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().filter_map(|it| it.split_once(": "));
+    lines
+        .find(|(it, _)| it.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value)
+}
+
+fn summary(answer: &str) -> String {
+    let Some((head, body)) = answer.split_once("\r\n\r\n") else {
+        return format!("no answer {answer:?}");
+    };
+    let status = head.split(' ').nth(1).unwrap_or_default();
+    let result = header(head, "fulmarline-result").unwrap_or("no result");
+    let body: Value = serde_json::from_str(body).unwrap_or_default();
+    let message = body["message"].as_str().unwrap_or_default();
+    format!("{status}, {result}: {message}")
+}
+
+/// Builds a request with a valid token.
+fn request(line: &str, headers: &[&str], body: &[u8]) -> Vec<u8> {
+    let mut bytes =
+        format!("{line} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer token-north\r\n");
+    for it in headers {
+        let _ = write!(bytes, "{it}\r\n");
+    }
+    if !headers.iter().any(|it| it.starts_with("content-length")) {
+        let _ = write!(bytes, "content-length: {}\r\n", body.len());
+    }
+    [bytes.as_bytes(), b"\r\n", body].concat()
+}
+
+/// Sends each case; its answer must have the result, and a message that names what is wrong.
+fn check(address: SocketAddr, cases: Vec<(&str, Vec<u8>, &str, &str)>) {
+    for (name, bytes, result, word) in cases {
+        let answer = send(address, &bytes, Shutdown::Read);
+        let message = answer.strip_prefix(&format!("{result}: "));
+        let message = message.unwrap_or_else(|| panic!("{name}: expected {result}, got {answer}"));
+        assert!(
+            message.contains(word),
+            "{name}: {word:?} is not in {answer}"
+        );
+    }
+}
+
+#[test]
+fn broken_requests() {
+    let fleet = start_fleet("bad-input-requests");
+    let address = fleet.callers()[0];
+    let post = "POST /v1/completions";
+    let many = vec!["x-filler: 1"; 40];
+    let long = format!("x-filler: {}", "a".repeat(20_000));
+    let good = br#"{"model":"demo","prompt":"hi"}"#;
+    let malformed = "400, 100 bad-request";
+    let get_shop = "GET /services/shop/hours";
+    let no_token = b"GET /services/shop/hours HTTP/1.1\r\nhost: entry\r\n\r\n".to_vec();
+    let binary = [
+        &b"GET /services/shop/x HTTP/1.1\r\nx-priority: \xff\xfe\r\n"[..],
+        b"authorization: Bearer token-north\r\n\r\n",
+    ]
+    .concat();
+    let deadline = "fulmarline-deadline-ms";
+    let header = |text: &str| request(post, &[text], good);
+    let body = |bytes: &[u8]| request(post, &[], bytes);
+    check(
+        address,
+        vec![
+            (
+                "no HTTP",
+                b"hello\r\n\r\n".to_vec(),
+                malformed,
+                "request line",
+            ),
+            (
+                "bad version",
+                b"GET / HTTP/9.9\r\n\r\n".to_vec(),
+                malformed,
+                "HTTP/1.1",
+            ),
+            (
+                "bad header name",
+                header("bad name: 1"),
+                malformed,
+                "header",
+            ),
+            (
+                "two lengths",
+                request(post, &["content-length: 1", "content-length: 2"], b"{}"),
+                malformed,
+                "header",
+            ),
+            (
+                "many headers",
+                request(post, &many, good),
+                "431, 105 headers-too-large",
+                "headers",
+            ),
+            (
+                "long header",
+                header(&long),
+                "431, 105 headers-too-large",
+                "headers",
+            ),
+            ("no token", no_token, "401, 101 unauthorized", "token"),
+            (
+                "two tokens",
+                header("authorization: Bearer token-south"),
+                malformed,
+                "authorization",
+            ),
+            (
+                "unknown path",
+                request("GET /nowhere", &[], b""),
+                "404, 103 not-found",
+                "/nowhere",
+            ),
+            (
+                "wrong method",
+                request("GET /v1/completions", &[], b""),
+                "405, 107 method-not-allowed",
+                "POST",
+            ),
+            (
+                "large body",
+                body(&[b'x'; 200_000]),
+                "413, 104 too-large",
+                "body",
+            ),
+            (
+                "body is no UTF-8",
+                body(b"{\"model\":\"\xff\"}"),
+                malformed,
+                "body",
+            ),
+            ("body is no JSON", body(b"model=demo"), malformed, "body"),
+            (
+                "body without model",
+                body(b"{\"prompt\":\"hi\"}"),
+                malformed,
+                "model",
+            ),
+            (
+                "bad model name",
+                body(b"{\"model\":\"a b\"}"),
+                malformed,
+                "model name",
+            ),
+            (
+                "unknown model",
+                body(b"{\"model\":\"other\"}"),
+                "404, 103 not-found",
+                "other",
+            ),
+            ("unserved model", body(good), "503, 202 no-target", ""),
+            (
+                "unknown service",
+                request("GET /services/other/x", &[], b""),
+                "404, 103 not-found",
+                "other",
+            ),
+            (
+                "bad service name",
+                request("GET /services/%20/x", &[], b""),
+                malformed,
+                "service name",
+            ),
+            (
+                "bad deadline",
+                header("fulmarline-deadline-ms: soon"),
+                malformed,
+                deadline,
+            ),
+            (
+                "no time left",
+                header("fulmarline-deadline-ms: 0"),
+                malformed,
+                deadline,
+            ),
+            (
+                "two deadlines",
+                request(
+                    post,
+                    &["fulmarline-deadline-ms: 9", "fulmarline-deadline-ms: 9"],
+                    good,
+                ),
+                malformed,
+                deadline,
+            ),
+            (
+                "bad priority",
+                header("x-priority: 10"),
+                malformed,
+                "x-priority",
+            ),
+            ("header is no text", binary, malformed, "x-priority"),
+            (
+                "bad key",
+                request("POST /services/shop/x", &["idempotency-key: "], b"{}"),
+                malformed,
+                "idempotency-key",
+            ),
+            ("good request", request(get_shop, &[], b""), "200, 0 ok", ""),
+        ],
+    );
+}
+
+#[test]
+fn slow_and_truncated_requests() {
+    let fleet = start_fleet("bad-input-slow");
+    let address = fleet.callers()[0];
+    let slow_head = b"POST /v1/completions HTTP/1.1\r\nhost: en".to_vec();
+    let slow_body = request(
+        "POST /v1/completions",
+        &["content-length: 100"],
+        b"{\"model\"",
+    );
+    check(
+        address,
+        vec![
+            ("slow head", slow_head, "408, 106 too-slow", "headers"),
+            ("slow body", slow_body.clone(), "408, 106 too-slow", "body"),
+        ],
+    );
+    let truncated = send(address, &slow_body, Shutdown::Write);
+    assert!(
+        truncated.starts_with("400, 100 bad-request: "),
+        "{truncated}"
+    );
+    let good = request("GET /services/shop/hours", &[], b"");
+    check(address, vec![("good request", good, "200, 0 ok", "")]);
+}
+
+#[test]
+fn broken_commands() {
+    let fleet = start_fleet("bad-input-commands");
+    for text in [
+        "",
+        "rollout",
+        "rollot demo v1",
+        "drain nobody",
+        "set",
+        "\u{0}\u{7}",
+        "show nothing",
+    ] {
+        let reply = fleet
+            .command("entry-1", text, "command-1")
+            .expect("the entry answers");
+        assert_eq!(
+            (reply.code, reply.name.as_str()),
+            (400, "bad-command"),
+            "{text:?}"
+        );
+        assert!(!reply.message.is_empty(), "{text:?}");
+    }
+    let good = fleet
+        .command("entry-1", "pause demo", "command-2")
+        .expect("the entry answers");
+    assert_eq!(good.code, 0, "{good:?}");
+}
+
+#[test]
+fn logs_are_json_lines_and_show_no_secret() {
+    let mut fleet = start_fleet("bad-input-logs");
+    let address = fleet.callers()[0];
+    let bad = request(
+        "POST /v1/completions",
+        &["authorization: Bearer token-south"],
+        b"{}",
+    );
+    send(address, &bad, Shutdown::Read);
+    for name in fleet.process_names() {
+        let dump = fleet
+            .state(&name)
+            .expect("the process dumps its state")
+            .to_string();
+        let process = fleet.process(&name);
+        process.terminate();
+        let status = process.wait(PATIENCE).expect("the planned stop ends");
+        assert!(status.success(), "{name}: {status}");
+        let log = process.log_text();
+        assert!(!log.is_empty(), "{name}");
+        for line in log.lines() {
+            let line: Value =
+                serde_json::from_str(line).unwrap_or_else(|err| panic!("{err}: {line}"));
+            assert_eq!(line["host"], name.as_str());
+            assert!(line["role"].is_string() && line["zone"].is_string() && line["ts"].is_string());
+        }
+        for secret in [
+            "token-north",
+            "token-south",
+            "operator-token",
+            "shared-key-of",
+        ] {
+            assert!(
+                !log.contains(secret) && !dump.contains(secret),
+                "{name} shows {secret}"
+            );
+        }
+    }
+}
--- a/crates/httpio/src/guarded_socket.rs
+++ b/crates/httpio/src/guarded_socket.rs
@@ -3,8 +3,9 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::head_fault::{FaultAnswer, HeadFault, last_answer_bytes};
@@ -39,7 +40,17 @@
         let bytes = last_answer_bytes(&answer(HeadFault::TooSlow));
         // The caller may be gone, and then there is nobody to tell.
         let _ = self.socket.write_all(&bytes).await;
+    }
+
+    /// Ends the connection in a way that lets the caller read the last answer.
+    ///
+    /// Closing a socket with unread bytes resets the connection, which may take an answer away that is still under way.
+    pub(crate) async fn close(mut self) {
         let _ = self.socket.shutdown().await;
+        let mut unread = self.socket.take(MAX_UNREAD_BYTES);
+        let mut sink = tokio::io::sink();
+        let drained = tokio::io::copy(&mut unread, &mut sink);
+        let _ = tokio::time::timeout(CLOSE_TIMEOUT, drained).await;
     }
 
     fn start_substitute(&mut self, bytes: &[u8]) {
@@ -119,3 +130,9 @@
         Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
+
+/// Bytes that are read and dropped before a connection is closed.
+const MAX_UNREAD_BYTES: u64 = 256 * 1024;
+
+/// Time for a caller to close its side after the last answer.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/httpio/src/http_server.rs
+++ b/crates/httpio/src/http_server.rs
@@ -167,6 +167,7 @@
     if ended.is_err_and(|it| it.is_timeout()) {
         socket.answer_slow_head().await;
     }
+    socket.close().await;
 }
 
 /// Runs a connection to its end, which a stop brings about after the request at hand.
