--- a/crates/model/src/attempt_id.rs
+++ b/crates/model/src/attempt_id.rs
@@ -1,13 +1,34 @@
 //! Ids of attempts.
 
+use std::time::Duration;
 use std::{fmt, str};
 
 use serde::{Deserialize, Serialize};
 
 /// Random id of one attempt at a request, by which a gate admits it at most once and can revoke it.
+///
+/// The upper 48 bits hold the time of creation, so that a gate can refuse an attempt that is older than its memory
+/// of revoked ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptId(pub u128);
 
+/// Bits below the time of creation.
+const RANDOM_BITS: u32 = 80;
+
+impl AttemptId {
+    /// Combines the time of creation since the Unix epoch with random bits.
+    pub fn new(created: Duration, random: u128) -> Self {
+        let time = created.as_millis() << RANDOM_BITS;
+        Self(time | (random & ((1 << RANDOM_BITS) - 1)))
+    }
+
+    /// Returns the time of creation since the Unix epoch, by the clock of the entry that made it.
+    pub fn created(self) -> Duration {
+        let millis = (self.0 >> RANDOM_BITS) as u64;
+        Duration::from_millis(millis)
+    }
+}
+
 impl fmt::Display for AttemptId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -78,3 +78,5 @@
 pub const RESUME_HEADER: &str = "x-resume-from";
 /// Header that binds a request at the gate to one version digest.
 pub const REQUIRE_VERSION_HEADER: &str = "fulmarline-require-version";
+/// Header that binds a request to one incarnation of a gate, so that a restarted one cannot run a revoked attempt.
+pub const INCARNATION_HEADER: &str = "fulmarline-incarnation";
--- /dev/null
+++ b/crates/routing/src/flight_table.rs
@@ -0,0 +1,61 @@
+//! What an entry itself has in progress at each target.
+
+use std::collections::BTreeMap;
+
+use model::{HostName, Incarnation, TargetRow};
+
+/// Counts the entry's own requests, so that rows which are a heartbeat old do not mislead it.
+#[derive(Clone, Debug, Default)]
+pub struct FlightTable {
+    flights: BTreeMap<HostName, TargetFlight>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct TargetFlight {
+    row: (Incarnation, u64),
+    own: u32,
+    since_row: i32,
+}
+
+impl FlightTable {
+    /// Notes that a request was sent to `host`.
+    pub fn on_sent(&mut self, host: &HostName) {
+        let flight = self.flights.entry(host.clone()).or_default();
+        flight.own += 1;
+        flight.since_row += 1;
+    }
+
+    /// Notes that a request at `host` came to its end, whatever the end was.
+    pub fn on_finished(&mut self, host: &HostName) {
+        let Some(flight) = self.flights.get_mut(host) else {
+            return;
+        };
+        flight.own = flight.own.saturating_sub(1);
+        flight.since_row -= 1;
+    }
+
+    /// Forgets what a newer `row` already contains.
+    pub fn on_row(&mut self, row: &TargetRow) {
+        let Some(flight) = self.flights.get_mut(&row.host) else {
+            return;
+        };
+        let version = (row.incarnation, row.sequence);
+        if flight.row != version {
+            flight.row = version;
+            flight.since_row = 0;
+        }
+        if flight.own == 0 && flight.since_row == 0 {
+            self.flights.remove(&row.host);
+        }
+    }
+
+    /// Returns the requests that the entry has in progress at `host`.
+    pub fn own(&self, host: &HostName) -> u32 {
+        self.flights.get(host).map_or(0, |it| it.own)
+    }
+
+    /// Returns by how many requests the entry has changed the load of `host` since the last row.
+    pub fn since_row(&self, host: &HostName) -> i32 {
+        self.flights.get(host).map_or(0, |it| it.since_row)
+    }
+}
