--- a/crates/agent/src/control/control_server.rs
+++ b/crates/agent/src/control/control_server.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use futures::StreamExt;
-use model::AttemptId;
+use model::{AttemptId, Incarnation};
 use settings::AgentSettings;
 use slog::Logger;
 use tarpc::server::{BaseChannel, Channel};
@@ -49,7 +49,12 @@
 }
 
 impl AgentControl for RevokeServer {
-    async fn revoke(self, _: context::Context, attempt: AttemptId) -> RevokeOutcome {
-        self.gate.revoke(attempt)
+    async fn revoke(
+        self,
+        _: context::Context,
+        attempt: AttemptId,
+        incarnation: Incarnation,
+    ) -> RevokeOutcome {
+        self.gate.revoke(attempt, incarnation)
     }
 }
--- a/crates/agent/src/gate/gate_server.rs
+++ b/crates/agent/src/gate/gate_server.rs
@@ -5,12 +5,17 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use http_body_util::BodyExt;
+use bytes::Bytes;
 use httpio::{HeaderMap, HttpClient, HttpServer, Incoming, ReplyBody, Request, Response};
-use model::{AttemptId, ResultCode, VersionDigest};
+use hyper::http::request::Parts;
+use model::{AttemptId, Incarnation, ResultCode, VersionDigest};
+use routing::{AdmitRequest, CallKind};
+use serde::Deserialize;
 use settings::AgentSettings;
 use slog::{Logger, warn};
 
+use crate::gate::admitted_attempt::AdmittedAttempt;
+use crate::gate::answer_relay;
 use crate::gate::gate_shared::GateShared;
 
 /// Starts the gate's listener.
@@ -21,13 +26,15 @@
 ) -> anyhow::Result<httpio::ServerHandle> {
     let limits = httpio::ServerLimits {
         max_connections: settings.limits.max_connections,
+        max_headers: settings.limits.max_headers,
+        max_header_bytes: settings.limits.max_header_bytes,
         header_timeout: settings.limits.header_timeout,
-        ..httpio::ServerLimits::default()
     };
     let server = HttpServer::bind(settings.listen.gate, limits)
         .with_context(|| format!("cannot listen on {}", settings.listen.gate))?;
     let forwarder = Forwarder {
         gate,
+        settings: settings.clone(),
         back_end: crate::back_end(&settings.target),
         client: HttpClient::new(None, CONNECT_TIMEOUT),
         log,
@@ -41,56 +48,82 @@
 #[derive(Clone)]
 struct Forwarder {
     gate: Arc<GateShared>,
+    settings: Arc<AgentSettings>,
     back_end: SocketAddr,
     client: HttpClient,
     log: Logger,
 }
 
-/// Ends an admitted attempt when the answer is over or the entry went away, whichever way that happens.
-struct AdmittedAttempt {
-    gate: Arc<GateShared>,
-    attempt: AttemptId,
-}
-
-impl Drop for AdmittedAttempt {
-    fn drop(&mut self) {
-        self.gate.end(self.attempt);
-    }
+/// The fields of a model request that tell how much work it is.
+#[derive(Debug, Default, Deserialize)]
+struct RequestSize {
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
 }
 
 impl Forwarder {
     async fn forward(&self, request: Request<Incoming>) -> Response<ReplyBody> {
-        let Some(attempt) = header(request.headers(), model::ATTEMPT_HEADER) else {
+        let (parts, body) = request.into_parts();
+        let Some(attempt) = header(&parts.headers, model::ATTEMPT_HEADER) else {
             return refusal(
                 ResultCode::BadRequest,
                 "the attempt header is missing or malformed",
             );
         };
-        let required = header::<VersionDigest>(request.headers(), model::REQUIRE_VERSION_HEADER);
-        let version = match self.gate.admit(attempt, required) {
-            Ok(version) => version,
-            Err(code) => return refusal(code, "the gate refused the attempt"),
+        // The whole request is here before anything starts, so a sender that dies in the middle has started nothing.
+        let limits = &self.settings.limits;
+        let body = httpio::read_limited(body, limits.max_body_bytes, limits.body_timeout).await;
+        let Ok(body) = body else {
+            return refusal(ResultCode::TooSlow, "the request did not arrive whole");
         };
-        let admitted = AdmittedAttempt {
-            gate: self.gate.clone(),
-            attempt,
+        let request = admit_request(&parts.headers, attempt);
+        let size = request_size(request.kind, &body);
+        let tokens = size.max_tokens.unwrap_or(DEFAULT_TOKENS);
+        let version = match self.gate.admit(&request, tokens) {
+            Ok(version) => version,
+            Err(refused) => return refusal(refused.code, refused.reason),
         };
-        let (mut parts, body) = request.into_parts();
+        let gate = self.gate.clone();
+        let admitted = AdmittedAttempt::new(gate, attempt, request.kind, tokens, size.stream);
+        if request.kind != CallKind::Order {
+            return self.run(parts, body, version, admitted).await;
+        }
+        // An order goes on when the entry goes away; the gate's book says that it is running until it has ended.
+        let forwarder = self.clone();
+        let work = tokio::spawn(async move { forwarder.run(parts, body, version, admitted).await });
+        work.await
+            .unwrap_or_else(|_| refusal(ResultCode::Internal, "the order's task failed"))
+    }
+
+    async fn run(
+        &self,
+        mut parts: Parts,
+        body: Bytes,
+        version: Option<VersionDigest>,
+        mut admitted: AdmittedAttempt,
+    ) -> Response<ReplyBody> {
         parts.headers.remove(httpio::header::HOST);
         parts.headers.remove(httpio::header::CONNECTION);
-        let request = Request::from_parts(parts, body.map_err(std::io::Error::other).boxed());
+        parts.headers.remove(httpio::header::TRANSFER_ENCODING);
+        parts.headers.remove(httpio::header::CONTENT_LENGTH);
+        let request = Request::from_parts(parts, httpio::full(body));
         let reply = match self.client.send(self.back_end, request).await {
             Ok(reply) => reply,
             Err(httpio::ClientError::NotSent(err)) => {
-                warn!(self.log, "back end cannot be reached"; "attempt" => %attempt, "reason" => %err);
+                warn!(self.log, "back end cannot be reached"; "reason" => %err);
                 return refusal(ResultCode::TargetRefused, "the back end cannot be reached");
             }
             Err(err) => {
-                warn!(self.log, "back end was lost"; "attempt" => %attempt, "reason" => %err);
+                warn!(self.log, "back end was lost"; "reason" => %err);
                 return refusal(ResultCode::TargetLost, "the back end was lost");
             }
         };
         let (response, _sender, _address) = reply.into_parts();
+        if admitted.kind() == CallKind::Completion && response.status() == ENGINE_REFUSES {
+            return refusal(ResultCode::TargetRefused, "the engine refused the request");
+        }
         if let Some(version) = version
             && response.status().is_success()
             && header(response.headers(), model::VERSION_HEADER) != Some(version)
@@ -101,41 +134,33 @@
                 "the engine answers from another version",
             );
         }
-        relay(response, admitted)
+        if admitted.kind() != CallKind::Completion {
+            admitted.on_piece();
+        }
+        answer_relay::relay(response, admitted)
     }
 }
 
-/// Passes an answer on while holding on to the admitted attempt.
-fn relay(response: Response<Incoming>, admitted: AdmittedAttempt) -> Response<ReplyBody> {
-    let (mut parts, mut body) = response.into_parts();
-    let (sender, reply) = httpio::stream(RELAY_DEPTH);
-    tokio::spawn(async move {
-        let _admitted = admitted;
-        loop {
-            // The entry may go away while the engine is silent; then the engine's work has to be cancelled.
-            let frame = tokio::select! {
-                it = body.frame() => it,
-                () = sender.closed() => return,
-            };
-            let Some(frame) = frame else { return };
-            let failed = frame.is_err();
-            if sender
-                .send(frame.map_err(std::io::Error::other))
-                .await
-                .is_err()
-                || failed
-            {
-                return;
-            }
-        }
-    });
-    parts.headers.remove(httpio::header::TRANSFER_ENCODING);
-    parts.headers.remove(httpio::header::CONNECTION);
-    let ok = ResultCode::Ok.to_string();
-    if let Ok(value) = ok.parse() {
-        parts.headers.insert(model::RESULT_HEADER, value);
+fn admit_request(headers: &HeaderMap, attempt: AttemptId) -> AdmitRequest {
+    let left = header(headers, model::DEADLINE_HEADER).map_or(DEFAULT_LEFT, Duration::from_millis);
+    AdmitRequest {
+        attempt,
+        // A sender that does not say how often the call may run gets the strictest treatment.
+        kind: header(headers, model::CALL_KIND_HEADER).unwrap_or(CallKind::Order),
+        incarnation: header(headers, model::INCARNATION_HEADER).map(Incarnation),
+        version: header(headers, model::REQUIRE_VERSION_HEADER),
+        left,
+    }
+}
+
+fn request_size(kind: CallKind, body: &[u8]) -> RequestSize {
+    match kind {
+        CallKind::Completion => serde_json::from_slice(body).unwrap_or_default(),
+        CallKind::Lookup | CallKind::Order => RequestSize {
+            max_tokens: Some(0),
+            stream: false,
+        },
     }
-    Response::from_parts(parts, reply)
 }
 
 fn refusal(code: ResultCode, message: &str) -> Response<ReplyBody> {
@@ -154,8 +179,14 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
+/// What an engine answers when it has not started a request.
+const ENGINE_REFUSES: httpio::StatusCode = httpio::StatusCode::SERVICE_UNAVAILABLE;
+
+/// Tokens that a request which names no number is taken to produce.
+const DEFAULT_TOKENS: u32 = 256;
+
+/// Time left for a request that names no deadline.
+const DEFAULT_LEFT: Duration = Duration::from_secs(120);
+
 /// Time to connect to the back end on this host.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Pieces of an answer that wait for a slow entry before the engine is held back.
-const RELAY_DEPTH: usize = 16;
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -1,9 +1,9 @@
 //! The gate before the engine or service: every request passes here or does not run.
 
-mod attempt_state;
+mod admitted_attempt;
+mod answer_relay;
 mod gate_server;
 mod gate_shared;
-mod gate_table;
 
 pub(crate) use gate_server::serve;
 pub(crate) use gate_shared::GateShared;
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -34,10 +34,15 @@
         .build()
         .context("cannot start the traffic threads")?;
     let settings = Arc::new(settings);
-    let gate = Arc::new(GateShared::new(max_in_flight(&settings.target)));
+    let incarnation = Incarnation(new_incarnation());
+    let gate = Arc::new(GateShared::new(
+        incarnation,
+        max_in_flight(&settings.target),
+        log.clone(),
+    ));
     let store = Arc::new(ChunkStore::new(settings.spread.memory_bytes));
     let counters = wire::WireCounters::default();
-    let view = Arc::new(AgentView::new(Incarnation(new_incarnation())));
+    let view = Arc::new(AgentView::new(incarnation));
 
     let control = ControlThread::start(
         &settings,
--- a/crates/entry/src/calls/call_context.rs
+++ b/crates/entry/src/calls/call_context.rs
@@ -14,6 +14,7 @@
 pub(crate) struct CallContext {
     pub(crate) id: RequestId,
     pub(crate) organisation: OrganisationName,
+    pub(crate) weight: u32,
     pub(crate) deadline: Instant,
     pub(crate) priority: u8,
     pub(crate) method: Method,
@@ -78,6 +79,16 @@
     }
 }
 
+/// Reads the key by which a caller marks repeats of one order.
+pub(crate) fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, CallRefusal> {
+    let key = single(headers, model::IDEMPOTENCY_HEADER)?;
+    if key.is_some_and(|it| it.is_empty() || it.len() > MAX_KEY_BYTES) {
+        let message = format!("the header idempotency-key must have 1 to {MAX_KEY_BYTES} bytes");
+        return Err(CallRefusal::new(ResultCode::BadRequest, message));
+    }
+    Ok(key.map(str::to_string))
+}
+
 /// Returns the only value of a header; a header that comes twice could be read in two ways.
 pub(crate) fn single<'a>(
     headers: &'a HeaderMap,
@@ -105,3 +116,6 @@
 
 /// Longest deadline that a caller may ask for, a day in milliseconds.
 const MAX_DEADLINE_MS: u64 = 24 * 60 * 60 * 1000;
+
+/// Longest idempotency key.
+const MAX_KEY_BYTES: usize = 256;
--- a/crates/entry/src/calls/call_counters.rs
+++ b/crates/entry/src/calls/call_counters.rs
@@ -1,12 +1,18 @@
-//! Counts of requests in progress.
+//! Counts of requests in progress and signs of overload.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
 
-/// Counts requests in progress on this entry.
+use model::OverloadCause;
+use routing::{OverloadChange, OverloadTracker};
+
+/// Counts requests in progress on this entry and knows whether it is overloaded.
 #[derive(Debug, Default)]
 pub(crate) struct CallCounters {
     streams: AtomicU32,
+    overload: Mutex<OverloadTracker>,
+    changes: Mutex<Vec<OverloadChange>>,
 }
 
 /// Counts one request for as long as it lives.
@@ -27,6 +33,36 @@
         }
         Some(CallGuard(counters.clone()))
     }
+
+    /// Notes a refusal for load.
+    pub(crate) fn on_overload(&self, cause: OverloadCause) {
+        let change = self.tracker().on_sign(Instant::now(), cause);
+        self.keep(change);
+    }
+
+    /// Returns how long the entry has been overloaded, in milliseconds, and what showed it first.
+    pub(crate) fn overload(&self) -> Option<(u64, OverloadCause)> {
+        let now = Instant::now();
+        let change = self.tracker().on_tick(now);
+        self.keep(change);
+        let state = self.tracker().state(now)?;
+        let time = now.duration_since(state.since);
+        Some((time.as_millis() as u64, state.cause))
+    }
+
+    /// Takes the changes that have not been logged yet.
+    pub(crate) fn take_changes(&self) -> Vec<OverloadChange> {
+        std::mem::take(&mut *self.changes.lock().expect("no holder of the lock panics"))
+    }
+
+    fn keep(&self, change: Option<OverloadChange>) {
+        let mut changes = self.changes.lock().expect("no holder of the lock panics");
+        changes.extend(change);
+    }
+
+    fn tracker(&self) -> std::sync::MutexGuard<'_, OverloadTracker> {
+        self.overload.lock().expect("no holder of the lock panics")
+    }
 }
 
 impl Drop for CallGuard {
--- /dev/null
+++ b/crates/entry/src/calls/call_decisions.rs
@@ -0,0 +1,184 @@
+//! What an entry decides with: loads, queues, failures and budgets.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use model::{GateState, HostName, OrganisationName, TargetKind, TargetRow, VersionDigest};
+use rand::RngExt;
+use routing::{
+    ChoiceRequest, ChoiceStrategy, FairQueue, FlightTable, HedgeTimer, OutlierTable, PrefixTable,
+    QueueRequest, QueueTicket, RetryBudget, TargetCandidate, has_room,
+};
+use settings::HostSettings;
+use tokio::sync::oneshot;
+
+use crate::calls::call_refusal::CallRefusal;
+use crate::calls::target_slot::TargetSlot;
+use crate::control::ControlSnapshot;
+
+/// What a request needs of a target.
+#[derive(Clone, Debug)]
+pub(crate) struct SlotNeed {
+    pub(crate) target: TargetKind,
+    pub(crate) organisation: OrganisationName,
+    pub(crate) weight: u32,
+    pub(crate) priority: u8,
+    pub(crate) cost: u32,
+    pub(crate) deadline: Instant,
+    pub(crate) version: Option<VersionDigest>,
+    pub(crate) prefix: Option<u64>,
+    pub(crate) tried: BTreeSet<HostName>,
+}
+
+/// A request that waits for a target.
+#[derive(Debug)]
+pub(crate) struct SlotWaiter {
+    pub(crate) need: SlotNeed,
+    pub(crate) latest_start: Instant,
+    pub(crate) reply: oneshot::Sender<Result<TargetSlot, CallRefusal>>,
+}
+
+/// The requests that wait for targets of one kind.
+#[derive(Debug)]
+pub(crate) struct WaitPool {
+    pub(crate) queue: FairQueue,
+    pub(crate) waiters: BTreeMap<QueueTicket, SlotWaiter>,
+}
+
+/// State of all decisions; one lock is around it.
+#[derive(Debug, Default)]
+pub(crate) struct CallDecisions {
+    pub(crate) pools: BTreeMap<TargetKind, WaitPool>,
+    pub(crate) flights: FlightTable,
+    pub(crate) outliers: OutlierTable,
+    pub(crate) prefixes: PrefixTable,
+    pub(crate) retries: RetryBudget,
+    pub(crate) hedges: HedgeTimer,
+    next: usize,
+}
+
+impl SlotNeed {
+    pub(crate) fn queue_request(&self, latest_start: Instant) -> QueueRequest<'_> {
+        QueueRequest {
+            organisation: &self.organisation,
+            weight: self.weight,
+            priority: self.priority,
+            cost: self.cost,
+            latest_start,
+        }
+    }
+
+    /// Returns the rows of targets that could serve the request, whether or not they have room.
+    pub(crate) fn open_rows<'a>(&self, snapshot: &'a ControlSnapshot) -> Vec<&'a TargetRow> {
+        let drains = snapshot.config.as_ref().map(|it| &it.drains);
+        snapshot
+            .targets
+            .values()
+            .map(|it| &it.row)
+            .filter(|it| it.kind == self.target && it.state == GateState::Open)
+            .filter(|it| drains.is_none_or(|drains| !drains.contains(&it.host)))
+            .filter(|it| self.version.is_none() || it.serving == self.version)
+            .filter(|it| !self.tried.contains(&it.host))
+            .collect()
+    }
+
+    /// Estimates when the work must have started to be whole before its deadline.
+    pub(crate) fn latest_start(&self, rows: &[&TargetRow], now: Instant) -> Instant {
+        let fastest = rows.iter().map(|it| it.load.token_gap_us).min();
+        let gap = Duration::from_micros(u64::from(fastest.unwrap_or(0)));
+        let work = gap.saturating_mul(self.cost).mul_f64(WORK_SHARE);
+        self.deadline
+            .checked_sub(work)
+            .unwrap_or(now)
+            .min(now + MAX_QUEUE_TIME)
+    }
+}
+
+impl CallDecisions {
+    /// Chooses a target with room and counts the request there.
+    pub(crate) fn take_slot(
+        &mut self,
+        snapshot: &ControlSnapshot,
+        own: &HostSettings,
+        need: &SlotNeed,
+        now: Instant,
+    ) -> Option<TargetRow> {
+        let rows = need.open_rows(snapshot);
+        rows.iter().for_each(|it| self.flights.on_row(it));
+        let hosts: Vec<&HostName> = rows.iter().map(|it| &it.host).collect();
+        let usable = self.outliers.usable(now, &hosts);
+        let rows: Vec<&TargetRow> = rows
+            .into_iter()
+            .filter(|it| usable.contains(&&it.host))
+            .collect();
+        let candidates: Vec<TargetCandidate<'_>> =
+            rows.iter().map(|it| self.candidate(it)).collect();
+        let cached = need
+            .prefix
+            .map(|it| self.prefixes.hosts(now, it))
+            .unwrap_or_default();
+        let request = ChoiceRequest {
+            zone: &own.zone,
+            region: &own.region,
+            cached: &cached,
+        };
+        let idx = match strategy(snapshot) {
+            ChoiceStrategy::ExpectedWait => {
+                let mut rng = rand::rng();
+                let mut pick = |n: usize| rng.random_range(0..n);
+                routing::choose_target(&candidates, &request, &mut pick)
+            }
+            ChoiceStrategy::RoundRobin => next_with_room(&candidates, self.next),
+            ChoiceStrategy::LeastReported => (0..candidates.len())
+                .filter(|&it| has_room(&candidates[it]))
+                .min_by_key(|&it| candidates[it].load.in_flight),
+        }?;
+        self.next = idx + 1;
+        let row = rows[idx].clone();
+        self.flights.on_sent(&row.host);
+        if let Some(prefix) = need.prefix {
+            self.prefixes.on_sent(now, prefix, &row.host);
+        }
+        Some(row)
+    }
+
+    fn candidate<'a>(&self, row: &'a TargetRow) -> TargetCandidate<'a> {
+        TargetCandidate {
+            host: &row.host,
+            zone: &row.zone,
+            region: &row.region,
+            load: row.load,
+            own: self.flights.own(&row.host),
+            since_row: self.flights.since_row(&row.host),
+        }
+    }
+}
+
+fn next_with_room(candidates: &[TargetCandidate<'_>], next: usize) -> Option<usize> {
+    let count = candidates.len();
+    (0..count)
+        .map(|it| (next + it) % count)
+        .find(|&it| has_room(&candidates[it]))
+}
+
+/// Reads the parameter by which benches compare strategies.
+fn strategy(snapshot: &ControlSnapshot) -> ChoiceStrategy {
+    let parameter = snapshot
+        .config
+        .as_ref()
+        .and_then(|it| it.parameters.get(STRATEGY_PARAMETER));
+    match parameter {
+        Some(&it) if it == 1.0 => ChoiceStrategy::RoundRobin,
+        Some(&it) if it == 2.0 => ChoiceStrategy::LeastReported,
+        _ => ChoiceStrategy::ExpectedWait,
+    }
+}
+
+/// Name of the parameter: 0 or absent for the expected wait, 1 for round robin, 2 for the least reported load.
+const STRATEGY_PARAMETER: &str = "choice_strategy";
+
+/// Longest time in the queue, whatever the deadline.
+const MAX_QUEUE_TIME: Duration = Duration::from_secs(10);
+
+/// Share of the estimated work that has to fit before the deadline; answers are often shorter than allowed.
+const WORK_SHARE: f64 = 0.8;
--- a/crates/entry/src/calls/call_refusal.rs
+++ b/crates/entry/src/calls/call_refusal.rs
@@ -1,13 +1,16 @@
 //! Answers that carry a result code instead of an answer.
 
+use std::time::Duration;
+
 use httpio::{ReplyBody, Response, StatusCode};
-use model::{RequestId, ResultCode};
+use model::{OverloadCause, RequestId, ResultCode};
 
 /// A refusal or failure with a text for the caller.
 #[derive(Clone, Debug)]
 pub(crate) struct CallRefusal {
     pub(crate) code: ResultCode,
     pub(crate) message: String,
+    retry_after: Duration,
 }
 
 impl CallRefusal {
@@ -15,16 +18,29 @@
         Self {
             code,
             message: message.into(),
+            retry_after: MIN_RETRY_AFTER,
         }
     }
 
+    /// Sets the time after which a repeat is likely to be let in.
+    pub(crate) fn with_retry_after(mut self, time: Duration) -> Self {
+        self.retry_after = time.max(MIN_RETRY_AFTER);
+        self
+    }
+
     /// Returns the answer for the caller, with a time to come back where a repeat may succeed.
-    pub(crate) fn into_response(self, request: RequestId) -> Response<ReplyBody> {
+    pub(crate) fn into_response(
+        self,
+        request: RequestId,
+        overload: Option<(u64, OverloadCause)>,
+    ) -> Response<ReplyBody> {
         let body = serde_json::json!({
             "code": self.code.number(),
             "name": self.code.name(),
             "message": self.message,
             "request_id": request.to_string(),
+            "overloaded_ms": overload.map(|it| it.0),
+            "overload_cause": overload.map(|it| it.1),
         });
         let mut response = Response::new(httpio::full(body.to_string()));
         *response.status_mut() = StatusCode::from_u16(self.code.http_status())
@@ -32,7 +48,8 @@
         let headers = response.headers_mut();
         headers.insert(httpio::header::CONTENT_TYPE, JSON);
         if self.code.may_retry() {
-            headers.insert(httpio::header::RETRY_AFTER, RETRY_AFTER_S);
+            let seconds = self.retry_after.as_secs_f64().ceil() as u64;
+            headers.insert(httpio::header::RETRY_AFTER, seconds.into());
         }
         mark(&mut response, self.code, request);
         response
@@ -52,5 +69,5 @@
 
 const JSON: httpio::HeaderValue = httpio::HeaderValue::from_static("application/json");
 
-/// Seconds after which a refused caller may come back.
-const RETRY_AFTER_S: httpio::HeaderValue = httpio::HeaderValue::from_static("1");
+/// Shortest time after which a refused caller may come back; the header counts in seconds.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/crates/entry/src/calls/dispatcher.rs
+++ b/crates/entry/src/calls/dispatcher.rs
@@ -1,157 +1,210 @@
-//! Chooses a target for a request and sends one attempt after another.
+//! Sends attempts to the gates of targets.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use httpio::{ClientError, HttpClient, Request};
-use model::{
-    AttemptId, GateState, HostName, ResultCode, RunStatus, TargetKind, TargetRow, VersionDigest,
-};
-use rand::seq::IndexedRandom;
+use model::{AttemptId, ResultCode, RunStatus};
+use routing::{CallKind, OrderGate};
 use settings::EntrySettings;
 use slog::{Logger, info};
 use wire::{RevokeOutcome, WireCounters, context};
 
-use crate::calls::attempt_outcome::AttemptOutcome;
+use crate::calls::attempt_plan::{AttemptOutcome, AttemptPlan};
 use crate::calls::call_context::CallContext;
-use crate::control::{ControlSnapshot, SnapshotCell};
+use crate::calls::call_decisions::SlotNeed;
+use crate::calls::call_refusal::CallRefusal;
+use crate::calls::call_shared::CallShared;
+use crate::calls::target_reply::TargetReply;
+use crate::calls::target_slot::TargetSlot;
 
-/// Sends attempts to the gates of targets.
+/// Carries out attempts and settles those whose answer was lost.
 #[derive(Clone, Debug)]
 pub(crate) struct Dispatcher {
     settings: Arc<EntrySettings>,
-    snapshots: Arc<SnapshotCell>,
+    pub(crate) shared: Arc<CallShared>,
     client: HttpClient,
     counters: WireCounters,
     log: Logger,
 }
 
-/// How a request may be attempted.
-#[derive(Clone, Debug)]
-pub(crate) struct AttemptPlan {
-    /// The target's kind.
-    pub(crate) kind: TargetKind,
-    /// The version that has to answer, where one does.
-    pub(crate) version: Option<VersionDigest>,
-    /// Id of the first attempt, where it was recorded beforehand.
-    pub(crate) first: AttemptId,
-    /// Whether an attempt of unknown outcome may be followed by another.
-    pub(crate) idempotent: bool,
-    /// Headers beside those that every attempt carries.
-    pub(crate) headers: Vec<(&'static str, String)>,
-}
-
 impl Dispatcher {
-    pub(crate) fn new(
-        settings: Arc<EntrySettings>,
-        snapshots: Arc<SnapshotCell>,
-        log: Logger,
-    ) -> Self {
-        let client = HttpClient::new(None, CONNECT_TIMEOUT);
+    pub(crate) fn new(settings: Arc<EntrySettings>, shared: Arc<CallShared>, log: Logger) -> Self {
         Self {
             settings,
-            snapshots,
-            client,
+            shared,
+            client: HttpClient::new(None, CONNECT_TIMEOUT),
             counters: WireCounters::default(),
             log,
         }
     }
 
-    /// Attempts a request until a target answers, no target is left or the outcome is unknown.
-    pub(crate) async fn dispatch(&self, call: &CallContext, plan: &AttemptPlan) -> AttemptOutcome {
-        let mut tried = BTreeSet::new();
-        let mut last = ResultCode::NoTarget;
-        let mut attempt = plan.first;
+    /// Attempts a request until a target answers, or until it is settled what became of it.
+    ///
+    /// # Errors
+    ///
+    /// The refusal says "not run" only when every attempt was refused, never sent, or revoked at its gate.
+    pub(crate) async fn dispatch(
+        &self,
+        call: &CallContext,
+        plan: &AttemptPlan,
+    ) -> Result<TargetReply, CallRefusal> {
+        let mut last = None;
         for _ in 0..MAX_ATTEMPTS {
-            if Instant::now() >= call.deadline {
-                return AttemptOutcome::NotRun(ResultCode::DeadlineNotRun);
-            }
-            let Some(target) = choose(&self.snapshots.load(), plan, &tried) else {
-                break;
+            let slot = match (self.shared.acquire(self.need(call, plan)).await, last) {
+                (Ok(slot), _) => slot,
+                (Err(_), Some(code)) => return Err(refusal(code)),
+                (Err(refusal), None) => return Err(refusal),
             };
-            tried.insert(target.host.clone());
-            match self.attempt(call, plan, &target, attempt).await {
-                AttemptOutcome::NotRun(code) => last = code,
-                AttemptOutcome::Unknown(_) if plan.idempotent => last = ResultCode::TargetLost,
-                outcome => return outcome,
+            let gate = order_gate(&slot);
+            let attempt = new_attempt();
+            match self.attempt(call, plan, slot, attempt).await {
+                AttemptOutcome::Answer(reply) => return Ok(reply),
+                AttemptOutcome::NotRun(code) => last = Some(code),
+                AttemptOutcome::Lost => {
+                    let has_time = Instant::now() < call.deadline;
+                    if plan.kind != CallKind::Order && has_time && self.shared.take_retry() {
+                        last = Some(ResultCode::TargetLost);
+                        continue;
+                    }
+                    let code = self.settle(call, &gate, attempt).await;
+                    if code.run_status() != RunStatus::NotRun || !has_time {
+                        return Err(refusal(code));
+                    }
+                    last = Some(code);
+                }
             }
-            attempt = AttemptId(rand::random());
-        }
-        match last.run_status() {
-            RunStatus::NotRun => AttemptOutcome::NotRun(last),
-            _ => AttemptOutcome::Unknown(last),
         }
+        Err(refusal(last.unwrap_or(ResultCode::NoTarget)))
     }
 
-    async fn attempt(
+    /// Sends one attempt to the target of `slot`.
+    pub(crate) async fn attempt(
         &self,
         call: &CallContext,
         plan: &AttemptPlan,
-        target: &TargetRow,
+        slot: TargetSlot,
         attempt: AttemptId,
     ) -> AttemptOutcome {
-        let Ok(request) = build_request(call, plan, attempt) else {
+        let Ok(request) = build_request(call, plan, &slot, attempt) else {
             return AttemptOutcome::NotRun(ResultCode::BadRequest);
         };
+        let row = &slot.row;
+        let sent = self.client.send(row.gate, request);
+        let patience = match plan.kind {
+            CallKind::Completion => MAX_HEAD_SILENCE,
+            CallKind::Lookup => MAX_LOOKUP_SILENCE,
+            CallKind::Order => Duration::MAX,
+        };
         let left = call.deadline.saturating_duration_since(Instant::now());
-        let reply = match tokio::time::timeout(left, self.client.send(target.gate, request)).await {
+        let reply = match tokio::time::timeout(left.min(patience), sent).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(ClientError::NotSent(_))) => {
+                plan.note_tried(&row.host);
+                self.shared.on_failure(&row.host);
                 return AttemptOutcome::NotRun(ResultCode::TargetRefused);
             }
-            Ok(Err(ClientError::Lost(_))) => {
-                return self.revoke(target, attempt, ResultCode::TargetLost).await;
-            }
-            Err(_) => {
-                return self
-                    .revoke(target, attempt, ResultCode::DeadlineUnknown)
-                    .await;
+            Ok(Err(ClientError::Lost(_))) | Err(_) => {
+                plan.note_tried(&row.host);
+                self.shared.on_failure(&row.host);
+                return AttemptOutcome::Lost;
             }
         };
-        let (response, _sender, _address) = reply.into_parts();
-        let code = response
-            .headers()
-            .get(model::RESULT_HEADER)
-            .and_then(|it| it.to_str().ok());
-        match code.and_then(ResultCode::from_header) {
-            Some(ResultCode::Ok) => AttemptOutcome::Answer(response),
-            Some(code) if code.run_status() == RunStatus::NotRun => AttemptOutcome::NotRun(code),
-            Some(code) => AttemptOutcome::Unknown(code),
-            None => AttemptOutcome::Unknown(ResultCode::TargetLost),
+        let code = reply.response.headers().get(model::RESULT_HEADER);
+        let code = code
+            .and_then(|it| it.to_str().ok())
+            .and_then(ResultCode::from_header);
+        match code {
+            Some(ResultCode::Ok) => {
+                self.shared.on_success(&row.host);
+                AttemptOutcome::Answer(TargetReply::new(reply, self.client.clone(), slot))
+            }
+            Some(code) if code.run_status() == RunStatus::NotRun => {
+                match code {
+                    ResultCode::Overloaded => self.shared.on_full(row),
+                    _ => plan.note_tried(&row.host),
+                }
+                let reply = TargetReply::new(reply, self.client.clone(), slot);
+                let deadline = tokio::time::Instant::now() + REFUSAL_TIMEOUT;
+                let _ = reply.read(MAX_REFUSAL_BYTES, deadline).await;
+                AttemptOutcome::NotRun(code)
+            }
+            _ => {
+                plan.note_tried(&row.host);
+                self.shared.on_failure(&row.host);
+                AttemptOutcome::Lost
+            }
         }
     }
 
-    /// Asks the gate to forget an attempt that may be on its way; only its word makes "not run" a fact.
-    async fn revoke(
+    /// Asks a gate to refuse an attempt that may be on its way; only its word makes "not run" a fact.
+    pub(crate) async fn revoke(
         &self,
-        target: &TargetRow,
+        gate: &OrderGate,
         attempt: AttemptId,
-        unknown: ResultCode,
-    ) -> AttemptOutcome {
+    ) -> Option<RevokeOutcome> {
         let secret = self.settings.shared_key.reveal();
         let revoke = async {
-            let client = wire::connect_agent(target.control, None, secret, &self.counters)
+            let client = wire::connect_agent(gate.control, None, secret, &self.counters)
                 .await
                 .ok()?;
-            client.revoke(context::current(), attempt).await.ok()
+            let call = client.revoke(context::current(), attempt, gate.incarnation);
+            call.await.ok()
         };
-        let outcome = tokio::time::timeout(REVOKE_TIMEOUT, revoke)
-            .await
-            .ok()
-            .flatten();
-        info!(self.log, "attempt revoked"; "attempt" => %attempt, "target" => %target.host,
+        let outcome = tokio::time::timeout(REVOKE_TIMEOUT, revoke).await;
+        let outcome = outcome.ok().flatten();
+        info!(self.log, "attempt revoked"; "attempt" => %attempt, "target" => %gate.host,
             "outcome" => ?outcome);
-        match outcome {
-            Some(RevokeOutcome::NotRun) => AttemptOutcome::NotRun(ResultCode::Revoked),
-            _ => AttemptOutcome::Unknown(unknown),
+        outcome
+    }
+
+    /// Returns what may truthfully be said of an attempt whose answer was lost.
+    async fn settle(&self, call: &CallContext, gate: &OrderGate, attempt: AttemptId) -> ResultCode {
+        let is_late = Instant::now() >= call.deadline;
+        match (self.revoke(gate, attempt).await, is_late) {
+            (Some(RevokeOutcome::NotRun), true) => ResultCode::DeadlineNotRun,
+            (Some(RevokeOutcome::NotRun), false) => ResultCode::Revoked,
+            (_, true) => ResultCode::DeadlineUnknown,
+            (_, false) => ResultCode::TargetLost,
+        }
+    }
+
+    pub(crate) fn need(&self, call: &CallContext, plan: &AttemptPlan) -> SlotNeed {
+        SlotNeed {
+            target: plan.target.clone(),
+            organisation: call.organisation.clone(),
+            weight: call.weight,
+            priority: call.priority,
+            cost: plan.cost,
+            deadline: call.deadline,
+            version: plan.version,
+            prefix: plan.prefix,
+            tried: plan.tried(),
         }
     }
 }
 
+/// Names the gate that the target of `slot` stands behind.
+pub(crate) fn order_gate(slot: &TargetSlot) -> OrderGate {
+    OrderGate {
+        host: slot.row.host.clone(),
+        incarnation: slot.row.incarnation,
+        gate: slot.row.gate,
+        control: slot.row.control,
+    }
+}
+
+pub(crate) fn new_attempt() -> AttemptId {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    AttemptId::new(since_epoch, rand::random())
+}
+
 fn build_request(
     call: &CallContext,
     plan: &AttemptPlan,
+    slot: &TargetSlot,
     attempt: AttemptId,
 ) -> anyhow::Result<Request<httpio::ReplyBody>> {
     let left = call.deadline.saturating_duration_since(Instant::now());
@@ -159,6 +212,8 @@
         .method(call.method.clone())
         .uri(call.path.as_str())
         .header(model::ATTEMPT_HEADER, attempt.to_string())
+        .header(model::CALL_KIND_HEADER, plan.kind.name())
+        .header(model::INCARNATION_HEADER, slot.row.incarnation.0)
         .header(model::REQUEST_ID_HEADER, call.id.to_string())
         .header(model::ORGANISATION_HEADER, call.organisation.as_str())
         .header(model::PRIORITY_HEADER, u16::from(call.priority))
@@ -166,41 +221,43 @@
     if let Some(version) = plan.version {
         builder = builder.header(model::REQUIRE_VERSION_HEADER, version.to_string());
     }
+    if plan.resume_from > 0 {
+        builder = builder.header(model::RESUME_HEADER, plan.resume_from);
+    }
     if let Some(content_type) = &call.content_type {
         builder = builder.header(httpio::header::CONTENT_TYPE, content_type);
     }
-    for (name, value) in &plan.headers {
-        builder = builder.header(*name, value.as_str());
+    if let Some(key) = &call.idempotency_key {
+        builder = builder.header(model::IDEMPOTENCY_HEADER, key.as_str());
     }
     Ok(builder.body(httpio::full(call.body.clone()))?)
 }
 
-/// Picks the less loaded of two random targets that take work.
-fn choose(
-    snapshot: &ControlSnapshot,
-    plan: &AttemptPlan,
-    tried: &BTreeSet<HostName>,
-) -> Option<TargetRow> {
-    let drains = snapshot.config.as_ref().map(|it| &it.drains);
-    let open: Vec<_> = snapshot
-        .targets
-        .values()
-        .map(|it| &it.row)
-        .filter(|it| it.kind == plan.kind && it.state == GateState::Open)
-        .filter(|it| !tried.contains(&it.host))
-        .filter(|it| drains.is_none_or(|drains| !drains.contains(&it.host)))
-        .filter(|it| plan.version.is_none() || it.serving == plan.version)
-        .collect();
-    let pair = open.sample(&mut rand::rng(), 2);
-    pair.min_by_key(|it| it.load.in_flight)
-        .map(|it| (*it).clone())
+fn refusal(code: ResultCode) -> CallRefusal {
+    let message = match code.run_status() {
+        RunStatus::NotRun => "no target took the request; it has not run",
+        _ => "the target was lost after it may have started the request",
+    };
+    CallRefusal::new(code, message)
 }
 
 /// Attempts at one request.
-const MAX_ATTEMPTS: usize = 3;
+const MAX_ATTEMPTS: usize = 4;
 
 /// Time to connect to a gate.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time for a gate to answer a revocation.
 const REVOKE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time without an answer's head after which a completion is tried elsewhere.
+const MAX_HEAD_SILENCE: Duration = Duration::from_secs(5);
+
+/// Time without an answer after which a lookup is tried elsewhere.
+const MAX_LOOKUP_SILENCE: Duration = Duration::from_secs(10);
+
+/// Time to read the text of a refusal, so that its connection can be used again.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest refusal that is read.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
--- a/crates/entry/src/calls/mod.rs
+++ b/crates/entry/src/calls/mod.rs
@@ -1,14 +1,23 @@
-//! Callers' HTTP: who may ask, which target answers, and how the answer gets back whole.
+//! The callers' side: checks requests, chooses targets, relays answers and keeps orders from running twice.
 
-mod attempt_outcome;
+mod attempt_plan;
 mod call_context;
 mod call_counters;
+mod call_decisions;
 mod call_refusal;
 mod call_server;
+mod call_shared;
 mod directory;
 mod dispatcher;
-mod order_book;
+mod model_call;
+mod model_request;
+mod order_driver;
+mod order_table;
+mod service_call;
+mod stream_events;
 mod stream_relay;
+mod target_reply;
+mod target_slot;
 
 pub(crate) use call_counters::CallCounters;
 pub(crate) use call_server::CallServer;
--- /dev/null
+++ b/crates/entry/src/calls/model_call.rs
@@ -0,0 +1,136 @@
+//! Requests to models.
+
+use std::time::Instant;
+
+use httpio::{Method, ReplyBody, Response};
+use model::{ResultCode, TargetKind, VersionDigest};
+use routing::CallKind;
+use slog::Logger;
+
+use crate::calls::attempt_plan::AttemptPlan;
+use crate::calls::call_context::CallContext;
+use crate::calls::call_counters::CallGuard;
+use crate::calls::call_refusal::CallRefusal;
+use crate::calls::dispatcher::Dispatcher;
+use crate::calls::model_request::ModelRequest;
+use crate::calls::stream_relay::StreamRelay;
+use crate::calls::target_reply::TargetReply;
+use crate::control::ControlSnapshot;
+
+/// Answers a request to a model.
+pub(crate) async fn answer(
+    dispatcher: &Dispatcher,
+    call: CallContext,
+    snapshot: &ControlSnapshot,
+    guard: CallGuard,
+    log: &Logger,
+) -> Result<Response<ReplyBody>, CallRefusal> {
+    if call.method != Method::POST {
+        return Err(CallRefusal::new(ResultCode::MethodNotAllowed, "use POST"));
+    }
+    let request: ModelRequest<'_> = serde_json::from_slice(&call.body).map_err(|err| {
+        let message = format!("the body is not a request: {err}");
+        CallRefusal::new(ResultCode::BadRequest, message)
+    })?;
+    let config = snapshot.config.as_ref();
+    if !config.is_some_and(|it| it.models.contains_key(&request.model)) {
+        let message = format!("the model {} does not exist", request.model);
+        return Err(CallRefusal::new(ResultCode::NotFound, message));
+    }
+    let plan = AttemptPlan {
+        cost: request.tokens(),
+        prefix: request.prefix(),
+        ..AttemptPlan::new(
+            TargetKind::Model(request.model.clone()),
+            CallKind::Completion,
+        )
+    };
+    let streams = request.stream;
+    dispatcher.shared.on_request();
+    if !streams {
+        return whole_answer(dispatcher, &call, &plan).await;
+    }
+    let reply = dispatcher.dispatch(&call, &plan).await?;
+    let head = reply.head();
+    let version = head.headers().get(model::VERSION_HEADER);
+    let version: Option<VersionDigest> = version
+        .and_then(|it| it.to_str().ok())
+        .and_then(|it| it.parse().ok());
+    let (Some(version), true) = (version, head.status().is_success()) else {
+        return read_answer(reply, &call).await;
+    };
+    let (sender, body) = httpio::stream(RELAY_DEPTH);
+    let response = copy_head(head, body);
+    let relay = StreamRelay {
+        dispatcher: dispatcher.clone(),
+        call,
+        plan,
+        version,
+        sender,
+        log: log.clone(),
+    };
+    tokio::spawn(relay.run(reply, guard));
+    Ok(response)
+}
+
+/// Answers without streaming; nothing was delivered before the end, so a lost answer is computed again.
+async fn whole_answer(
+    dispatcher: &Dispatcher,
+    call: &CallContext,
+    plan: &AttemptPlan,
+) -> Result<Response<ReplyBody>, CallRefusal> {
+    loop {
+        let reply = dispatcher.dispatch(call, plan).await?;
+        let host = reply.slot.row.host.clone();
+        let answer = read_answer(reply, call).await;
+        let in_time = Instant::now() < call.deadline;
+        if answer.is_ok() || !in_time || !dispatcher.shared.take_retry() {
+            return answer;
+        }
+        plan.note_tried(&host);
+        dispatcher.shared.on_failure(&host);
+    }
+}
+
+/// Reads an answer whole and copies what callers may see of its head.
+pub(crate) async fn read_answer(
+    reply: TargetReply,
+    call: &CallContext,
+) -> Result<Response<ReplyBody>, CallRefusal> {
+    let deadline = call.deadline.into();
+    let response = reply
+        .read(MAX_ANSWER_BYTES, deadline)
+        .await
+        .map_err(|err| {
+            let code = match err.kind() {
+                std::io::ErrorKind::TimedOut => ResultCode::DeadlineUnknown,
+                _ => ResultCode::TargetLost,
+            };
+            CallRefusal::new(code, err.to_string())
+        })?;
+    let body = httpio::full(response.body().clone());
+    Ok(copy_head(&response, body))
+}
+
+fn copy_head<B>(head: &Response<B>, body: ReplyBody) -> Response<ReplyBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status();
+    let copied = [
+        httpio::header::CONTENT_TYPE.as_str(),
+        httpio::header::CACHE_CONTROL.as_str(),
+        model::VERSION_HEADER,
+    ];
+    for name in copied {
+        if let Some(value) = head.headers().get(name) {
+            let name = httpio::header::HeaderName::from_static(name);
+            response.headers_mut().insert(name, value.clone());
+        }
+    }
+    response
+}
+
+/// Pieces of an answer that wait for a slow caller before the target is held back.
+const RELAY_DEPTH: usize = 32;
+
+/// Largest answer that is not streamed.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
--- /dev/null
+++ b/crates/entry/src/calls/order_driver.rs
@@ -0,0 +1,211 @@
+//! Carries out the steps of an order with an idempotency key.
+
+use std::collections::VecDeque;
+use std::future::Future;
+use std::pin::Pin;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use model::{AttemptId, ResultCode, RunStatus};
+use routing::{
+    OrderAction, OrderAnswer, OrderEvent, OrderMachine, OrderOutcome, OrderRow, RevokeReply,
+};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use wire::RevokeOutcome;
+
+use crate::calls::attempt_plan::{AttemptOutcome, AttemptPlan};
+use crate::calls::call_context::CallContext;
+use crate::calls::dispatcher::{self, Dispatcher};
+use crate::calls::order_table::OrderTable;
+use crate::calls::target_reply::TargetReply;
+use crate::calls::target_slot::TargetSlot;
+
+/// One order on its way; it goes on after its caller has left.
+pub(crate) struct OrderDriver {
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) table: OrderTable,
+    pub(crate) call: CallContext,
+    pub(crate) plan: AttemptPlan,
+    pub(crate) machine: OrderMachine,
+    /// The place at the target that the claim names.
+    pub(crate) slot: Option<TargetSlot>,
+}
+
+type PendingAttempt = Pin<Box<dyn Future<Output = OrderEvent> + Send>>;
+
+impl OrderDriver {
+    /// Runs the order to its end and answers the caller on the way.
+    pub(crate) async fn run(mut self, answer: oneshot::Sender<OrderAnswer>) {
+        let mut answer = Some(answer);
+        let mut actions = VecDeque::from(self.machine.start());
+        let mut pending: Option<PendingAttempt> = None;
+        let mut is_late = false;
+        let mut failures = 0;
+        loop {
+            let event = match actions.pop_front() {
+                Some(OrderAction::Answer(it)) => {
+                    if let Some(sender) = answer.take() {
+                        let _ = sender.send(it);
+                    }
+                    continue;
+                }
+                Some(OrderAction::Stop) => return,
+                Some(OrderAction::Dispatch) => {
+                    pending = Some(self.start_attempt());
+                    continue;
+                }
+                Some(action) => self.carry_out(action).await,
+                None => {
+                    let Some(attempt) = &mut pending else { return };
+                    let event = await_attempt(attempt, self.call.deadline.into(), is_late).await;
+                    is_late |= event == OrderEvent::Late;
+                    if event != OrderEvent::Late {
+                        pending = None;
+                    }
+                    self.redirect(event).await
+                }
+            };
+            if event == OrderEvent::TableDown {
+                // Only records are tried again, and by then the caller has its answer.
+                failures += 1;
+                let pause = TABLE_PAUSE * failures.min(MAX_PAUSES);
+                if answer.is_none() {
+                    tokio::time::sleep(pause).await;
+                }
+            }
+            actions.extend(self.machine.step(now_ms(), event));
+        }
+    }
+
+    async fn carry_out(&self, action: OrderAction) -> OrderEvent {
+        match action {
+            OrderAction::Read => self.table.read().await,
+            OrderAction::Write { expect, row } => self.table.write(expect, &row).await,
+            OrderAction::Delete { expect } => self.table.delete(expect).await,
+            OrderAction::Revoke(row) => {
+                let outcome = self.dispatcher.revoke(&row.gate, row.attempt).await;
+                outcome.map_or(OrderEvent::RevokeFailed, |it| {
+                    OrderEvent::Revoke(match it {
+                        RevokeOutcome::NotRun => RevokeReply::Revoked,
+                        RevokeOutcome::Running => RevokeReply::Running,
+                        RevokeOutcome::Ended => RevokeReply::Finished,
+                        RevokeOutcome::Unproven => RevokeReply::Unproven,
+                    })
+                })
+            }
+            OrderAction::Dispatch | OrderAction::Answer(_) | OrderAction::Stop => {
+                unreachable!("the loop has taken these actions")
+            }
+        }
+    }
+
+    fn start_attempt(&mut self) -> PendingAttempt {
+        let Some(slot) = self.slot.take() else {
+            return Box::pin(async { OrderEvent::Refused(ResultCode::NoTarget) });
+        };
+        let (dispatcher, plan) = (self.dispatcher.clone(), self.plan.clone());
+        // The machine minds the deadline; the attempt is listened to beyond it, because its outcome is to be recorded.
+        let call = CallContext {
+            deadline: self.call.deadline + LATE_WAIT,
+            ..self.call.clone()
+        };
+        let attempt = self.machine.own().attempt;
+        Box::pin(async move { run_attempt(&dispatcher, &call, &plan, slot, attempt).await })
+    }
+
+    /// Moves a refused order to another target, where there is one with room.
+    async fn redirect(&mut self, event: OrderEvent) -> OrderEvent {
+        let OrderEvent::Refused(code) = event else {
+            return event;
+        };
+        if code == ResultCode::Revoked || code.run_status() != RunStatus::NotRun {
+            return event;
+        }
+        let need = self.dispatcher.need(&self.call, &self.plan);
+        let Some(slot) = self.dispatcher.shared.try_acquire(&need) else {
+            return event;
+        };
+        let row = OrderRow {
+            attempt: dispatcher::new_attempt(),
+            gate: dispatcher::order_gate(&slot),
+            ..self.machine.own().clone()
+        };
+        self.slot = Some(slot);
+        OrderEvent::Moved(row)
+    }
+}
+
+async fn await_attempt(
+    attempt: &mut PendingAttempt,
+    deadline: Instant,
+    is_late: bool,
+) -> OrderEvent {
+    let until = match is_late {
+        false => deadline,
+        true => deadline + LATE_WAIT,
+    };
+    match tokio::time::timeout_at(until, attempt).await {
+        Ok(event) => event,
+        Err(_) if is_late => OrderEvent::Silent,
+        Err(_) => OrderEvent::Late,
+    }
+}
+
+async fn run_attempt(
+    dispatcher: &Dispatcher,
+    call: &CallContext,
+    plan: &AttemptPlan,
+    slot: TargetSlot,
+    attempt: AttemptId,
+) -> OrderEvent {
+    match dispatcher.attempt(call, plan, slot, attempt).await {
+        AttemptOutcome::Answer(reply) => match read_outcome(reply, call).await {
+            Ok(outcome) => OrderEvent::Answered(outcome),
+            Err(_) => OrderEvent::Silent,
+        },
+        AttemptOutcome::NotRun(code) => OrderEvent::Refused(code),
+        AttemptOutcome::Lost => OrderEvent::Silent,
+    }
+}
+
+async fn read_outcome(reply: TargetReply, call: &CallContext) -> std::io::Result<OrderOutcome> {
+    let response = reply.read(MAX_OUTCOME_BYTES, call.deadline.into()).await?;
+    let content_type = response.headers().get(httpio::header::CONTENT_TYPE);
+    let content_type = content_type
+        .and_then(|it| it.to_str().ok())
+        .map(str::to_string);
+    let (body, is_hex) = match std::str::from_utf8(response.body()) {
+        Ok(text) => (text.to_string(), false),
+        Err(_) => (to_hex(response.body()), true),
+    };
+    Ok(OrderOutcome {
+        status: response.status().as_u16(),
+        content_type,
+        body,
+        is_hex,
+    })
+}
+
+fn to_hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|it| format!("{it:02x}")).collect()
+}
+
+/// Returns milliseconds since the epoch.
+pub(crate) fn now_ms() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    since_epoch.as_millis() as u64
+}
+
+/// Time beyond the deadline for which an order's outcome is still awaited, so that it can be recorded.
+const LATE_WAIT: Duration = Duration::from_secs(60);
+
+/// Pause after a failed record; it grows with the failures.
+const TABLE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Most pauses that are added up.
+const MAX_PAUSES: u32 = 25;
+
+/// Largest answer of an order, because it is kept in the table.
+const MAX_OUTCOME_BYTES: usize = 64 << 10;
--- /dev/null
+++ b/crates/entry/src/calls/order_table.rs
@@ -0,0 +1,75 @@
+//! The rows of orders in the platform's table.
+
+use model::{OrganisationName, ServiceName};
+use platform::{TableClient, TableError, TableTransaction};
+use routing::{OrderEvent, OrderRow};
+
+/// Reads and writes the row of one order.
+#[derive(Clone, Debug)]
+pub(crate) struct OrderTable {
+    table: TableClient,
+    key: String,
+}
+
+impl OrderTable {
+    /// Names the row of `key`; the digest keeps keys of any bytes apart and short.
+    pub(crate) fn new(
+        table: TableClient,
+        organisation: &OrganisationName,
+        service: &ServiceName,
+        key: &str,
+    ) -> Self {
+        let digest = blake3::hash(key.as_bytes());
+        Self {
+            table,
+            key: format!("order/{organisation}/{service}/{digest}"),
+        }
+    }
+
+    pub(crate) async fn read(&self) -> OrderEvent {
+        let this = self.clone();
+        let read = move || {
+            let Ok(found) = this.table.read(&this.key) else {
+                return OrderEvent::TableDown;
+            };
+            let Some(found) = found else {
+                return OrderEvent::Read(None);
+            };
+            match serde_json::from_value::<OrderRow>(found.value) {
+                Ok(row) => OrderEvent::Read(Some((row, found.version))),
+                // A row that cannot be read may stand for an order that ran.
+                Err(_) => OrderEvent::TableDown,
+            }
+        };
+        blocking(read, OrderEvent::TableDown).await
+    }
+
+    pub(crate) async fn write(&self, expect: Option<u64>, row: &OrderRow) -> OrderEvent {
+        let value = serde_json::to_value(row).expect("an order row is plain data");
+        let transaction = TableTransaction::default()
+            .expect(&self.key, expect)
+            .put(&self.key, value);
+        self.transact(transaction).await
+    }
+
+    pub(crate) async fn delete(&self, expect: u64) -> OrderEvent {
+        let mut transaction = TableTransaction::default().expect(&self.key, Some(expect));
+        transaction.delete.push(self.key.clone());
+        self.transact(transaction).await
+    }
+
+    async fn transact(&self, transaction: TableTransaction) -> OrderEvent {
+        let table = self.table.clone();
+        let transact = move || match table.transact(&transaction) {
+            Ok(version) => OrderEvent::Written(version),
+            Err(TableError::Conflict { .. }) => OrderEvent::Conflict,
+            Err(TableError::Unavailable(_)) => OrderEvent::TableDown,
+            Err(TableError::Unknown(_)) => OrderEvent::WriteLost,
+        };
+        blocking(transact, OrderEvent::WriteLost).await
+    }
+}
+
+async fn blocking<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static, failed: T) -> T {
+    tokio::task::spawn_blocking(work).await.unwrap_or(failed)
+}
--- /dev/null
+++ b/crates/entry/src/calls/stream_events.rs
@@ -0,0 +1,80 @@
+//! Server-sent events of an engine.
+
+use bytes::{Bytes, BytesMut};
+use model::VersionDigest;
+use serde::Deserialize;
+
+/// One event of a streamed answer.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum StreamEvent {
+    /// A token; `raw` is the event as it came.
+    Token {
+        raw: Bytes,
+        index: u64,
+        version: VersionDigest,
+        last: bool,
+    },
+    /// The end mark.
+    Done(Bytes),
+    /// Something that is not an event of the contract.
+    Malformed,
+}
+
+/// Cuts a stream of bytes into events.
+#[derive(Debug, Default)]
+pub(crate) struct EventBuffer {
+    bytes: BytesMut,
+}
+
+#[derive(Deserialize)]
+struct TokenData {
+    index: u64,
+    version: VersionDigest,
+    choices: Vec<TokenChoice>,
+}
+
+#[derive(Deserialize)]
+struct TokenChoice {
+    finish_reason: Option<String>,
+}
+
+impl EventBuffer {
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Returns the next whole event.
+    pub(crate) fn next(&mut self) -> Option<StreamEvent> {
+        let end = self.bytes.windows(2).position(|it| it == EVENT_END);
+        let Some(end) = end else {
+            return (self.bytes.len() > MAX_EVENT_BYTES).then_some(StreamEvent::Malformed);
+        };
+        let raw = self.bytes.split_to(end + EVENT_END.len()).freeze();
+        Some(parse(raw))
+    }
+}
+
+fn parse(raw: Bytes) -> StreamEvent {
+    let data = raw.strip_prefix(b"data: ").map(<[u8]>::trim_ascii_end);
+    let Some(data) = data else {
+        return StreamEvent::Malformed;
+    };
+    if data == b"[DONE]" {
+        return StreamEvent::Done(raw);
+    }
+    match serde_json::from_slice::<TokenData>(data) {
+        Ok(token) => StreamEvent::Token {
+            index: token.index,
+            version: token.version,
+            last: token.choices.iter().any(|it| it.finish_reason.is_some()),
+            raw,
+        },
+        Err(_) => StreamEvent::Malformed,
+    }
+}
+
+/// What ends an event.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// Largest event.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
--- a/crates/entry/src/calls/stream_relay.rs
+++ b/crates/entry/src/calls/stream_relay.rs
@@ -1,48 +1,147 @@
-//! Passes a streamed answer on and makes its end explicit.
+//! Passes a streamed answer on, over several replicas where it has to be.
+
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use httpio::{BodySender, Incoming};
+use httpio::BodySender;
 use hyper::body::Frame;
-use model::ResultCode;
+use model::{AttemptId, ResultCode, VersionDigest};
+use routing::{NextStep, StreamResume, TokenVerdict};
+use slog::{Logger, info};
 
+use crate::calls::attempt_plan::AttemptPlan;
+use crate::calls::call_context::CallContext;
 use crate::calls::call_counters::CallGuard;
+use crate::calls::dispatcher::{Dispatcher, new_attempt};
+use crate::calls::stream_events::{EventBuffer, StreamEvent};
+use crate::calls::target_reply::TargetReply;
+
+/// One streamed answer on its way to the caller.
+pub(crate) struct StreamRelay {
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) call: CallContext,
+    pub(crate) plan: AttemptPlan,
+    pub(crate) version: VersionDigest,
+    pub(crate) sender: BodySender,
+    pub(crate) log: Logger,
+}
+
+/// How the stream of one replica ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SourceEnd {
+    Whole,
+    CallerGone,
+    Lost,
+}
 
-/// Relays `body` event by event; an answer that ends without its end mark gets an error event instead.
-pub(crate) async fn relay(mut body: Incoming, sender: BodySender, _guard: CallGuard) {
-    let mut tail: Vec<u8> = Vec::new();
-    loop {
-        let frame = tokio::select! {
-            it = body.frame() => it,
-            () = sender.closed() => return,
-        };
-        let Some(Ok(frame)) = frame else { break };
-        let Ok(bytes) = frame.into_data() else {
-            continue;
-        };
-        remember_tail(&mut tail, &bytes);
-        if sender.send(Ok(Frame::data(bytes))).await.is_err() {
+impl StreamRelay {
+    /// Relays token by token; an answer that cannot be made whole ends with an error event and without its end mark.
+    pub(crate) async fn run(mut self, first: TargetReply, _guard: CallGuard) {
+        let mut resume = StreamResume::default();
+        resume.bind(self.version);
+        let mut reply = first;
+        loop {
+            let host = reply.slot.row.host.clone();
+            let source = new_attempt();
+            resume.on_started(source);
+            match self.relay_source(reply, source, &mut resume).await {
+                SourceEnd::Whole | SourceEnd::CallerGone => return,
+                SourceEnd::Lost => {}
+            }
+            self.plan.note_tried(&host);
+            self.dispatcher.shared.on_failure(&host);
+            let in_time = Instant::now() < self.call.deadline;
+            let code = match resume.on_lost(|_| true, in_time) {
+                NextStep::Resume { from, version } => {
+                    info!(self.log, "stream resumes"; "request_id" => %self.call.id,
+                        "lost" => %host, "from" => from);
+                    self.plan.version = Some(version);
+                    self.plan.resume_from = from;
+                    match self.resume().await {
+                        Some(next) => {
+                            reply = next;
+                            continue;
+                        }
+                        None => ResultCode::StreamCut,
+                    }
+                }
+                NextStep::Finish => {
+                    let _ = self.send(DONE_EVENT.into()).await;
+                    return;
+                }
+                NextStep::Restart => ResultCode::StreamCut,
+                NextStep::Cut(code) => code,
+            };
+            let event = error_event(code, "no replica of the version could continue the answer");
+            let _ = self.send(event).await;
             return;
         }
     }
-    if !tail.ends_with(END_MARK) {
-        let event = error_event(ResultCode::StreamCut, "the target was lost");
-        let _ = sender.send(Ok(Frame::data(event))).await;
+
+    async fn resume(&self) -> Option<TargetReply> {
+        tokio::select! {
+            it = self.dispatcher.dispatch(&self.call, &self.plan) => it.ok(),
+            () = self.sender.closed() => None,
+        }
+    }
+
+    async fn relay_source(
+        &self,
+        mut reply: TargetReply,
+        source: AttemptId,
+        resume: &mut StreamResume,
+    ) -> SourceEnd {
+        let mut events = EventBuffer::default();
+        loop {
+            let left = self.call.deadline.saturating_duration_since(Instant::now());
+            let bytes = tokio::select! {
+                it = tokio::time::timeout(left.min(MAX_SILENCE), reply.next_bytes()) => it,
+                () = self.sender.closed() => return SourceEnd::CallerGone,
+            };
+            let Ok(Some(Ok(bytes))) = bytes else {
+                return SourceEnd::Lost;
+            };
+            events.push(&bytes);
+            while let Some(event) = events.next() {
+                let raw = match event {
+                    StreamEvent::Token {
+                        raw,
+                        index,
+                        version,
+                        last,
+                    } => match resume.on_token(source, index, version, last) {
+                        TokenVerdict::Deliver => raw,
+                        TokenVerdict::Drop => continue,
+                        TokenVerdict::Reject => return SourceEnd::Lost,
+                    },
+                    StreamEvent::Done(raw) if resume.is_finished() => {
+                        let end = self.send(raw).await;
+                        reply.recycle();
+                        return end.map_or(SourceEnd::CallerGone, |()| SourceEnd::Whole);
+                    }
+                    StreamEvent::Done(_) | StreamEvent::Malformed => return SourceEnd::Lost,
+                };
+                if self.send(raw).await.is_none() {
+                    return SourceEnd::CallerGone;
+                }
+            }
+        }
+    }
+
+    async fn send(&self, bytes: Bytes) -> Option<()> {
+        self.sender.send(Ok(Frame::data(bytes))).await.ok()
     }
 }
 
 /// Returns the event that ends an answer which is not whole.
-pub(crate) fn error_event(code: ResultCode, message: &str) -> Bytes {
+fn error_event(code: ResultCode, message: &str) -> Bytes {
     let data =
         serde_json::json!({ "code": code.number(), "name": code.name(), "message": message });
     format!("event: error\ndata: {data}\n\n").into()
 }
 
-fn remember_tail(tail: &mut Vec<u8>, bytes: &[u8]) {
-    tail.extend_from_slice(bytes);
-    let excess = tail.len().saturating_sub(END_MARK.len());
-    tail.drain(..excess);
-}
-
 /// The end of every whole streamed answer.
-const END_MARK: &[u8] = b"data: [DONE]\n\n";
+const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
+
+/// Silence after which a replica counts as lost: far above a token gap, far below a caller's patience.
+const MAX_SILENCE: Duration = Duration::from_secs(3);
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -179,6 +179,7 @@
 
     fn own_row(&self) -> EntryRow {
         let host = &self.settings.host;
+        let overload = self.calls.overload();
         EntryRow {
             host: host.name.clone(),
             incarnation: self.incarnation,
@@ -191,7 +192,8 @@
             ready: self.config.is_some(),
             leaving: self.leaving,
             streams: self.calls.streams(),
-            overloaded_ms: None,
+            overloaded_ms: overload.map(|it| it.0),
+            overload_cause: overload.map(|it| it.1),
             revision: self
                 .config
                 .as_ref()
--- a/crates/model/src/entry_row.rs
+++ b/crates/model/src/entry_row.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::names::{HostName, RegionName, ZoneName};
+use crate::overload_cause::OverloadCause;
 use crate::revision::ConfigRevision;
 use crate::target_row::Incarnation;
 
@@ -35,6 +36,8 @@
     pub streams: u32,
     /// Milliseconds since the entry became overloaded, or `None` while it is not.
     pub overloaded_ms: Option<u64>,
+    /// What the first sign of the overload was.
+    pub overload_cause: Option<OverloadCause>,
     /// The revision in force at the entry.
     pub revision: ConfigRevision,
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -19,6 +19,7 @@
 mod names;
 mod order_policy;
 mod organisation_config;
+mod overload_cause;
 mod request_id;
 mod result_code;
 mod revision;
@@ -48,6 +49,7 @@
 };
 pub use order_policy::OrderPolicy;
 pub use organisation_config::OrganisationConfig;
+pub use overload_cause::OverloadCause;
 pub use request_id::RequestId;
 pub use result_code::{ResultCode, RunStatus};
 pub use revision::ConfigRevision;
@@ -80,3 +82,5 @@
 pub const REQUIRE_VERSION_HEADER: &str = "fulmarline-require-version";
 /// Header that binds a request to one incarnation of a gate, so that a restarted one cannot run a revoked attempt.
 pub const INCARNATION_HEADER: &str = "fulmarline-incarnation";
+/// Header that tells a gate how often a call may run: `lookup`, `completion` or `order`.
+pub const CALL_KIND_HEADER: &str = "fulmarline-call-kind";
--- a/crates/model/src/load_sample.rs
+++ b/crates/model/src/load_sample.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::overload_cause::OverloadCause;
+
 /// Load on one target as its gate measures it, without the engine's lagging report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadSample {
@@ -19,4 +21,6 @@
     pub refused: u64,
     /// Milliseconds since the target became overloaded, or `None` while it is not.
     pub overloaded_ms: Option<u64>,
+    /// What the first sign of the overload was.
+    pub overload_cause: Option<OverloadCause>,
 }
--- a/crates/routing/src/call_kind.rs
+++ b/crates/routing/src/call_kind.rs
@@ -22,3 +22,29 @@
         OrderPolicy::ByMethod => CallKind::Order,
     }
 }
+
+impl CallKind {
+    /// Returns the kind as it stands in [`model::CALL_KIND_HEADER`].
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Lookup => "lookup",
+            Self::Completion => "completion",
+            Self::Order => "order",
+        }
+    }
+}
+
+impl std::str::FromStr for CallKind {
+    type Err = UnknownKind;
+
+    fn from_str(text: &str) -> Result<Self, UnknownKind> {
+        [Self::Lookup, Self::Completion, Self::Order]
+            .into_iter()
+            .find(|it| it.name() == text)
+            .ok_or(UnknownKind)
+    }
+}
+
+/// The text names no kind of call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownKind;
--- a/crates/routing/src/fair_queue.rs
+++ b/crates/routing/src/fair_queue.rs
@@ -4,9 +4,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use model::{OrganisationName, ResultCode};
+use model::{OrganisationName, OverloadCause, ResultCode};
 
-use crate::overload_tracker::OverloadCause;
 use crate::queue_backlog::{QueueBacklog, WaitingKey, WaitingRequest};
 use crate::queue_request::{QueueLimits, QueueRefusal, QueueRequest, QueueTicket};
 
--- a/crates/routing/src/flight_table.rs
+++ b/crates/routing/src/flight_table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use model::{HostName, Incarnation, TargetRow};
+use model::{HostName, Incarnation, LoadSample, TargetRow};
 
 /// Counts the entry's own requests, so that rows which are a heartbeat old do not mislead it.
 #[derive(Clone, Debug, Default)]
@@ -34,6 +34,13 @@
         flight.since_row -= 1;
     }
 
+    /// Notes that `host` refused at its limit: it counts as full until its next row or an end of an own request.
+    pub fn on_full(&mut self, host: &HostName, load: &LoadSample) {
+        let flight = self.flights.entry(host.clone()).or_default();
+        let missing = i64::from(load.limit) - i64::from(load.in_flight);
+        flight.since_row = i32::try_from(missing).unwrap_or(i32::MAX);
+    }
+
     /// Forgets what a newer `row` already contains.
     pub fn on_row(&mut self, row: &TargetRow) {
         let Some(flight) = self.flights.get_mut(&row.host) else {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -35,7 +35,7 @@
 pub use order_row::{OrderGate, OrderOutcome, OrderRow, OrderState};
 pub use order_step::{OrderAction, OrderAnswer, OrderEvent};
 pub use outlier_table::OutlierTable;
-pub use overload_tracker::{OverloadCause, OverloadChange, OverloadState, OverloadTracker};
+pub use overload_tracker::{OverloadChange, OverloadState, OverloadTracker};
 pub use prefix_table::PrefixTable;
 pub use queue_request::{QueueLimits, QueueRefusal, QueueRequest, QueueTicket};
 pub use retry_budget::RetryBudget;
--- a/crates/routing/src/queue_request.rs
+++ b/crates/routing/src/queue_request.rs
@@ -2,9 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use model::{OrganisationName, ResultCode};
-
-use crate::overload_tracker::OverloadCause;
+use model::{OrganisationName, OverloadCause, ResultCode};
 
 /// Names one waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/routing/src/stream_resume.rs
+++ b/crates/routing/src/stream_resume.rs
@@ -46,6 +46,11 @@
         self.source = Some(source);
     }
 
+    /// Binds the stream to the version that the caller was told before the first token.
+    pub fn bind(&mut self, version: VersionDigest) {
+        self.version.get_or_insert(version);
+    }
+
     /// Judges token `index` of `version` that `source` sent.
     pub fn on_token(
         &mut self,
--- a/crates/routing/tests/load.rs
+++ b/crates/routing/tests/load.rs
@@ -2,9 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use model::OverloadCause;
 use routing::{
-    CallKind, ConcurrencyLimit, HedgeTimer, LatencyTargets, LoadMeter, OverloadCause,
-    OverloadChange, OverloadTracker, RetryBudget,
+    CallKind, ConcurrencyLimit, HedgeTimer, LatencyTargets, LoadMeter, OverloadChange,
+    OverloadTracker, RetryBudget,
 };
 
 /// Feeds a target whose token gap is `gap_ms` per request in progress, always as busy as allowed.
--- a/crates/wire/src/revoke_outcome.rs
+++ b/crates/wire/src/revoke_outcome.rs
@@ -11,4 +11,6 @@
     Running,
     /// The attempt was admitted and has ended.
     Ended,
+    /// Nothing can be promised: the process was restarted since, or the attempt is too old.
+    Unproven,
 }
