--- a/crates/model/src/attempt_id.rs
+++ b/crates/model/src/attempt_id.rs
@@ -10,7 +10,8 @@
 /// The upper 48 bits hold the time of creation, so that a gate can refuse an attempt that is older than its memory
 /// of revoked ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct AttemptId(pub u128);
+#[serde(transparent)]
+pub struct AttemptId(#[serde(with = "crate::hex_id")] pub u128);
 
 /// Bits below the time of creation.
 const RANDOM_BITS: u32 = 80;
