--- a/crates/control/src/parameter_rule.rs
+++ b/crates/control/src/parameter_rule.rs
@@ -27,6 +27,12 @@
         max: 100.0,
         meaning: "share of a zone's replicas out at once when a rollout names none",
     },
+    ParameterRule {
+        name: "choice_strategy",
+        min: 0.0,
+        max: 2.0,
+        meaning: "how entries choose targets: 0 expected wait, 1 round robin, 2 least reported load; for benches",
+    },
 ];
 
 impl ParameterRule {
--- a/crates/entry/src/calls/attempt_plan.rs
+++ b/crates/entry/src/calls/attempt_plan.rs
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 pub(crate) enum AttemptOutcome {
     /// The target answers; the body is still to be read.
-    Answer(TargetReply),
+    Answer(Box<TargetReply>),
     /// The attempt did not run and will not.
     NotRun(model::ResultCode),
     /// The attempt may have run.
--- a/crates/entry/src/calls/call_decisions.rs
+++ b/crates/entry/src/calls/call_decisions.rs
@@ -168,8 +168,8 @@
         .as_ref()
         .and_then(|it| it.parameters.get(STRATEGY_PARAMETER));
     match parameter {
-        Some(&it) if it == 1.0 => ChoiceStrategy::RoundRobin,
-        Some(&it) if it == 2.0 => ChoiceStrategy::LeastReported,
+        Some(&1.0) => ChoiceStrategy::RoundRobin,
+        Some(&2.0) => ChoiceStrategy::LeastReported,
         _ => ChoiceStrategy::ExpectedWait,
     }
 }
--- a/crates/entry/src/calls/call_shared.rs
+++ b/crates/entry/src/calls/call_shared.rs
@@ -31,7 +31,7 @@
 }
 
 enum SlotAnswer {
-    Now(TargetRow),
+    Now(Box<TargetRow>),
     Later(
         QueueTicket,
         oneshot::Receiver<Result<TargetSlot, CallRefusal>>,
@@ -63,7 +63,7 @@
     ) -> Result<TargetSlot, CallRefusal> {
         let target = need.target.clone();
         match self.ask(need)? {
-            SlotAnswer::Now(row) => Ok(TargetSlot::new(self.clone(), row)),
+            SlotAnswer::Now(row) => Ok(TargetSlot::new(self.clone(), *row)),
             SlotAnswer::Later(ticket, receiver) => {
                 let _place = QueuePlace {
                     shared: self,
@@ -161,7 +161,7 @@
         if is_alone
             && let Some(row) = decisions.take_slot(&snapshot, &self.settings.host, &need, now)
         {
-            return Ok(SlotAnswer::Now(row));
+            return Ok(SlotAnswer::Now(Box::new(row)));
         }
         let pool = decisions
             .pools
--- a/crates/entry/src/calls/dispatcher.rs
+++ b/crates/entry/src/calls/dispatcher.rs
@@ -59,7 +59,7 @@
             let gate = order_gate(&slot);
             let attempt = new_attempt();
             match self.attempt(call, plan, slot, attempt).await {
-                AttemptOutcome::Answer(reply) => return Ok(reply),
+                AttemptOutcome::Answer(reply) => return Ok(*reply),
                 AttemptOutcome::NotRun(code) => last = Some(code),
                 AttemptOutcome::Lost => {
                     let has_time = Instant::now() < call.deadline;
@@ -117,7 +117,7 @@
         match code {
             Some(ResultCode::Ok) => {
                 self.shared.on_success(&row.host);
-                AttemptOutcome::Answer(TargetReply::new(reply, self.client.clone(), slot))
+                AttemptOutcome::Answer(Box::new(TargetReply::new(reply, self.client.clone(), slot)))
             }
             Some(code) if code.run_status() == RunStatus::NotRun => {
                 match code {
--- a/crates/entry/src/calls/order_driver.rs
+++ b/crates/entry/src/calls/order_driver.rs
@@ -159,7 +159,7 @@
     attempt: AttemptId,
 ) -> OrderEvent {
     match dispatcher.attempt(call, plan, slot, attempt).await {
-        AttemptOutcome::Answer(reply) => match read_outcome(reply, call).await {
+        AttemptOutcome::Answer(reply) => match read_outcome(*reply, call).await {
             Ok(outcome) => OrderEvent::Answered(outcome),
             Err(_) => OrderEvent::Silent,
         },
