--- a/crates/agent/src/gate/gate_server.rs
+++ b/crates/agent/src/gate/gate_server.rs
@@ -29,6 +29,7 @@
         max_headers: settings.limits.max_headers,
         max_header_bytes: settings.limits.max_header_bytes,
         header_timeout: settings.limits.header_timeout,
+        ..httpio::ServerLimits::default()
     };
     let server = HttpServer::bind(settings.listen.gate, limits)
         .with_context(|| format!("cannot listen on {}", settings.listen.gate))?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,7 +8,9 @@
 mod answers;
 mod counted_runs;
 mod engine;
+mod harness;
 mod host_list;
+mod links;
 mod object_store;
 mod plain_service;
 mod rate_limiter;
@@ -21,7 +23,14 @@
     AnswerScript, EngineFaults, EngineOptions, EngineReport, ModelEngine, expected_token,
     prefix_digests,
 };
+pub use harness::{
+    AgentPlan, ChildProcess, CommandReply, EntryPlan, FleetPlan, ProcessFleet, TargetPlan,
+};
 pub use host_list::{HostList, ListedHost};
+pub use links::{
+    FaultProxy, HostBytes, LinkSwitch, NodeFaults, ProxyFaults, SwitchCounters, SwitchNode,
+    SwitchOptions,
+};
 pub use object_store::{ObjectStore, StoreCounters, StoreFaults};
 pub use plain_service::{PlainService, ServiceAnswer, ServiceFaults};
 pub use rate_limiter::RateLimiter;
