--- a/crates/entry/src/calls/call_refusal.rs
+++ b/crates/entry/src/calls/call_refusal.rs
@@ -34,8 +34,7 @@
         request: RequestId,
         overload: Option<(u64, OverloadCause)>,
     ) -> Response<ReplyBody> {
-        self.into_text_response(request, overload)
-            .map(httpio::full)
+        self.into_text_response(request, overload).map(httpio::full)
     }
 
     fn into_text_response(
