--- a/crates/entry/src/calls/call_decisions.rs
+++ b/crates/entry/src/calls/call_decisions.rs
@@ -84,9 +84,11 @@
 
     /// Estimates when the work must have started to be whole before its deadline.
     pub(crate) fn latest_start(&self, rows: &[&TargetRow], now: Instant) -> Instant {
-        let fastest = rows.iter().map(|it| it.load.token_gap_us).min();
-        let gap = Duration::from_micros(u64::from(fastest.unwrap_or(0)));
-        let work = gap.saturating_mul(self.cost).mul_f64(WORK_SHARE);
+        let gap = rows.iter().map(|it| it.load.token_gap_us).min();
+        let gap = Duration::from_micros(u64::from(gap.unwrap_or(0)));
+        let first_token = rows.iter().map(|it| it.load.first_token_ms).min();
+        let first_token = Duration::from_millis(u64::from(first_token.unwrap_or(0)));
+        let work = first_token + gap.saturating_mul(self.cost);
         self.deadline
             .checked_sub(work)
             .unwrap_or(now)
@@ -179,6 +181,3 @@
 
 /// Longest time in the queue, whatever the deadline.
 const MAX_QUEUE_TIME: Duration = Duration::from_secs(10);
-
-/// Share of the estimated work that has to fit before the deadline; answers are often shorter than allowed.
-const WORK_SHARE: f64 = 0.8;
