Load tool: open-loop callers whose every answer is verified

Change: LoadTool asks GET /v1/entries, keeps the list for its time to live, sends streams, orders and lookups of several organisations at planned times, checks each stream token by token against the one text of its version and prompt, repeats orders in doubt under the same key through another entry, and holds refusals against the counters of engines and services.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 mod harness;
 mod host_list;
 mod links;
+mod load;
 mod object_store;
 mod plain_service;
 mod rate_limiter;
@@ -31,6 +32,10 @@
     FaultProxy, HostBytes, LinkSwitch, NodeFaults, ProxyFaults, SwitchCounters, SwitchNode,
     SwitchOptions,
 };
+pub use load::{
+    CallKind, CallOutcome, CallRecord, LoadOrganisation, LoadPlan, LoadReport, LoadTool,
+    LoadTotals, RunEvidence, RunningLoad,
+};
 pub use object_store::{ObjectStore, StoreCounters, StoreFaults};
 pub use plain_service::{PlainService, ServiceAnswer, ServiceFaults};
 pub use rate_limiter::RateLimiter;
--- /dev/null
+++ b/crates/standin/src/load/mod.rs
@@ -0,0 +1,14 @@
+//! Callers: open-loop load whose every answer is verified.
+
+mod call_client;
+mod call_outcome;
+mod entry_directory;
+mod load_plan;
+mod load_report;
+mod load_tool;
+mod stream_check;
+
+pub use call_outcome::{CallKind, CallOutcome, CallRecord};
+pub use load_plan::{LoadOrganisation, LoadPlan};
+pub use load_report::{LoadReport, LoadTotals, RunEvidence};
+pub use load_tool::{LoadTool, RunningLoad};
