Demo: repeated orders, lost answers of services and lost replies of the table

Cause: without repeats and losses the demo could not tell an order book that works from one that does not.

--- a/crates/standin/src/load/call_client.rs
+++ b/crates/standin/src/load/call_client.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use httpio::{ClientError, HttpClient, HttpReply, Incoming, Method, Request, Response, StatusCode};
 use model::{ResultCode, RunStatus, VersionDigest};
-use rand::rngs::StdRng;
+use rand::{RngExt, rngs::StdRng};
 use serde_json::json;
 
 use crate::load::call_outcome::{CallKind, CallOutcome, CallRecord};
@@ -63,7 +63,8 @@
         let work = async {
             match call.kind {
                 CallKind::Stream => self.stream(&call, &mut record, &mut dice).await,
-                CallKind::Order | CallKind::Lookup => self.service(&call, &mut dice).await,
+                CallKind::Order => self.order(&call, &mut dice).await,
+                CallKind::Lookup => self.service(&call, &mut dice).await,
             }
         };
         let outcome = tokio::time::timeout(limit, work).await;
@@ -130,6 +131,19 @@
         check.end(cut)
     }
 
+    /// Makes an order, and repeats it although it was answered where the plan says so, as hasty callers do.
+    async fn order(&self, call: &PlannedCall, dice: &mut StdRng) -> CallOutcome {
+        let first = self.service(call, dice).await;
+        if first != CallOutcome::Whole || !dice.random_bool(self.plan.repeat_share) {
+            return first;
+        }
+        match self.service(call, dice).await {
+            wrong @ CallOutcome::Wrong(_) => wrong,
+            // Whatever else becomes of the repeat, the order itself has been answered.
+            _ => first,
+        }
+    }
+
     /// Makes an order or a lookup; one whose answer was lost is repeated as it was through another entry.
     async fn service(&self, call: &PlannedCall, dice: &mut StdRng) -> CallOutcome {
         let mut avoid = Vec::new();
--- a/crates/standin/src/load/load_plan.rs
+++ b/crates/standin/src/load/load_plan.rs
@@ -19,6 +19,8 @@
     pub orders_per_s: f64,
     /// Lookups in a second.
     pub lookups_per_s: f64,
+    /// Share of the answered orders that their callers send once more under the same key, 0 to 1.
+    pub repeat_share: f64,
     /// The model that is asked.
     pub model: String,
     /// Tokens of each answer.
@@ -54,6 +56,7 @@
             streams_per_s: 10.0,
             orders_per_s: 0.0,
             lookups_per_s: 0.0,
+            repeat_share: 0.0,
             model: "demo".to_owned(),
             tokens: 20,
             shared_prompt: String::new(),
--- a/crates/xtask/src/demo/demo_run.rs
+++ b/crates/xtask/src/demo/demo_run.rs
@@ -6,7 +6,7 @@
 use anyhow::bail;
 use standin::{
     CallOutcome, EngineOptions, FleetPlan, LoadOrganisation, LoadPlan, LoadReport, LoadTool,
-    ProcessFleet, RunEvidence, RunningLoad, TargetPlan,
+    ProcessFleet, RunEvidence, RunningLoad, ServiceFaults, TableFaults, TargetPlan,
 };
 
 use crate::demo::demo_report::DemoReport;
@@ -32,6 +32,16 @@
     let load = LoadTool::start(fleet.runtime(), load_plan(&fleet));
     line.phase("load");
     pause(&fleet, &mut line, "v1", &load, SETTLE);
+    for service in fleet.services.values() {
+        service.set_faults(ServiceFaults {
+            lose_next: LOST_ANSWERS,
+            ..ServiceFaults::default()
+        });
+    }
+    fleet.table.set_faults(TableFaults {
+        lose_share: LOST_REPLIES_SHARE,
+        ..TableFaults::default()
+    });
     line.phase("second rollout under load");
     report.time_to_n_ms = rollout(&fleet, &mut line, "v2", Some(&load))?;
 
@@ -88,6 +98,7 @@
         streams_per_s: 60.0,
         orders_per_s: 30.0,
         lookups_per_s: 30.0,
+        repeat_share: 0.2,
         tokens: 25,
         deadline: Duration::from_secs(10),
         versions: fleet.manifests.values().map(|it| it.version()).collect(),
@@ -190,6 +201,12 @@
     by_switch as usize + by_drain as usize + broke.count()
 }
 
+/// Answers of each service that are lost after the work has run.
+const LOST_ANSWERS: u32 = 3;
+
+/// Share of the table's transactions whose replies are lost after they were applied.
+const LOST_REPLIES_SHARE: f64 = 0.02;
+
 /// Zones, each in a region of its own with one entry.
 const ZONES: usize = 3;
 
