Holder of the newest revision, rendezvous ranks and rollout permits as pure decisions

Cause: the thin driver counted a granted replica only when it came to it, so that an earlier host could be granted in the same pass and two replicas were out where one was allowed; a process that starts while the table is down took the first configuration that it saw. Change: rollout_permits counts rows and granted permits first; ConfigHolder is ready only when the table or three peers have answered and it holds the highest revision named; rendezvous ranks.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,10 +9,16 @@
 pub mod language;
 
 mod change_plan;
+mod config_holder;
 mod parameter_rule;
 mod query_table;
+mod rendezvous;
+mod rollout_permits;
 
 pub use change_plan::{PlanContext, plan_change};
+pub use config_holder::{ConfigHolder, ConfigSource};
 pub use language::{Change, CommandError, Query, Statement, TableName, parse};
 pub use parameter_rule::{PARAMETERS, ParameterRule};
 pub use query_table::{Cell, QueryTable, answer_query};
+pub use rendezvous::{rendezvous_order, rendezvous_rank};
+pub use rollout_permits::rollout_permits;
