--- a/crates/agent/src/control/agent_view.rs
+++ b/crates/agent/src/control/agent_view.rs
@@ -18,6 +18,7 @@
     revision: ConfigRevision,
     fencing: FencingNumber,
     entries: Vec<SocketAddr>,
+    homes: Vec<SocketAddr>,
     engine_error: Option<String>,
 }
 
@@ -59,6 +60,22 @@
         self.lock().entries = entries;
     }
 
+    /// Replaces the addresses of the entries that should hear this agent, the best first.
+    pub(crate) fn set_homes(&self, homes: Vec<SocketAddr>) {
+        self.lock().homes = homes;
+    }
+
+    /// Returns where to send heartbeats, the best first: the homes, then any other entry known.
+    pub(crate) fn homes_or(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut homes = self.lock().homes.clone();
+        for entry in self.entries_or(seeds) {
+            if !homes.contains(&entry) {
+                homes.push(entry);
+            }
+        }
+        homes
+    }
+
     /// Returns the addresses of live entries, the settings' own where none are known.
     pub(crate) fn entries_or(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
         let mut entries = self.lock().entries.clone();
--- a/crates/agent/src/control/heartbeat_loop.rs
+++ b/crates/agent/src/control/heartbeat_loop.rs
@@ -33,7 +33,7 @@
         sequence += 1;
         let row = own_row(&settings, &view, &gate, &store, sequence);
         let mut reached = 0;
-        for address in view.entries_or(&settings.entries) {
+        for address in view.homes_or(&settings.entries) {
             if reached == HOME_ENTRIES {
                 break;
             }
@@ -56,7 +56,10 @@
                 continue;
             };
             reached += 1;
-            view.set_entries(reply.entries);
+            if !reply.entries.is_empty() {
+                view.set_entries(reply.entries);
+            }
+            view.set_homes(reply.homes);
             if let Some(config) = reply.config {
                 let _ = events.send(ControlEvent::Config(Box::new(config)));
             }
--- a/crates/control/src/config_holder.rs
+++ b/crates/control/src/config_holder.rs
@@ -71,6 +71,11 @@
         self.config.as_ref().map(|it| it.revision)
     }
 
+    /// Returns when the table or a peer last confirmed that no higher revision is known.
+    pub fn confirmed(&self) -> Option<Instant> {
+        self.confirmed
+    }
+
     /// Returns how long ago the table or a peer last confirmed that no higher revision is known.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed.map(|it| now.saturating_duration_since(it))
--- a/crates/entry/src/control/command_runner.rs
+++ b/crates/entry/src/control/command_runner.rs
@@ -1,23 +1,37 @@
 //! Carries out the commands of operators.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
-use control::{Change, PlanContext, Statement};
-use model::{CommandId, ConfigDelta, ConfigRevision, ResultCode, WeightManifest};
-use platform::{SourceClient, TableClient, TableError, TableTransaction};
+use control::{Change, CommandError, PlanContext, Statement};
+use model::{CommandId, ConfigDelta, ConfigRevision, FleetConfig, HostName, ResultCode};
+use platform::{HostListClient, SourceClient, TableClient, TableError, TableTransaction};
 use serde::{Deserialize, Serialize};
 
-use crate::control::config_poller::{HEAD_KEY, read_head};
+use crate::control::command_outcome::CommandOutcome;
+use crate::control::config_poller::{HEAD_KEY, NEWEST_KEY, NewestRow, read_head, read_newest};
 use crate::control::control_snapshot::ControlSnapshot;
 
-/// What became of a command.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct CommandOutcome {
-    pub(crate) code: u16,
-    pub(crate) name: &'static str,
-    pub(crate) message: String,
-    /// The revision that the command made, where it was accepted.
-    pub(crate) revision: Option<ConfigRevision>,
+/// What commands are carried out with.
+#[derive(Clone, Debug)]
+pub(crate) struct CommandRunner {
+    /// Where the configuration is kept.
+    pub(crate) table: TableClient,
+    /// Where manifests come from.
+    pub(crate) source: SourceClient,
+    /// The platform's list of hosts, where there is one.
+    pub(crate) hosts: Option<HostListClient>,
+}
+
+/// One command as an operator gave it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GivenCommand<'a> {
+    /// Its text.
+    pub(crate) text: &'a str,
+    /// Its id; a repeat with the same id has no second effect.
+    pub(crate) id: &'a CommandId,
+    /// Who gave it.
+    pub(crate) operator: &'a str,
 }
 
 /// The row that makes a command safe to repeat.
@@ -28,127 +42,159 @@
     text: String,
 }
 
-impl CommandOutcome {
-    pub(crate) fn new(code: ResultCode, message: impl Into<String>) -> Self {
-        Self {
-            code: code.number(),
-            name: code.name(),
-            message: message.into(),
-            revision: None,
+/// What a commit leads to: the revision, and the configuration where this call made it.
+pub(crate) type Committed = (ConfigRevision, Option<FleetConfig>);
+
+impl CommandRunner {
+    /// Plans and commits `change`.
+    ///
+    /// One transaction expects the head row's version and the absence of the command's row, so of
+    /// two racing commands one wins, and a command whose reply was lost is found by its row.
+    pub(crate) fn commit(
+        &self,
+        change: &Change,
+        given: GivenCommand<'_>,
+        snapshot: &ControlSnapshot,
+    ) -> Result<Committed, CommandOutcome> {
+        let command_key = format!("config/command/{}", given.id);
+        if let Some(row) = self.table.read(&command_key).map_err(unavailable)? {
+            return known_command(row.value, given);
+        }
+        let (mut config, version) = read_head(&self.table).map_err(unavailable)?;
+        let changes = self
+            .plan(change, &config, given.id, snapshot)
+            .map_err(|err| CommandOutcome::invalid(&err))?;
+        let delta = ConfigDelta {
+            revision: config.revision.next(),
+            command: given.id.clone(),
+            operator: given.operator.to_string(),
+            changes,
+        };
+        delta.apply(&mut config);
+        let transaction = config_transaction(&config, version, &delta, given);
+        match self.table.transact(&transaction) {
+            Ok(_) => Ok((config.revision, Some(config))),
+            Err(TableError::Conflict { .. }) => self.settle(&command_key, given, true),
+            Err(TableError::Unknown(_)) => self.settle(&command_key, given, false),
+            Err(err @ TableError::Unavailable(_)) => Err(unavailable(err)),
         }
     }
 
-    fn accepted(revision: ConfigRevision) -> Self {
-        let message = format!("accepted at revision {revision}");
-        Self {
-            revision: Some(revision),
-            ..Self::new(ResultCode::Ok, message)
-        }
+    fn plan(
+        &self,
+        change: &Change,
+        config: &FleetConfig,
+        id: &CommandId,
+        snapshot: &ControlSnapshot,
+    ) -> Result<Vec<model::ConfigChange>, CommandError> {
+        let manifest = match change {
+            Change::Rollout { model, label, .. } => Some(
+                self.source
+                    .manifest(&model.value, &label.value)
+                    .map_err(|err| err.to_string()),
+            ),
+            _ => None,
+        };
+        let manifest = manifest
+            .as_ref()
+            .map(|it| it.as_ref().map_err(String::as_str));
+        let context = PlanContext {
+            command: id,
+            hosts: &self.known_hosts(change, snapshot),
+            manifest,
+        };
+        control::plan_change(change, config, &context)
     }
-}
 
-/// Parses and runs `text`; a repeat with the same id has no second effect.
-pub(crate) fn run_command(
-    text: &str,
-    id: &CommandId,
-    operator: &str,
-    snapshot: &ControlSnapshot,
-    table: &TableClient,
-    source: &SourceClient,
-) -> (CommandOutcome, Option<model::FleetConfig>) {
-    let change = match control::parse(text) {
-        Ok(Statement::Change(it)) => it,
-        Ok(Statement::Query(_)) => {
-            return (
-                CommandOutcome::new(ResultCode::NotFound, "queries are not answered yet"),
-                None,
-            );
+    /// Returns the hosts that a drain may name. The platform's list lags, so it only adds to what
+    /// the heartbeats say.
+    fn known_hosts(&self, change: &Change, snapshot: &ControlSnapshot) -> BTreeSet<HostName> {
+        let mut hosts: BTreeSet<_> = snapshot.targets.keys().cloned().collect();
+        let names_host = matches!(change, Change::Drain(_) | Change::Undrain(_));
+        if let Some(list) = self.hosts.as_ref().filter(|_| names_host) {
+            let listed = list.hosts().unwrap_or_default();
+            hosts.extend(listed.into_iter().map(|it| it.host));
         }
-        Err(err) => {
-            return (
-                CommandOutcome::new(ResultCode::BadCommand, err.to_string()),
-                None,
-            );
+        hosts
+    }
+
+    /// Finds out by the command's own row whether it was applied.
+    fn settle(
+        &self,
+        command_key: &str,
+        given: GivenCommand<'_>,
+        refused: bool,
+    ) -> Result<Committed, CommandOutcome> {
+        let mut reason = "the table's reply was lost".to_string();
+        for _ in 0..SETTLE_READS {
+            match self.table.read(command_key) {
+                Ok(Some(row)) => return known_command(row.value, given),
+                Ok(None) if refused => return Err(self.conflict()),
+                // The transaction may still be on its way, so its absence proves nothing yet.
+                Ok(None) => reason = "the table's reply was lost".to_string(),
+                Err(err) => reason = err.to_string(),
+            }
+            std::thread::sleep(SETTLE_PAUSE);
         }
-    };
-    commit(&change, text, id, operator, snapshot, table, source).map_or_else(
-        |outcome| (outcome, None),
-        |config| (CommandOutcome::accepted(config.0), config.1),
-    )
+        let message = format!("{reason}; ask again with the command id {}", given.id);
+        Err(CommandOutcome::new(ResultCode::CommandUnknown, message))
+    }
+
+    fn conflict(&self) -> CommandOutcome {
+        let winner = match read_newest(&self.table) {
+            Ok(NewestRow {
+                revision,
+                command: Some(command),
+                operator,
+            }) => format!("revision {revision} by {operator} (command {command}) won"),
+            _ => "another command won".to_string(),
+        };
+        let message = format!("conflict, {winner}; nothing of this command was applied");
+        CommandOutcome::new(ResultCode::Conflict, message)
+    }
 }
 
-type Committed = (ConfigRevision, Option<model::FleetConfig>);
+/// Reads the statement in `text`.
+pub(crate) fn read_statement(text: &str) -> Result<Statement, CommandOutcome> {
+    control::parse(text).map_err(|err| CommandOutcome::invalid(&err))
+}
 
-fn commit(
-    change: &Change,
-    text: &str,
-    id: &CommandId,
-    operator: &str,
-    snapshot: &ControlSnapshot,
-    table: &TableClient,
-    source: &SourceClient,
-) -> Result<Committed, CommandOutcome> {
-    let command_key = format!("config/command/{id}");
-    if let Some(row) = table.read(&command_key).map_err(|err| unavailable(&err))? {
-        return known_command(row.value, text);
-    }
-    let (mut config, version) = read_head(table).map_err(|err| unavailable(&err))?;
-    let manifest = match change {
-        Change::Rollout { model, label, .. } => Some(
-            source
-                .manifest(&model.value, &label.value)
-                .map_err(|err| CommandOutcome::new(ResultCode::NotFound, err.to_string()))?,
-        ),
-        _ => None,
-    };
-    let hosts: BTreeSet<_> = snapshot.targets.keys().cloned().collect();
-    let context = PlanContext {
-        command: id,
-        hosts: &hosts,
-        manifest: manifest.as_ref().map(Ok::<&WeightManifest, &str>),
-    };
-    let changes = control::plan_change(change, &config, &context)
-        .map_err(|err| CommandOutcome::new(ResultCode::BadCommand, err.to_string()))?;
-    let revision = config.revision.next();
-    let delta = ConfigDelta {
-        revision,
-        command: id.clone(),
-        operator: operator.to_string(),
-        changes,
-    };
-    delta.apply(&mut config);
+fn config_transaction(
+    config: &FleetConfig,
+    version: Option<u64>,
+    delta: &ConfigDelta,
+    given: GivenCommand<'_>,
+) -> TableTransaction {
+    let command_key = format!("config/command/{}", given.id);
     let row = CommandRow {
-        revision,
-        operator: operator.to_string(),
-        text: text.to_string(),
+        revision: config.revision,
+        operator: given.operator.to_string(),
+        text: given.text.to_string(),
     };
-    let transaction = TableTransaction::default()
+    let newest = NewestRow {
+        revision: config.revision,
+        command: Some(given.id.clone()),
+        operator: given.operator.to_string(),
+    };
+    TableTransaction::default()
         .expect(HEAD_KEY, version)
         .expect(&command_key, None)
-        .put(HEAD_KEY, to_value(&config))
-        .put(&command_key, to_value(&row));
-    match table.transact(&transaction) {
-        Ok(_) => Ok((revision, Some(config))),
-        Err(TableError::Conflict { .. }) => {
-            let message = "another command was accepted first; nothing of this one was applied";
-            Err(CommandOutcome::new(ResultCode::Conflict, message))
-        }
-        Err(TableError::Unavailable(reason)) => Err(unavailable(&TableError::Unavailable(reason))),
-        Err(TableError::Unknown(reason)) => match table.read(&command_key) {
-            Ok(Some(row)) => known_command(row.value, text),
-            Ok(None) => Err(CommandOutcome::new(ResultCode::CommandUnknown, reason)),
-            Err(err) => Err(CommandOutcome::new(
-                ResultCode::CommandUnknown,
-                err.to_string(),
-            )),
-        },
-    }
+        .put(HEAD_KEY, to_value(config))
+        .put(NEWEST_KEY, to_value(&newest))
+        .put(
+            format!("config/delta/{:016}", config.revision.0),
+            to_value(delta),
+        )
+        .put(&command_key, to_value(&row))
 }
 
-fn known_command(value: serde_json::Value, text: &str) -> Result<Committed, CommandOutcome> {
+fn known_command(
+    value: serde_json::Value,
+    given: GivenCommand<'_>,
+) -> Result<Committed, CommandOutcome> {
     let row: CommandRow = serde_json::from_value(value)
         .map_err(|err| CommandOutcome::new(ResultCode::Internal, err.to_string()))?;
-    if row.text != text {
+    if row.text != given.text {
         let message = format!(
             "this id was used for {:?} at revision {}",
             row.text, row.revision
@@ -158,10 +204,16 @@
     Ok((row.revision, None))
 }
 
-fn unavailable(err: &TableError) -> CommandOutcome {
+fn unavailable(err: TableError) -> CommandOutcome {
     CommandOutcome::new(ResultCode::TableUnavailable, err.to_string())
 }
 
 fn to_value<T: Serialize>(it: &T) -> serde_json::Value {
     serde_json::to_value(it).expect("rows are plain data with text keys")
 }
+
+/// Reads of the command's row before its fate is given as unknown.
+const SETTLE_READS: usize = 5;
+
+/// Pause between those reads.
+const SETTLE_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/entry/src/control/control_event.rs
+++ b/crates/entry/src/control/control_event.rs
@@ -1,6 +1,7 @@
 //! What reaches the control thread.
 
-use model::{FleetConfig, SwitchPermit, TargetRow};
+use control::ConfigSource;
+use model::{ConfigRevision, FleetConfig, SwitchPermit, TargetRow};
 use wire::EntrySummary;
 
 /// One event for the control thread.
@@ -11,7 +12,9 @@
     /// Another entry sent its view.
     Exchange(Box<EntrySummary>),
     /// A configuration was read or committed.
-    Config(Box<FleetConfig>),
+    Config(Box<FleetConfig>, ConfigSource),
+    /// The table or a peer holds this revision.
+    Heard(ConfigRevision, ConfigSource),
     /// The driver on this entry granted permits; an empty list when it does not hold the lease.
     Permits(Vec<SwitchPermit>),
     /// A planned stop begins.
--- a/crates/entry/src/control/control_server.rs
+++ b/crates/entry/src/control/control_server.rs
@@ -79,7 +79,12 @@
         let reply = HeartbeatReply {
             config,
             permit: permit.cloned(),
-            entries: control_addresses(&snapshot),
+            homes: home_addresses(&snapshot, &row),
+            entries: if row.sequence % FULL_LIST_EVERY == 1 {
+                control_addresses(&snapshot)
+            } else {
+                Vec::new()
+            },
         };
         let _ = self.events.send(ControlEvent::Heartbeat(Box::new(row)));
         reply
@@ -98,12 +103,21 @@
         self.counters.add_message();
         let snapshot = self.snapshots.load();
         let _ = self.events.send(ControlEvent::Exchange(Box::new(summary)));
-        exchange_loop::own_summary(&snapshot)
+        exchange_loop::short_summary(&snapshot)
     }
 
-    async fn config(self, _: context::Context, known: ConfigRevision) -> Option<FleetConfig> {
+    async fn config(
+        self,
+        _: context::Context,
+        known: ConfigRevision,
+        none: bool,
+    ) -> Option<FleetConfig> {
         self.counters.add_message();
-        newer_config(&self.snapshots.load(), known)
+        let snapshot = self.snapshots.load();
+        if none {
+            return snapshot.config.as_deref().cloned();
+        }
+        newer_config(&snapshot, known)
     }
 }
 
@@ -132,3 +146,26 @@
         .collect();
     live.into_iter().collect()
 }
+
+/// Returns the entries of the agent's zone by their rank for its host, others after them.
+fn home_addresses(snapshot: &ControlSnapshot, row: &TargetRow) -> Vec<std::net::SocketAddr> {
+    let others = snapshot.entries.values().map(|it| &it.row);
+    let live: std::collections::BTreeMap<_, _> = others
+        .chain(&snapshot.own)
+        .filter(|it| !it.leaving)
+        .map(|it| (&it.host, it))
+        .collect();
+    let ranked = control::rendezvous_order(row.host.as_str(), live.keys().copied());
+    let (mut homes, away): (Vec<_>, Vec<_>) = ranked
+        .into_iter()
+        .map(|it| live[it])
+        .partition(|it| it.zone == row.zone);
+    homes.extend(away);
+    homes.iter().take(MAX_HOMES).map(|it| it.control).collect()
+}
+
+/// Homes that an agent is told of: those that it uses and as many to fall back on.
+const MAX_HOMES: usize = 4;
+
+/// Heartbeats from one full list of entries to the next.
+const FULL_LIST_EVERY: u64 = 16;
--- a/crates/entry/src/control/control_snapshot.rs
+++ b/crates/entry/src/control/control_snapshot.rs
@@ -1,20 +1,27 @@
 //! What the control thread lets the other threads see.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, RwLock};
 use std::time::Instant;
 
-use model::{EntryRow, FleetConfig, HostName, SwitchPermit, TargetRow};
+use model::{ConfigRevision, EntryRow, FleetConfig, HostName, SwitchPermit, TargetRow};
 
 /// The control state after one step; readers keep it as long as they need.
 #[derive(Debug, Default)]
 pub(crate) struct ControlSnapshot {
-    /// The newest configuration seen, or `None` before the first.
+    /// The newest configuration seen, or `None` while this entry may not act on one.
     pub(crate) config: Option<Arc<FleetConfig>>,
+    /// The revision held, whether or not this entry may act on it.
+    pub(crate) held: Option<ConfigRevision>,
+    /// When the table or a peer last confirmed that no higher revision is known.
+    pub(crate) confirmed: Option<Instant>,
     /// Every live target.
     pub(crate) targets: BTreeMap<HostName, SeenTarget>,
     /// Every other live entry.
     pub(crate) entries: BTreeMap<HostName, SeenEntry>,
+    /// Control addresses of entries that others have named lately.
+    pub(crate) candidates: BTreeSet<SocketAddr>,
     /// This entry.
     pub(crate) own: Option<EntryRow>,
     /// Permits that any driver granted lately.
@@ -30,6 +37,8 @@
     pub(crate) seen: Instant,
     /// Whether the agent itself sent the row to this entry.
     pub(crate) direct: bool,
+    /// The entry that told about the target, when this entry has not heard it itself.
+    pub(crate) via: Option<HostName>,
 }
 
 /// Another entry's newest row.
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -1,20 +1,21 @@
 //! The one thread that owns an entry's control state.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
 
-use model::{
-    ConfigRevision, EntryRow, FleetConfig, HostName, Incarnation, SwitchPermit, TargetRow,
-};
+use control::ConfigHolder;
+use model::{ConfigRevision, EntryRow, HostName, Incarnation, SwitchPermit, TargetRow};
 use settings::EntrySettings;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use wire::EntrySummary;
 
 use crate::calls::CallCounters;
 use crate::control::control_event::ControlEvent;
 use crate::control::control_snapshot::{ControlSnapshot, SeenEntry, SeenTarget, SnapshotCell};
+use crate::control::exchange_loop::quiet_interval;
 
 /// Applies events in order and publishes a snapshot after each batch.
 #[derive(Debug)]
@@ -26,9 +27,10 @@
     settings: Arc<EntrySettings>,
     incarnation: Incarnation,
     sequence: u64,
-    config: Option<Arc<FleetConfig>>,
+    holder: ConfigHolder,
     targets: BTreeMap<HostName, SeenTarget>,
     entries: BTreeMap<HostName, SeenEntry>,
+    candidates: BTreeMap<SocketAddr, Instant>,
     own_permits: Vec<SwitchPermit>,
     leaving: bool,
     calls: Arc<CallCounters>,
@@ -48,9 +50,10 @@
             settings,
             incarnation,
             sequence: 0,
-            config: None,
+            holder: ConfigHolder::default(),
             targets: BTreeMap::new(),
             entries: BTreeMap::new(),
+            candidates: BTreeMap::new(),
             own_permits: Vec::new(),
             leaving: false,
             calls,
@@ -90,60 +93,73 @@
 impl ControlState {
     fn take(&mut self, event: ControlEvent, now: Instant) {
         match event {
-            ControlEvent::Heartbeat(row) => self.take_row(*row, now, true),
+            ControlEvent::Heartbeat(row) => self.take_row(*row, now, None),
             ControlEvent::Exchange(summary) => self.take_summary(*summary, now),
-            ControlEvent::Config(config) => self.take_config(*config),
+            ControlEvent::Config(config, source) => {
+                let revision = config.revision;
+                if self.holder.take(*config, &source, now) {
+                    info!(self.log, "configuration held"; "revision" => %revision);
+                }
+            }
+            ControlEvent::Heard(revision, source) => self.holder.hear(revision, &source, now),
             ControlEvent::Permits(permits) => self.own_permits = permits,
             ControlEvent::Stop => self.leaving = true,
         }
     }
 
-    fn take_config(&mut self, config: FleetConfig) {
-        let known = self.config.as_ref().map(|it| it.revision);
-        if known.is_some_and(|it| it >= config.revision) {
-            return;
-        }
-        info!(self.log, "configuration in force"; "revision" => %config.revision);
-        self.config = Some(Arc::new(config));
-    }
-
-    fn take_row(&mut self, row: TargetRow, now: Instant, direct: bool) {
-        if let Some(known) = self.targets.get_mut(&row.host) {
+    fn take_row(&mut self, row: TargetRow, now: Instant, via: Option<&HostName>) {
+        let direct = via.is_none();
+        let mut seen = SeenTarget {
+            row,
+            seen: now,
+            direct,
+            via: via.cloned(),
+        };
+        if let Some(known) = self.targets.get(&seen.row.host) {
             let age = (known.row.incarnation, known.row.sequence);
-            if age > (row.incarnation, row.sequence) {
+            let news = (seen.row.incarnation, seen.row.sequence);
+            if age > news || age == news && !direct {
                 return;
             }
-            let direct = direct || known.direct && now.duration_since(known.seen) < DIRECT_AGE;
-            *known = SeenTarget {
-                row,
-                seen: now,
-                direct,
-            };
-            return;
+            if age.0 != news.0 && now.duration_since(known.seen) < DIRECT_AGE {
+                warn!(self.log, "another process claims a host";
+                    "host" => %seen.row.host, "incarnation" => news.0.0, "before" => age.0.0);
+            }
+            let keeps = known.direct && now.duration_since(known.seen) < DIRECT_AGE;
+            if keeps && !direct {
+                seen.direct = true;
+                seen.via = None;
+            }
         }
-        self.targets.insert(
-            row.host.clone(),
-            SeenTarget {
-                row,
-                seen: now,
-                direct,
-            },
-        );
+        self.targets.insert(seen.row.host.clone(), seen);
     }
 
     fn take_summary(&mut self, summary: EntrySummary, now: Instant) {
-        for row in summary.targets {
-            let known = self
-                .targets
-                .get(&row.host)
-                .map(|it| (it.row.incarnation, it.row.sequence));
-            if known.is_none_or(|it| it < (row.incarnation, row.sequence)) {
-                self.take_row(row, now, false);
-            }
+        let home = summary.entry.host.clone();
+        if home == self.settings.host.name {
+            return;
         }
-        if summary.entry.host == self.settings.host.name {
+        let stamp = |it: &EntryRow| (it.incarnation, it.sequence);
+        let late = |it: &SeenEntry| stamp(&it.row) > stamp(&summary.entry);
+        if self.entries.get(&home).is_some_and(late) {
             return;
         }
+        for address in summary.others {
+            self.candidates.insert(address, now);
+        }
+        if summary.complete {
+            // What its home no longer lists has died there, unless another home lists it.
+            let listed: BTreeSet<_> = summary.targets.iter().map(|it| &it.host).collect();
+            self.targets
+                .retain(|host, it| it.via.as_ref() != Some(&home) || listed.contains(host));
+        }
+        for row in summary.targets {
+            self.take_row(row, now, Some(&home));
+        }
+        if summary.entry.ready {
+            let source = control::ConfigSource::Peer(home);
+            self.holder.hear(summary.revision, &source, now);
+        }
         let seen = SeenEntry {
             row: summary.entry,
             seen: now,
@@ -153,10 +169,15 @@
     }
 
     fn forget(&mut self, now: Instant) {
-        self.targets
-            .retain(|_, it| now.duration_since(it.seen) < DEAD_AFTER);
+        let indirect = indirect_dead_after(self.entries.len());
+        self.targets.retain(|_, it| {
+            let dead_after = if it.direct { DEAD_AFTER } else { indirect };
+            now.duration_since(it.seen) < dead_after
+        });
         self.entries
-            .retain(|_, it| now.duration_since(it.seen) < DEAD_AFTER);
+            .retain(|_, it| now.duration_since(it.seen) < indirect);
+        self.candidates
+            .retain(|_, it| now.duration_since(*it) < indirect);
     }
 
     fn snapshot(&mut self) -> ControlSnapshot {
@@ -168,9 +189,12 @@
                 .flat_map(|it| it.permits.iter().cloned()),
         );
         ControlSnapshot {
-            config: self.config.clone(),
+            config: self.holder.ready().cloned(),
+            held: self.holder.held(),
+            confirmed: self.holder.confirmed(),
             targets: self.targets.clone(),
             entries: self.entries.clone(),
+            candidates: self.candidates.keys().copied().collect(),
             own: Some(self.own_row()),
             permits,
             own_permits: self.own_permits.clone(),
@@ -188,13 +212,13 @@
             callers: self.settings.listen.callers,
             control: self.settings.listen.control,
             operators: self.settings.listen.operators,
-            ready: self.config.is_some(),
+            ready: self.holder.ready().is_some(),
             leaving: self.leaving,
             streams: self.calls.streams(),
             overloaded_ms: None,
             revision: self
-                .config
-                .as_ref()
+                .holder
+                .ready()
                 .map_or(ConfigRevision::default(), |it| it.revision),
         }
     }
@@ -206,5 +230,13 @@
 /// Silence after which a process counts as dead.
 const DEAD_AFTER: Duration = Duration::from_secs(5);
 
+/// Returns the silence after which what other entries told counts as dead: several missed exchanges.
+fn indirect_dead_after(entries: usize) -> Duration {
+    DEAD_AFTER.max(quiet_interval(entries) * MISSED_EXCHANGES)
+}
+
+/// Exchanges that may be missed, because one of them may be lost or late.
+const MISSED_EXCHANGES: u32 = 4;
+
 /// Silence after which an agent does not count as this entry's own.
 const DIRECT_AGE: Duration = Duration::from_secs(3);
--- a/crates/entry/src/control/exchange_loop.rs
+++ b/crates/entry/src/control/exchange_loop.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use model::{ConfigRevision, EntryRow};
+use control::ConfigSource;
+use futures::future;
+use model::{ConfigRevision, EntryRow, GateState, HostName, SwitchPermit, VersionDigest};
 use settings::EntrySettings;
 use slog::{Logger, debug};
 use wire::{EntryControlClient, EntrySummary, WireCounters, context};
@@ -14,7 +16,28 @@
 use crate::control::control_event::ControlEvent;
 use crate::control::control_snapshot::{ControlSnapshot, SnapshotCell};
 
-/// Sends this entry's view to the others at an interval and takes theirs, until the runtime ends.
+/// One other entry as the loop knows it.
+#[derive(Default)]
+struct PeerState {
+    client: Option<EntryControlClient>,
+    told: Option<(SummaryKey, Instant)>,
+}
+
+/// What of a summary is told at once when it changes; the rest waits for the quiet interval.
+#[derive(Clone, PartialEq)]
+struct SummaryKey {
+    ready: bool,
+    leaving: bool,
+    overloaded: bool,
+    permits: Vec<SwitchPermit>,
+    targets: Vec<(HostName, u64, GateState, Option<VersionDigest>, bool, bool)>,
+}
+
+/// Sends this entry's view to the others and takes theirs, until the runtime ends.
+///
+/// A peer is told at once when a target changes its state, and otherwise once in a quiet interval
+/// that grows with the number of entries, so that the messages of one entry do not. A new revision
+/// goes to a few random peers, which pull it and tell others.
 pub(crate) async fn exchange_loop(
     settings: Arc<EntrySettings>,
     snapshots: Arc<SnapshotCell>,
@@ -22,54 +45,73 @@
     counters: WireCounters,
     log: Logger,
 ) {
-    let mut clients: BTreeMap<SocketAddr, EntryControlClient> = BTreeMap::new();
+    let mut peers: BTreeMap<SocketAddr, PeerState> = BTreeMap::new();
+    let mut told_revision = None;
     let mut interval = tokio::time::interval(EXCHANGE_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
         let snapshot = snapshots.load();
         if snapshot.own.is_none() {
             continue;
         }
+        let addresses = other_entries(&settings, &snapshot);
+        peers.retain(|it, _| addresses.contains(it));
         let summary = own_summary(&snapshot);
-        for address in other_entries(&settings, &snapshot) {
-            if let std::collections::btree_map::Entry::Vacant(slot) = clients.entry(address) {
-                match wire::connect_entry(address, None, settings.shared_key.reveal(), &counters)
-                    .await
-                {
-                    Ok(it) => drop(slot.insert(it)),
-                    Err(err) => {
-                        debug!(log, "entry cannot be reached"; "entry" => %address, "reason" => %err);
-                        continue;
-                    }
-                }
+        let key = summary_key(&summary);
+        let quiet = quiet_interval(addresses.len());
+        let rumour = told_revision != snapshot.held;
+        told_revision = snapshot.held;
+        let mut due = Vec::new();
+        for address in &addresses {
+            let peer = peers.entry(*address).or_default();
+            let stale = peer.told.as_ref().is_none_or(|(told, at)| {
+                *told != key || at.elapsed() >= quiet.mul_f64(rand::random_range(0.75..1.0))
+            });
+            let chance = RUMOUR_PEERS as f64 / addresses.len() as f64;
+            if stale || rumour && rand::random_bool(chance.min(1.0)) {
+                due.push((*address, peer.client.take()));
             }
-            counters.add_message();
-            let client = &clients[&address];
-            let Ok(reply) = client.exchange(context::current(), summary.clone()).await else {
-                clients.remove(&address);
-                continue;
-            };
-            let known = snapshot.config.as_ref().map(|it| it.revision);
-            if known.is_none_or(|it| it < reply.revision)
-                && let Ok(Some(config)) = client
-                    .config(context::current(), known.unwrap_or_default())
-                    .await
-            {
-                let _ = events.send(ControlEvent::Config(Box::new(config)));
+        }
+        let calls = due.into_iter().map(|(address, client)| {
+            tell_peer(address, client, &settings, &summary, &counters, &log)
+        });
+        for (address, client, reply) in future::join_all(calls).await {
+            let peer = peers.entry(address).or_default();
+            peer.client = client;
+            // A peer that did not answer is tried again after the quiet interval, not at each step.
+            peer.told = Some((key.clone(), Instant::now()));
+            if let Some(reply) = reply {
+                let _ = events.send(ControlEvent::Exchange(Box::new(reply)));
             }
-            let _ = events.send(ControlEvent::Exchange(Box::new(reply)));
         }
+        pull_config(&mut peers, &snapshots.load(), &events, &counters).await;
     }
 }
 
+/// Returns the time between exchanges with a peer to which nothing new is to be told.
+pub(crate) fn quiet_interval(peers: usize) -> Duration {
+    MIN_QUIET.max(QUIET_PER_PEER * peers as u32)
+}
+
 /// Returns what this entry tells another.
 pub(crate) fn own_summary(snapshot: &ControlSnapshot) -> EntrySummary {
-    let entry = snapshot.own.clone().unwrap_or_else(unknown_entry);
     let direct = snapshot.targets.values().filter(|it| it.direct);
     EntrySummary {
-        entry,
         targets: direct.map(|it| it.row.clone()).collect(),
+        complete: true,
+        ..short_summary(snapshot)
+    }
+}
+
+/// Returns what this entry answers to another's summary: all but the targets.
+pub(crate) fn short_summary(snapshot: &ControlSnapshot) -> EntrySummary {
+    EntrySummary {
+        entry: snapshot.own.clone().unwrap_or_else(unknown_entry),
+        targets: Vec::new(),
+        complete: false,
         permits: snapshot.own_permits.clone(),
+        others: sample_entries(snapshot),
         revision: snapshot
             .config
             .as_ref()
@@ -77,16 +119,128 @@
     }
 }
 
+async fn tell_peer(
+    address: SocketAddr,
+    client: Option<EntryControlClient>,
+    settings: &EntrySettings,
+    summary: &EntrySummary,
+    counters: &WireCounters,
+    log: &Logger,
+) -> (SocketAddr, Option<EntryControlClient>, Option<EntrySummary>) {
+    let client = match client {
+        Some(it) => it,
+        None => {
+            let secret = settings.shared_key.reveal();
+            match wire::connect_entry(address, None, secret, counters).await {
+                Ok(it) => it,
+                Err(err) => {
+                    debug!(log, "entry cannot be reached"; "entry" => %address, "reason" => %err);
+                    return (address, None, None);
+                }
+            }
+        }
+    };
+    counters.add_message();
+    let call = client.exchange(context::current(), summary.clone());
+    match tokio::time::timeout(CALL_TIMEOUT, call).await {
+        Ok(Ok(reply)) => (address, Some(client), Some(reply)),
+        _ => (address, None, None),
+    }
+}
+
+/// Pulls the configuration from a peer that is known to hold a higher revision.
+async fn pull_config(
+    peers: &mut BTreeMap<SocketAddr, PeerState>,
+    snapshot: &ControlSnapshot,
+    events: &Sender<ControlEvent>,
+    counters: &WireCounters,
+) {
+    let ahead = |it: ConfigRevision| snapshot.held.is_none_or(|held| it > held);
+    let newest = snapshot
+        .entries
+        .values()
+        .filter(|it| it.row.ready && ahead(it.row.revision))
+        .max_by_key(|it| it.row.revision);
+    let Some(newest) = newest else { return };
+    let Some(peer) = peers.get_mut(&newest.row.control) else {
+        return;
+    };
+    let Some(client) = &peer.client else { return };
+    counters.add_message();
+    let known = snapshot.held.unwrap_or_default();
+    let call = client.config(context::current(), known, snapshot.held.is_none());
+    match tokio::time::timeout(CALL_TIMEOUT, call).await {
+        Ok(Ok(Some(config))) => {
+            let source = ConfigSource::Peer(newest.row.host.clone());
+            let _ = events.send(ControlEvent::Config(Box::new(config), source));
+        }
+        Ok(Ok(None)) => {}
+        _ => peer.client = None,
+    }
+}
+
+fn summary_key(summary: &EntrySummary) -> SummaryKey {
+    let targets = summary.targets.iter().map(|it| {
+        let complete = it.transfer.is_some_and(|it| it.is_complete());
+        let overloaded = it.load.overloaded_ms.is_some();
+        let host = it.host.clone();
+        (
+            host,
+            it.incarnation.0,
+            it.state,
+            it.serving,
+            complete,
+            overloaded,
+        )
+    });
+    SummaryKey {
+        ready: summary.entry.ready,
+        leaving: summary.entry.leaving,
+        overloaded: summary.entry.overloaded_ms.is_some(),
+        permits: summary.permits.clone(),
+        targets: targets.collect(),
+    }
+}
+
 fn other_entries(settings: &EntrySettings, snapshot: &ControlSnapshot) -> BTreeSet<SocketAddr> {
     let known = snapshot.entries.values().map(|it| it.row.control);
-    let mut addresses: BTreeSet<_> = settings.entries.iter().copied().chain(known).collect();
+    let seeds = settings.entries.iter().copied();
+    let named = snapshot.candidates.iter().copied();
+    let mut addresses: BTreeSet<_> = seeds.chain(known).chain(named).collect();
     addresses.remove(&settings.listen.control);
     addresses
 }
 
+/// Returns a few live entries by chance; over some exchanges every entry hears of every other.
+fn sample_entries(snapshot: &ControlSnapshot) -> Vec<SocketAddr> {
+    let live = snapshot.entries.values().filter(|it| !it.row.leaving);
+    let addresses: Vec<_> = live.map(|it| it.row.control).collect();
+    let chosen = rand::seq::index::sample(
+        &mut rand::rng(),
+        addresses.len(),
+        SAMPLE_ENTRIES.min(addresses.len()),
+    );
+    chosen.iter().map(|it| addresses[it]).collect()
+}
+
 fn unknown_entry() -> EntryRow {
     unreachable!("the listener starts after the first snapshot")
 }
 
-/// Time between exchanges.
-const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between looks for something to tell.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Shortest time between exchanges when nothing changes.
+const MIN_QUIET: Duration = Duration::from_secs(1);
+
+/// Part of the quiet interval for each peer: an entry starts about eight exchanges a second.
+const QUIET_PER_PEER: Duration = Duration::from_millis(125);
+
+/// Peers that are told of a new revision at once; with three, every entry knows after a few rounds.
+const RUMOUR_PEERS: usize = 3;
+
+/// Entries named in one summary.
+const SAMPLE_ENTRIES: usize = 8;
+
+/// Time for one call to a peer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The entry's control state: configuration, membership, rollouts, operators' commands.
 
+mod command_outcome;
 mod command_runner;
 mod config_poller;
 mod control_event;
@@ -7,7 +8,9 @@
 mod control_snapshot;
 mod control_thread;
 mod exchange_loop;
+mod in_force;
 mod operator_server;
+mod query_rows;
 mod rollout_driver;
 
 pub(crate) use config_poller::start_poller;
--- a/crates/entry/src/control/operator_server.rs
+++ b/crates/entry/src/control/operator_server.rs
@@ -3,20 +3,24 @@
 use std::io::Read;
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use model::{CommandId, ResultCode};
-use platform::{SourceClient, TableClient};
+use control::{ConfigSource, Statement};
+use model::{CommandId, ConfigRevision, ResultCode};
+use platform::{HostListClient, SourceClient, TableClient};
 use serde::Deserialize;
 use serde_json::json;
 use settings::EntrySettings;
 use slog::{Logger, info, warn};
 use wire::WireCounters;
 
-use crate::control::command_runner::{self, CommandOutcome};
+use crate::control::command_outcome::CommandOutcome;
+use crate::control::command_runner::{CommandRunner, GivenCommand, read_statement};
 use crate::control::control_event::ControlEvent;
 use crate::control::control_snapshot::SnapshotCell;
+use crate::control::in_force::count_in_force;
+use crate::control::query_rows::collect_rows;
 
 /// What the operators' listener needs.
 #[derive(Clone)]
@@ -34,14 +38,25 @@
 struct CommandRequest {
     command: String,
     id: CommandId,
+    /// How long to wait until the command is in force on every host, in milliseconds.
+    #[serde(default)]
+    wait_ms: u64,
 }
 
 impl OperatorServer {
     /// Answers operators on threads of its own.
     pub(crate) fn start(self) -> anyhow::Result<()> {
         let address = self.settings.listen.operators;
-        let source = SourceClient::new(self.settings.sources.origin, SOURCE_TIMEOUT);
-        let server = rouille::Server::new(address, move |request| self.answer(request, &source))
+        let runner = CommandRunner {
+            table: self.table.clone(),
+            source: SourceClient::new(self.settings.sources.origin, SOURCE_TIMEOUT),
+            hosts: self
+                .settings
+                .platform
+                .hosts
+                .map(|it| HostListClient::new(it, HOST_LIST_TIMEOUT)),
+        };
+        let server = rouille::Server::new(address, move |request| self.answer(request, &runner))
             .map_err(|err| anyhow::anyhow!("{err}"))
             .with_context(|| format!("cannot listen on {address}"))?;
         std::thread::Builder::new()
@@ -50,7 +65,7 @@
         Ok(())
     }
 
-    fn answer(&self, request: &rouille::Request, source: &SourceClient) -> rouille::Response {
+    fn answer(&self, request: &rouille::Request, runner: &CommandRunner) -> rouille::Response {
         let Some(operator) = self.operator(request) else {
             warn!(self.log, "operator refused"; "peer" => %request.remote_addr());
             return reply(&CommandOutcome::new(
@@ -60,7 +75,7 @@
         };
         match (request.method(), request.url().as_str()) {
             ("GET", "/debug/state") => rouille::Response::json(&self.dump()),
-            ("POST", "/v1/command") => self.command(request, &operator, source),
+            ("POST", "/v1/command") => self.command(request, &operator, runner),
             _ => reply(&CommandOutcome::new(ResultCode::NotFound, "no such path")),
         }
     }
@@ -69,7 +84,7 @@
         &self,
         request: &rouille::Request,
         operator: &str,
-        source: &SourceClient,
+        runner: &CommandRunner,
     ) -> rouille::Response {
         let mut text = String::new();
         let Some(body) = request.data() else {
@@ -93,21 +108,56 @@
                 ));
             }
         };
-        let snapshot = self.snapshots.load();
-        let (outcome, config) = command_runner::run_command(
-            &command.command,
-            &command.id,
-            operator,
-            &snapshot,
-            &self.table,
-            source,
-        );
+        let outcome = self.run(&command, operator, runner).unwrap_or_else(|it| it);
         info!(self.log, "command"; "command_id" => %command.id, "operator" => operator,
             "text" => &command.command, "result" => outcome.name);
+        reply(&outcome)
+    }
+
+    fn run(
+        &self,
+        command: &CommandRequest,
+        operator: &str,
+        runner: &CommandRunner,
+    ) -> Result<CommandOutcome, CommandOutcome> {
+        let snapshot = self.snapshots.load();
+        let change = match read_statement(&command.command)? {
+            Statement::Change(it) => it,
+            Statement::Query(query) => {
+                let hosts = runner.hosts.as_ref();
+                let rows = collect_rows(query.table, &snapshot, &self.table, hosts);
+                return Ok(CommandOutcome::answered(control::answer_query(
+                    &query, rows,
+                )));
+            }
+        };
+        let given = GivenCommand {
+            text: &command.command,
+            id: &command.id,
+            operator,
+        };
+        let (revision, config) = runner.commit(&change, given, &snapshot)?;
         if let Some(config) = config {
-            let _ = self.events.send(ControlEvent::Config(Box::new(config)));
+            let event = ControlEvent::Config(Box::new(config), ConfigSource::Table);
+            let _ = self.events.send(event);
+        }
+        let wait = Duration::from_millis(command.wait_ms).min(MAX_WAIT);
+        Ok(self.wait_in_force(revision, wait))
+    }
+
+    /// Answers as soon as the revision is in force on every live host, or after `wait`.
+    fn wait_in_force(&self, revision: ConfigRevision, wait: Duration) -> CommandOutcome {
+        let start = Instant::now();
+        loop {
+            let in_force = count_in_force(&self.snapshots.load(), revision);
+            if in_force.count == in_force.of || start.elapsed() >= wait {
+                return CommandOutcome {
+                    in_force: Some(in_force),
+                    ..CommandOutcome::accepted(revision)
+                };
+            }
+            std::thread::sleep(WAIT_STEP);
         }
-        reply(&outcome)
     }
 
     fn operator(&self, request: &rouille::Request) -> Option<String> {
@@ -126,6 +176,8 @@
             "role": "entry",
             "own": snapshot.own,
             "config": snapshot.config.as_deref(),
+            "config_held": snapshot.held,
+            "config_age_ms": snapshot.confirmed.map(|it| it.elapsed().as_millis() as u64),
             "targets": snapshot.targets.values().map(|it| json!({
                 "row": it.row, "age_ms": it.seen.elapsed().as_millis() as u64, "direct": it.direct,
             })).collect::<Vec<_>>(),
@@ -155,3 +207,12 @@
 
 /// Time to read a manifest.
 const SOURCE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time to read the host list.
+const HOST_LIST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest wait for a command to be in force.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// Time between looks while waiting.
+const WAIT_STEP: Duration = Duration::from_millis(50);
--- a/crates/entry/src/control/rollout_driver.rs
+++ b/crates/entry/src/control/rollout_driver.rs
@@ -1,23 +1,22 @@
 //! Drives rollouts from the entry that holds the lease.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
 
-use model::{FencingNumber, GateState, HostName, SwitchPermit, TargetKind, ZoneName};
+use model::{FencingNumber, SwitchPermit};
 use platform::{TableClient, TableError, TableTransaction};
 use serde::{Deserialize, Serialize};
 use settings::EntrySettings;
 use slog::{Logger, info, warn};
 
 use crate::control::control_event::ControlEvent;
-use crate::control::control_snapshot::{ControlSnapshot, SeenTarget, SnapshotCell};
+use crate::control::control_snapshot::{ControlSnapshot, SnapshotCell};
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct LeaseRow {
-    holder: String,
-    fencing: FencingNumber,
+pub(crate) struct LeaseRow {
+    pub(crate) holder: String,
+    pub(crate) fencing: FencingNumber,
 }
 
 /// The lease as this process saw it last.
@@ -37,6 +36,7 @@
     log: Logger,
 ) -> anyhow::Result<()> {
     let holder = format!("{}-{:08x}", settings.host.name, rand::random::<u32>());
+    let settings = settings.clone();
     std::thread::Builder::new()
         .name("rollout-driver".to_string())
         .spawn(move || {
@@ -47,11 +47,15 @@
                 held_until: None,
             };
             loop {
-                keep_lease(&mut lease, &holder, &table, &log);
+                let snapshot = snapshots.load();
+                let contends = is_contender(&settings, &snapshot);
+                if contends {
+                    keep_lease(&mut lease, &holder, &table, &log);
+                }
                 let fencing = lease.row.as_ref().map(|it| it.fencing).unwrap_or_default();
                 // A process that was paused finds its deadline in the past and does nothing.
                 let held = lease.held_until.is_some_and(|it| Instant::now() < it);
-                let permits = if held {
+                let permits = if held && contends {
                     grant(&snapshots.load(), fencing)
                 } else {
                     Vec::new()
@@ -115,62 +119,21 @@
     let Some(config) = &snapshot.config else {
         return Vec::new();
     };
-    let mut permits = Vec::new();
-    for (name, wanted) in &config.models {
-        let version = wanted.manifest.version();
-        let mut zones: BTreeMap<&ZoneName, Vec<&SeenTarget>> = BTreeMap::new();
-        for target in snapshot.targets.values() {
-            let leaving = target.row.state == GateState::Leaving;
-            if target.row.kind == TargetKind::Model(name.clone()) && !leaving {
-                zones.entry(&target.row.zone).or_default().push(target);
-            }
-        }
-        let granted: BTreeSet<&HostName> = snapshot
-            .own_permits
-            .iter()
-            .filter(|it| it.version == version)
-            .map(|it| &it.host)
-            .collect();
-        for targets in zones.values() {
-            let allowed = (targets.len() * usize::from(wanted.max_out_percent) / 100).max(1);
-            let mut out = targets
-                .iter()
-                .filter(|it| it.row.state == GateState::Switching)
-                .count();
-            for target in targets {
-                let row = &target.row;
-                if row.serving == Some(version) {
-                    continue;
-                }
-                let complete = row
-                    .transfer
-                    .is_some_and(|it| it.version == version && it.is_complete());
-                let empty = row.serving.is_none();
-                let known = granted.contains(&row.host);
-                let counted = row.state == GateState::Switching;
-                if !complete || wanted.paused && !known {
-                    continue;
-                }
-                // A replica that serves nothing takes nothing out of service by loading.
-                if !(empty || counted || known || out < allowed) {
-                    continue;
-                }
-                if !empty && !counted {
-                    out += 1;
-                }
-                permits.push(SwitchPermit {
-                    host: row.host.clone(),
-                    version,
-                    fencing,
-                });
-            }
-        }
-    }
-    permits
+    let rows = snapshot.targets.values().map(|it| &it.row);
+    control::rollout_permits(config, rows, &snapshot.permits, fencing)
+}
+
+/// Tells whether this entry is among the few that look at the lease, so that the table is not asked
+/// by every entry.
+fn is_contender(settings: &EntrySettings, snapshot: &ControlSnapshot) -> bool {
+    let others = snapshot.entries.values().map(|it| &it.row);
+    let live = others.filter(|it| !it.leaving).map(|it| &it.host);
+    let leaving = snapshot.own.as_ref().is_none_or(|it| it.leaving);
+    !leaving && control::rendezvous_rank(LEASE_KEY, &settings.host.name, live) < CONTENDERS
 }
 
 /// Key of the lease row.
-const LEASE_KEY: &str = "lease/rollout";
+pub(crate) const LEASE_KEY: &str = "lease/rollout";
 
 /// Time for which a renewal holds.
 const LEASE_TIME: Duration = Duration::from_secs(3);
@@ -180,3 +143,6 @@
 
 /// Time between looks at the lease and the rollouts.
 const DRIVER_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Entries that look at the lease: the holder, and two that take over.
+const CONTENDERS: usize = 3;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -50,7 +50,13 @@
         calls.clone(),
         log.clone(),
     )?;
-    control::start_poller(&settings, table.clone(), control.sender(), log.clone())?;
+    control::start_poller(
+        &settings,
+        table.clone(),
+        snapshots.clone(),
+        control.sender(),
+        log.clone(),
+    )?;
     control::start_driver(
         &settings,
         table.clone(),
--- a/crates/wire/src/entry_control.rs
+++ b/crates/wire/src/entry_control.rs
@@ -18,6 +18,6 @@
     async fn plan(request: PlanRequest) -> PlanReply;
     /// Takes another entry's view and answers with this entry's own.
     async fn exchange(summary: EntrySummary) -> EntrySummary;
-    /// Returns the configuration when it is newer than `known`.
-    async fn config(known: ConfigRevision) -> Option<FleetConfig>;
+    /// Returns the configuration when it is newer than `known`, or in any case when the caller holds none.
+    async fn config(known: ConfigRevision, none: bool) -> Option<FleetConfig>;
 }
