The gate takes requests from entries of its deployment only

Cause: the gate listened over plain HTTP without any proof of who asks, so anyone on the network could run requests around organisations, limits and the order book.

Change: entries send a bearer token that is derived from the shared key, the gate checks it in constant time and takes it out before the back end sees the request; a refusal is numbered and logged with the peer. The agent's operators' listener logs refusals and says why.

--- a/crates/agent/src/gate/gate_server.rs
+++ b/crates/agent/src/gate/gate_server.rs
@@ -11,7 +11,7 @@
 use model::{AttemptId, Incarnation, ResultCode, VersionDigest};
 use routing::{AdmitRequest, CallKind};
 use serde::Deserialize;
-use settings::AgentSettings;
+use settings::{AgentSettings, SecretText};
 use slog::{Logger, warn};
 
 use crate::gate::admitted_attempt::AdmittedAttempt;
@@ -35,20 +35,22 @@
         .with_context(|| format!("cannot listen on {}", settings.listen.gate))?;
     let forwarder = Forwarder {
         gate,
+        token: SecretText::new(wire::gate_token(settings.shared_key.reveal())),
         settings: settings.clone(),
         back_end: crate::back_end(&settings.target),
         client: HttpClient::new(None, CONNECT_TIMEOUT),
         log,
     };
-    Ok(server.serve(move |request, _peer| {
+    Ok(server.serve(move |request, peer| {
         let forwarder = forwarder.clone();
-        async move { forwarder.forward(request).await }
+        async move { forwarder.forward(request, peer).await }
     })?)
 }
 
 #[derive(Clone)]
 struct Forwarder {
     gate: Arc<GateShared>,
+    token: SecretText,
     settings: Arc<AgentSettings>,
     back_end: SocketAddr,
     client: HttpClient,
@@ -65,8 +67,15 @@
 }
 
 impl Forwarder {
-    async fn forward(&self, request: Request<Incoming>) -> Response<ReplyBody> {
-        let (parts, body) = request.into_parts();
+    async fn forward(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<ReplyBody> {
+        let (mut parts, body) = request.into_parts();
+        if !self.takes_token(&mut parts.headers) {
+            warn!(self.log, "request without the gate's token"; "peer" => %peer);
+            return refusal(
+                ResultCode::Unauthorized,
+                "the gate takes requests from entries of its deployment only",
+            );
+        }
         let Some(attempt) = header(&parts.headers, model::ATTEMPT_HEADER) else {
             return refusal(
                 ResultCode::BadRequest,
@@ -98,6 +107,15 @@
             .unwrap_or_else(|_| refusal(ResultCode::Internal, "the order's task failed"))
     }
 
+    /// Takes the token out of the headers, so that the back end never sees it, and tells whether it is the right one.
+    fn takes_token(&self, headers: &mut HeaderMap) -> bool {
+        let value = headers.remove(httpio::header::AUTHORIZATION);
+        let token = value
+            .as_ref()
+            .and_then(|it| it.to_str().ok()?.strip_prefix("Bearer "));
+        token.is_some_and(|it| self.token.matches(it))
+    }
+
     async fn run(
         &self,
         mut parts: Parts,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -89,6 +89,7 @@
             gate.clone(),
             store,
             counters,
+            log.clone(),
         )?;
         info!(log, "agent started"; "gate" => %settings.listen.gate);
         wait_for_stop().await?;
--- a/crates/agent/src/operators.rs
+++ b/crates/agent/src/operators.rs
@@ -6,6 +6,7 @@
 use model::ResultCode;
 use serde_json::json;
 use settings::AgentSettings;
+use slog::{Logger, warn};
 use wire::WireCounters;
 
 use crate::control::AgentView;
@@ -19,14 +20,16 @@
     gate: Arc<GateShared>,
     store: Arc<ChunkStore>,
     counters: WireCounters,
+    log: Logger,
 ) -> anyhow::Result<()> {
     let address = settings.listen.operators;
     let server = rouille::Server::new(address, move |request| {
         if !is_operator(request, &settings) {
-            return refusal(ResultCode::Unauthorized);
+            warn!(log, "operator refused"; "peer" => %request.remote_addr());
+            return refusal(ResultCode::Unauthorized, "the token is missing or unknown");
         }
         if request.method() != "GET" || request.url() != "/debug/state" {
-            return refusal(ResultCode::NotFound);
+            return refusal(ResultCode::NotFound, "the only path is GET /debug/state");
         }
         rouille::Response::json(&json!({
             "role": "agent",
@@ -55,8 +58,9 @@
     token.is_some_and(|token| settings.operators.iter().any(|it| it.token.matches(token)))
 }
 
-fn refusal(code: ResultCode) -> rouille::Response {
-    rouille::Response::json(&json!({ "code": code.number(), "name": code.name() }))
+fn refusal(code: ResultCode, message: &str) -> rouille::Response {
+    let body = json!({ "code": code.number(), "name": code.name(), "message": message });
+    rouille::Response::json(&body)
         .with_status_code(code.http_status())
         .with_unique_header("Fulmarline-Result", code.to_string())
 }
--- a/crates/entry/src/calls/dispatcher.rs
+++ b/crates/entry/src/calls/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use httpio::{ClientError, HttpClient, Request};
+use httpio::{ClientError, HeaderValue, HttpClient, Request};
 use model::{AttemptId, ResultCode, RunStatus};
 use routing::{CallKind, OrderGate};
 use settings::EntrySettings;
@@ -24,16 +24,23 @@
     settings: Arc<EntrySettings>,
     pub(crate) shared: Arc<CallShared>,
     client: HttpClient,
+    /// Shows the gates that a request comes from an entry of the deployment.
+    authorization: HeaderValue,
     counters: WireCounters,
     log: Logger,
 }
 
 impl Dispatcher {
     pub(crate) fn new(settings: Arc<EntrySettings>, shared: Arc<CallShared>, log: Logger) -> Self {
+        let token = wire::gate_token(settings.shared_key.reveal());
+        let mut authorization = HeaderValue::try_from(format!("Bearer {token}"))
+            .expect("a token consists of hexadecimal digits");
+        authorization.set_sensitive(true);
         Self {
             settings,
             shared,
             client: HttpClient::new(None, CONNECT_TIMEOUT),
+            authorization,
             counters: WireCounters::default(),
             log,
         }
@@ -86,9 +93,11 @@
         slot: TargetSlot,
         attempt: AttemptId,
     ) -> AttemptOutcome {
-        let Ok(request) = build_request(call, plan, &slot, attempt) else {
+        let Ok(mut request) = build_request(call, plan, &slot, attempt) else {
             return AttemptOutcome::NotRun(ResultCode::BadRequest);
         };
+        let headers = request.headers_mut();
+        headers.insert(httpio::header::AUTHORIZATION, self.authorization.clone());
         let row = &slot.row;
         let sent = self.client.send(row.gate, request);
         let patience = match plan.kind {
--- a/crates/fulmarline/tests/bad_input.rs
+++ b/crates/fulmarline/tests/bad_input.rs
@@ -37,13 +37,7 @@
 }
 
 fn narrow_limits(dir: &Path) {
-    let file = fs::read_dir(dir)
-        .expect("the folder is there")
-        .map(|it| it.expect("the folder can be read").path())
-        .find(|it| it.file_stem().is_some_and(|it| it == "entry-1"))
-        .expect("the entry has settings");
-    let text = fs::read_to_string(&file).expect("the settings can be read");
-    let mut settings: Value = serde_json::from_str(&text).expect("the settings are JSON");
+    let (file, mut settings) = read_settings(dir, "entry-1");
     settings["limits"]["max_body_bytes"] = json!(1024);
     settings["limits"]["max_headers"] = json!(16);
     settings["limits"]["max_header_bytes"] = json!(8192);
@@ -52,6 +46,25 @@
     fs::write(&file, settings.to_string()).expect("the settings can be written");
 }
 
+fn read_settings(dir: &Path, host: &str) -> (PathBuf, Value) {
+    let file = fs::read_dir(dir)
+        .expect("the folder is there")
+        .map(|it| it.expect("the folder can be read").path())
+        .find(|it| it.file_stem().is_some_and(|it| it == host))
+        .expect("the host has settings");
+    let text = fs::read_to_string(&file).expect("the settings can be read");
+    let settings = serde_json::from_str(&text).expect("the settings are JSON");
+    (file, settings)
+}
+
+fn listen_address(fleet: &ProcessFleet, host: &str, listener: &str) -> SocketAddr {
+    let (_, settings) = read_settings(&fleet.plan().dir, host);
+    let address = settings["listen"][listener].as_str();
+    address
+        .and_then(|it| it.parse().ok())
+        .expect("the settings hold an address")
+}
+
 /// Sends `request` as it is and returns status, result and message of the answer.
 ///
 /// With [`Shutdown::Write`] the rest of the request never comes; otherwise the connection stays open.
@@ -388,3 +401,39 @@
         }
     }
 }
+
+#[test]
+fn strangers_are_refused() {
+    let mut fleet = start_fleet("bad-input-strangers");
+    let refused = "401, 101 unauthorized";
+    let dump = request("GET /debug/state", &[], b"");
+    let attempt = "fulmarline-attempt: 00000000000000000000000000000001";
+    let direct = request("GET /hours", &[attempt], b"");
+    for host in ["entry-1", "shop-1"] {
+        let address = listen_address(&fleet, host, "operators");
+        check(
+            address,
+            vec![("caller's token", dump.clone(), refused, "token")],
+        );
+        // What is no handshake gets no answer and does no harm.
+        let mut control =
+            TcpStream::connect(listen_address(&fleet, host, "control")).expect("it listens");
+        control.write_all(&[7; 4096]).expect("a stranger may send");
+    }
+    let gate = listen_address(&fleet, "shop-1", "gate");
+    check(
+        gate,
+        vec![("caller's token at the gate", direct, refused, "gate")],
+    );
+    let good = request("GET /services/shop/hours", &[], b"");
+    let address = fleet.callers()[0];
+    check(address, vec![("good request", good, "200, 0 ok", "")]);
+    let process = fleet.process("shop-1");
+    process.terminate();
+    process.wait(PATIENCE).expect("the planned stop ends");
+    assert!(
+        process
+            .log_text()
+            .contains("request without the gate's token")
+    );
+}
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -51,6 +51,13 @@
     blake3::derive_key("fulmarline control handshake 1", secret.as_bytes())
 }
 
+/// Derives the bearer token by which an entry proves to an agent's gate that it belongs to the deployment.
+///
+/// Requests go over plain HTTP and not through the handshake; the token is not the shared key and does not lead to it.
+pub fn gate_token(secret: &str) -> String {
+    blake3::Hash::from_bytes(blake3::derive_key("fulmarline gate 1", secret.as_bytes())).to_string()
+}
+
 /// Proves the key to a client and has the client prove it.
 pub(crate) async fn accept<S>(stream: &mut S, key: &WireKey) -> Result<(), HandshakeError>
 where
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -20,7 +20,7 @@
 pub use connect::{WireError, connect_agent, connect_entry};
 pub use entry_control::{EntryControl, EntryControlClient};
 pub use entry_summary::EntrySummary;
-pub use handshake::HandshakeError;
+pub use handshake::{HandshakeError, gate_token};
 pub use heartbeat_reply::HeartbeatReply;
 pub use revoke_outcome::RevokeOutcome;
 pub use serve::{AgentTransport, EntryTransport, serve_agent, serve_entry};
