--- a/crates/standin/src/flags.rs
+++ b/crates/standin/src/flags.rs
@@ -32,5 +32,28 @@
             /// Address to listen on (default 127.0.0.1:0).
             optional --listen address: SocketAddr
         }
+        /// Sends streams, orders and lookups to a running system and prints what became of them.
+        cmd load {
+            /// Callers' address of an entry.
+            required --entry address: SocketAddr
+            /// Bearer token of the organisation.
+            required --token token: String
+            /// Model to ask (default demo).
+            optional --model model: String
+            /// Service for orders and lookups (default orders).
+            optional --service service: String
+            /// Streams a second (default 10).
+            optional --streams rate: f64
+            /// Orders a second (default 0).
+            optional --orders rate: f64
+            /// Lookups a second (default 0).
+            optional --lookups rate: f64
+            /// Tokens of each answer (default 20).
+            optional --tokens count: usize
+            /// Seconds for which calls arrive (default 10).
+            optional --seconds seconds: u64
+            /// Seed of the arrivals; give another one to each run, because orders under a known key are not run again.
+            optional --seed seed: u64
+        }
     }
 }
--- a/crates/standin/src/links/link_switch.rs
+++ b/crates/standin/src/links/link_switch.rs
@@ -354,7 +354,7 @@
 const PIECE_BYTES: usize = 16 * 1024;
 
 /// Time whose worth of bytes may pass at once after a pause; covers the steps of the timer.
-const LIMIT_BURST: Duration = Duration::from_millis(4);
+const LIMIT_BURST: Duration = Duration::from_millis(10);
 
 /// How often a standing connection looks whether the fault has ended.
 const STALL_POLL: Duration = Duration::from_millis(10);
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use flags::{FulmarlineStandin, FulmarlineStandinCmd, Platform};
+use flags::{FulmarlineStandin, FulmarlineStandinCmd, Load, Platform};
 use model::{ModelName, VersionLabel};
 use standin::{
-    EngineOptions, HostList, ModelEngine, ObjectStore, PlainService, StandinRuntime, TableService,
-    WeightCatalog, WeightSource, synthetic_weights,
+    EngineOptions, HostList, LoadOrganisation, LoadPlan, LoadTool, ModelEngine, ObjectStore,
+    PlainService, StandinRuntime, TableService, WeightCatalog, WeightSource, synthetic_weights,
 };
 
 /// Threads of one stand-in process.
@@ -40,6 +40,7 @@
             let service = PlainService::start(&runtime, listen(flags.listen), &flags.name)?;
             println!("service {}", service.address());
         }
+        FulmarlineStandinCmd::Load(flags) => return send_load(&runtime, flags),
     }
     runtime
         .block_on(tokio::signal::ctrl_c())
@@ -71,6 +72,37 @@
     Ok(())
 }
 
+/// Runs the load and prints its sums as JSON; an answer that is wrong or cut makes the exit code 1.
+fn send_load(runtime: &StandinRuntime, flags: Load) -> anyhow::Result<()> {
+    let default = LoadPlan::default();
+    let plan = LoadPlan {
+        seeds: vec![flags.entry],
+        organisations: vec![LoadOrganisation {
+            name: "caller".to_owned(),
+            token: flags.token,
+            weight: 1,
+        }],
+        streams_per_s: flags.streams.unwrap_or(default.streams_per_s),
+        orders_per_s: flags.orders.unwrap_or(default.orders_per_s),
+        lookups_per_s: flags.lookups.unwrap_or(default.lookups_per_s),
+        model: flags.model.unwrap_or(default.model),
+        service: flags.service.unwrap_or(default.service),
+        tokens: flags.tokens.unwrap_or(default.tokens),
+        seed: flags.seed.unwrap_or(default.seed),
+        ..LoadPlan::default()
+    };
+    let seconds = flags.seconds.unwrap_or(DEFAULT_LOAD_SECONDS);
+    let report = LoadTool::run(runtime, plan, Duration::from_secs(seconds));
+    println!("{}", serde_json::to_string_pretty(&report.totals)?);
+    let totals = &report.totals;
+    anyhow::ensure!(
+        totals.cut + totals.wrong + totals.mixed == 0,
+        "some answers are wrong or cut: {:?}",
+        report.faults(SHOWN_FAULTS)
+    );
+    Ok(())
+}
+
 fn listen(address: Option<SocketAddr>) -> SocketAddr {
     address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))
 }
@@ -83,3 +115,9 @@
 
 /// Lag of the host list.
 const HOST_LIST_LAG: Duration = Duration::from_secs(3);
+
+/// Time for which load arrives without the flag, in seconds.
+const DEFAULT_LOAD_SECONDS: u64 = 10;
+
+/// Wrong or cut answers that are described.
+const SHOWN_FAULTS: usize = 5;
