--- a/crates/entry/src/calls/call_decisions.rs
+++ b/crates/entry/src/calls/call_decisions.rs
@@ -112,6 +112,7 @@
         let rows: Vec<&TargetRow> = rows
             .into_iter()
             .filter(|it| usable.contains(&&it.host))
+            .filter(|it| !self.flights.is_full(now, &it.host))
             .collect();
         let candidates: Vec<TargetCandidate<'_>> =
             rows.iter().map(|it| self.candidate(it)).collect();
--- a/crates/entry/src/calls/call_shared.rs
+++ b/crates/entry/src/calls/call_shared.rs
@@ -30,6 +30,15 @@
     ticket: QueueTicket,
 }
 
+/// How a request comes to ask for a place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Arrival {
+    /// From its caller.
+    New,
+    /// From a target that did not take it after it had been let in.
+    Refused,
+}
+
 enum SlotAnswer {
     Now(Box<TargetRow>),
     Later(
@@ -60,9 +69,10 @@
     pub(crate) async fn acquire(
         self: &Arc<Self>,
         need: SlotNeed,
+        arrival: Arrival,
     ) -> Result<TargetSlot, CallRefusal> {
         let target = need.target.clone();
-        match self.ask(need)? {
+        match self.ask(need, arrival)? {
             SlotAnswer::Now(row) => Ok(TargetSlot::new(self.clone(), *row)),
             SlotAnswer::Later(ticket, receiver) => {
                 let _place = QueuePlace {
@@ -93,8 +103,13 @@
         self.pump(&row.kind);
     }
 
-    pub(crate) fn on_full(&self, row: &TargetRow) {
-        self.lock().flights.on_full(&row.host, &row.load);
+    pub(crate) fn on_full(&self, host: &HostName) {
+        self.lock().flights.on_full(Instant::now(), host);
+    }
+
+    /// Notes that a caller is refused because every gate was at its limit.
+    pub(crate) fn on_overload(&self) {
+        self.counters.on_overload(OverloadCause::TargetsFull);
     }
 
     pub(crate) fn on_failure(&self, host: &HostName) {
@@ -142,7 +157,7 @@
         }
     }
 
-    fn ask(&self, need: SlotNeed) -> Result<SlotAnswer, CallRefusal> {
+    fn ask(&self, need: SlotNeed, arrival: Arrival) -> Result<SlotAnswer, CallRefusal> {
         let snapshot = self.snapshots.load();
         let now = Instant::now();
         let rows = need.open_rows(&snapshot);
@@ -154,11 +169,12 @@
         }
         let latest_start = need.latest_start(&rows, now);
         let mut decisions = self.lock();
-        let is_alone = decisions
-            .pools
-            .get(&need.target)
-            .is_none_or(|it| it.queue.is_empty());
-        if is_alone
+        let is_next = arrival == Arrival::Refused
+            || decisions
+                .pools
+                .get(&need.target)
+                .is_none_or(|it| it.queue.is_empty());
+        if is_next
             && let Some(row) = decisions.take_slot(&snapshot, &self.settings.host, &need, now)
         {
             return Ok(SlotAnswer::Now(Box::new(row)));
@@ -167,7 +183,12 @@
             .pools
             .entry(need.target.clone())
             .or_insert_with(|| self.new_pool());
-        let (ticket, evicted) = match pool.queue.push(now, &need.queue_request(latest_start)) {
+        let request = need.queue_request(latest_start);
+        let pushed = match arrival {
+            Arrival::New => pool.queue.push(now, &request),
+            Arrival::Refused => Ok((pool.queue.push_refused(&request), None)),
+        };
+        let (ticket, evicted) = match pushed {
             Ok(it) => it,
             Err(refusal) => {
                 drop(decisions);
--- a/crates/entry/src/calls/dispatcher.rs
+++ b/crates/entry/src/calls/dispatcher.rs
@@ -14,7 +14,7 @@
 use crate::calls::call_context::CallContext;
 use crate::calls::call_decisions::SlotNeed;
 use crate::calls::call_refusal::CallRefusal;
-use crate::calls::call_shared::CallShared;
+use crate::calls::call_shared::{Arrival, CallShared};
 use crate::calls::target_reply::TargetReply;
 use crate::calls::target_slot::TargetSlot;
 
@@ -50,16 +50,32 @@
         plan: &AttemptPlan,
     ) -> Result<TargetReply, CallRefusal> {
         let mut last = None;
-        for _ in 0..MAX_ATTEMPTS {
-            let slot = match (self.shared.acquire(self.need(call, plan)).await, last) {
+        let mut attempts = 0;
+        let mut refusals = 0;
+        while attempts < MAX_ATTEMPTS && refusals < MAX_REFUSALS {
+            let arrival = match last {
+                None => Arrival::New,
+                Some(_) => Arrival::Refused,
+            };
+            let slot = self.shared.acquire(self.need(call, plan), arrival).await;
+            let slot = match (slot, last) {
                 (Ok(slot), _) => slot,
-                (Err(_), Some(code)) => return Err(refusal(code)),
-                (Err(refusal), None) => return Err(refusal),
+                (Err(_), Some(code)) if code != ResultCode::Overloaded => {
+                    return Err(refusal(code));
+                }
+                (Err(refusal), _) => return Err(refusal),
             };
+            attempts += 1;
             let gate = order_gate(&slot);
             let attempt = new_attempt();
             match self.attempt(call, plan, slot, attempt).await {
                 AttemptOutcome::Answer(reply) => return Ok(*reply),
+                AttemptOutcome::NotRun(ResultCode::Overloaded) => {
+                    // A full gate is no failed attempt: the request waits for its turn again.
+                    attempts -= 1;
+                    refusals += 1;
+                    last = Some(ResultCode::Overloaded);
+                }
                 AttemptOutcome::NotRun(code) => last = Some(code),
                 AttemptOutcome::Lost => {
                     let has_time = Instant::now() < call.deadline;
@@ -75,6 +91,9 @@
                 }
             }
         }
+        if last == Some(ResultCode::Overloaded) {
+            self.shared.on_overload();
+        }
         Err(refusal(last.unwrap_or(ResultCode::NoTarget)))
     }
 
@@ -121,7 +140,7 @@
             }
             Some(code) if code.run_status() == RunStatus::NotRun => {
                 match code {
-                    ResultCode::Overloaded => self.shared.on_full(row),
+                    ResultCode::Overloaded => self.shared.on_full(&row.host),
                     _ => plan.note_tried(&row.host),
                 }
                 let reply = TargetReply::new(reply, self.client.clone(), slot);
@@ -244,6 +263,9 @@
 /// Attempts at one request.
 const MAX_ATTEMPTS: usize = 4;
 
+/// Full gates that a request meets before it is refused.
+const MAX_REFUSALS: usize = 64;
+
 /// Time to connect to a gate.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/crates/entry/src/calls/service_call.rs
+++ b/crates/entry/src/calls/service_call.rs
@@ -14,6 +14,7 @@
 use crate::calls::call_context::CallContext;
 use crate::calls::call_counters::CallGuard;
 use crate::calls::call_refusal::CallRefusal;
+use crate::calls::call_shared::Arrival;
 use crate::calls::dispatcher::{self, Dispatcher};
 use crate::calls::model_call;
 use crate::calls::order_driver::{self, OrderDriver};
@@ -108,11 +109,8 @@
     keep: Duration,
     guard: CallGuard,
 ) -> Reply {
-    let slot = match dispatcher
-        .shared
-        .acquire(dispatcher.need(&call, &plan))
-        .await
-    {
+    let need = dispatcher.need(&call, &plan);
+    let slot = match dispatcher.shared.acquire(need, Arrival::New).await {
         Ok(it) => it,
         Err(refusal) => return known_outcome(&table, &call, refusal).await,
     };
--- a/crates/routing/src/fair_queue.rs
+++ b/crates/routing/src/fair_queue.rs
@@ -20,6 +20,7 @@
     places: BTreeMap<QueueTicket, (OrganisationName, u8)>,
     virtual_time: f64,
     next_ticket: u64,
+    next_front: u64,
     rate: ServiceRate,
 }
 
@@ -31,7 +32,8 @@
             backlogs: BTreeMap::new(),
             places: BTreeMap::new(),
             virtual_time: 0.0,
-            next_ticket: 0,
+            next_ticket: FIRST_TICKET,
+            next_front: FIRST_TICKET,
             rate: ServiceRate::default(),
         }
     }
@@ -69,7 +71,16 @@
         Ok((ticket, evicted))
     }
 
-    /// Puts a request back in its old place, because the gate refused it.
+    /// Lets a request wait ahead of its organisation's others, because it had been let in and a gate refused it.
+    pub fn push_refused(&mut self, request: &QueueRequest<'_>) -> QueueTicket {
+        self.next_front -= 1;
+        let ticket = QueueTicket(self.next_front);
+        self.insert(ticket, request);
+        self.rate.on_refused(request.cost);
+        ticket
+    }
+
+    /// Puts a request back in its old place, because no target had room for it.
     pub fn put_back(&mut self, ticket: QueueTicket, request: &QueueRequest<'_>) {
         self.insert(ticket, request);
         let backlog = self
@@ -77,6 +88,7 @@
             .get_mut(request.organisation)
             .expect("the request was inserted above");
         backlog.start -= f64::from(request.cost) / f64::from(backlog.weight);
+        self.rate.on_refused(request.cost);
     }
 
     /// Takes the next request out.
@@ -233,6 +245,12 @@
         self.window.get_or_insert((now, 0));
     }
 
+    fn on_refused(&mut self, cost: u32) {
+        if let Some((_, served)) = &mut self.window {
+            *served = served.saturating_sub(u64::from(cost));
+        }
+    }
+
     fn on_served(&mut self, now: Instant, cost: u32, is_empty: bool) {
         let Some((start, served)) = &mut self.window else {
             return;
@@ -251,6 +269,9 @@
     }
 }
 
+/// Number of the first ticket; those below stand ahead of it.
+const FIRST_TICKET: u64 = 1 << 40;
+
 /// Time over which the rate is counted.
 const RATE_WINDOW: Duration = Duration::from_millis(250);
 
--- a/crates/routing/src/flight_table.rs
+++ b/crates/routing/src/flight_table.rs
@@ -1,8 +1,9 @@
 //! What an entry itself has in progress at each target.
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
-use model::{HostName, Incarnation, LoadSample, TargetRow};
+use model::{HostName, Incarnation, TargetRow};
 
 /// Counts the entry's own requests, so that rows which are a heartbeat old do not mislead it.
 #[derive(Clone, Debug, Default)]
@@ -15,6 +16,7 @@
     row: (Incarnation, u64),
     own: u32,
     since_row: i32,
+    full_until: Option<Instant>,
 }
 
 impl FlightTable {
@@ -32,13 +34,21 @@
         };
         flight.own = flight.own.saturating_sub(1);
         flight.since_row -= 1;
+        flight.full_until = None;
     }
 
-    /// Notes that `host` refused at its limit: it counts as full until its next row or an end of an own request.
-    pub fn on_full(&mut self, host: &HostName, load: &LoadSample) {
+    /// Notes that `host` refused at its limit, whatever its row says.
+    pub fn on_full(&mut self, now: Instant, host: &HostName) {
         let flight = self.flights.entry(host.clone()).or_default();
-        let missing = i64::from(load.limit) - i64::from(load.in_flight);
-        flight.since_row = i32::try_from(missing).unwrap_or(i32::MAX);
+        flight.full_until = Some(now + FULL_TIME);
+    }
+
+    /// Tells whether `host` refused so lately that it need not be asked again.
+    pub fn is_full(&self, now: Instant, host: &HostName) -> bool {
+        let flight = self.flights.get(host);
+        flight
+            .and_then(|it| it.full_until)
+            .is_some_and(|it| it > now)
     }
 
     /// Forgets what a newer `row` already contains.
@@ -66,3 +76,6 @@
         self.flights.get(host).map_or(0, |it| it.since_row)
     }
 }
+
+/// Time after a refusal in which a target is not asked, unless one of the entry's own requests ends there.
+const FULL_TIME: Duration = Duration::from_millis(50);
--- a/crates/routing/tests/queue.rs
+++ b/crates/routing/tests/queue.rs
@@ -165,13 +165,14 @@
         cost: 10,
         latest_start: now + Duration::from_secs(60),
     };
+    let mut last = None;
     for _ in 0..4 {
-        queue.push(now, &request(&large)).unwrap();
+        last = Some(queue.push(now, &request(&large)).unwrap().0);
     }
     let refusal = queue.push(now, &request(&large)).unwrap_err();
     assert_eq!(refusal.code, ResultCode::Overloaded);
     let (_, evicted) = queue.push(now, &request(&small)).unwrap();
-    assert_eq!(evicted, Some(QueueTicket(3)));
+    assert_eq!(evicted, last);
     let refusal = queue.push(now, &request(&large)).unwrap_err();
     assert_eq!(refusal.code, ResultCode::OverShare);
     assert!(refusal.retry_after >= Duration::from_secs(1));
@@ -203,3 +204,22 @@
     assert!(queue.expire(start + Duration::from_secs(20)).is_empty());
     assert_eq!(queue.expire(start + Duration::from_secs(21)), [late]);
 }
+
+#[test]
+fn a_request_that_a_gate_refused_goes_ahead_of_its_own_organisation_only() {
+    let (a, b) = (organisation("a"), organisation("b"));
+    let now = Instant::now();
+    let mut queue = FairQueue::new(limits(10));
+    let request = |organisation| QueueRequest {
+        organisation,
+        weight: 1,
+        priority: 5,
+        cost: 10,
+        latest_start: now + Duration::from_secs(60),
+    };
+    let (first, _) = queue.push(now, &request(&a)).unwrap();
+    let (other, _) = queue.push(now, &request(&b)).unwrap();
+    let refused = queue.push_refused(&request(&a));
+    let order: Vec<_> = std::iter::from_fn(|| queue.pop(now)).collect();
+    assert_eq!(order, [refused, other, first]);
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,2 +1,36 @@
-//! Placeholder.
-fn main() {}
+//! Tasks of developers: the demo and the benches, as `cargo xtask NAME [FLAGS]`.
+//!
+//! They start `fulmarline` as real processes among the stand-ins of `standin`. Nothing here is shipped.
+
+mod bench_requests;
+mod task;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use task::Task;
+
+/// Every task; a bench adds its own line.
+const TASKS: &[Task] = &[Task {
+    name: &["bench", "requests"],
+    about: "measures requests under load and faults, with baselines in the same run",
+    run: bench_requests::run,
+}];
+
+fn main() -> ExitCode {
+    let args: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let Some((task, flags)) = task::find(TASKS, &args) else {
+        eprint!("{}", task::usage(TASKS));
+        return ExitCode::from(BAD_ARGUMENTS);
+    };
+    match (task.run)(flags) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("xtask: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Exit code of a task that does not exist.
+const BAD_ARGUMENTS: u8 = 2;
