--- a/crates/standin/src/harness/fleet_plan.rs
+++ b/crates/standin/src/harness/fleet_plan.rs
@@ -34,6 +34,8 @@
     pub profile: String,
     /// How long callers may keep the list of entries.
     pub directory_ttl: Duration,
+    /// Time between heartbeats of the agents.
+    pub heartbeat: Duration,
 }
 
 /// One entry.
@@ -101,6 +103,7 @@
             link_bytes_per_s: 200_000_000,
             profile: "time".to_owned(),
             directory_ttl: Duration::from_secs(2),
+            heartbeat: Duration::from_millis(200),
         }
     }
 
--- a/crates/standin/src/harness/fleet_settings.rs
+++ b/crates/standin/src/harness/fleet_settings.rs
@@ -153,7 +153,7 @@
         },
         "shared_key_file": "shared-key",
         "operators": [{ "name": "operator", "token_file": "operator" }],
-        "heartbeat_ms": 200,
+        "heartbeat_ms": plan.heartbeat.as_millis() as u64,
     });
     write(&plan.dir, &agent.name, &settings)
 }
--- a/crates/standin/src/harness/process_fleet.rs
+++ b/crates/standin/src/harness/process_fleet.rs
@@ -296,6 +296,23 @@
         }
     }
 
+    /// Gives a command as [`ProcessFleet::command`] does and waits at most `wait` until it is in force everywhere.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection ends without an answer.
+    pub fn command_in_force(
+        &self,
+        entry: &str,
+        text: &str,
+        id: &str,
+        wait: Duration,
+    ) -> anyhow::Result<Value> {
+        let wait_ms = wait.as_millis() as u64;
+        let body = json!({ "command": text, "id": id, "wait_ms": wait_ms }).to_string();
+        self.operator_call(entry, "POST", "/v1/command", body)
+    }
+
     /// Returns the dump of the state of the process on host `name`.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/xtask/src/capacity.rs
@@ -0,0 +1,171 @@
+//! `cargo xtask capacity`: fills the tables of `docs/CAPACITY.md` from the results of the control bench.
+
+use std::fmt::Write;
+use std::path::Path;
+
+use anyhow::Context;
+
+use crate::bench_control_report::{ControlResults, RESULT_FILE, SizeResult};
+
+/// The stated size.
+const STATED_ENTRIES: f64 = 360.0;
+
+/// Replicas at the stated size.
+const STATED_AGENTS: f64 = 1_700.0;
+
+/// Share of a core that control may use on a node.
+const CPU_LIMIT: f64 = 0.033;
+
+/// Memory that control may use on a node, in MB.
+const RSS_LIMIT_MB: f64 = 64.0;
+
+/// Bytes a second that control may use on a node.
+const BYTES_LIMIT: f64 = 17_000.0;
+
+/// Table reads a second at the stated size.
+const READS_LIMIT: f64 = 1_000.0;
+
+/// Table writes a second at the stated size.
+const WRITES_LIMIT: f64 = 200.0;
+
+/// Marks of the part of the page that this task writes.
+const BEGIN: &str = "<!-- measured: begin -->";
+const END: &str = "<!-- measured: end -->";
+
+/// Rewrites the measured part of the page.
+pub(crate) fn run(root: &Path) -> anyhow::Result<()> {
+    let text = std::fs::read_to_string(root.join(RESULT_FILE))
+        .context("run `cargo xtask bench control` first")?;
+    let results: ControlResults = serde_json::from_str(&text)?;
+    let page = root.join("docs/CAPACITY.md");
+    let text = std::fs::read_to_string(&page)?;
+    let start = text.find(BEGIN).context("the page has no begin mark")? + BEGIN.len();
+    let end = text.find(END).context("the page has no end mark")?;
+    let tables = make_tables(&results.sizes)?;
+    let text = format!("{}\n\n{tables}\n{}", &text[..start], &text[end..]);
+    std::fs::write(page, text)?;
+    Ok(())
+}
+
+fn make_tables(sizes: &[SizeResult]) -> anyhow::Result<String> {
+    let mut out = String::new();
+    writeln!(out, "### Runs\n")?;
+    writeln!(
+        out,
+        "| entries | agents | whole after | in force p50 / p99 / max | max after a lost zone | reverts | table reads/s | writes/s |"
+    )?;
+    writeln!(out, "| --- | --- | --- | --- | --- | --- | --- | --- |")?;
+    for it in sizes {
+        writeln!(
+            out,
+            "| {} | {} | {} ms | {} / {} / {} ms | {} ms | {} | {:.1} | {:.2} |",
+            it.entries,
+            it.agents,
+            it.joined_ms,
+            it.in_force_p50_ms,
+            it.in_force_p99_ms,
+            it.in_force_max_ms,
+            it.lost_zone_in_force_max_ms,
+            it.reverts,
+            it.table_reads_per_s,
+            it.table_writes_per_s
+        )?;
+    }
+    writeln!(out, "\n### Cost of one process\n")?;
+    writeln!(
+        out,
+        "| role | entries + agents | core % mean / max | memory MB max | bytes/s mean / max | messages/s mean |"
+    )?;
+    writeln!(out, "| --- | --- | --- | --- | --- | --- |")?;
+    for it in sizes {
+        for (role, cost) in [("entry", &it.entry), ("agent", &it.agent)] {
+            writeln!(
+                out,
+                "| {role} | {} + {} | {:.2} / {:.2} | {:.1} | {:.0} / {:.0} | {:.1} |",
+                it.entries,
+                it.agents,
+                cost.cpu_share_mean * 100.0,
+                cost.cpu_share_max * 100.0,
+                cost.rss_mb_max,
+                cost.bytes_per_s_mean,
+                cost.bytes_per_s_max,
+                cost.messages_per_s_mean
+            )?;
+        }
+    }
+    writeln!(out, "\n### At the stated size, by the slopes\n")?;
+    writeln!(
+        out,
+        "Each line is `base + slope × N` by least squares over the runs above, where N is the number of processes \
+         (entries and agents); at the stated size N is {STATED_ENTRIES} + {STATED_AGENTS} = {}.\n",
+        STATED_ENTRIES + STATED_AGENTS
+    )?;
+    writeln!(
+        out,
+        "| figure | base | slope per process | at the stated size | limit | fits |"
+    )?;
+    writeln!(out, "| --- | --- | --- | --- | --- | --- |")?;
+    type Figure = (&'static str, fn(&SizeResult) -> f64, f64);
+    let figures: [Figure; 8] = [
+        (
+            "entry: core %",
+            |it| it.entry.cpu_share_mean * 100.0,
+            CPU_LIMIT * 100.0,
+        ),
+        ("entry: memory MB", |it| it.entry.rss_mb_max, RSS_LIMIT_MB),
+        (
+            "entry: bytes/s",
+            |it| it.entry.bytes_per_s_mean,
+            BYTES_LIMIT,
+        ),
+        (
+            "agent: core %",
+            |it| it.agent.cpu_share_mean * 100.0,
+            CPU_LIMIT * 100.0,
+        ),
+        ("agent: memory MB", |it| it.agent.rss_mb_max, RSS_LIMIT_MB),
+        (
+            "agent: bytes/s",
+            |it| it.agent.bytes_per_s_mean,
+            BYTES_LIMIT,
+        ),
+        (
+            "table reads/s, whole fleet",
+            |it| it.table_reads_per_s,
+            READS_LIMIT,
+        ),
+        (
+            "table writes/s, whole fleet",
+            |it| it.table_writes_per_s,
+            WRITES_LIMIT,
+        ),
+    ];
+    for (name, value, limit) in figures {
+        let points: Vec<_> = sizes
+            .iter()
+            .map(|it| ((it.entries + it.agents) as f64, value(it)))
+            .collect();
+        let (base, slope) = fit(&points);
+        let stated = base + slope * (STATED_ENTRIES + STATED_AGENTS);
+        let fits = if stated <= limit { "yes" } else { "**no**" };
+        writeln!(
+            out,
+            "| {name} | {base:.3} | {slope:.5} | {stated:.2} | {limit} | {fits} |"
+        )?;
+    }
+    Ok(out)
+}
+
+/// Fits a line by least squares and returns its base and slope.
+fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|it| it.0).sum::<f64>() / count;
+    let mean_y = points.iter().map(|it| it.1).sum::<f64>() / count;
+    let spread: f64 = points.iter().map(|it| (it.0 - mean_x).powi(2)).sum();
+    let together: f64 = points
+        .iter()
+        .map(|it| (it.0 - mean_x) * (it.1 - mean_y))
+        .sum();
+    let slope = if spread > 0.0 { together / spread } else { 0.0 };
+    (mean_y - slope * mean_x, slope)
+}
