--- a/crates/control/src/language/mod.rs
+++ b/crates/control/src/language/mod.rs
@@ -15,7 +15,7 @@
 pub use command_error::{CommandError, ErrorKind};
 pub use filter::{Comparison, Filter, Operand, Operator};
 pub use near_name::near_name;
-pub use parser::parse;
+pub use parser::{VERBS, parse};
 pub use span::{Span, Spanned};
 pub use statement::{Change, OrderKey, OrganisationField, Query, ServiceField, Statement};
 pub use table_name::{ColumnKind, ColumnRule, TableName};
--- a/crates/control/src/language/parser.rs
+++ b/crates/control/src/language/parser.rs
@@ -13,7 +13,7 @@
 const MAX_COMMAND_BYTES: usize = 4096;
 
 /// The words that a statement starts with.
-pub(crate) const VERBS: [&str; 11] = [
+pub const VERBS: [&str; 11] = [
     "show", "rollout", "pause", "resume", "roll", "drain", "undrain", "set", "unset", "deny",
     "allow",
 ];
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,8 @@
 mod query_table;
 mod rendezvous;
 mod rollout_permits;
+mod row_share;
+mod target_view;
 
 pub use change_plan::{PlanContext, plan_change};
 pub use config_holder::{ConfigHolder, ConfigSource};
@@ -22,3 +24,5 @@
 pub use query_table::{Cell, QueryTable, answer_query};
 pub use rendezvous::{rendezvous_order, rendezvous_rank};
 pub use rollout_permits::rollout_permits;
+pub use row_share::{PeerShare, RowShare};
+pub use target_view::{HostClaim, KnownTarget, TargetView};
--- /dev/null
+++ b/crates/control/src/target_view.rs
@@ -0,0 +1,118 @@
+//! The targets that an entry knows.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use model::{HostName, TargetRow};
+
+use crate::row_share::RowShare;
+
+/// Silence after which a target that an entry heard itself counts as dead.
+const DEAD_AFTER: Duration = Duration::from_secs(5);
+
+/// A target's newest row and who stands for its being alive.
+#[derive(Clone, Debug)]
+pub struct KnownTarget {
+    /// The newest row.
+    pub row: TargetRow,
+    /// When this entry, or one that vouches for the target, last spoke of it.
+    pub seen: Instant,
+    /// When the agent itself last spoke to this entry.
+    pub heard: Option<Instant>,
+    /// Entries that hear the agent themselves.
+    pub vouchers: BTreeSet<HostName>,
+}
+
+impl KnownTarget {
+    /// Tells whether this entry hears the agent itself.
+    pub fn is_direct(&self) -> bool {
+        self.heard.is_some()
+    }
+}
+
+/// Every target that an entry hears itself or that another entry vouches for.
+///
+/// A target lives as long as one entry hears it: its agent speaks to two or three, so that one of
+/// them can go. An entry vouches only for what it hears itself, so that no two entries keep a dead
+/// target alive for each other.
+#[derive(Clone, Debug, Default)]
+pub struct TargetView {
+    targets: BTreeMap<HostName, KnownTarget>,
+}
+
+/// A process under a host name that another process has claimed lately.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostClaim {
+    /// The host.
+    pub host: HostName,
+}
+
+impl TargetView {
+    /// Returns the targets.
+    pub fn targets(&self) -> &BTreeMap<HostName, KnownTarget> {
+        &self.targets
+    }
+
+    /// Takes a heartbeat; returns a claim when a second process speaks under a name that is alive.
+    ///
+    /// The higher incarnation wins, whichever speaks last.
+    pub fn hear(&mut self, row: TargetRow, now: Instant) -> Option<HostClaim> {
+        let host = row.host.clone();
+        let known = self.targets.get(&host);
+        let rival = known.is_some_and(|it| it.row.incarnation != row.incarnation && it.is_direct());
+        let outdated = known.is_some_and(|it| it.row.incarnation > row.incarnation);
+        if !outdated {
+            let target = self.take_row(row, now);
+            target.heard = Some(now);
+        }
+        rival.then_some(HostClaim { host })
+    }
+
+    /// Takes what the entry `home` tells about the targets that it hears.
+    pub fn take_share(&mut self, home: &HostName, share: RowShare, now: Instant) {
+        let listed: BTreeSet<_> = share.rows.iter().map(|it| it.host.clone()).collect();
+        for (host, target) in &mut self.targets {
+            let gone = share.gone.contains(host) || share.complete && !listed.contains(host);
+            if gone {
+                target.vouchers.remove(home);
+            } else if target.vouchers.contains(home) {
+                target.seen = now;
+            }
+        }
+        for row in share.rows {
+            let target = self.take_row(row, now);
+            target.vouchers.insert(home.clone());
+        }
+    }
+
+    /// Forgets targets for which nobody stands any more; `is_live` tells which entries live.
+    pub fn forget(&mut self, now: Instant, is_live: impl Fn(&HostName) -> bool) {
+        self.targets.retain(|_, it| {
+            let silent = |heard: Instant| now.saturating_duration_since(heard) >= DEAD_AFTER;
+            if it.heard.is_some_and(silent) {
+                it.heard = None;
+            }
+            it.vouchers.retain(&is_live);
+            it.is_direct() || !it.vouchers.is_empty()
+        });
+    }
+
+    /// Keeps the newer of the known row and `row`.
+    fn take_row(&mut self, row: TargetRow, now: Instant) -> &mut KnownTarget {
+        let stamp = |it: &TargetRow| (it.incarnation, it.sequence);
+        let target = self
+            .targets
+            .entry(row.host.clone())
+            .or_insert_with(|| KnownTarget {
+                row: row.clone(),
+                seen: now,
+                heard: None,
+                vouchers: BTreeSet::new(),
+            });
+        if stamp(&target.row) < stamp(&row) {
+            target.row = row;
+        }
+        target.seen = now;
+        target
+    }
+}
--- a/crates/entry/src/control/control_snapshot.rs
+++ b/crates/entry/src/control/control_snapshot.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, RwLock};
 use std::time::Instant;
 
-use model::{ConfigRevision, EntryRow, FleetConfig, HostName, SwitchPermit, TargetRow};
+use control::KnownTarget;
+use model::{ConfigRevision, EntryRow, FleetConfig, HostName, SwitchPermit};
 
 /// The control state after one step; readers keep it as long as they need.
 #[derive(Debug, Default)]
@@ -17,7 +18,7 @@
     /// When the table or a peer last confirmed that no higher revision is known.
     pub(crate) confirmed: Option<Instant>,
     /// Every live target.
-    pub(crate) targets: BTreeMap<HostName, SeenTarget>,
+    pub(crate) targets: BTreeMap<HostName, KnownTarget>,
     /// Every other live entry.
     pub(crate) entries: BTreeMap<HostName, SeenEntry>,
     /// Control addresses of entries that others have named lately.
@@ -30,17 +31,6 @@
     pub(crate) own_permits: Vec<SwitchPermit>,
 }
 
-/// A target's newest row.
-#[derive(Clone, Debug)]
-pub(crate) struct SeenTarget {
-    pub(crate) row: TargetRow,
-    pub(crate) seen: Instant,
-    /// Whether the agent itself sent the row to this entry.
-    pub(crate) direct: bool,
-    /// The entry that told about the target, when this entry has not heard it itself.
-    pub(crate) via: Option<HostName>,
-}
-
 /// Another entry's newest row.
 #[derive(Clone, Debug)]
 pub(crate) struct SeenEntry {
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -1,20 +1,20 @@
 //! The one thread that owns an entry's control state.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
 
-use control::ConfigHolder;
-use model::{ConfigRevision, EntryRow, HostName, Incarnation, SwitchPermit, TargetRow};
+use control::{ConfigHolder, RowShare, TargetView};
+use model::{ConfigRevision, EntryRow, HostName, Incarnation, SwitchPermit};
 use settings::EntrySettings;
 use slog::{Logger, info, warn};
 use wire::EntrySummary;
 
 use crate::calls::CallCounters;
 use crate::control::control_event::ControlEvent;
-use crate::control::control_snapshot::{ControlSnapshot, SeenEntry, SeenTarget, SnapshotCell};
+use crate::control::control_snapshot::{ControlSnapshot, SeenEntry, SnapshotCell};
 use crate::control::exchange_loop::quiet_interval;
 
 /// Applies events in order and publishes a snapshot after each batch.
@@ -28,7 +28,7 @@
     incarnation: Incarnation,
     sequence: u64,
     holder: ConfigHolder,
-    targets: BTreeMap<HostName, SeenTarget>,
+    view: TargetView,
     entries: BTreeMap<HostName, SeenEntry>,
     candidates: BTreeMap<SocketAddr, Instant>,
     own_permits: Vec<SwitchPermit>,
@@ -51,7 +51,7 @@
             incarnation,
             sequence: 0,
             holder: ConfigHolder::default(),
-            targets: BTreeMap::new(),
+            view: TargetView::default(),
             entries: BTreeMap::new(),
             candidates: BTreeMap::new(),
             own_permits: Vec::new(),
@@ -93,7 +93,11 @@
 impl ControlState {
     fn take(&mut self, event: ControlEvent, now: Instant) {
         match event {
-            ControlEvent::Heartbeat(row) => self.take_row(*row, now, None),
+            ControlEvent::Heartbeat(row) => {
+                if let Some(claim) = self.view.hear(*row, now) {
+                    warn!(self.log, "two processes claim a host"; "host" => %claim.host);
+                }
+            }
             ControlEvent::Exchange(summary) => self.take_summary(*summary, now),
             ControlEvent::Config(config, source) => {
                 let revision = config.revision;
@@ -107,33 +111,6 @@
         }
     }
 
-    fn take_row(&mut self, row: TargetRow, now: Instant, via: Option<&HostName>) {
-        let direct = via.is_none();
-        let mut seen = SeenTarget {
-            row,
-            seen: now,
-            direct,
-            via: via.cloned(),
-        };
-        if let Some(known) = self.targets.get(&seen.row.host) {
-            let age = (known.row.incarnation, known.row.sequence);
-            let news = (seen.row.incarnation, seen.row.sequence);
-            if age > news || age == news && !direct {
-                return;
-            }
-            if age.0 != news.0 && now.duration_since(known.seen) < DIRECT_AGE {
-                warn!(self.log, "another process claims a host";
-                    "host" => %seen.row.host, "incarnation" => news.0.0, "before" => age.0.0);
-            }
-            let keeps = known.direct && now.duration_since(known.seen) < DIRECT_AGE;
-            if keeps && !direct {
-                seen.direct = true;
-                seen.via = None;
-            }
-        }
-        self.targets.insert(seen.row.host.clone(), seen);
-    }
-
     fn take_summary(&mut self, summary: EntrySummary, now: Instant) {
         let home = summary.entry.host.clone();
         if home == self.settings.host.name {
@@ -147,15 +124,12 @@
         for address in summary.others {
             self.candidates.insert(address, now);
         }
-        if summary.complete {
-            // What its home no longer lists has died there, unless another home lists it.
-            let listed: BTreeSet<_> = summary.targets.iter().map(|it| &it.host).collect();
-            self.targets
-                .retain(|host, it| it.via.as_ref() != Some(&home) || listed.contains(host));
-        }
-        for row in summary.targets {
-            self.take_row(row, now, Some(&home));
-        }
+        let share = RowShare {
+            rows: summary.targets,
+            gone: summary.gone,
+            complete: summary.complete,
+        };
+        self.view.take_share(&home, share, now);
         if summary.entry.ready {
             let source = control::ConfigSource::Peer(home);
             self.holder.hear(summary.revision, &source, now);
@@ -169,15 +143,13 @@
     }
 
     fn forget(&mut self, now: Instant) {
-        let indirect = indirect_dead_after(self.entries.len());
-        self.targets.retain(|_, it| {
-            let dead_after = if it.direct { DEAD_AFTER } else { indirect };
-            now.duration_since(it.seen) < dead_after
-        });
+        let dead_after = entry_dead_after(self.entries.len());
         self.entries
-            .retain(|_, it| now.duration_since(it.seen) < indirect);
+            .retain(|_, it| now.duration_since(it.seen) < dead_after);
+        let entries = &self.entries;
+        self.view.forget(now, |it| entries.contains_key(it));
         self.candidates
-            .retain(|_, it| now.duration_since(*it) < indirect);
+            .retain(|_, it| now.duration_since(*it) < dead_after);
     }
 
     fn snapshot(&mut self) -> ControlSnapshot {
@@ -192,7 +164,7 @@
             config: self.holder.ready().cloned(),
             held: self.holder.held(),
             confirmed: self.holder.confirmed(),
-            targets: self.targets.clone(),
+            targets: self.view.targets().clone(),
             entries: self.entries.clone(),
             candidates: self.candidates.keys().copied().collect(),
             own: Some(self.own_row()),
@@ -230,13 +202,10 @@
 /// Silence after which a process counts as dead.
 const DEAD_AFTER: Duration = Duration::from_secs(5);
 
-/// Returns the silence after which what other entries told counts as dead: several missed exchanges.
-fn indirect_dead_after(entries: usize) -> Duration {
+/// Returns the silence after which another entry counts as dead: several missed exchanges.
+fn entry_dead_after(entries: usize) -> Duration {
     DEAD_AFTER.max(quiet_interval(entries) * MISSED_EXCHANGES)
 }
 
 /// Exchanges that may be missed, because one of them may be lost or late.
 const MISSED_EXCHANGES: u32 = 4;
-
-/// Silence after which an agent does not count as this entry's own.
-const DIRECT_AGE: Duration = Duration::from_secs(3);
--- a/crates/entry/src/control/exchange_loop.rs
+++ b/crates/entry/src/control/exchange_loop.rs
@@ -6,9 +6,9 @@
 use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
 
-use control::ConfigSource;
+use control::{ConfigSource, PeerShare, RowShare};
 use futures::future;
-use model::{ConfigRevision, EntryRow, GateState, HostName, SwitchPermit, VersionDigest};
+use model::{ConfigRevision, EntryRow, SwitchPermit};
 use settings::EntrySettings;
 use slog::{Logger, debug};
 use wire::{EntryControlClient, EntrySummary, WireCounters, context};
@@ -20,17 +20,17 @@
 #[derive(Default)]
 struct PeerState {
     client: Option<EntryControlClient>,
-    told: Option<(SummaryKey, Instant)>,
+    share: PeerShare,
+    told: Option<(OwnState, Instant)>,
 }
 
-/// What of a summary is told at once when it changes; the rest waits for the quiet interval.
+/// What of this entry itself is told at once when it changes; the rest waits for the quiet interval.
 #[derive(Clone, PartialEq)]
-struct SummaryKey {
+struct OwnState {
     ready: bool,
     leaving: bool,
     overloaded: bool,
     permits: Vec<SwitchPermit>,
-    targets: Vec<(HostName, u64, GateState, Option<VersionDigest>, bool, bool)>,
 }
 
 /// Sends this entry's view to the others and takes theirs, until the runtime ends.
@@ -57,32 +57,44 @@
         }
         let addresses = other_entries(&settings, &snapshot);
         peers.retain(|it, _| addresses.contains(it));
-        let summary = own_summary(&snapshot);
-        let key = summary_key(&summary);
+        let summary = short_summary(&snapshot);
+        let own = own_state(&summary);
+        let direct = snapshot.targets.values().filter(|it| it.is_direct());
+        let rows = direct.map(|it| &it.row);
         let quiet = quiet_interval(addresses.len());
         let rumour = told_revision != snapshot.held;
         told_revision = snapshot.held;
         let mut due = Vec::new();
         for address in &addresses {
             let peer = peers.entry(*address).or_default();
-            let stale = peer.told.as_ref().is_none_or(|(told, at)| {
-                *told != key || at.elapsed() >= quiet.mul_f64(rand::random_range(0.75..1.0))
-            });
+            let rested = peer
+                .told
+                .as_ref()
+                .is_none_or(|(_, at)| at.elapsed() >= quiet.mul_f64(rand::random_range(0.75..1.0)));
+            let news = peer.client.is_some()
+                && (peer.share.is_urgent(rows.clone())
+                    || peer.told.as_ref().is_some_and(|it| it.0 != own));
             let chance = RUMOUR_PEERS as f64 / addresses.len() as f64;
-            if stale || rumour && rand::random_bool(chance.min(1.0)) {
-                due.push((*address, peer.client.take()));
+            if rested || news || rumour && rand::random_bool(chance.min(1.0)) {
+                let share = peer.share.next(rows.clone());
+                due.push((*address, peer.client.take(), share));
             }
         }
-        let calls = due.into_iter().map(|(address, client)| {
-            tell_peer(address, client, &settings, &summary, &counters, &log)
+        let calls = due.into_iter().map(|(address, client, share)| {
+            tell_peer(address, client, share, &settings, &summary, &counters, &log)
         });
-        for (address, client, reply) in future::join_all(calls).await {
-            let peer = peers.entry(address).or_default();
-            peer.client = client;
-            // A peer that did not answer is tried again after the quiet interval, not at each step.
-            peer.told = Some((key.clone(), Instant::now()));
-            if let Some(reply) = reply {
-                let _ = events.send(ControlEvent::Exchange(Box::new(reply)));
+        for told in future::join_all(calls).await {
+            let peer = peers.entry(told.address).or_default();
+            peer.client = told.client;
+            // A connection that ended may have led to a process that was replaced, so a new one is
+            // opened at the next step. A peer that cannot be reached waits for the quiet interval.
+            peer.told = (!told.ended).then(|| (own.clone(), Instant::now()));
+            match told.reply {
+                Some(reply) => {
+                    peer.share.acknowledge(&told.share);
+                    let _ = events.send(ControlEvent::Exchange(Box::new(reply)));
+                }
+                None => peer.share.reset(),
             }
         }
         pull_config(&mut peers, &snapshots.load(), &events, &counters).await;
@@ -94,21 +106,12 @@
     MIN_QUIET.max(QUIET_PER_PEER * peers as u32)
 }
 
-/// Returns what this entry tells another.
-pub(crate) fn own_summary(snapshot: &ControlSnapshot) -> EntrySummary {
-    let direct = snapshot.targets.values().filter(|it| it.direct);
-    EntrySummary {
-        targets: direct.map(|it| it.row.clone()).collect(),
-        complete: true,
-        ..short_summary(snapshot)
-    }
-}
-
-/// Returns what this entry answers to another's summary: all but the targets.
+/// Returns what this entry tells another about all but the targets.
 pub(crate) fn short_summary(snapshot: &ControlSnapshot) -> EntrySummary {
     EntrySummary {
         entry: snapshot.own.clone().unwrap_or_else(unknown_entry),
         targets: Vec::new(),
+        gone: Vec::new(),
         complete: false,
         permits: snapshot.own_permits.clone(),
         others: sample_entries(snapshot),
@@ -119,32 +122,67 @@
     }
 }
 
+/// What came of telling a peer.
+struct ToldPeer {
+    address: SocketAddr,
+    client: Option<EntryControlClient>,
+    share: RowShare,
+    reply: Option<EntrySummary>,
+    ended: bool,
+}
+
 async fn tell_peer(
     address: SocketAddr,
     client: Option<EntryControlClient>,
+    mut share: RowShare,
     settings: &EntrySettings,
     summary: &EntrySummary,
     counters: &WireCounters,
     log: &Logger,
-) -> (SocketAddr, Option<EntryControlClient>, Option<EntrySummary>) {
+) -> ToldPeer {
+    let known = client.is_some();
     let client = match client {
-        Some(it) => it,
-        None => {
-            let secret = settings.shared_key.reveal();
-            match wire::connect_entry(address, None, secret, counters).await {
-                Ok(it) => it,
-                Err(err) => {
-                    debug!(log, "entry cannot be reached"; "entry" => %address, "reason" => %err);
-                    return (address, None, None);
-                }
-            }
+        Some(it) => Ok(it),
+        None => wire::connect_entry(address, None, settings.shared_key.reveal(), counters).await,
+    };
+    let client = match client {
+        Ok(it) => it,
+        Err(err) => {
+            debug!(log, "entry cannot be reached"; "entry" => %address, "reason" => %err);
+            return ToldPeer {
+                address,
+                client: None,
+                share,
+                reply: None,
+                ended: false,
+            };
         }
     };
     counters.add_message();
+    let summary = EntrySummary {
+        targets: std::mem::take(&mut share.rows),
+        gone: share.gone.clone(),
+        complete: share.complete,
+        ..summary.clone()
+    };
     let call = client.exchange(context::current(), summary.clone());
-    match tokio::time::timeout(CALL_TIMEOUT, call).await {
-        Ok(Ok(reply)) => (address, Some(client), Some(reply)),
-        _ => (address, None, None),
+    let reply = tokio::time::timeout(CALL_TIMEOUT, call).await;
+    share.rows = summary.targets;
+    match reply {
+        Ok(Ok(reply)) => ToldPeer {
+            address,
+            client: Some(client),
+            share,
+            reply: Some(reply),
+            ended: false,
+        },
+        _ => ToldPeer {
+            address,
+            client: None,
+            share,
+            reply: None,
+            ended: known,
+        },
     }
 }
 
@@ -179,26 +217,12 @@
     }
 }
 
-fn summary_key(summary: &EntrySummary) -> SummaryKey {
-    let targets = summary.targets.iter().map(|it| {
-        let complete = it.transfer.is_some_and(|it| it.is_complete());
-        let overloaded = it.load.overloaded_ms.is_some();
-        let host = it.host.clone();
-        (
-            host,
-            it.incarnation.0,
-            it.state,
-            it.serving,
-            complete,
-            overloaded,
-        )
-    });
-    SummaryKey {
+fn own_state(summary: &EntrySummary) -> OwnState {
+    OwnState {
         ready: summary.entry.ready,
         leaving: summary.entry.leaving,
         overloaded: summary.entry.overloaded_ms.is_some(),
         permits: summary.permits.clone(),
-        targets: targets.collect(),
     }
 }
 
--- a/crates/entry/src/control/query_rows.rs
+++ b/crates/entry/src/control/query_rows.rs
@@ -2,14 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use control::{Cell, TableName};
+use control::{Cell, KnownTarget, TableName};
 use model::{
     EntryRow, FleetConfig, GateState, HostName, ModelName, TargetKind, TargetRow, VersionDigest,
     WeightManifest,
 };
 use platform::{HostListClient, ListedState, TableClient};
 
-use crate::control::control_snapshot::{ControlSnapshot, SeenTarget};
+use crate::control::control_snapshot::ControlSnapshot;
 use crate::control::rollout_driver::{LEASE_KEY, LeaseRow};
 
 /// Returns the rows of `table`, with a cell for each of its columns.
@@ -36,7 +36,7 @@
 }
 
 fn targets(snapshot: &ControlSnapshot, config: &FleetConfig) -> Vec<Vec<Cell>> {
-    let row = |seen: &SeenTarget| {
+    let row = |seen: &KnownTarget| {
         let it = &seen.row;
         let (kind, name) = kind_and_name(&it.kind);
         let fetched = it.transfer.filter(|it| it.total_chunks > 0).map(|it| {
@@ -135,7 +135,7 @@
 
 fn load(snapshot: &ControlSnapshot) -> Vec<Vec<Cell>> {
     let since = |ms: Option<u64>| ms.map_or(Cell::None, |it| Cell::Number(it as f64 / 1000.0));
-    let target = |seen: &SeenTarget| {
+    let target = |seen: &KnownTarget| {
         let (it, load) = (&seen.row, &seen.row.load);
         let (kind, name) = kind_and_name(&it.kind);
         let age_ms = seen.seen.elapsed().as_millis() as u64;
@@ -346,7 +346,7 @@
             Cell::count(age),
         ]
     };
-    let agent = |seen: &SeenTarget| {
+    let agent = |seen: &KnownTarget| {
         let it = &seen.row;
         vec![
             Cell::text("agent"),
--- a/crates/fulmarline/src/command_line.rs
+++ b/crates/fulmarline/src/command_line.rs
@@ -26,6 +26,25 @@
             /// The settings file.
             required --settings settings: PathBuf
         }
+        /// Asks an entry and gives it commands; without --execute and --file it shows a prompt.
+        cmd ctl {
+            /// The operators' address of an entry, IP:PORT.
+            optional --entry entry: String
+            /// The file with the operator's token; FULMARLINE_TOKEN_FILE otherwise.
+            optional --token-file token_file: PathBuf
+            /// One statement, see docs/COMMANDS.md.
+            optional -e, --execute execute: String
+            /// A file with one statement a line.
+            optional --file file: PathBuf
+            /// Prints answers as JSON.
+            optional --json
+            /// Seconds to wait until a command is in force on every host.
+            optional --wait wait: u64
+            /// Id of the command, to repeat one whose outcome is not known.
+            optional --id id: String
+            /// Prints the completion script of a shell (bash).
+            optional --completion completion: String
+        }
         /// Checks a settings file and starts nothing.
         cmd check {
             /// The settings file.
--- a/crates/fulmarline/src/exit_status.rs
+++ b/crates/fulmarline/src/exit_status.rs
@@ -11,6 +11,10 @@
     Failed,
     /// The arguments or settings are not valid, and nothing was started.
     BadInput,
+    /// The command was refused, and nothing of it was applied.
+    Refused,
+    /// The outcome of the command is not known.
+    Unknown,
 }
 
 impl From<ExitStatus> for ExitCode {
@@ -19,6 +23,8 @@
             ExitStatus::Done => 0,
             ExitStatus::Failed => 1,
             ExitStatus::BadInput => 2,
+            ExitStatus::Refused => 3,
+            ExitStatus::Unknown => 4,
         })
     }
 }
--- a/crates/fulmarline/src/main.rs
+++ b/crates/fulmarline/src/main.rs
@@ -3,6 +3,7 @@
 //! It must not know any decision.
 
 mod command_line;
+mod ctl;
 mod exit_status;
 mod logging;
 mod metrics;
@@ -28,6 +29,7 @@
         }
         FulmarlineCmd::Entry(it) => run(&it.settings, RoleName::Entry),
         FulmarlineCmd::Agent(it) => run(&it.settings, RoleName::Agent),
+        FulmarlineCmd::Ctl(it) => ctl::run(&it),
         FulmarlineCmd::Check(it) => check(&it.file),
     };
     status.into()
--- a/crates/wire/src/entry_summary.rs
+++ b/crates/wire/src/entry_summary.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use model::{ConfigRevision, EntryRow, SwitchPermit, TargetRow};
+use model::{ConfigRevision, EntryRow, HostName, SwitchPermit, TargetRow};
 use serde::{Deserialize, Serialize};
 
 /// What one entry tells another.
@@ -10,9 +10,11 @@
 pub struct EntrySummary {
     /// The sender.
     pub entry: EntryRow,
-    /// Targets that the sender hears from directly.
+    /// Rows of targets that the sender hears itself and that changed since the receiver was last told.
     pub targets: Vec<TargetRow>,
-    /// Whether `targets` lists all of them, so that one that is missing is gone.
+    /// Hosts told before that the sender does not hear any more.
+    pub gone: Vec<HostName>,
+    /// Whether `targets` lists all that the sender hears, so that any other is gone.
     pub complete: bool,
     /// Permits that the sender has granted as the driver of a rollout.
     pub permits: Vec<SwitchPermit>,
