--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -138,7 +138,7 @@
 #[test]
 fn only_changes_are_told_again() {
     let mut share = PeerShare::default();
-    let mut rows = vec![target("a", 1, 1), target("b", 1, 1)];
+    let mut rows = [target("a", 1, 1), target("b", 1, 1)];
     let first = share.next(rows.iter());
     assert!(first.complete && share.is_urgent(rows.iter()));
     share.acknowledge(&first);
--- a/crates/entry/src/calls/call_refusal.rs
+++ b/crates/entry/src/calls/call_refusal.rs
@@ -1,13 +1,16 @@
 //! Answers that carry a result code instead of an answer.
 
+use std::time::Duration;
+
 use httpio::{HeadFault, ReplyBody, Response, StatusCode};
-use model::{RequestId, ResultCode};
+use model::{OverloadCause, RequestId, ResultCode};
 
 /// A refusal or failure with a text for the caller.
 #[derive(Clone, Debug)]
 pub(crate) struct CallRefusal {
     pub(crate) code: ResultCode,
     pub(crate) message: String,
+    retry_after: Duration,
 }
 
 impl CallRefusal {
@@ -15,20 +18,37 @@
         Self {
             code,
             message: message.into(),
+            retry_after: MIN_RETRY_AFTER,
         }
     }
 
+    /// Sets the time after which a repeat is likely to be let in.
+    pub(crate) fn with_retry_after(mut self, time: Duration) -> Self {
+        self.retry_after = time.max(MIN_RETRY_AFTER);
+        self
+    }
+
     /// Returns the answer for the caller, with a time to come back where a repeat may succeed.
-    pub(crate) fn into_response(self, request: RequestId) -> Response<ReplyBody> {
-        self.into_text_response(request).map(httpio::full)
+    pub(crate) fn into_response(
+        self,
+        request: RequestId,
+        overload: Option<(u64, OverloadCause)>,
+    ) -> Response<ReplyBody> {
+        self.into_text_response(request, overload).map(httpio::full)
     }
 
-    fn into_text_response(self, request: RequestId) -> Response<String> {
+    fn into_text_response(
+        self,
+        request: RequestId,
+        overload: Option<(u64, OverloadCause)>,
+    ) -> Response<String> {
         let body = serde_json::json!({
             "code": self.code.number(),
             "name": self.code.name(),
             "message": self.message,
             "request_id": request.to_string(),
+            "overloaded_ms": overload.map(|it| it.0),
+            "overload_cause": overload.map(|it| it.1),
         });
         let mut response = Response::new(body.to_string());
         *response.status_mut() = StatusCode::from_u16(self.code.http_status())
@@ -36,7 +56,8 @@
         let headers = response.headers_mut();
         headers.insert(httpio::header::CONTENT_TYPE, JSON);
         if self.code.may_retry() {
-            headers.insert(httpio::header::RETRY_AFTER, RETRY_AFTER_S);
+            let seconds = self.retry_after.as_secs_f64().ceil() as u64;
+            headers.insert(httpio::header::RETRY_AFTER, seconds.into());
         }
         mark(&mut response, self.code, request);
         response
@@ -56,7 +77,7 @@
         ),
         HeadFault::TooSlow => (ResultCode::TooSlow, "the headers did not arrive in time"),
     };
-    CallRefusal::new(code, message).into_text_response(RequestId(rand::random()))
+    CallRefusal::new(code, message).into_text_response(RequestId(rand::random()), None)
 }
 
 /// Adds the result code and the id of the request to an answer.
@@ -72,5 +93,5 @@
 
 const JSON: httpio::HeaderValue = httpio::HeaderValue::from_static("application/json");
 
-/// Seconds after which a refused caller may come back.
-const RETRY_AFTER_S: httpio::HeaderValue = httpio::HeaderValue::from_static("1");
+/// Shortest time after which a refused caller may come back; the header counts in seconds.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/crates/entry/src/control/query_rows.rs
+++ b/crates/entry/src/control/query_rows.rs
@@ -152,7 +152,7 @@
             Cell::count(load.refused),
             Cell::flag(load.overloaded_ms.is_some()),
             since(load.overloaded_ms.map(|it| it + age_ms)),
-            overload_cause(load),
+            Cell::maybe(load.overload_cause),
         ]
     };
     let entry = |(it, age): (&EntryRow, u128)| {
@@ -170,26 +170,13 @@
             Cell::None,
             Cell::flag(it.overloaded_ms.is_some()),
             since(overloaded_ms),
-            Cell::maybe(
-                it.overloaded_ms
-                    .map(|_| "no target has room for its requests"),
-            ),
+            Cell::maybe(it.overload_cause),
         ]
     };
     let targets = snapshot.targets.values().map(target);
     targets.chain(all_entries(snapshot).map(entry)).collect()
 }
 
-fn overload_cause(load: &model::LoadSample) -> Cell {
-    let full = load.in_flight >= load.limit;
-    let cause = if full {
-        "limit of requests reached"
-    } else {
-        "tokens come late"
-    };
-    Cell::maybe(load.overloaded_ms.map(|_| cause))
-}
-
 fn rollouts(snapshot: &ControlSnapshot, config: &FleetConfig) -> Vec<Vec<Cell>> {
     let driver = snapshot.permits.iter().max_by_key(|it| it.fencing);
     let row = |(name, wanted): (&ModelName, &model::ModelConfig)| {
--- a/crates/xtask/src/bench_control.rs
+++ b/crates/xtask/src/bench_control.rs
@@ -1,6 +1,7 @@
 //! `cargo xtask bench control`: what control costs, and how soon a command is in force, at growing sizes.
 
 use std::collections::BTreeMap;
+use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -38,11 +39,17 @@
 /// Entries in one zone.
 const ENTRIES_PER_ZONE: usize = 4;
 
-/// Runs every size, or only the `limit` smallest ones, and writes the results to `target/bench`.
-pub(crate) fn run(root: &Path, limit: Option<usize>) -> anyhow::Result<()> {
+/// Runs every size, or only as many of the smallest ones as the argument says, and writes the results.
+pub(crate) fn run(args: Vec<OsString>) -> anyhow::Result<()> {
+    let limit = match args.first().and_then(|it| it.to_str()) {
+        None => SIZES.len(),
+        Some(text) => text.parse().context("the argument is a number of sizes")?,
+    };
+    let root = &repository_root();
     let binary = find_binary(root)?;
+    std::fs::create_dir_all(root.join("target/bench"))?;
     let mut sizes = Vec::new();
-    for (entries, agents) in SIZES.into_iter().take(limit.unwrap_or(SIZES.len())) {
+    for (entries, agents) in SIZES.into_iter().take(limit) {
         let result = run_size(&binary, root, entries, agents)?;
         bench_control_report::print(&result);
         sizes.push(result);
@@ -51,6 +58,11 @@
     Ok(())
 }
 
+/// Returns the root of the repository.
+pub(crate) fn repository_root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
 fn find_binary(root: &Path) -> anyhow::Result<PathBuf> {
     let target = std::env::var_os("CARGO_TARGET_DIR").map_or(root.join("target"), PathBuf::from);
     let candidates = ["release", "debug"].map(|it| target.join(it).join("fulmarline"));
--- a/crates/xtask/src/capacity.rs
+++ b/crates/xtask/src/capacity.rs
@@ -1,10 +1,11 @@
 //! `cargo xtask capacity`: fills the tables of `docs/CAPACITY.md` from the results of the control bench.
 
+use std::ffi::OsString;
 use std::fmt::Write;
-use std::path::Path;
 
 use anyhow::Context;
 
+use crate::bench_control;
 use crate::bench_control_report::{ControlResults, RESULT_FILE, SizeResult};
 
 /// The stated size.
@@ -33,7 +34,8 @@
 const END: &str = "<!-- measured: end -->";
 
 /// Rewrites the measured part of the page.
-pub(crate) fn run(root: &Path) -> anyhow::Result<()> {
+pub(crate) fn run(_: Vec<OsString>) -> anyhow::Result<()> {
+    let root = bench_control::repository_root();
     let text = std::fs::read_to_string(root.join(RESULT_FILE))
         .context("run `cargo xtask bench control` first")?;
     let results: ControlResults = serde_json::from_str(&text)?;
