--- a/crates/entry/src/control/command_outcome.rs
+++ b/crates/entry/src/control/command_outcome.rs
@@ -20,12 +20,12 @@
     /// The revision that the command made, where it was accepted.
     pub(crate) revision: Option<ConfigRevision>,
     /// Where that revision is in force.
-    pub(crate) in_force: Option<InForce>,
+    pub(crate) in_force: Option<Box<InForce>>,
     /// Where in the text an error is.
     pub(crate) error: Option<ErrorPlace>,
     /// The answer to a query.
     #[serde(flatten)]
-    pub(crate) table: Option<QueryTable>,
+    pub(crate) table: Option<Box<QueryTable>>,
 }
 
 /// The token that an error is about.
@@ -83,7 +83,7 @@
         let message = format!("{} rows", table.rows.len());
         Self {
             accepted: None,
-            table: Some(table),
+            table: Some(Box::new(table)),
             ..Self::new(ResultCode::Ok, message)
         }
     }
