--- a/crates/fulmarline/tests/requests.rs
+++ b/crates/fulmarline/tests/requests.rs
@@ -349,7 +349,16 @@
         assert_eq!(runs.sum::<u32>(), 0, "{prompt}: {}", answer.result);
     }
     assert!(refused > 0);
-    let state = fleet.state("entry-1").unwrap();
-    assert!(state["own"]["overloaded_ms"].is_u64(), "{}", state["own"]);
-    assert!(state["own"]["overload_cause"].is_string());
+    // The dump shows the control thread's last step, which may be older than the refusal just read.
+    let own = fleet
+        .wait_for("the overload in the dump", OVERLOAD_SHOWN, |it| {
+            let state = it.state("entry-1").ok()?;
+            let own = state["own"].clone();
+            own["overloaded_ms"].is_u64().then_some(own)
+        })
+        .unwrap();
+    assert!(own["overload_cause"].is_string(), "{own}");
 }
+
+/// Longest wait for a state that the entry keeps for five seconds after the last refusal.
+const OVERLOAD_SHOWN: Duration = Duration::from_secs(4);
