Pure decisions of the weight spread

Cause: the transfer needs one place that decides who fetches which chunk from where. Change: a tracker per region and group of 64 chunks (entry owners by rendezvous, rarest first, least sent, offers between regions), the agent's books, token buckets, back-off, and baselines to measure against. Found by the differential test on the way: chunks held by an accused host counted as present, and a region that died whole went on offering its chunks. Shared types added to model: ChunkMask, ChunkSource, ChunkReport, ChunkAssignment, ChunkOffer.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -4,7 +4,10 @@
 
 mod attempt_id;
 mod chunk_announcement;
+mod chunk_mask;
+mod chunk_report;
 mod chunk_set;
+mod chunk_source;
 mod command_id;
 mod config_delta;
 mod content_digest;
@@ -31,7 +34,12 @@
 
 pub use attempt_id::AttemptId;
 pub use chunk_announcement::ChunkAnnouncement;
+pub use chunk_mask::ChunkMask;
+pub use chunk_report::{
+    ChunkAssignment, ChunkOffer, ChunkReport, FetchFailure, FetchFault, GroupKey,
+};
 pub use chunk_set::ChunkSet;
+pub use chunk_source::ChunkSource;
 pub use command_id::CommandId;
 pub use config_delta::{ConfigChange, ConfigDelta};
 pub use content_digest::{ContentDigest, VersionDigest};
--- /dev/null
+++ b/crates/spread/src/link_pace.rs
@@ -0,0 +1,80 @@
+//! The share of a host's link that chunks may use.
+
+use std::time::{Duration, Instant};
+
+use crate::token_bucket::TokenBucket;
+
+/// Paces the chunks that a host receives and sends together, leaving room for live requests.
+///
+/// The share shrinks at once when token gaps grow beyond what they are without a transfer, and grows back slowly.
+#[derive(Clone, Debug)]
+pub struct LinkPace {
+    link_bytes_per_s: f64,
+    share: f64,
+    quiet_gap: Option<Duration>,
+    adapted_at: Instant,
+    bucket: TokenBucket,
+}
+
+impl LinkPace {
+    /// Share of the link that a transfer may use while live requests do not suffer.
+    pub const MAX_SHARE: f64 = 0.92;
+    /// Share that a transfer keeps in any case, so that a rollout cannot starve.
+    pub const MIN_SHARE: f64 = 0.3;
+    /// Time between two changes of the share.
+    pub const ADAPT_EVERY: Duration = Duration::from_millis(250);
+
+    /// Creates the pace of a link that carries `link_bytes_per_s` in and out together.
+    pub fn new(link_bytes_per_s: f64, now: Instant) -> Self {
+        let rate = link_bytes_per_s * Self::MAX_SHARE;
+        Self {
+            link_bytes_per_s,
+            share: Self::MAX_SHARE,
+            quiet_gap: None,
+            adapted_at: now,
+            bucket: TokenBucket::new(rate, rate * BURST.as_secs_f64(), now),
+        }
+    }
+
+    /// Takes `bytes` and returns how long to wait before they may pass the link.
+    pub fn take(&mut self, bytes: u64, now: Instant) -> Duration {
+        self.bucket.take(bytes, now)
+    }
+
+    /// Notes the token gap while nothing is transferred; it is what later gaps are held against.
+    pub fn note_quiet_gap(&mut self, gap: Duration) {
+        self.quiet_gap = Some(gap);
+    }
+
+    /// Adapts the share to the token `gap` that live requests see during the transfer.
+    pub fn adapt(&mut self, gap: Duration, now: Instant) {
+        if now.saturating_duration_since(self.adapted_at) < Self::ADAPT_EVERY {
+            return;
+        }
+        self.adapted_at = now;
+        let Some(quiet_gap) = self.quiet_gap else {
+            return;
+        };
+        self.share = if gap > quiet_gap.mul_f64(GROWN_GAP) {
+            (self.share * SHRINK).max(Self::MIN_SHARE)
+        } else {
+            (self.share + GROW).min(Self::MAX_SHARE)
+        };
+        self.bucket
+            .set_rate(self.link_bytes_per_s * self.share, now);
+    }
+
+    /// Returns the share of the link in use.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+}
+
+/// Bytes that may pass at once, as time at the full rate.
+const BURST: Duration = Duration::from_millis(50);
+/// Growth of the token gap at which the transfer yields.
+const GROWN_GAP: f64 = 1.15;
+/// Factor on the share when it yields.
+const SHRINK: f64 = 0.8;
+/// Growth of the share while live requests do not suffer.
+const GROW: f64 = 0.02;
--- /dev/null
+++ b/crates/spread/tests/fleet/mod.rs
@@ -0,0 +1,286 @@
+//! A fleet of agents' books and trackers in memory, moved on in steps of time.
+
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use model::{
+    ChunkReport, ChunkSet, ChunkSource, FetchFault, HostName, Incarnation, RegionName,
+    VersionLabel, WeightManifest, ZoneName,
+};
+use spread::{ChunkTracker, FetchState, PlannedFetch, SpreadPolicy};
+
+/// One host: its books and the fetches under way with the bytes that are left.
+pub struct Host {
+    pub region: RegionName,
+    pub zone: ZoneName,
+    pub incarnation: u64,
+    pub alive: bool,
+    pub corrupts: bool,
+    pub state: FetchState,
+    pub running: Vec<(PlannedFetch, f64)>,
+    pub sent: u32,
+    pub done_at: Option<Duration>,
+}
+
+/// The fleet and the counters that its promises are held against.
+pub struct Fleet {
+    pub start: Instant,
+    pub now: Duration,
+    pub policy: SpreadPolicy,
+    pub manifest: WeightManifest,
+    pub hosts: BTreeMap<HostName, Host>,
+    pub trackers: BTreeMap<(RegionName, u32), ChunkTracker>,
+    pub origin_sent: BTreeMap<usize, u32>,
+    pub pair_sent: BTreeMap<(RegionName, RegionName, usize), u32>,
+    pub failed_entries: u32,
+    pub failed_crossings: u32,
+    pub seed: u64,
+    pub max_fetches: usize,
+}
+
+/// Rates in chunks a second.
+pub struct Rates {
+    pub host: f64,
+    pub origin: f64,
+    pub pair: f64,
+}
+
+pub fn manifest(label: &str, chunks: usize) -> WeightManifest {
+    let data: Vec<u8> = (0..chunks as u64)
+        .flat_map(|it| (it ^ label.len() as u64 * (it % 2)).to_le_bytes())
+        .collect();
+    let model = "m".parse().unwrap();
+    WeightManifest::describe(model, VersionLabel::new(label).unwrap(), 8, &data)
+}
+
+pub fn host_name(idx: usize) -> HostName {
+    HostName::new(format!("h{idx:03}")).unwrap()
+}
+
+pub fn region_name(idx: usize) -> RegionName {
+    RegionName::new(format!("r{idx}")).unwrap()
+}
+
+impl Fleet {
+    pub fn new(hosts: usize, regions: usize, chunks: usize, policy: SpreadPolicy) -> Self {
+        let mut fleet = Self {
+            start: Instant::now(),
+            now: Duration::ZERO,
+            policy,
+            manifest: manifest("v1", chunks),
+            hosts: BTreeMap::new(),
+            trackers: BTreeMap::new(),
+            origin_sent: BTreeMap::new(),
+            pair_sent: BTreeMap::new(),
+            failed_entries: 0,
+            failed_crossings: 0,
+            seed: 7,
+            max_fetches: 2,
+        };
+        for idx in 0..hosts {
+            fleet.join(idx, idx % regions);
+        }
+        fleet
+    }
+
+    pub fn join(&mut self, idx: usize, region: usize) {
+        let state = FetchState::new(&self.manifest, ChunkSet::default(), self.max_fetches);
+        let host = Host {
+            region: region_name(region),
+            zone: ZoneName::new(format!("z{region}-{}", idx / 7 % 2)).unwrap(),
+            incarnation: 1 + self.now.as_millis() as u64,
+            alive: true,
+            corrupts: false,
+            state,
+            running: Vec::new(),
+            sent: 0,
+            done_at: None,
+        };
+        self.hosts.insert(host_name(idx), host);
+    }
+
+    pub fn regions(&self) -> BTreeSet<RegionName> {
+        let live = self.hosts.values().filter(|it| it.alive);
+        live.map(|it| it.region.clone()).collect()
+    }
+
+    /// Lets `host` ask its trackers once.
+    pub fn ask(&mut self, name: &HostName) {
+        let regions = self.regions();
+        let (now, policy, seed) = (self.start + self.now, self.policy, self.seed);
+        let host = self.hosts.get_mut(name).unwrap();
+        if !host.alive {
+            return;
+        }
+        for group in 0..host.state.group_count() {
+            let (have, fetching, entering) = host.state.masks(group);
+            let report = ChunkReport {
+                host: name.clone(),
+                incarnation: Incarnation(host.incarnation),
+                zone: host.zone.clone(),
+                region: host.region.clone(),
+                peers: "127.0.0.1:1".parse().unwrap(),
+                key: host.state.group_key(group),
+                have,
+                fetching,
+                entering,
+                sent: host.state.sent_count(group),
+                room: host.state.room() as u8,
+                failures: host.state.take_failures(group),
+            };
+            let region = host.region.clone();
+            let tracker = self
+                .trackers
+                .entry((region.clone(), group))
+                .or_insert_with(|| ChunkTracker::new(report.key, region, policy, seed));
+            let assignments = tracker.plan(&report, &regions, now);
+            let starts = host.state.accept(group, assignments, now);
+            host.running.extend(starts.into_iter().map(|it| (it, 1.0)));
+        }
+    }
+
+    /// Lets the trackers of each pair of regions exchange offers.
+    pub fn exchange(&mut self) {
+        let now = self.start + self.now;
+        let keys: Vec<(RegionName, u32)> = self.trackers.keys().cloned().collect();
+        for (to, group) in &keys {
+            for (from, _) in keys.iter().filter(|(it, other)| it != to && other == group) {
+                let known = self.trackers[&(to.clone(), *group)].known_chunks();
+                let giver = self.trackers.get_mut(&(from.clone(), *group)).unwrap();
+                let offers = giver.offer(known, 8, now);
+                let taker = self.trackers.get_mut(&(to.clone(), *group)).unwrap();
+                taker.take_offers(from, &offers);
+            }
+        }
+    }
+
+    /// Ends one fetch as its source allows.
+    pub fn finish(&mut self, name: &HostName, chunk: usize) {
+        let now = self.start + self.now;
+        let host = self.hosts.get_mut(name).unwrap();
+        let Some(place) = host.running.iter().position(|(it, _)| it.chunk == chunk) else {
+            return;
+        };
+        let (fetch, _) = host.running.remove(place);
+        let to = host.region.clone();
+        let fault = match fetch.source.host() {
+            None => {
+                *self.origin_sent.entry(chunk).or_default() += 1;
+                None
+            }
+            Some(source) => self.serve(source.clone(), chunk, &to),
+        };
+        let crosses = matches!(fetch.source, ChunkSource::Region { .. });
+        let host = self.hosts.get_mut(name).unwrap();
+        match fault {
+            None => host.state.arrived(chunk),
+            Some(fault) => {
+                host.state.failed(chunk, fault, now);
+                self.failed_crossings += u32::from(crosses);
+                self.failed_entries += u32::from(fetch.source.enters_region());
+            }
+        }
+        let host = self.hosts.get_mut(name).unwrap();
+        if host.state.is_complete() && host.done_at.is_none() {
+            host.done_at = Some(self.now);
+        }
+    }
+
+    fn serve(&mut self, source: HostName, chunk: usize, to: &RegionName) -> Option<FetchFault> {
+        let version = self.hosts[&source].state.version();
+        let host = self.hosts.get_mut(&source).unwrap();
+        if !host.alive {
+            return Some(FetchFault::Stalled);
+        }
+        if version != self.manifest.version() || !host.state.have().contains(chunk) {
+            return Some(FetchFault::Absent);
+        }
+        host.state.sent(chunk);
+        host.sent += 1;
+        if host.region != *to {
+            let key = (host.region.clone(), to.clone(), chunk);
+            *self.pair_sent.entry(key).or_default() += 1;
+        }
+        host.corrupts.then_some(FetchFault::Corrupted)
+    }
+
+    /// Moves all fetches on by `step`; a link's rate goes to its fetches in rounds, so that what one cannot use is
+    /// left to the others.
+    pub fn advance(&mut self, step: Duration, rates: &Rates) {
+        self.now += step;
+        let mut fetches: Vec<(HostName, usize, Vec<usize>, f64)> = Vec::new();
+        let mut links: BTreeMap<String, usize> = BTreeMap::new();
+        let mut left: Vec<f64> = Vec::new();
+        for (name, host) in self.hosts.iter().filter(|(_, it)| it.alive) {
+            for (fetch, _) in &host.running {
+                let names = link_names(name, &host.region, &fetch.source);
+                let ids = names.into_iter().map(|(link, rate)| {
+                    *links.entry(link).or_insert_with(|| {
+                        left.push(rate(rates));
+                        left.len() - 1
+                    })
+                });
+                fetches.push((name.clone(), fetch.chunk, ids.collect(), 0.0));
+            }
+        }
+        for _ in 0..SHARING_ROUNDS {
+            let mut uses = vec![0.0; left.len()];
+            let is_open = |ids: &[usize], left: &[f64]| ids.iter().all(|&id| left[id] > 1e-9);
+            for (_, _, ids, _) in &fetches {
+                if is_open(ids, &left) {
+                    ids.iter().for_each(|&id| uses[id] += 1.0);
+                }
+            }
+            let before = left.clone();
+            for (_, _, ids, rate) in &mut fetches {
+                if is_open(ids, &before) {
+                    let shares = ids.iter().map(|&id| before[id] / uses[id]);
+                    let share = shares.fold(f64::INFINITY, f64::min);
+                    *rate += share;
+                    ids.iter().for_each(|&id| left[id] -= share);
+                }
+            }
+        }
+        for (name, chunk, _, rate) in fetches {
+            let host = self.hosts.get_mut(&name).unwrap();
+            let running = host.running.iter_mut().find(|(it, _)| it.chunk == chunk);
+            let (_, chunk_left) = running.unwrap();
+            *chunk_left -= rate * step.as_secs_f64();
+            if *chunk_left <= 0.0 {
+                self.finish(&name, chunk);
+            }
+        }
+    }
+
+    pub fn is_done(&self) -> bool {
+        let mut live = self.hosts.values().filter(|it| it.alive);
+        live.all(|it| it.state.is_complete())
+    }
+
+    pub fn origin_copies(&self) -> f64 {
+        let chunks: u32 = self.origin_sent.values().sum();
+        f64::from(chunks) / self.manifest.chunk_count() as f64
+    }
+}
+
+type LinkRate = fn(&Rates) -> f64;
+
+fn link_names(host: &HostName, to: &RegionName, source: &ChunkSource) -> Vec<(String, LinkRate)> {
+    let host_rate: LinkRate = |it| it.host;
+    let mut links = vec![(format!("host {host}"), host_rate)];
+    if let Some(host) = source.host() {
+        links.push((format!("host {host}"), host_rate));
+    }
+    match source {
+        ChunkSource::Origin => links.push(("origin".into(), |it| it.origin)),
+        ChunkSource::Region { region, .. } => {
+            links.push((format!("pair {region} {to}"), |it| it.pair));
+        }
+        ChunkSource::Peer { .. } => {}
+    }
+    links
+}
+
+const SHARING_ROUNDS: usize = 4;
