--- a/crates/entry/src/control/control_server.rs
+++ b/crates/entry/src/control/control_server.rs
@@ -1,31 +1,33 @@
 //! Answers the control calls of agents and other entries.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
-use std::time::Instant;
 
 use anyhow::Context;
 use futures::StreamExt;
-use model::{ConfigRevision, FleetConfig, TargetRow, VersionDigest};
+use model::{
+    ChunkMask, ChunkOffer, ChunkReport, ConfigRevision, FleetConfig, GroupKey, RegionName, TargetRow,
+};
 use settings::EntrySettings;
 use slog::Logger;
 use tarpc::server::{BaseChannel, Channel};
 use wire::{
-    EntryControl, EntrySummary, HeartbeatReply, PlanReply, PlanRequest, WireCounters, context,
+    ChunkReply, EntryControl, EntrySummary, HeartbeatReply, WireCounters, context,
 };
 
 use crate::control::control_event::ControlEvent;
 use crate::control::control_snapshot::{ControlSnapshot, SnapshotCell};
 use crate::control::exchange_loop;
-use crate::tracker::ChunkTracker;
+use crate::tracker::TrackerSet;
 
 /// Starts the listener for control calls.
 pub(crate) async fn serve(
     settings: &Arc<EntrySettings>,
     events: Sender<ControlEvent>,
     snapshots: Arc<SnapshotCell>,
-    tracker: Arc<ChunkTracker>,
+    trackers: Arc<TrackerSet>,
     counters: WireCounters,
     log: Logger,
 ) -> anyhow::Result<()> {
@@ -36,7 +38,7 @@
     let server = ControlServer {
         events,
         snapshots,
-        tracker,
+        trackers,
         counters: counters.clone(),
     };
     tokio::spawn(async move {
@@ -62,7 +64,7 @@
 struct ControlServer {
     events: Sender<ControlEvent>,
     snapshots: Arc<SnapshotCell>,
-    tracker: Arc<ChunkTracker>,
+    trackers: Arc<TrackerSet>,
     counters: WireCounters,
 }
 
@@ -85,13 +87,26 @@
         reply
     }
 
-    async fn plan(self, _: context::Context, request: PlanRequest) -> PlanReply {
+    async fn report_chunks(
+        self,
+        _: context::Context,
+        report: ChunkReport,
+        avoid: Vec<SocketAddr>,
+    ) -> ChunkReply {
         self.counters.add_message();
         let snapshot = self.snapshots.load();
-        let Some(count) = chunk_count(&snapshot, request.announcement.version) else {
-            return PlanReply::default();
-        };
-        self.tracker.plan(request, count, Instant::now())
+        self.trackers.report(&snapshot, report, &avoid).await
+    }
+
+    async fn offer_chunks(
+        self,
+        _: context::Context,
+        key: GroupKey,
+        region: RegionName,
+        known: ChunkMask,
+    ) -> Vec<ChunkOffer> {
+        self.counters.add_message();
+        self.trackers.offer(&region, &key, known)
     }
 
     async fn exchange(self, _: context::Context, summary: EntrySummary) -> EntrySummary {
@@ -115,14 +130,6 @@
         .map(|it| FleetConfig::clone(it))
 }
 
-fn chunk_count(snapshot: &ControlSnapshot, version: VersionDigest) -> Option<usize> {
-    let config = snapshot.config.as_ref()?;
-    let mut manifests = config.models.values().map(|it| &it.manifest);
-    manifests
-        .find(|it| it.version() == version)
-        .map(|it| it.chunk_count())
-}
-
 fn control_addresses(snapshot: &ControlSnapshot) -> Vec<std::net::SocketAddr> {
     let others = snapshot.entries.values().map(|it| &it.row);
     let live: BTreeSet<_> = others
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,7 +18,7 @@
 
 use crate::calls::{CallCounters, CallServer};
 use crate::control::{ControlThread, SnapshotCell};
-use crate::tracker::ChunkTracker;
+use crate::tracker::TrackerSet;
 
 /// Runs an entry until a planned stop has ended.
 ///
@@ -35,7 +35,7 @@
     let snapshots = Arc::new(SnapshotCell::default());
     let counters = wire::WireCounters::default();
     let calls = Arc::new(CallCounters::default());
-    let tracker = Arc::new(ChunkTracker::new(settings.sources.origin));
+    let tracker = Arc::new(TrackerSet::new(settings.clone()));
     let table = TableClient::new(settings.platform.table, TABLE_TIMEOUT);
 
     let control = ControlThread::start(
@@ -65,9 +65,17 @@
 
     runtime.block_on(async {
         let events = control.sender();
-        control::serve(&settings, events.clone(), snapshots.clone(), tracker, counters.clone(), log.clone())
+        let offer_counters = counters.clone();
+        control::serve(&settings, events.clone(), snapshots.clone(), tracker.clone(), counters.clone(), log.clone())
             .await?;
         tokio::spawn(control::exchange_loop(settings.clone(), snapshots.clone(), events, counters, log.clone()));
+        tokio::spawn(tracker::offer_loop(
+            settings.clone(),
+            snapshots.clone(),
+            tracker,
+            offer_counters,
+            log.clone(),
+        ));
         let server = CallServer::new(settings.clone(), snapshots.clone(), table, calls.clone(), log.clone());
         let listener = server.start()?;
         info!(log, "entry started"; "callers" => %settings.listen.callers);
--- a/crates/entry/src/tracker/mod.rs
+++ b/crates/entry/src/tracker/mod.rs
@@ -1,5 +1,7 @@
 //! Which hosts hold which chunks, and who fetches what from whom.
 
-mod chunk_tracker;
+mod offer_loop;
+mod tracker_set;
 
-pub(crate) use chunk_tracker::ChunkTracker;
+pub(crate) use offer_loop::offer_loop;
+pub(crate) use tracker_set::TrackerSet;
--- a/crates/model/src/chunk_report.rs
+++ b/crates/model/src/chunk_report.rs
@@ -28,6 +28,8 @@
     pub host: HostName,
     /// Which process under that host name.
     pub incarnation: Incarnation,
+    /// Grows with every report of an incarnation, so that a late one is recognised.
+    pub sequence: u64,
     /// The host's availability zone.
     pub zone: ZoneName,
     /// The host's region.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -3,7 +3,6 @@
 //! Every other crate builds on it. It knows values only: no sockets, no files, no clocks and no decisions.
 
 mod attempt_id;
-mod chunk_announcement;
 mod chunk_mask;
 mod chunk_report;
 mod chunk_set;
@@ -33,7 +32,6 @@
 mod weight_manifest;
 
 pub use attempt_id::AttemptId;
-pub use chunk_announcement::ChunkAnnouncement;
 pub use chunk_mask::ChunkMask;
 pub use chunk_report::{
     ChunkAssignment, ChunkOffer, ChunkReport, FetchFailure, FetchFault, GroupKey,
--- a/crates/spread/src/chunk_tracker.rs
+++ b/crates/spread/src/chunk_tracker.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// Tells whether a newer report of the same host has been taken.
+    pub fn is_superseded(&self, report: &ChunkReport) -> bool {
+        let known = self.hosts.get(&report.host);
+        known.is_some_and(|it| (it.incarnation, it.sequence) > (report.incarnation, report.sequence))
+    }
+
     /// Replaces the limits, which operators change at run time.
     pub fn set_policy(&mut self, policy: SpreadPolicy) {
         self.policy = policy;
@@ -409,10 +415,10 @@
 
     /// Takes the state of a report over and returns whether it comes from the newest process of its host.
     fn absorb(&mut self, report: &ChunkReport, now: Instant) -> bool {
-        let known = self.hosts.get(&report.host).map(|it| it.incarnation);
-        if known.is_some_and(|it| it > report.incarnation) {
+        if self.is_superseded(report) {
             return false;
         }
+        let known = self.hosts.get(&report.host).map(|it| it.incarnation);
         if known.is_some_and(|it| it < report.incarnation) {
             self.forget(&report.host);
         }
@@ -428,13 +434,17 @@
             return false;
         };
         state.seen = now;
+        state.sequence = report.sequence;
         state.sent = report.sent;
         state.have = ChunkMask(report.have.0 & all.0);
+        // An assignment may still be on its way to the host, which then cannot report it yet.
+        let is_unknown = |it: &PendingFetch| now.saturating_duration_since(it.since) < REPLY_GRACE;
         let ended: Vec<u8> = state
             .fetches
-            .keys()
-            .copied()
-            .filter(|&it| !report.fetching.contains(it))
+            .iter()
+            .filter(|(slot, _)| !report.fetching.contains(**slot))
+            .filter(|(slot, it)| report.have.contains(**slot) || !is_unknown(it))
+            .map(|(slot, _)| *slot)
             .collect();
         for slot in report.fetching.slots() {
             state.fetches.entry(slot).or_insert(PendingFetch {
@@ -579,5 +589,7 @@
 const UPLOAD_WEIGHT: u32 = 4;
 /// How long a host that failed to bring a chunk in leaves it to the next one.
 const EXCUSE: Duration = Duration::from_secs(5);
+/// How long an assignment may be on its way to its host.
+const REPLY_GRACE: Duration = Duration::from_millis(1500);
 /// The shortest patience that is taken seriously, in seconds.
 const SHORTEST_PATIENCE_S: f64 = 0.5;
--- a/crates/spread/src/holder_state.rs
+++ b/crates/spread/src/holder_state.rs
@@ -13,6 +13,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct HolderState {
     pub(crate) incarnation: Incarnation,
+    pub(crate) sequence: u64,
     pub(crate) zone: ZoneName,
     pub(crate) address: SocketAddr,
     pub(crate) name_hash: u64,
@@ -41,6 +42,7 @@
     pub(crate) fn new(report: &ChunkReport, now: Instant) -> Self {
         Self {
             incarnation: report.incarnation,
+            sequence: report.sequence,
             zone: report.zone.clone(),
             address: report.peers,
             name_hash: rendezvous::name_hash(report.host.as_str()),
--- a/crates/spread/src/link_pace.rs
+++ b/crates/spread/src/link_pace.rs
@@ -10,6 +10,7 @@
 #[derive(Clone, Debug)]
 pub struct LinkPace {
     link_bytes_per_s: f64,
+    max_share: f64,
     share: f64,
     quiet_gap: Option<Duration>,
     adapted_at: Instant,
@@ -17,19 +18,19 @@
 }
 
 impl LinkPace {
-    /// Share of the link that a transfer may use while live requests do not suffer.
-    pub const MAX_SHARE: f64 = 0.92;
     /// Share that a transfer keeps in any case, so that a rollout cannot starve.
     pub const MIN_SHARE: f64 = 0.3;
     /// Time between two changes of the share.
     pub const ADAPT_EVERY: Duration = Duration::from_millis(250);
 
-    /// Creates the pace of a link that carries `link_bytes_per_s` in and out together.
-    pub fn new(link_bytes_per_s: f64, now: Instant) -> Self {
-        let rate = link_bytes_per_s * Self::MAX_SHARE;
+    /// Creates the pace of a link that carries `link_bytes_per_s` in and out together, of which a transfer may use
+    /// `max_share` while live requests do not suffer.
+    pub fn new(link_bytes_per_s: f64, max_share: f64, now: Instant) -> Self {
+        let rate = link_bytes_per_s * max_share;
         Self {
             link_bytes_per_s,
-            share: Self::MAX_SHARE,
+            max_share,
+            share: max_share,
             quiet_gap: None,
             adapted_at: now,
             bucket: TokenBucket::new(rate, rate * BURST.as_secs_f64(), now),
@@ -56,9 +57,9 @@
             return;
         };
         self.share = if gap > quiet_gap.mul_f64(GROWN_GAP) {
-            (self.share * SHRINK).max(Self::MIN_SHARE)
+            (self.share * SHRINK).max(Self::MIN_SHARE.min(self.max_share))
         } else {
-            (self.share + GROW).min(Self::MAX_SHARE)
+            (self.share + GROW).min(self.max_share)
         };
         self.bucket
             .set_rate(self.link_bytes_per_s * self.share, now);
--- a/crates/spread/tests/fleet/mod.rs
+++ b/crates/spread/tests/fleet/mod.rs
@@ -49,7 +49,7 @@
 
 pub fn manifest(label: &str, chunks: usize) -> WeightManifest {
     let data: Vec<u8> = (0..chunks as u64)
-        .flat_map(|it| (it ^ label.len() as u64 * (it % 2)).to_le_bytes())
+        .flat_map(|it| (it ^ (label.len() as u64 * (it % 2))).to_le_bytes())
         .collect();
     let model = "m".parse().unwrap();
     WeightManifest::describe(model, VersionLabel::new(label).unwrap(), 8, &data)
@@ -122,7 +122,8 @@
                 zone: host.zone.clone(),
                 region: host.region.clone(),
                 peers: "127.0.0.1:1".parse().unwrap(),
-                key: host.state.group_key(group),
+                sequence: self.now.as_nanos() as u64,
+            key: host.state.group_key(group),
                 have,
                 fetching,
                 entering,
