--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -20,7 +20,7 @@
 
 use crate::control::{AgentView, ControlThread};
 use crate::gate::GateShared;
-use crate::transfer::ChunkStore;
+use crate::transfer::{ChunkStore, TransferPace, TransferParts};
 
 /// Runs an agent until a planned stop has ended.
 ///
@@ -36,6 +36,7 @@
     let settings = Arc::new(settings);
     let gate = Arc::new(GateShared::new(max_in_flight(&settings.target)));
     let store = Arc::new(ChunkStore::new(settings.spread.memory_bytes));
+    let pace = Arc::new(TransferPace::new(&settings.spread));
     let counters = wire::WireCounters::default();
     let view = Arc::new(AgentView::new(Incarnation(new_incarnation())));
 
@@ -48,7 +49,7 @@
     )?;
     runtime.block_on(async {
         let gate_listener = gate::serve(&settings, gate.clone(), log.clone())?;
-        let _peers = transfer::serve(&settings, store.clone())?;
+        let _peers = transfer::serve(&settings, store.clone(), pace.clone())?;
         control::serve(&settings, gate.clone(), counters.clone(), log.clone()).await?;
         tokio::spawn(control::heartbeat_loop(
             settings.clone(),
@@ -59,13 +60,15 @@
             counters.clone(),
             log.clone(),
         ));
-        tokio::spawn(transfer::transfer_loop(
-            settings.clone(),
-            store.clone(),
-            view.clone(),
-            counters.clone(),
-            log.clone(),
-        ));
+        tokio::spawn(transfer::transfer_loop(TransferParts {
+            settings: settings.clone(),
+            store: store.clone(),
+            view: view.clone(),
+            gate: gate.clone(),
+            pace,
+            counters: counters.clone(),
+            log: log.clone(),
+        }));
         operators::serve(
             settings.listen.operators,
             view.clone(),
--- a/crates/agent/src/transfer/chunk_server.rs
+++ b/crates/agent/src/transfer/chunk_server.rs
@@ -5,44 +5,116 @@
 use anyhow::Context;
 use bytes::{Bytes, BytesMut};
 use httpio::{HttpServer, Incoming, ReplyBody, Request, Response, StatusCode};
+use hyper::body::Frame;
 use model::VersionDigest;
 use settings::AgentSettings;
+use tokio::sync::Semaphore;
 
 use crate::transfer::chunk_store::ChunkStore;
+use crate::transfer::transfer_pace::TransferPace;
+
+/// What the listener works with.
+#[derive(Clone)]
+struct ServerParts {
+    store: Arc<ChunkStore>,
+    pace: Arc<TransferPace>,
+    /// Chunks that may be sent at once; a peer that comes above them is told to come back.
+    uploads: Arc<Semaphore>,
+}
 
 /// Starts the listener for peers and for the engine.
 pub(crate) fn serve(
     settings: &AgentSettings,
     store: Arc<ChunkStore>,
+    pace: Arc<TransferPace>,
 ) -> anyhow::Result<httpio::ServerHandle> {
     let server = HttpServer::bind(settings.listen.peers, httpio::ServerLimits::default())
         .with_context(|| format!("cannot listen on {}", settings.listen.peers))?;
+    let parts = ServerParts {
+        store,
+        pace,
+        uploads: Arc::new(Semaphore::new(settings.spread.serve_parallel)),
+    };
     Ok(server.serve(move |request, _peer| {
-        let reply = answer(&request, &store);
+        let reply = answer(&request, &parts);
         async move { reply }
     })?)
 }
 
-fn answer(request: &Request<Incoming>, store: &ChunkStore) -> Response<ReplyBody> {
-    let parts: Vec<&str> = request
+fn answer(request: &Request<Incoming>, parts: &ServerParts) -> Response<ReplyBody> {
+    let segments: Vec<&str> = request
         .uri()
         .path()
         .trim_start_matches('/')
         .split('/')
         .collect();
-    let bytes = match parts[..] {
-        ["chunks", version, idx] => chunk(store, version, idx),
-        ["weights", version] => return weights(request, store, version),
-        _ => None,
+    match segments[..] {
+        ["chunks", version, idx] => chunk(request, parts, version, idx),
+        ["weights", version] => weights(request, &parts.store, version),
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn chunk(
+    request: &Request<Incoming>,
+    parts: &ServerParts,
+    version: &str,
+    idx: &str,
+) -> Response<ReplyBody> {
+    let (Ok(version), Ok(idx)) = (version.parse(), idx.parse()) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let Some(bytes) = parts.store.chunk(version, idx) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let total = bytes.len() as u64;
+    let Some((start, end)) = requested_range(request, total) else {
+        return status(StatusCode::RANGE_NOT_SATISFIABLE);
+    };
+    let Ok(upload) = parts.uploads.clone().try_acquire_owned() else {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
     };
-    match bytes {
-        Some(bytes) => Response::new(httpio::full(bytes)),
-        None => status(StatusCode::NOT_FOUND),
+    let (sender, body) = httpio::stream(1);
+    let part = bytes.slice(start as usize..end as usize);
+    let parts = parts.clone();
+    tokio::spawn(async move {
+        if send_paced(&parts.pace, &sender, part).await {
+            parts.store.note_sent(idx);
+        }
+        drop(upload);
+    });
+    partial(body, start, end, total)
+}
+
+/// Sends `bytes` in pieces as the link allows and returns whether the peer took them all.
+async fn send_paced(pace: &TransferPace, sender: &httpio::BodySender, mut bytes: Bytes) -> bool {
+    while !bytes.is_empty() {
+        let piece = bytes.split_to(bytes.len().min(PIECE_BYTES));
+        pace.take(piece.len() as u64).await;
+        if sender.send(Ok(Frame::data(piece))).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
+fn requested_range(request: &Request<Incoming>, total: u64) -> Option<(u64, u64)> {
+    let range = request.headers().get(httpio::header::RANGE);
+    match range.and_then(|it| it.to_str().ok()) {
+        None => Some((0, total)),
+        Some(it) => parse_range(it, total),
     }
 }
 
-fn chunk(store: &ChunkStore, version: &str, idx: &str) -> Option<Bytes> {
-    store.chunk(version.parse().ok()?, idx.parse().ok()?)
+fn partial(body: ReplyBody, start: u64, end: u64, total: u64) -> Response<ReplyBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::PARTIAL_CONTENT;
+    if let Ok(value) = format!("bytes {start}-{}/{total}", end - 1).parse() {
+        let headers = response.headers_mut();
+        headers.insert(httpio::header::CONTENT_RANGE, value);
+        headers.insert(httpio::header::CONTENT_LENGTH, (end - start).into());
+    }
+    response
 }
 
 fn weights(request: &Request<Incoming>, store: &ChunkStore, version: &str) -> Response<ReplyBody> {
@@ -52,28 +124,16 @@
     let Some(manifest) = store.manifest(version) else {
         return status(StatusCode::NOT_FOUND);
     };
-    let range = request
-        .headers()
-        .get(httpio::header::RANGE)
-        .and_then(|it| it.to_str().ok());
-    let Some((start, end)) = range.map_or(Some((0, manifest.total_bytes)), |it| {
-        parse_range(it, manifest.total_bytes)
-    }) else {
+    let Some((start, end)) = requested_range(request, manifest.total_bytes) else {
         return status(StatusCode::RANGE_NOT_SATISFIABLE);
     };
     let Some(bytes) = read_range(store, version, manifest.chunk_bytes, start, end) else {
         return status(StatusCode::NOT_FOUND);
     };
-    let mut response = Response::new(httpio::full(bytes));
-    if range.is_some() {
-        *response.status_mut() = StatusCode::PARTIAL_CONTENT;
-        if let Ok(value) = format!("bytes {start}-{}/{}", end - 1, manifest.total_bytes).parse() {
-            response
-                .headers_mut()
-                .insert(httpio::header::CONTENT_RANGE, value);
-        }
+    if !request.headers().contains_key(httpio::header::RANGE) {
+        return Response::new(httpio::full(bytes));
     }
-    response
+    partial(httpio::full(bytes), start, end, manifest.total_bytes)
 }
 
 fn read_range(
@@ -113,3 +173,6 @@
     *response.status_mut() = code;
     response
 }
+
+/// Bytes that leave at once, so that live answers get in between.
+const PIECE_BYTES: usize = 8 * 1024;
--- a/crates/agent/src/transfer/chunk_store.rs
+++ b/crates/agent/src/transfer/chunk_store.rs
@@ -13,6 +13,7 @@
 pub(crate) struct ChunkStore {
     max_bytes: u64,
     held: Mutex<Option<HeldVersion>>,
+    sent: Mutex<Vec<usize>>,
 }
 
 #[derive(Debug)]
@@ -21,6 +22,8 @@
     version: VersionDigest,
     chunks: Vec<Option<Bytes>>,
     have: ChunkSet,
+    /// Whether the chunks were complete once and were freed, because every engine has them.
+    released: bool,
 }
 
 impl ChunkStore {
@@ -28,6 +31,7 @@
         Self {
             max_bytes,
             held: Mutex::new(None),
+            sent: Mutex::default(),
         }
     }
 
@@ -60,6 +64,7 @@
             version,
             chunks,
             have,
+            released: false,
         });
         true
     }
@@ -71,6 +76,44 @@
             .map(|it| (it.version, it.manifest.clone(), it.have.clone()))
     }
 
+    /// Returns the version to fetch.
+    pub(crate) fn goal_version(&self) -> Option<VersionDigest> {
+        self.lock().as_ref().map(|it| it.version)
+    }
+
+    /// Frees the chunks of `version`.
+    pub(crate) fn release(&self, version: VersionDigest) {
+        let mut held = self.lock();
+        if let Some(held) = held.as_mut().filter(|it| it.version == version) {
+            held.chunks.fill(None);
+            held.have = ChunkSet::default();
+            held.released = true;
+        }
+    }
+
+    /// Takes note that chunks are needed again after they were freed.
+    pub(crate) fn reclaim(&self) {
+        if let Some(held) = self.lock().as_mut() {
+            held.released = false;
+        }
+    }
+
+    /// Notes that chunk `idx` was sent to another host.
+    pub(crate) fn note_sent(&self, idx: usize) {
+        self.lock_sent().push(idx);
+    }
+
+    /// Returns the chunks sent since the last call.
+    pub(crate) fn take_sent(&self) -> Vec<usize> {
+        std::mem::take(&mut *self.lock_sent())
+    }
+
+    fn lock_sent(&self) -> MutexGuard<'_, Vec<usize>> {
+        self.sent
+            .lock()
+            .expect("no holder of the counter's lock panics")
+    }
+
     /// Keeps `bytes` as chunk `idx` of `version` and returns whether their digest is right.
     pub(crate) fn insert(&self, version: VersionDigest, idx: usize, bytes: Bytes) -> bool {
         let digest = ContentDigest::of(&bytes);
@@ -127,7 +170,11 @@
     pub(crate) fn state(&self) -> Option<TransferState> {
         self.lock().as_ref().map(|it| TransferState {
             version: it.version,
-            have_chunks: it.have.len() as u32,
+            have_chunks: if it.released {
+                it.chunks.len() as u32
+            } else {
+                it.have.len() as u32
+            },
             total_chunks: it.chunks.len() as u32,
         })
     }
--- a/crates/entry/src/control/control_server.rs
+++ b/crates/entry/src/control/control_server.rs
@@ -8,14 +8,13 @@
 use anyhow::Context;
 use futures::StreamExt;
 use model::{
-    ChunkMask, ChunkOffer, ChunkReport, ConfigRevision, FleetConfig, GroupKey, RegionName, TargetRow,
+    ChunkMask, ChunkOffer, ChunkReport, ConfigRevision, FleetConfig, GroupKey, RegionName,
+    TargetRow,
 };
 use settings::EntrySettings;
 use slog::Logger;
 use tarpc::server::{BaseChannel, Channel};
-use wire::{
-    ChunkReply, EntryControl, EntrySummary, HeartbeatReply, WireCounters, context,
-};
+use wire::{ChunkReply, EntryControl, EntrySummary, HeartbeatReply, WireCounters, context};
 
 use crate::control::control_event::ControlEvent;
 use crate::control::control_snapshot::{ControlSnapshot, SnapshotCell};
--- a/crates/entry/src/tracker/offer_loop.rs
+++ b/crates/entry/src/tracker/offer_loop.rs
@@ -34,7 +34,15 @@
         }
         for wish in trackers.offer_wishes() {
             for region in other_regions(&snapshot, &wish) {
-                let asked = ask(&settings, &snapshot, &trackers, &mut clients, &counters, &wish, &region);
+                let asked = ask(
+                    &settings,
+                    &snapshot,
+                    &trackers,
+                    &mut clients,
+                    &counters,
+                    &wish,
+                    &region,
+                );
                 if let Ok(Err(err)) = tokio::time::timeout(ASK_TIMEOUT, asked).await {
                     debug!(log, "no offers"; "region" => %region, "reason" => %err);
                 }
@@ -69,7 +77,8 @@
         clients.insert(address, client);
     }
     counters.add_message();
-    let asked = clients[&address].offer_chunks(context::current(), wish.key, region.clone(), wish.known);
+    let asked =
+        clients[&address].offer_chunks(context::current(), wish.key, region.clone(), wish.known);
     match asked.await {
         Ok(offers) if offers.is_empty() => {}
         Ok(offers) => trackers.take_offers(wish, region, &offers),
--- a/crates/entry/src/tracker/tracker_set.rs
+++ b/crates/entry/src/tracker/tracker_set.rs
@@ -54,7 +54,13 @@
         avoid: &[SocketAddr],
     ) -> ChunkReply {
         let policy = policy(&self.settings, snapshot.config.as_deref());
-        let tracker = tracker_entry(snapshot, &report.key, &report.region, policy.strategy, avoid);
+        let tracker = tracker_entry(
+            snapshot,
+            &report.key,
+            &report.region,
+            policy.strategy,
+            avoid,
+        );
         if let Some(it) = tracker
             && it.host != self.settings.host.name
         {
@@ -65,7 +71,11 @@
         }
         let regions: BTreeSet<RegionName> = match policy.strategy {
             SpreadStrategy::RandomPeers => BTreeSet::new(),
-            _ => snapshot.targets.values().map(|it| it.row.region.clone()).collect(),
+            _ => snapshot
+                .targets
+                .values()
+                .map(|it| it.row.region.clone())
+                .collect(),
         };
         let released = is_released(snapshot, report.key.version);
         let deadline = tokio::time::Instant::now() + LONG_POLL;
@@ -187,7 +197,11 @@
         .chain(&snapshot.own)
         .filter(|it| !it.leaving && !avoid.contains(&it.control))
         .collect();
-    let near: Vec<&EntryRow> = live.iter().copied().filter(|it| it.region == *region).collect();
+    let near: Vec<&EntryRow> = live
+        .iter()
+        .copied()
+        .filter(|it| it.region == *region)
+        .collect();
     let any_region = near.is_empty() || strategy == SpreadStrategy::RandomPeers;
     let entries = if any_region { live } else { near };
     let name = spread::tracker_of(key, entries.iter().map(|it| it.host.as_str()))?.to_string();
@@ -219,7 +233,11 @@
         return false;
     };
     let kind = TargetKind::Model(model.clone());
-    let mut rows = snapshot.targets.values().map(|it| &it.row).filter(|it| it.kind == kind);
+    let mut rows = snapshot
+        .targets
+        .values()
+        .map(|it| &it.row)
+        .filter(|it| it.kind == kind);
     rows.all(|it| it.serving == Some(version))
 }
 
--- a/crates/spread/src/chunk_tracker.rs
+++ b/crates/spread/src/chunk_tracker.rs
@@ -58,7 +58,8 @@
     /// Tells whether a newer report of the same host has been taken.
     pub fn is_superseded(&self, report: &ChunkReport) -> bool {
         let known = self.hosts.get(&report.host);
-        known.is_some_and(|it| (it.incarnation, it.sequence) > (report.incarnation, report.sequence))
+        known
+            .is_some_and(|it| (it.incarnation, it.sequence) > (report.incarnation, report.sequence))
     }
 
     /// Replaces the limits, which operators change at run time.
--- a/crates/spread/src/fetch_state.rs
+++ b/crates/spread/src/fetch_state.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns the group of `chunk`.
+    pub fn group_of(chunk: usize) -> u32 {
+        place_of(chunk).0
+    }
+
     /// Returns the number of fetches that may still be started.
     pub fn room(&self) -> usize {
         self.max_fetches.saturating_sub(self.fetches.len())
--- a/crates/spread/tests/fleet/mod.rs
+++ b/crates/spread/tests/fleet/mod.rs
@@ -123,7 +123,7 @@
                 region: host.region.clone(),
                 peers: "127.0.0.1:1".parse().unwrap(),
                 sequence: self.now.as_nanos() as u64,
-            key: host.state.group_key(group),
+                key: host.state.group_key(group),
                 have,
                 fetching,
                 entering,
--- a/crates/spread/tests/spread_time.rs
+++ b/crates/spread/tests/spread_time.rs
@@ -48,12 +48,32 @@
 
 #[test]
 fn spreads_near_the_bound() {
-    check(25, 3, 4, expect!["done true time 1.12 windows, origin 1.53, most sent 1.06, crossed twice 0"]);
-    check(100, 3, 4, expect!["done true time 1.15 windows, origin 1.58, most sent 1.08, crossed twice 0"]);
+    check(
+        25,
+        3,
+        4,
+        expect!["done true time 1.12 windows, origin 1.53, most sent 1.06, crossed twice 0"],
+    );
+    check(
+        100,
+        3,
+        4,
+        expect!["done true time 1.15 windows, origin 1.58, most sent 1.08, crossed twice 0"],
+    );
 }
 
 #[test]
 fn spreads_near_the_bound_with_few_origin_bytes() {
-    check(100, 3, 1, expect!["done true time 1.16 windows, origin 1.00, most sent 1.11, crossed twice 0"]);
-    check(60, 6, 1, expect!["done true time 1.22 windows, origin 1.00, most sent 1.23, crossed twice 0"]);
+    check(
+        100,
+        3,
+        1,
+        expect!["done true time 1.16 windows, origin 1.00, most sent 1.11, crossed twice 0"],
+    );
+    check(
+        60,
+        6,
+        1,
+        expect!["done true time 1.22 windows, origin 1.00, most sent 1.23, crossed twice 0"],
+    );
 }
--- a/crates/wire/src/entry_control.rs
+++ b/crates/wire/src/entry_control.rs
@@ -6,7 +6,8 @@
 use std::net::SocketAddr;
 
 use model::{
-    ChunkMask, ChunkOffer, ChunkReport, ConfigRevision, FleetConfig, GroupKey, RegionName, TargetRow,
+    ChunkMask, ChunkOffer, ChunkReport, ConfigRevision, FleetConfig, GroupKey, RegionName,
+    TargetRow,
 };
 
 use crate::chunk_reply::ChunkReply;
