--- a/crates/agent/src/transfer/transfer_loop.rs
+++ b/crates/agent/src/transfer/transfer_loop.rs
@@ -8,7 +8,7 @@
 use httpio::HttpClient;
 use model::{ChunkReport, FetchFault, VersionDigest, WeightManifest};
 use settings::AgentSettings;
-use slog::{Logger, debug, warn};
+use slog::{Logger, debug, info, warn};
 use spread::{FetchState, PlannedFetch};
 use tokio::task::JoinSet;
 use wire::{ChunkReply, WireCounters};
@@ -235,6 +235,9 @@
                     .insert(self.state.version(), fetch.chunk, bytes)
                 {
                     self.state.arrived(fetch.chunk);
+                    if self.state.is_complete() {
+                        info!(self.parts.log, "version is complete"; "version" => %self.state.version());
+                    }
                     return;
                 }
                 FetchFault::Corrupted
--- a/crates/control/src/parameter_rule.rs
+++ b/crates/control/src/parameter_rule.rs
@@ -21,6 +21,12 @@
         max: 1000.0,
         meaning: "copies of a version that the fleet may fetch from the origin",
     },
+    ParameterRule {
+        name: "spread_strategy",
+        min: 0.0,
+        max: 3.0,
+        meaning: "0 spreads by region; 1 origin only, 2 binary tree and 3 random peers exist to be measured against",
+    },
     ParameterRule {
         name: "max_out_percent",
         min: 1.0,
--- a/crates/standin/src/harness/fleet_plan.rs
+++ b/crates/standin/src/harness/fleet_plan.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::engine::EngineOptions;
+use crate::links::SwitchOptions;
 
 /// The entries, agents and stand-ins of a fleet.
 #[derive(Clone, Debug)]
@@ -34,6 +35,23 @@
     pub profile: String,
     /// How long callers may keep the list of entries.
     pub directory_ttl: Duration,
+    /// Links that chunks and requests of the agents pass, or `None` to connect them directly.
+    pub links: Option<LinkPlan>,
+}
+
+/// Links between the agents, and between them and the origin.
+#[derive(Clone, Debug)]
+pub struct LinkPlan {
+    /// What holds for all links.
+    pub options: SwitchOptions,
+    /// Speed of the origin's link in bytes a second.
+    pub origin_bytes_per_s: f64,
+    /// Speed of each host's link in bytes a second, in and out together.
+    pub host_bytes_per_s: f64,
+    /// Share of a host's link that its agent leaves for live requests.
+    pub live_share: f64,
+    /// Chunks that an agent fetches at once, and twice as many that it serves.
+    pub fetch_parallel: usize,
 }
 
 /// One entry.
@@ -101,6 +119,7 @@
             link_bytes_per_s: 200_000_000,
             profile: "time".to_owned(),
             directory_ttl: Duration::from_secs(2),
+            links: None,
         }
     }
 
--- a/crates/standin/src/harness/fleet_settings.rs
+++ b/crates/standin/src/harness/fleet_settings.rs
@@ -35,6 +35,16 @@
     pub(crate) peers: SocketAddr,
     pub(crate) control: SocketAddr,
     pub(crate) operators: SocketAddr,
+    /// Ways through the switch, where there is one.
+    pub(crate) routes: Option<AgentRoutes>,
+}
+
+/// Ways through the switch to one agent, and from it to the origin.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AgentRoutes {
+    pub(crate) gate: SocketAddr,
+    pub(crate) peers: SocketAddr,
+    pub(crate) origin: SocketAddr,
 }
 
 /// Addresses of the platform's stand-ins.
@@ -133,7 +143,7 @@
     platform: &PlatformAddresses,
     target: &Value,
 ) -> io::Result<PathBuf> {
-    let settings = json!({
+    let mut settings = json!({
         "role": "agent",
         "host": host(&agent.name, &agent.zone, &agent.region, own.ip),
         "listen": {
@@ -155,6 +165,14 @@
         "operators": [{ "name": "operator", "token_file": "operator" }],
         "heartbeat_ms": 200,
     });
+    if let (Some(links), Some(routes)) = (&plan.links, &own.routes) {
+        settings["advertise"] = json!({ "gate": routes.gate, "peers": routes.peers });
+        settings["sources"]["origin"] = json!(routes.origin);
+        settings["spread"]["link_bytes_per_s"] = json!(links.host_bytes_per_s as u64);
+        settings["spread"]["live_share"] = json!(links.live_share);
+        settings["spread"]["fetch_parallel"] = json!(links.fetch_parallel);
+        settings["spread"]["serve_parallel"] = json!(2 * links.fetch_parallel);
+    }
     write(&plan.dir, &agent.name, &settings)
 }
 
--- a/crates/standin/src/harness/mod.rs
+++ b/crates/standin/src/harness/mod.rs
@@ -6,5 +6,5 @@
 mod process_fleet;
 
 pub use child_process::ChildProcess;
-pub use fleet_plan::{AgentPlan, EntryPlan, FleetPlan, TargetPlan};
+pub use fleet_plan::{AgentPlan, EntryPlan, FleetPlan, LinkPlan, TargetPlan};
 pub use process_fleet::{CommandReply, ProcessFleet};
--- a/crates/standin/src/harness/process_fleet.rs
+++ b/crates/standin/src/harness/process_fleet.rs
@@ -15,9 +15,10 @@
 use crate::harness::child_process::ChildProcess;
 use crate::harness::fleet_plan::{AgentPlan, FleetPlan, TargetPlan};
 use crate::harness::fleet_settings::{
-    self, AgentAddresses, EntryAddresses, OPERATOR_TOKEN, PlatformAddresses,
+    self, AgentAddresses, AgentRoutes, EntryAddresses, OPERATOR_TOKEN, PlatformAddresses,
 };
 use crate::host_list::HostList;
+use crate::links::{LinkSwitch, SwitchNode};
 use crate::object_store::ObjectStore;
 use crate::plain_service::PlainService;
 use crate::standin_runtime::StandinRuntime;
@@ -43,6 +44,8 @@
     pub services: BTreeMap<String, PlainService>,
     /// The manifests of the versions, by label.
     pub manifests: BTreeMap<String, WeightManifest>,
+    /// The links between the agents, where the plan has them.
+    pub switch: Option<LinkSwitch>,
     plan: FleetPlan,
     processes: BTreeMap<String, FleetProcess>,
     client: HttpClient,
@@ -116,6 +119,7 @@
             engines: BTreeMap::new(),
             services: BTreeMap::new(),
             manifests,
+            switch: None,
             plan,
             processes: BTreeMap::new(),
             client: HttpClient::new(None, CALL_TIMEOUT),
@@ -150,15 +154,34 @@
             let file = fleet_settings::write_entry(&plan, entry, own, &seeds, &platform)?;
             self.add_process(&entry.name, "entry", file, Some(own.callers), own.operators);
         }
+        let switch = self.start_switch()?;
         for agent in &plan.agents {
             let ip = fleet_settings::next_ip();
             let [gate, peers, control, operators] = fleet_settings::free_addresses(ip)?;
+            let routes = match (&switch, &plan.links) {
+                (Some((switch, origin)), Some(links)) => {
+                    switch.add_node(SwitchNode {
+                        name: agent.name.clone(),
+                        ip,
+                        region: Some(agent.region.clone()),
+                        bytes_per_s: Some(links.host_bytes_per_s),
+                    });
+                    let any = SocketAddr::new(ip, 0);
+                    Some(AgentRoutes {
+                        gate: switch.add_route(&agent.name, "gate", any, gate)?,
+                        peers: switch.add_route(&agent.name, "peers", any, peers)?,
+                        origin: *origin,
+                    })
+                }
+                _ => None,
+            };
             let own = AgentAddresses {
                 ip,
                 gate,
                 peers,
                 control,
                 operators,
+                routes,
             };
             let target = self.start_target(agent)?;
             // The entry of the agent's own zone comes first.
@@ -171,6 +194,34 @@
         Ok(())
     }
 
+    /// Starts the switch of the plan, with the origin behind its link, and returns the way to it.
+    fn start_switch(&mut self) -> anyhow::Result<Option<(LinkSwitch, SocketAddr)>> {
+        let Some(links) = &self.plan.links else {
+            return Ok(None);
+        };
+        let switch = LinkSwitch::new(&self.runtime, links.options.clone());
+        let local = any_port().ip();
+        // Entries connect from the plain loopback address and pass the link of the host that they reach only.
+        for (name, ip, rate) in [
+            ("entries", local, None),
+            (
+                "origin",
+                fleet_settings::next_ip(),
+                Some(links.origin_bytes_per_s),
+            ),
+        ] {
+            switch.add_node(SwitchNode {
+                name: name.to_owned(),
+                ip,
+                region: None,
+                bytes_per_s: rate,
+            });
+        }
+        let origin = switch.add_route("origin", "origin", any_port(), self.origin.address())?;
+        self.switch = Some(switch.clone());
+        Ok(Some((switch, origin)))
+    }
+
     fn start_target(&mut self, agent: &AgentPlan) -> anyhow::Result<Value> {
         match &agent.target {
             TargetPlan::Engine(options) => {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -25,7 +25,7 @@
     prefix_digests,
 };
 pub use harness::{
-    AgentPlan, ChildProcess, CommandReply, EntryPlan, FleetPlan, ProcessFleet, TargetPlan,
+    AgentPlan, ChildProcess, CommandReply, EntryPlan, FleetPlan, LinkPlan, ProcessFleet, TargetPlan,
 };
 pub use host_list::{HostList, ListedHost};
 pub use links::{
