--- a/crates/wire/src/entry_control.rs
+++ b/crates/wire/src/entry_control.rs
@@ -28,6 +28,6 @@
     async fn offer_chunks(key: GroupKey, region: RegionName, known: ChunkMask) -> Vec<ChunkOffer>;
     /// Takes another entry's view and answers with this entry's own.
     async fn exchange(summary: EntrySummary) -> EntrySummary;
-    /// Returns the configuration when it is newer than `known`.
-    async fn config(known: ConfigRevision) -> Option<FleetConfig>;
+    /// Returns the configuration when it is newer than `known`, or in any case when the caller holds none.
+    async fn config(known: ConfigRevision, none: bool) -> Option<FleetConfig>;
 }
