--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! They start `fulmarline` as real processes among the stand-ins of `standin`. Nothing here is shipped.
 
+mod bench_spread;
 mod demo;
 mod task;
 
@@ -11,11 +12,18 @@
 use task::Task;
 
 /// Every task; a bench adds its own line.
-const TASKS: &[Task] = &[Task {
-    name: &["demo"],
-    about: "runs the whole system among stand-ins and checks what it promises",
-    run: demo::run,
-}];
+const TASKS: &[Task] = &[
+    Task {
+        name: &["demo"],
+        about: "runs the whole system among stand-ins and checks what it promises",
+        run: demo::run,
+    },
+    Task {
+        name: &["bench", "spread"],
+        about: "measures the spread of weights against baselines and the lower bound",
+        run: bench_spread::run,
+    },
+];
 
 fn main() -> ExitCode {
     let args: Vec<OsString> = std::env::args_os().skip(1).collect();
