--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -21,7 +21,7 @@
 
 use crate::control::{AgentView, ControlThread};
 use crate::gate::GateShared;
-use crate::transfer::ChunkStore;
+use crate::transfer::{ChunkStore, TransferPace, TransferParts};
 
 /// Runs an agent until a planned stop has ended.
 ///
@@ -46,6 +46,7 @@
         log.clone(),
     ));
     let store = Arc::new(ChunkStore::new(settings.spread.memory_bytes));
+    let pace = Arc::new(TransferPace::new(&settings.spread));
     let counters = wire::WireCounters::default();
     let view = Arc::new(AgentView::new(incarnation));
 
@@ -58,7 +59,7 @@
     )?;
     runtime.block_on(async {
         let gate_listener = gate::serve(&settings, gate.clone(), log.clone())?;
-        let _peers = transfer::serve(&settings, store.clone())?;
+        let _peers = transfer::serve(&settings, store.clone(), pace.clone())?;
         control::serve(&settings, gate.clone(), counters.clone(), log.clone()).await?;
         tokio::spawn(control::heartbeat_loop(
             settings.clone(),
@@ -69,13 +70,15 @@
             counters.clone(),
             log.clone(),
         ));
-        tokio::spawn(transfer::transfer_loop(
-            settings.clone(),
-            store.clone(),
-            view.clone(),
-            counters.clone(),
-            log.clone(),
-        ));
+        tokio::spawn(transfer::transfer_loop(TransferParts {
+            settings: settings.clone(),
+            store: store.clone(),
+            view: view.clone(),
+            gate: gate.clone(),
+            pace,
+            counters: counters.clone(),
+            log: log.clone(),
+        }));
         tokio::spawn(metrics::report_loop(
             metrics,
             view.clone(),
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod bench_control_report;
 mod bench_control_sample;
 mod bench_requests;
+mod bench_spread;
 mod capacity;
 mod demo;
 mod task;
@@ -37,6 +38,11 @@
         about: "fills the tables of docs/CAPACITY.md from the control bench",
         run: capacity::run,
     },
+    Task {
+        name: &["bench", "spread"],
+        about: "measures the spread of weights against baselines and the lower bound",
+        run: bench_spread::run,
+    },
 ];
 
 fn main() -> ExitCode {
