--- a/crates/fulmarline/tests/support/mod.rs
+++ b/crates/fulmarline/tests/support/mod.rs
@@ -110,7 +110,7 @@
     request
 }
 
-fn send(fleet: &ProcessFleet, entry: usize, request: Request<ReplyBody>) -> CallAnswer {
+pub fn send(fleet: &ProcessFleet, entry: usize, request: Request<ReplyBody>) -> CallAnswer {
     let address = fleet.callers()[entry];
     fleet.runtime().block_on(async {
         let client = HttpClient::new(None, PATIENCE);
