--- a/crates/entry/src/calls/call_shared.rs
+++ b/crates/entry/src/calls/call_shared.rs
@@ -97,16 +97,18 @@
         Some(TargetSlot::new(self.clone(), row))
     }
 
-    /// Gives a place back and lets those that wait go on.
-    pub(crate) fn release(self: &Arc<Self>, row: &TargetRow) {
-        self.lock().flights.on_finished(&row.host);
+    /// Gives a place back and lets those that wait go on; a gate that was full is not asked again at once.
+    pub(crate) fn release(self: &Arc<Self>, row: &TargetRow, was_full: bool) {
+        {
+            let mut decisions = self.lock();
+            match was_full {
+                true => decisions.flights.on_full(Instant::now(), &row.host),
+                false => decisions.flights.on_finished(&row.host),
+            }
+        }
         self.pump(&row.kind);
     }
 
-    pub(crate) fn on_full(&self, host: &HostName) {
-        self.lock().flights.on_full(Instant::now(), host);
-    }
-
     /// Notes that a caller is refused because every gate was at its limit.
     pub(crate) fn on_overload(&self) {
         self.counters.on_overload(OverloadCause::TargetsFull);
@@ -177,12 +179,11 @@
         if is_next
             && let Some(row) = decisions.take_slot(&snapshot, &self.settings.host, &need, now)
         {
+            let pool = self.pool(&mut decisions, &need.target);
+            pool.queue.on_direct(now, need.cost);
             return Ok(SlotAnswer::Now(Box::new(row)));
         }
-        let pool = decisions
-            .pools
-            .entry(need.target.clone())
-            .or_insert_with(|| self.new_pool());
+        let pool = self.pool(&mut decisions, &need.target);
         let request = need.queue_request(latest_start);
         let pushed = match arrival {
             Arrival::New => pool.queue.push(now, &request),
@@ -274,6 +275,13 @@
             .with_retry_after(refusal.retry_after)
     }
 
+    fn pool<'a>(&self, decisions: &'a mut CallDecisions, target: &TargetKind) -> &'a mut WaitPool {
+        let pools = &mut decisions.pools;
+        pools
+            .entry(target.clone())
+            .or_insert_with(|| self.new_pool())
+    }
+
     fn new_pool(&self) -> WaitPool {
         let limits = QueueLimits {
             max_waiting: self.settings.limits.queue_length,
--- a/crates/entry/src/calls/dispatcher.rs
+++ b/crates/entry/src/calls/dispatcher.rs
@@ -139,11 +139,12 @@
                 AttemptOutcome::Answer(Box::new(TargetReply::new(reply, self.client.clone(), slot)))
             }
             Some(code) if code.run_status() == RunStatus::NotRun => {
-                match code {
-                    ResultCode::Overloaded => self.shared.on_full(&row.host),
-                    _ => plan.note_tried(&row.host),
+                let was_full = code == ResultCode::Overloaded;
+                if !was_full {
+                    plan.note_tried(&row.host);
                 }
-                let reply = TargetReply::new(reply, self.client.clone(), slot);
+                let mut reply = TargetReply::new(reply, self.client.clone(), slot);
+                reply.slot.was_full = was_full;
                 let deadline = tokio::time::Instant::now() + REFUSAL_TIMEOUT;
                 let _ = reply.read(MAX_REFUSAL_BYTES, deadline).await;
                 AttemptOutcome::NotRun(code)
--- a/crates/entry/src/calls/target_slot.rs
+++ b/crates/entry/src/calls/target_slot.rs
@@ -10,17 +10,23 @@
 #[derive(Debug)]
 pub(crate) struct TargetSlot {
     pub(crate) row: TargetRow,
+    /// Whether the gate refused the request at its limit.
+    pub(crate) was_full: bool,
     shared: Arc<CallShared>,
 }
 
 impl TargetSlot {
     pub(crate) fn new(shared: Arc<CallShared>, row: TargetRow) -> Self {
-        Self { row, shared }
+        Self {
+            row,
+            was_full: false,
+            shared,
+        }
     }
 }
 
 impl Drop for TargetSlot {
     fn drop(&mut self) {
-        self.shared.release(&self.row);
+        self.shared.release(&self.row, self.was_full);
     }
 }
--- a/crates/routing/src/fair_queue.rs
+++ b/crates/routing/src/fair_queue.rs
@@ -8,6 +8,7 @@
 
 use crate::queue_backlog::{QueueBacklog, WaitingKey, WaitingRequest};
 use crate::queue_request::{QueueLimits, QueueRefusal, QueueRequest, QueueTicket};
+use crate::service_rate::ServiceRate;
 
 /// Start-time fair queueing by weight, with priorities inside each organisation.
 ///
@@ -67,7 +68,6 @@
         let ticket = QueueTicket(self.next_ticket);
         self.next_ticket += 1;
         self.insert(ticket, request);
-        self.rate.on_backlog(now);
         Ok((ticket, evicted))
     }
 
@@ -91,6 +91,12 @@
         self.rate.on_refused(request.cost);
     }
 
+    /// Notes a request that found a place without waiting, which tells of the capacity as well.
+    pub fn on_direct(&mut self, now: Instant, cost: u32) {
+        let is_backlogged = !self.places.is_empty();
+        self.rate.on_served(now, cost, is_backlogged);
+    }
+
     /// Takes the next request out.
     pub fn pop(&mut self, now: Instant) -> Option<QueueTicket> {
         let (_, backlog) = self
@@ -103,8 +109,8 @@
         self.virtual_time = self.virtual_time.max(backlog.start);
         backlog.start += f64::from(request.cost) / f64::from(backlog.weight);
         self.places.remove(&key.1);
-        self.rate
-            .on_served(now, request.cost, self.places.is_empty());
+        let is_backlogged = !self.places.is_empty();
+        self.rate.on_served(now, request.cost, is_backlogged);
         self.drop_idle();
         Some(key.1)
     }
@@ -150,7 +156,7 @@
     /// It waits for what its own organisation has ahead of it, stretched by the others' shares, but never longer than
     /// for everything that waits.
     pub fn expected_wait(&self, request: &QueueRequest<'_>) -> Duration {
-        let Some(rate) = self.rate.cost_per_second else {
+        let Some(rate) = self.rate.cost_per_second() else {
             return Duration::ZERO;
         };
         let weight = f64::from(request.weight.max(1));
@@ -164,7 +170,7 @@
             .filter(|(name, it)| *name != request.organisation && !it.waiting.is_empty())
             .map(|(_, it)| (own as f64 * f64::from(it.weight) / weight).min(it.cost as f64))
             .sum();
-        Duration::from_secs_f64((own as f64 + others) / rate)
+        Duration::try_from_secs_f64((own as f64 + others) / rate).unwrap_or(Duration::MAX)
     }
 
     fn insert(&mut self, ticket: QueueTicket, request: &QueueRequest<'_>) {
@@ -233,47 +239,8 @@
     }
 }
 
-/// Work served per second, counted only while requests wait: an idle system says nothing about its capacity.
-#[derive(Clone, Debug, Default)]
-struct ServiceRate {
-    cost_per_second: Option<f64>,
-    window: Option<(Instant, u64)>,
-}
-
-impl ServiceRate {
-    fn on_backlog(&mut self, now: Instant) {
-        self.window.get_or_insert((now, 0));
-    }
-
-    fn on_refused(&mut self, cost: u32) {
-        if let Some((_, served)) = &mut self.window {
-            *served = served.saturating_sub(u64::from(cost));
-        }
-    }
-
-    fn on_served(&mut self, now: Instant, cost: u32, is_empty: bool) {
-        let Some((start, served)) = &mut self.window else {
-            return;
-        };
-        *served += u64::from(cost);
-        let elapsed = now.saturating_duration_since(*start);
-        if elapsed >= RATE_WINDOW {
-            let rate = *served as f64 / elapsed.as_secs_f64();
-            let old = self.cost_per_second.unwrap_or(rate);
-            self.cost_per_second = Some((old + rate) / 2.0);
-            self.window = Some((now, 0));
-        }
-        if is_empty {
-            self.window = None;
-        }
-    }
-}
-
 /// Number of the first ticket; those below stand ahead of it.
 const FIRST_TICKET: u64 = 1 << 40;
 
-/// Time over which the rate is counted.
-const RATE_WINDOW: Duration = Duration::from_millis(250);
-
 /// Shortest time after which a caller is told to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/crates/routing/src/flight_table.rs
+++ b/crates/routing/src/flight_table.rs
@@ -37,8 +37,9 @@
         flight.full_until = None;
     }
 
-    /// Notes that `host` refused at its limit, whatever its row says.
+    /// Notes that `host` refused a request at its limit, whatever its row says.
     pub fn on_full(&mut self, now: Instant, host: &HostName) {
+        self.on_finished(host);
         let flight = self.flights.entry(host.clone()).or_default();
         flight.full_until = Some(now + FULL_TIME);
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 mod queue_backlog;
 mod queue_request;
 mod retry_budget;
+mod service_rate;
 mod stream_resume;
 mod target_choice;
 mod wait_estimate;
--- a/crates/routing/src/queue_request.rs
+++ b/crates/routing/src/queue_request.rs
@@ -36,7 +36,7 @@
     fn default() -> Self {
         Self {
             max_waiting: 1024,
-            max_wait: Duration::from_secs(2),
+            max_wait: Duration::from_secs(1),
         }
     }
 }
--- a/crates/xtask/src/bench_requests/mod.rs
+++ b/crates/xtask/src/bench_requests/mod.rs
@@ -11,9 +11,12 @@
 use anyhow::Context;
 
 use request_bench::RequestBench;
+use request_report::RequestReport;
 
 /// Runs the bench and writes `target/bench/requests.json` and `target/bench/requests.svg`.
-pub(crate) fn run(_flags: Vec<OsString>) -> anyhow::Result<()> {
+///
+/// With the word `steps` or `streams` only that part runs, and nothing is written.
+pub(crate) fn run(words: Vec<OsString>) -> anyhow::Result<()> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     let target = std::env::var_os("CARGO_TARGET_DIR").map_or(root.join("target"), PathBuf::from);
     let binary = newest_binary(&target)?;
@@ -27,12 +30,28 @@
     );
     let out = target.join("bench");
     std::fs::create_dir_all(&out)?;
+    let mut report = RequestReport::default();
+    match words.first().and_then(|it| it.to_str()) {
+        None => {}
+        Some("steps") => {
+            let mut bench = RequestBench::start(binary, out.join("requests"))?;
+            bench.run_steps()?;
+            request_report::print(&bench.finish());
+            return Ok(());
+        }
+        Some("streams") => {
+            stream_probe::run(binary, out.join("requests-streams"), &mut report)?;
+            request_report::print(&report);
+            return Ok(());
+        }
+        Some(word) => anyhow::bail!("{word:?} is neither `steps` nor `streams`"),
+    }
     let mut bench = RequestBench::start(binary.clone(), out.join("requests"))?;
     bench.run_steps()?;
     bench.run_slow_replica()?;
     bench.run_faults()?;
     bench.run_leaving()?;
-    let mut report = bench.finish();
+    report = bench.finish();
     stream_probe::run(binary, out.join("requests-streams"), &mut report)?;
     request_report::print(&report);
     request_report::write(&out, &report)
--- a/crates/xtask/src/bench_requests/stream_probe.rs
+++ b/crates/xtask/src/bench_requests/stream_probe.rs
@@ -147,7 +147,7 @@
 const TOKENS: usize = 60;
 
 /// Pause of the engine between tokens.
-const TOKEN_INTERVAL: Duration = Duration::from_millis(30);
+const TOKEN_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Pause between the starts of streams, so that they do not beat in step.
 const START_PAUSE: Duration = Duration::from_micros(2_300);
