--- a/crates/entry/src/control/operator_server.rs
+++ b/crates/entry/src/control/operator_server.rs
@@ -149,8 +149,11 @@
     fn wait_in_force(&self, revision: ConfigRevision, wait: Duration) -> CommandOutcome {
         let start = Instant::now();
         loop {
-            let in_force = count_in_force(&self.snapshots.load(), revision);
-            if in_force.count == in_force.of || start.elapsed() >= wait {
+            let snapshot = self.snapshots.load();
+            let in_force = count_in_force(&snapshot, revision);
+            // Whoever asks this entry next must find the command's effect, so it waits for itself.
+            let own = snapshot.held.is_some_and(|it| it >= revision) || start.elapsed() >= OWN_WAIT;
+            if in_force.count == in_force.of || own && start.elapsed() >= wait {
                 return CommandOutcome {
                     in_force: Some(in_force),
                     ..CommandOutcome::accepted(revision)
@@ -214,5 +217,8 @@
 /// Longest wait for a command to be in force.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
+/// Longest wait for this entry itself to hold what it has accepted.
+const OWN_WAIT: Duration = Duration::from_secs(1);
+
 /// Time between looks while waiting.
-const WAIT_STEP: Duration = Duration::from_millis(50);
+const WAIT_STEP: Duration = Duration::from_millis(10);
--- a/crates/fulmarline/tests/control.rs
+++ b/crates/fulmarline/tests/control.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use standin::{FleetPlan, ProcessFleet, TableFaults};
+use standin::{EngineOptions, FleetPlan, ProcessFleet, TableFaults, TargetPlan};
 
 const PATIENCE: Duration = Duration::from_secs(40);
 
@@ -100,6 +100,8 @@
         "{}",
         lost[0].message
     );
+    // The entry that lost the race learns of the winner as any other does, within seconds.
+    wait_revision(&fleet, 1);
     let shown = fleet
         .command("entry-1", "show organisations where denied = yes", "q")
         .unwrap();
@@ -245,3 +247,88 @@
     assert!(fleet.all_serve("v2", &[]));
     wait_revision(&fleet, 2);
 }
+
+/// Plans one zone with four engines that take a while to load, so that a rollout goes one by one.
+fn slow_plan(name: &str, zones: usize) -> FleetPlan {
+    let mut plan = plan(name, zones, 4 / zones);
+    for agent in &mut plan.agents {
+        agent.target = TargetPlan::Engine(EngineOptions {
+            load_time: Duration::from_millis(1500),
+            ..EngineOptions::default()
+        });
+    }
+    plan
+}
+
+fn serving(fleet: &ProcessFleet, label: &str) -> usize {
+    let version = fleet.manifests[label].version();
+    let engines = fleet.engines.values();
+    engines.filter(|it| it.serving() == Some(version)).count()
+}
+
+#[test]
+fn a_rollout_waits_while_the_table_is_down_and_goes_on_after() {
+    let fleet = start(slow_plan("control-table-down", 1));
+    fleet
+        .command_until_accepted("entry-1", "rollout demo v1", "r1", PATIENCE)
+        .unwrap();
+    let served =
+        |label: &'static str| move |it: &ProcessFleet| it.all_serve(label, &[]).then_some(());
+    fleet.wait_for("v1", PATIENCE, served("v1")).unwrap();
+    fleet
+        .command_until_accepted("entry-1", "rollout demo v2", "r2", PATIENCE)
+        .unwrap();
+    let begun = |it: &ProcessFleet| (serving(it, "v1") < 4).then_some(());
+    fleet.wait_for("the first switch", PATIENCE, begun).unwrap();
+    fleet.table.set_faults(TableFaults {
+        outage: true,
+        ..TableFaults::default()
+    });
+    // The lease lapses after three seconds; what was granted before may end.
+    std::thread::sleep(Duration::from_secs(6));
+    let before = serving(&fleet, "v2");
+    std::thread::sleep(Duration::from_secs(3));
+    assert_eq!(
+        serving(&fleet, "v2"),
+        before,
+        "no replica switches without the lease"
+    );
+    assert!(before < 4, "the outage came too late for this test");
+    let shown = fleet
+        .command("entry-1", "show rollouts state, serving", "q")
+        .unwrap();
+    assert_eq!(shown.body["rows"][0][0], "running");
+    let leases = fleet.command("entry-1", "show leases state", "l").unwrap();
+    assert_eq!(leases.body["rows"][0][0], "table unavailable");
+    fleet.table.set_faults(TableFaults::default());
+    fleet.wait_for("v2", PATIENCE, served("v2")).unwrap();
+}
+
+#[test]
+fn a_rollout_goes_on_after_its_driver_is_killed() {
+    let mut fleet = start(slow_plan("control-driver-killed", 2));
+    fleet
+        .command_until_accepted("entry-1", "rollout demo v1", "r1", PATIENCE)
+        .unwrap();
+    let served =
+        |label: &'static str| move |it: &ProcessFleet| it.all_serve(label, &[]).then_some(());
+    fleet.wait_for("v1", PATIENCE, served("v1")).unwrap();
+    let lease = fleet.table.row("lease/rollout").unwrap();
+    let holder = lease["holder"].as_str().unwrap();
+    let driver = entries(&fleet)
+        .into_iter()
+        .find(|it| holder.starts_with(it.as_str()))
+        .unwrap();
+    fleet
+        .command_until_accepted(&driver, "rollout demo v2", "r2", PATIENCE)
+        .unwrap();
+    let begun = |it: &ProcessFleet| (serving(it, "v1") < 4).then_some(());
+    fleet.wait_for("the first switch", PATIENCE, begun).unwrap();
+    fleet.process(&driver).kill();
+    fleet.wait_for("v2", PATIENCE, served("v2")).unwrap();
+    let taken = fleet.table.row("lease/rollout").unwrap();
+    assert!(
+        taken["fencing"].as_u64() > lease["fencing"].as_u64(),
+        "{lease} {taken}"
+    );
+}
