--- a/crates/entry/src/calls/dispatcher.rs
+++ b/crates/entry/src/calls/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use httpio::{ClientError, HttpClient, Request};
+use httpio::{ClientError, HeaderValue, HttpClient, Request};
 use model::{AttemptId, ResultCode, RunStatus};
 use routing::{CallKind, OrderGate};
 use settings::EntrySettings;
@@ -14,7 +14,7 @@
 use crate::calls::call_context::CallContext;
 use crate::calls::call_decisions::SlotNeed;
 use crate::calls::call_refusal::CallRefusal;
-use crate::calls::call_shared::CallShared;
+use crate::calls::call_shared::{Arrival, CallShared};
 use crate::calls::target_reply::TargetReply;
 use crate::calls::target_slot::TargetSlot;
 
@@ -24,16 +24,23 @@
     settings: Arc<EntrySettings>,
     pub(crate) shared: Arc<CallShared>,
     client: HttpClient,
+    /// Shows the gates that a request comes from an entry of the deployment.
+    authorization: HeaderValue,
     counters: WireCounters,
     log: Logger,
 }
 
 impl Dispatcher {
     pub(crate) fn new(settings: Arc<EntrySettings>, shared: Arc<CallShared>, log: Logger) -> Self {
+        let token = wire::gate_token(settings.shared_key.reveal());
+        let mut authorization = HeaderValue::try_from(format!("Bearer {token}"))
+            .expect("a token consists of hexadecimal digits");
+        authorization.set_sensitive(true);
         Self {
             settings,
             shared,
             client: HttpClient::new(None, CONNECT_TIMEOUT),
+            authorization,
             counters: WireCounters::default(),
             log,
         }
@@ -50,16 +57,32 @@
         plan: &AttemptPlan,
     ) -> Result<TargetReply, CallRefusal> {
         let mut last = None;
-        for _ in 0..MAX_ATTEMPTS {
-            let slot = match (self.shared.acquire(self.need(call, plan)).await, last) {
+        let mut attempts = 0;
+        let mut refusals = 0;
+        while attempts < MAX_ATTEMPTS && refusals < MAX_REFUSALS {
+            let arrival = match last {
+                None => Arrival::New,
+                Some(_) => Arrival::Refused,
+            };
+            let slot = self.shared.acquire(self.need(call, plan), arrival).await;
+            let slot = match (slot, last) {
                 (Ok(slot), _) => slot,
-                (Err(_), Some(code)) => return Err(refusal(code)),
-                (Err(refusal), None) => return Err(refusal),
+                (Err(_), Some(code)) if code != ResultCode::Overloaded => {
+                    return Err(refusal(code));
+                }
+                (Err(refusal), _) => return Err(refusal),
             };
+            attempts += 1;
             let gate = order_gate(&slot);
             let attempt = new_attempt();
             match self.attempt(call, plan, slot, attempt).await {
                 AttemptOutcome::Answer(reply) => return Ok(*reply),
+                AttemptOutcome::NotRun(ResultCode::Overloaded) => {
+                    // A full gate is no failed attempt: the request waits for its turn again.
+                    attempts -= 1;
+                    refusals += 1;
+                    last = Some(ResultCode::Overloaded);
+                }
                 AttemptOutcome::NotRun(code) => last = Some(code),
                 AttemptOutcome::Lost => {
                     let has_time = Instant::now() < call.deadline;
@@ -75,6 +98,9 @@
                 }
             }
         }
+        if last == Some(ResultCode::Overloaded) {
+            self.shared.on_overload();
+        }
         Err(refusal(last.unwrap_or(ResultCode::NoTarget)))
     }
 
@@ -86,9 +112,11 @@
         slot: TargetSlot,
         attempt: AttemptId,
     ) -> AttemptOutcome {
-        let Ok(request) = build_request(call, plan, &slot, attempt) else {
+        let Ok(mut request) = build_request(call, plan, &slot, attempt) else {
             return AttemptOutcome::NotRun(ResultCode::BadRequest);
         };
+        let headers = request.headers_mut();
+        headers.insert(httpio::header::AUTHORIZATION, self.authorization.clone());
         let row = &slot.row;
         let sent = self.client.send(row.gate, request);
         let patience = match plan.kind {
@@ -121,7 +149,7 @@
             }
             Some(code) if code.run_status() == RunStatus::NotRun => {
                 match code {
-                    ResultCode::Overloaded => self.shared.on_full(row),
+                    ResultCode::Overloaded => self.shared.on_full(&row.host),
                     _ => plan.note_tried(&row.host),
                 }
                 let reply = TargetReply::new(reply, self.client.clone(), slot);
@@ -244,6 +272,9 @@
 /// Attempts at one request.
 const MAX_ATTEMPTS: usize = 4;
 
+/// Full gates that a request meets before it is refused.
+const MAX_REFUSALS: usize = 64;
+
 /// Time to connect to a gate.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/crates/entry/src/control/operator_server.rs
+++ b/crates/entry/src/control/operator_server.rs
@@ -155,7 +155,7 @@
             let own = snapshot.held.is_some_and(|it| it >= revision) || start.elapsed() >= OWN_WAIT;
             if in_force.count == in_force.of || own && start.elapsed() >= wait {
                 return CommandOutcome {
-                    in_force: Some(in_force),
+                    in_force: Some(Box::new(in_force)),
                     ..CommandOutcome::accepted(revision)
                 };
             }
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -5,6 +5,7 @@
 mod bench_control;
 mod bench_control_report;
 mod bench_control_sample;
+mod bench_requests;
 mod capacity;
 mod demo;
 mod task;
@@ -21,6 +22,11 @@
         about: "runs the whole system among stand-ins and checks what it promises",
         run: demo::run,
     },
+    Task {
+        name: &["bench", "requests"],
+        about: "measures requests under load and faults, with baselines in the same run",
+        run: bench_requests::run,
+    },
     Task {
         name: &["bench", "control"],
         about: "measures control at growing sizes; a number limits it to the smallest ones",
