--- a/crates/entry/src/control/query_rows.rs
+++ b/crates/entry/src/control/query_rows.rs
@@ -2,14 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use control::{Cell, TableName};
+use control::{Cell, KnownTarget, TableName};
 use model::{
     EntryRow, FleetConfig, GateState, HostName, ModelName, TargetKind, TargetRow, VersionDigest,
     WeightManifest,
 };
 use platform::{HostListClient, ListedState, TableClient};
 
-use crate::control::control_snapshot::{ControlSnapshot, SeenTarget};
+use crate::control::control_snapshot::ControlSnapshot;
 use crate::control::rollout_driver::{LEASE_KEY, LeaseRow};
 
 /// Returns the rows of `table`, with a cell for each of its columns.
@@ -36,7 +36,7 @@
 }
 
 fn targets(snapshot: &ControlSnapshot, config: &FleetConfig) -> Vec<Vec<Cell>> {
-    let row = |seen: &SeenTarget| {
+    let row = |seen: &KnownTarget| {
         let it = &seen.row;
         let (kind, name) = kind_and_name(&it.kind);
         let fetched = it.transfer.filter(|it| it.total_chunks > 0).map(|it| {
@@ -135,7 +135,7 @@
 
 fn load(snapshot: &ControlSnapshot) -> Vec<Vec<Cell>> {
     let since = |ms: Option<u64>| ms.map_or(Cell::None, |it| Cell::Number(it as f64 / 1000.0));
-    let target = |seen: &SeenTarget| {
+    let target = |seen: &KnownTarget| {
         let (it, load) = (&seen.row, &seen.row.load);
         let (kind, name) = kind_and_name(&it.kind);
         let age_ms = seen.seen.elapsed().as_millis() as u64;
@@ -152,7 +152,7 @@
             Cell::count(load.refused),
             Cell::flag(load.overloaded_ms.is_some()),
             since(load.overloaded_ms.map(|it| it + age_ms)),
-            overload_cause(load),
+            Cell::maybe(load.overload_cause),
         ]
     };
     let entry = |(it, age): (&EntryRow, u128)| {
@@ -170,26 +170,13 @@
             Cell::None,
             Cell::flag(it.overloaded_ms.is_some()),
             since(overloaded_ms),
-            Cell::maybe(
-                it.overloaded_ms
-                    .map(|_| "no target has room for its requests"),
-            ),
+            Cell::maybe(it.overload_cause),
         ]
     };
     let targets = snapshot.targets.values().map(target);
     targets.chain(all_entries(snapshot).map(entry)).collect()
 }
 
-fn overload_cause(load: &model::LoadSample) -> Cell {
-    let full = load.in_flight >= load.limit;
-    let cause = if full {
-        "limit of requests reached"
-    } else {
-        "tokens come late"
-    };
-    Cell::maybe(load.overloaded_ms.map(|_| cause))
-}
-
 fn rollouts(snapshot: &ControlSnapshot, config: &FleetConfig) -> Vec<Vec<Cell>> {
     let driver = snapshot.permits.iter().max_by_key(|it| it.fencing);
     let row = |(name, wanted): (&ModelName, &model::ModelConfig)| {
@@ -346,7 +333,7 @@
             Cell::count(age),
         ]
     };
-    let agent = |seen: &SeenTarget| {
+    let agent = |seen: &KnownTarget| {
         let it = &seen.row;
         vec![
             Cell::text("agent"),
--- a/crates/spread/src/link_pace.rs
+++ b/crates/spread/src/link_pace.rs
@@ -13,13 +13,15 @@
     max_share: f64,
     share: f64,
     quiet_gap: Option<Duration>,
+    /// Observations in a row of a grown gap; a single one may be noise.
+    grown: u32,
     adapted_at: Instant,
     bucket: TokenBucket,
 }
 
 impl LinkPace {
     /// Share that a transfer keeps in any case, so that a rollout cannot starve.
-    pub const MIN_SHARE: f64 = 0.3;
+    pub const MIN_SHARE: f64 = 0.5;
     /// Time between two changes of the share.
     pub const ADAPT_EVERY: Duration = Duration::from_millis(250);
 
@@ -32,6 +34,7 @@
             max_share,
             share: max_share,
             quiet_gap: None,
+            grown: 0,
             adapted_at: now,
             bucket: TokenBucket::new(rate, rate * BURST.as_secs_f64(), now),
         }
@@ -44,7 +47,8 @@
 
     /// Notes the token gap while nothing is transferred; it is what later gaps are held against.
     pub fn note_quiet_gap(&mut self, gap: Duration) {
-        self.quiet_gap = Some(gap);
+        let known = self.quiet_gap.unwrap_or(gap);
+        self.quiet_gap = Some((known * (SMOOTHING - 1) + gap) / SMOOTHING);
     }
 
     /// Adapts the share to the token `gap` that live requests see during the transfer.
@@ -56,7 +60,12 @@
         let Some(quiet_gap) = self.quiet_gap else {
             return;
         };
-        self.share = if gap > quiet_gap.mul_f64(GROWN_GAP) {
+        self.grown = if gap > quiet_gap.mul_f64(GROWN_GAP) {
+            self.grown + 1
+        } else {
+            0
+        };
+        self.share = if self.grown >= GROWN_IN_A_ROW {
             (self.share * SHRINK).max(Self::MIN_SHARE.min(self.max_share))
         } else {
             (self.share + GROW).min(self.max_share)
@@ -75,7 +84,11 @@
 const BURST: Duration = Duration::from_millis(50);
 /// Growth of the token gap at which the transfer yields.
 const GROWN_GAP: f64 = 1.15;
+/// Grown gaps in a row at which the transfer yields.
+const GROWN_IN_A_ROW: u32 = 3;
+/// Weight of what is known in the smoothed quiet gap, against one of a new observation.
+const SMOOTHING: u32 = 8;
 /// Factor on the share when it yields.
 const SHRINK: f64 = 0.8;
 /// Growth of the share while live requests do not suffer.
-const GROW: f64 = 0.02;
+const GROW: f64 = 0.05;
--- a/crates/standin/src/harness/fleet_plan.rs
+++ b/crates/standin/src/harness/fleet_plan.rs
@@ -35,6 +35,8 @@
     pub profile: String,
     /// How long callers may keep the list of entries.
     pub directory_ttl: Duration,
+    /// Time between heartbeats of the agents.
+    pub heartbeat: Duration,
     /// Links that chunks and requests of the agents pass, or `None` to connect them directly.
     pub links: Option<LinkPlan>,
 }
@@ -120,6 +122,7 @@
             profile: "time".to_owned(),
             directory_ttl: Duration::from_secs(2),
             links: None,
+            heartbeat: Duration::from_millis(200),
         }
     }
 
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,7 +2,12 @@
 //!
 //! They start `fulmarline` as real processes among the stand-ins of `standin`. Nothing here is shipped.
 
+mod bench_control;
+mod bench_control_report;
+mod bench_control_sample;
+mod bench_requests;
 mod bench_spread;
+mod capacity;
 mod demo;
 mod task;
 
@@ -23,6 +28,21 @@
         about: "measures the spread of weights against baselines and the lower bound",
         run: bench_spread::run,
     },
+    Task {
+        name: &["bench", "requests"],
+        about: "measures requests under load and faults, with baselines in the same run",
+        run: bench_requests::run,
+    },
+    Task {
+        name: &["bench", "control"],
+        about: "measures control at growing sizes; a number limits it to the smallest ones",
+        run: bench_control::run,
+    },
+    Task {
+        name: &["capacity"],
+        about: "fills the tables of docs/CAPACITY.md from the control bench",
+        run: capacity::run,
+    },
 ];
 
 fn main() -> ExitCode {
