Three fetches and uploads a host, pieces of two milliseconds

Cause: with two fetches a host idles while it waits for its tracker; a token waits behind whole pieces of chunks. Change: three fetches, three uploads, pieces sized by the link, yield only at gaps grown by half.

--- a/crates/agent/src/transfer/chunk_server.rs
+++ b/crates/agent/src/transfer/chunk_server.rs
@@ -89,7 +89,7 @@
 /// Sends `bytes` in pieces as the link allows and returns whether the peer took them all.
 async fn send_paced(pace: &TransferPace, sender: &httpio::BodySender, mut bytes: Bytes) -> bool {
     while !bytes.is_empty() {
-        let piece = bytes.split_to(bytes.len().min(PIECE_BYTES));
+        let piece = bytes.split_to(bytes.len().min(pace.piece_bytes()));
         pace.take(piece.len() as u64).await;
         if sender.send(Ok(Frame::data(piece))).await.is_err() {
             return false;
@@ -173,6 +173,3 @@
     *response.status_mut() = code;
     response
 }
-
-/// Bytes that leave at once, so that live answers get in between.
-const PIECE_BYTES: usize = 8 * 1024;
--- a/crates/agent/src/transfer/transfer_pace.rs
+++ b/crates/agent/src/transfer/transfer_pace.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Returns the bytes that should leave at once.
+    pub(crate) fn piece_bytes(&self) -> usize {
+        self.with(|it| it.piece_bytes())
+    }
+
     /// Notes the token gap that live requests see; `None` when there are none.
     pub(crate) fn observe(&self, gap: Option<Duration>, is_transferring: bool) {
         let Some(gap) = gap else { return };
--- a/crates/spread/src/link_pace.rs
+++ b/crates/spread/src/link_pace.rs
@@ -74,16 +74,28 @@
             .set_rate(self.link_bytes_per_s * self.share, now);
     }
 
+    /// Returns the bytes that should leave at once: little enough that a token behind them does not wait long.
+    pub fn piece_bytes(&self) -> usize {
+        let bytes = self.link_bytes_per_s * PIECE.as_secs_f64();
+        (bytes as usize).clamp(MIN_PIECE_BYTES, MAX_PIECE_BYTES)
+    }
+
     /// Returns the share of the link in use.
     pub fn share(&self) -> f64 {
         self.share
     }
 }
 
+/// Time that one piece may occupy the link.
+const PIECE: Duration = Duration::from_millis(2);
+/// Smallest piece, so that a slow link does not cost a call for every few bytes.
+const MIN_PIECE_BYTES: usize = 2 * 1024;
+/// Largest piece, so that many fetches at once need little memory.
+const MAX_PIECE_BYTES: usize = 64 * 1024;
 /// Bytes that may pass at once, as time at the full rate.
 const BURST: Duration = Duration::from_millis(50);
 /// Growth of the token gap at which the transfer yields.
-const GROWN_GAP: f64 = 1.15;
+const GROWN_GAP: f64 = 1.5;
 /// Grown gaps in a row at which the transfer yields.
 const GROWN_IN_A_ROW: u32 = 3;
 /// Weight of what is known in the smoothed quiet gap, against one of a new observation.
--- a/crates/spread/src/spread_policy.rs
+++ b/crates/spread/src/spread_policy.rs
@@ -45,7 +45,7 @@
             origin_copies: 1,
             origin_fetches: 3,
             region_fetches: 2,
-            host_uploads: 2,
+            host_uploads: 3,
             host_sent_copies: 1.15,
             host_timeout: Duration::from_secs(4),
             fetch_timeout: Duration::from_secs(30),
--- a/crates/xtask/src/bench_spread/spread_run.rs
+++ b/crates/xtask/src/bench_spread/spread_run.rs
@@ -330,7 +330,7 @@
 const LIVE_SHARE: f64 = 0.1;
 
 /// Chunks that an agent fetches at once.
-const FETCH_PARALLEL: usize = 2;
+const FETCH_PARALLEL: usize = 3;
 
 /// Streams asked for in a second by the live load.
 const LIVE_STREAMS_PER_S: f64 = 20.0;
