The engine switch as a pure decision: permits lapse, engines load beside, changes are told at once

Cause: the agent kept a permit for ever, so one that was paused past its driver's lease could order a load under an old number, which an engine that ignores fencing numbers would carry out; a failed load was ordered again ten times a second; loads_beside in the settings had no effect; entries learned of a finished transfer or switch with the next heartbeat, up to a second later. Change: control::EngineSwitch decides from the engine's report, the permit and its last confirmation; it takes over the engine's own fencing number after a restart; the heartbeat goes out 50 ms after a change.

--- a/crates/agent/src/control/agent_view.rs
+++ b/crates/agent/src/control/agent_view.rs
@@ -5,12 +5,14 @@
 
 use model::{ConfigRevision, FencingNumber, Incarnation};
 use serde_json::json;
+use tokio::sync::Notify;
 
 /// Control state as of the control thread's last step.
 #[derive(Debug)]
 pub(crate) struct AgentView {
     incarnation: Incarnation,
     state: Mutex<ViewState>,
+    changed: Notify,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -27,6 +29,7 @@
         Self {
             incarnation,
             state: Mutex::default(),
+            changed: Notify::new(),
         }
     }
 
@@ -54,6 +57,16 @@
         state.engine_error = engine_error;
     }
 
+    /// Tells the heartbeat that the target's state changed, so that entries need not wait for the next one.
+    pub(crate) fn announce_change(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Waits until the target's state has changed.
+    pub(crate) async fn wait_for_change(&self) {
+        self.changed.notified().await;
+    }
+
     /// Replaces the addresses of live entries.
     pub(crate) fn set_entries(&self, mut entries: Vec<SocketAddr>) {
         entries.sort_unstable();
--- a/crates/agent/src/control/control_thread.rs
+++ b/crates/agent/src/control/control_thread.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use model::{FencingNumber, FleetConfig, GateState, SwitchPermit, WeightManifest};
-use platform::{EngineClient, EnginePhase, EngineState, LoadOrder, OrderError};
+use control::{EngineReport, EngineSwitch, SwitchInput, SwitchOrder};
+use model::{FleetConfig, GateState, VersionDigest, WeightManifest};
+use platform::{EngineClient, EnginePhase, LoadOrder, OrderError};
 use settings::{AgentSettings, TargetSettings};
-use slog::{Logger, error, info, warn};
+use slog::{Logger, debug, error, info, warn};
 
 use crate::control::agent_view::AgentView;
 use crate::control::control_event::ControlEvent;
@@ -27,8 +28,7 @@
     view: Arc<AgentView>,
     engine: Option<EngineClient>,
     config: FleetConfig,
-    permit: Option<SwitchPermit>,
-    fencing: FencingNumber,
+    switch: EngineSwitch,
     stopping: bool,
     engine_error: Option<String>,
     log: Logger,
@@ -49,6 +49,14 @@
             }
             TargetSettings::Service { .. } => None,
         };
+        let loads_beside = matches!(
+            &settings.target,
+            TargetSettings::Model {
+                loads_beside: true,
+                ..
+            }
+        );
+        let permit_time = MIN_PERMIT_TIME.max(settings.heartbeat * 3);
         let state = ControlState {
             settings: settings.clone(),
             gate,
@@ -56,8 +64,7 @@
             view,
             engine,
             config: FleetConfig::default(),
-            permit: None,
-            fencing: FencingNumber::default(),
+            switch: EngineSwitch::new(loads_beside, permit_time),
             stopping: false,
             engine_error: None,
             log,
@@ -78,6 +85,7 @@
 }
 
 fn run(mut state: ControlState, events: &Receiver<ControlEvent>) {
+    let mut last = None;
     loop {
         match events.recv_timeout(STEP) {
             Ok(event) => state.take(event),
@@ -85,9 +93,14 @@
             Err(RecvTimeoutError::Disconnected) => return,
         }
         state.step();
+        let shown = Some((state.gate.state(), state.complete_version()));
+        if shown != last {
+            last = shown;
+            state.view.announce_change();
+        }
         state.view.publish(
             state.config.revision,
-            state.fencing,
+            state.switch.fencing(),
             state.engine_error.clone(),
         );
     }
@@ -101,12 +114,12 @@
                 self.config = *config;
             }
             ControlEvent::Config(_) => {}
-            ControlEvent::Permit(permit) if permit.fencing >= self.fencing => {
-                self.fencing = permit.fencing;
-                self.permit = Some(permit);
-            }
             ControlEvent::Permit(permit) => {
-                warn!(self.log, "permit is fenced"; "fencing" => %permit.fencing, "seen" => %self.fencing);
+                let fencing = permit.fencing;
+                if !self.switch.take_permit(permit, Instant::now()) {
+                    warn!(self.log, "permit is fenced"; "fencing" => %fencing,
+                        "seen" => %self.switch.fencing());
+                }
             }
             ControlEvent::Stop => self.stopping = true,
         }
@@ -114,13 +127,13 @@
 
     fn step(&mut self) {
         let leaving = self.stopping || self.config.drains.contains(&self.settings.host.name);
-        if leaving {
-            let (_, version) = self.gate.state();
-            self.gate.set_state(GateState::Leaving, version);
-            return;
-        }
         let TargetSettings::Model { model, .. } = &self.settings.target else {
-            self.gate.set_state(GateState::Open, None);
+            let state = if leaving {
+                GateState::Leaving
+            } else {
+                GateState::Open
+            };
+            self.gate.set_state(state, None);
             return;
         };
         let wanted = self.config.models.get(model).map(|it| it.manifest.clone());
@@ -129,77 +142,80 @@
         {
             error!(self.log, "version does not fit into memory"; "bytes" => manifest.total_bytes);
         }
-        self.serve_version(wanted.as_ref());
+        let input = SwitchInput {
+            engine: self.engine_report(),
+            wanted: wanted.as_ref().map(WeightManifest::version),
+            complete: self.complete_version(),
+            in_flight: self.gate.in_flight(),
+            leaving,
+        };
+        let step = self.switch.step(Instant::now(), &input);
+        self.gate.set_state(step.gate, step.serving);
+        // New work may have been admitted since the count was taken; with the gate closed the count only falls.
+        let is_idle = self.gate.in_flight() == 0;
+        if let (Some(order), Some(manifest)) = (step.order, &wanted)
+            && (order.beside || is_idle)
+        {
+            self.order_load(order, manifest);
+        }
     }
 
-    fn serve_version(&mut self, wanted: Option<&WeightManifest>) {
-        let Some(engine) = &self.engine else { return };
+    fn engine_report(&mut self) -> EngineReport {
+        let Some(engine) = &self.engine else {
+            return EngineReport::Unreachable;
+        };
         let state = match engine.state() {
             Ok(state) => state,
             Err(err) => {
                 self.engine_error = Some(err.to_string());
-                self.gate.set_state(GateState::Starting, None);
-                return;
+                return EngineReport::Unreachable;
             }
         };
         self.engine_error.clone_from(&state.error);
-        let serving = (state.state == EnginePhase::Serving)
-            .then_some(state.version)
-            .flatten();
-        let wanted_version = wanted.map(WeightManifest::version);
-        if serving.is_some() && (serving == wanted_version || wanted.is_none()) {
-            self.permit = None;
-            self.gate.set_state(GateState::Open, serving);
-            return;
+        if !self.switch.take_fencing(state.fencing) {
+            debug!(self.log, "engine is behind in fencing numbers"; "engine" => %state.fencing);
         }
-        let permitted = self
-            .permit
-            .as_ref()
-            .is_some_and(|it| Some(it.version) == wanted_version);
-        let complete = self
-            .store
-            .state()
-            .is_some_and(|it| Some(it.version) == wanted_version && it.is_complete());
-        if !permitted || !complete {
-            let gate = if serving.is_some() {
-                GateState::Open
-            } else {
-                GateState::Starting
-            };
-            self.gate.set_state(gate, serving);
-            return;
-        }
-        self.gate.set_state(GateState::Switching, serving);
-        if let Some(manifest) = wanted {
-            self.switch(manifest, &state);
+        match (state.state, state.version) {
+            (EnginePhase::Serving, Some(version)) => EngineReport::Serving {
+                version,
+                loads: state.beside,
+            },
+            (EnginePhase::Loading, Some(version)) if state.beside => EngineReport::Serving {
+                version,
+                loads: true,
+            },
+            (EnginePhase::Loading, _) => EngineReport::Loading,
+            _ => EngineReport::Idle,
         }
     }
 
-    /// Orders the load once the replica is drained; the gate opens on the engine's own report only.
-    fn switch(&mut self, manifest: &WeightManifest, state: &EngineState) {
-        let loading = state.state == EnginePhase::Loading;
-        if self.gate.in_flight() > 0 || loading {
-            return;
-        }
-        let version = manifest.version();
+    fn complete_version(&self) -> Option<VersionDigest> {
+        let state = self.store.state()?;
+        state.is_complete().then_some(state.version)
+    }
+
+    /// Orders a load; the gate opens on the engine's own report of the version only.
+    fn order_load(&mut self, order: SwitchOrder, manifest: &WeightManifest) {
+        let Some(engine) = &self.engine else { return };
+        let (version, fencing) = (order.version, order.fencing);
         if !self.store.verify_whole(version) {
             error!(self.log, "version does not match its digest"; "version" => %version);
             return;
         }
-        let Some(engine) = &self.engine else { return };
-        let order = LoadOrder {
+        let load = LoadOrder {
             manifest,
             weights_url: format!("http://{}/weights/{version}", self.settings.listen.peers),
-            fencing: self.fencing,
-            beside: false,
+            fencing,
+            beside: order.beside,
         };
-        match engine.load(&order) {
+        match engine.load(&load) {
             Ok(()) => {
-                info!(self.log, "load ordered"; "version" => %version, "fencing" => %self.fencing);
+                info!(self.log, "load ordered"; "version" => %version, "fencing" => %fencing,
+                    "beside" => order.beside);
             }
             Err(OrderError::Fenced) => {
-                warn!(self.log, "engine refused an old fencing number"; "fencing" => %self.fencing);
-                self.permit = None;
+                warn!(self.log, "engine refused an old fencing number"; "fencing" => %fencing);
+                self.switch.drop_permit();
             }
             Err(err) => self.engine_error = Some(err.to_string()),
         }
@@ -211,3 +227,6 @@
 
 /// Time for one call to the engine on this host.
 const ENGINE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Shortest time for which a permit holds without being confirmed by another heartbeat.
+const MIN_PERMIT_TIME: Duration = Duration::from_secs(3);
--- a/crates/agent/src/control/heartbeat_loop.rs
+++ b/crates/agent/src/control/heartbeat_loop.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
+use std::time::Duration;
 
 use model::TargetRow;
 use settings::AgentSettings;
@@ -29,7 +30,10 @@
     let mut interval = tokio::time::interval(settings.heartbeat);
     let mut sequence = 0;
     loop {
-        interval.tick().await;
+        tokio::select! {
+            _ = interval.tick() => {}
+            () = view.wait_for_change() => tokio::time::sleep(CHANGE_DELAY).await,
+        }
         sequence += 1;
         let row = own_row(&settings, &view, &gate, &store, sequence);
         let mut reached = 0;
@@ -99,3 +103,6 @@
 
 /// Entries that an agent keeps informed, so that one of them can go without its target being forgotten.
 const HOME_ENTRIES: usize = 2;
+
+/// Time in which changes that come together are gathered into one heartbeat.
+const CHANGE_DELAY: Duration = Duration::from_millis(50);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod change_plan;
 mod config_holder;
+mod engine_switch;
 mod parameter_rule;
 mod query_table;
 mod rendezvous;
@@ -19,6 +20,7 @@
 
 pub use change_plan::{PlanContext, plan_change};
 pub use config_holder::{ConfigHolder, ConfigSource};
+pub use engine_switch::{EngineReport, EngineSwitch, SwitchInput, SwitchOrder, SwitchStep};
 pub use language::{Change, CommandError, Query, Statement, TableName, parse};
 pub use parameter_rule::{PARAMETERS, ParameterRule};
 pub use query_table::{Cell, QueryTable, answer_query};
