One function suggests near names

Cause: settings and control each had an edit distance of their own.

Result: tests of model, control and settings green.

--- a/crates/control/src/change_plan.rs
+++ b/crates/control/src/change_plan.rs
@@ -7,9 +7,7 @@
     WeightManifest,
 };
 
-use crate::language::{
-    Change, CommandError, ErrorKind, OrganisationField, ServiceField, Spanned, near_name,
-};
+use crate::language::{Change, CommandError, ErrorKind, OrganisationField, ServiceField, Spanned};
 use crate::parameter_rule::{PARAMETERS, ParameterRule};
 
 /// Share of a zone's replicas out at once when neither the command nor a parameter names one.
@@ -250,5 +248,5 @@
         what,
         name: name.to_string(),
     };
-    CommandError::new(kind, span).suggest(near_name(name, candidates))
+    CommandError::new(kind, span).suggest(model::near_name(name, candidates))
 }
--- a/crates/control/src/language/mod.rs
+++ b/crates/control/src/language/mod.rs
@@ -4,7 +4,6 @@
 mod command_error;
 mod filter;
 mod lexer;
-mod near_name;
 mod parser;
 mod query_parser;
 mod span;
@@ -14,7 +13,6 @@
 
 pub use command_error::{CommandError, ErrorKind};
 pub use filter::{Comparison, Filter, Operand, Operator};
-pub use near_name::near_name;
 pub use parser::{VERBS, parse};
 pub use span::{Span, Spanned};
 pub use statement::{Change, OrderKey, OrganisationField, Query, ServiceField, Statement};
--- a/crates/control/src/language/parser.rs
+++ b/crates/control/src/language/parser.rs
@@ -3,11 +3,11 @@
 use crate::language::change_parser::parse_change;
 use crate::language::command_error::{CommandError, ErrorKind};
 use crate::language::lexer::tokenize;
-use crate::language::near_name::near_name;
 use crate::language::query_parser::parse_query;
 use crate::language::span::{Span, Spanned};
 use crate::language::statement::Statement;
 use crate::language::token::{Token, TokenKind};
+use model::near_name;
 
 /// Longest command text in bytes.
 const MAX_COMMAND_BYTES: usize = 4096;
--- a/crates/control/src/language/query_parser.rs
+++ b/crates/control/src/language/query_parser.rs
@@ -87,7 +87,7 @@
             let clauses = CLAUSES.iter().copied();
             let near = table
                 .near_column(&value)
-                .or_else(|| crate::language::near_name(&value, clauses));
+                .or_else(|| model::near_name(&value, clauses));
             let kind = ErrorKind::Unknown {
                 what: "column",
                 name: value,
--- a/crates/control/src/language/table_name.rs
+++ b/crates/control/src/language/table_name.rs
@@ -1,6 +1,6 @@
 //! Tables that queries read.
 
-use crate::language::near_name::near_name;
+use model::near_name;
 
 /// What a column holds; either kind may also hold no value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,7 +15,6 @@
 mod identity_settings;
 mod log_settings;
 mod metric_settings;
-mod nearest_name;
 mod platform_settings;
 mod read;
 mod secret_text;
--- a/crates/settings/src/walker/section.rs
+++ b/crates/settings/src/walker/section.rs
@@ -6,7 +6,6 @@
 
 use jsonc_parser::ast::Object;
 
-use crate::nearest_name::nearest_name;
 use crate::setting_problem::SettingProblem;
 use crate::walker::field::Field;
 use crate::walker::file_context::FileContext;
@@ -112,7 +111,7 @@
             let name = property.name.as_str();
             let problem = if !self.known.contains(&name) {
                 SettingProblem::UnknownField {
-                    nearest: nearest_name(name, &self.known),
+                    nearest: model::near_name(name, self.known.iter().copied()),
                 }
             } else if !seen.insert(name) {
                 SettingProblem::DuplicateField
