--- a/crates/standin/src/harness/fleet_plan.rs
+++ b/crates/standin/src/harness/fleet_plan.rs
@@ -121,8 +121,8 @@
             link_bytes_per_s: 200_000_000,
             profile: "time".to_owned(),
             directory_ttl: Duration::from_secs(2),
-            heartbeat: Duration::from_millis(200),
             links: None,
+            heartbeat: Duration::from_millis(200),
         }
     }
 
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -23,6 +23,11 @@
         about: "runs the whole system among stand-ins and checks what it promises",
         run: demo::run,
     },
+    Task {
+        name: &["bench", "spread"],
+        about: "measures the spread of weights against baselines and the lower bound",
+        run: bench_spread::run,
+    },
     Task {
         name: &["bench", "requests"],
         about: "measures requests under load and faults, with baselines in the same run",
@@ -38,11 +43,6 @@
         about: "fills the tables of docs/CAPACITY.md from the control bench",
         run: capacity::run,
     },
-    Task {
-        name: &["bench", "spread"],
-        about: "measures the spread of weights against baselines and the lower bound",
-        run: bench_spread::run,
-    },
 ];
 
 fn main() -> ExitCode {
