--- a/crates/fulmarline/tests/support/mod.rs
+++ b/crates/fulmarline/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test file uses a part of it.
 #![allow(dead_code)]
 
+pub mod raw_http;
+
 use std::path::{Path, PathBuf};
 use std::thread::JoinHandle;
 use std::time::Duration;
