Smaller files in the stand-ins

Change: what an engine's requests share and what operators ask of a fleet have files of their own; nothing else.

--- a/crates/standin/src/engine/engine_load.rs
+++ b/crates/standin/src/engine/engine_load.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 
 use crate::engine::engine_inner::{EnginePhase, StopReason};
-use crate::engine::model_engine::EngineShared;
+use crate::engine::engine_shared::EngineShared;
 
 /// An order to load a version.
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -9,6 +9,7 @@
 mod engine_load;
 mod engine_options;
 mod engine_request;
+mod engine_shared;
 mod load_history;
 mod model_engine;
 mod prefix_cache;
--- a/crates/standin/src/engine/token_stream.rs
+++ b/crates/standin/src/engine/token_stream.rs
@@ -13,7 +13,7 @@
 use crate::engine::engine_answers;
 use crate::engine::engine_inner::{KvSnapshot, StopReason};
 use crate::engine::engine_request::TokenRequest;
-use crate::engine::model_engine::EngineShared;
+use crate::engine::engine_shared::EngineShared;
 
 /// A request that the engine has admitted; it counts as cancelled unless it is finished.
 #[derive(Debug)]
--- a/crates/standin/src/harness/mod.rs
+++ b/crates/standin/src/harness/mod.rs
@@ -1,10 +1,12 @@
 //! Runs fulmarline as real processes among stand-ins, for integration tests, the demo and the benches.
 
 mod child_process;
+mod fleet_calls;
 mod fleet_plan;
 mod fleet_settings;
 mod process_fleet;
 
 pub use child_process::ChildProcess;
+pub use fleet_calls::CommandReply;
 pub use fleet_plan::{AgentPlan, EntryPlan, FleetPlan, TargetPlan};
-pub use process_fleet::{CommandReply, ProcessFleet};
+pub use process_fleet::ProcessFleet;
