--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,7 +19,7 @@
 
 use crate::calls::{CallCounters, CallServer};
 use crate::control::{ControlThread, SnapshotCell};
-use crate::tracker::ChunkTracker;
+use crate::tracker::TrackerSet;
 
 /// Runs an entry until a planned stop has ended.
 ///
@@ -40,7 +40,7 @@
     let snapshots = Arc::new(SnapshotCell::default());
     let counters = wire::WireCounters::default();
     let calls = Arc::new(CallCounters::default());
-    let tracker = Arc::new(ChunkTracker::new(settings.sources.origin));
+    let tracker = Arc::new(TrackerSet::new(settings.clone()));
     let table = TableClient::new(settings.platform.table, TABLE_TIMEOUT);
 
     let control = ControlThread::start(
@@ -76,12 +76,20 @@
 
     runtime.block_on(async {
         let events = control.sender();
+        let offer_counters = counters.clone();
         let report =
             metrics::report_loop(metrics, snapshots.clone(), table.clone(), counters.clone());
         tokio::spawn(report);
-        control::serve(&settings, events.clone(), snapshots.clone(), tracker, counters.clone(), log.clone())
+        control::serve(&settings, events.clone(), snapshots.clone(), tracker.clone(), counters.clone(), log.clone())
             .await?;
         tokio::spawn(control::exchange_loop(settings.clone(), snapshots.clone(), events, counters, log.clone()));
+        tokio::spawn(tracker::offer_loop(
+            settings.clone(),
+            snapshots.clone(),
+            tracker,
+            offer_counters,
+            log.clone(),
+        ));
         let server = CallServer::new(settings.clone(), snapshots.clone(), table, calls.clone(), log.clone());
         let listener = server.start()?;
         info!(log, "entry started"; "callers" => %settings.listen.callers);
--- a/crates/standin/src/harness/mod.rs
+++ b/crates/standin/src/harness/mod.rs
@@ -8,5 +8,5 @@
 
 pub use child_process::ChildProcess;
 pub use fleet_calls::CommandReply;
-pub use fleet_plan::{AgentPlan, EntryPlan, FleetPlan, TargetPlan};
+pub use fleet_plan::{AgentPlan, EntryPlan, FleetPlan, LinkPlan, TargetPlan};
 pub use process_fleet::ProcessFleet;
