Expired orders are swept; latest starts count the mean target with a margin

Cause: nobody deleted the rows of orders, so the table would have grown without end; and under 1.5 times the capacity 36 of 1,010 streams began too late and were cut at their deadline, because the latest start was worked out for the fastest target. Change: every entry looks through a page of rows at a pace that falls with the number of entries and deletes what expired an hour ago; the latest start takes the mean target's first token and token gap with a quarter more.

--- a/crates/entry/src/calls/call_decisions.rs
+++ b/crates/entry/src/calls/call_decisions.rs
@@ -84,11 +84,15 @@
 
     /// Estimates when the work must have started to be whole before its deadline.
     pub(crate) fn latest_start(&self, rows: &[&TargetRow], now: Instant) -> Instant {
-        let gap = rows.iter().map(|it| it.load.token_gap_us).min();
-        let gap = Duration::from_micros(u64::from(gap.unwrap_or(0)));
-        let first_token = rows.iter().map(|it| it.load.first_token_ms).min();
-        let first_token = Duration::from_millis(u64::from(first_token.unwrap_or(0)));
-        let work = first_token + gap.saturating_mul(self.cost);
+        let count = rows.len().max(1) as u32;
+        let gaps: u64 = rows.iter().map(|it| u64::from(it.load.token_gap_us)).sum();
+        let first_tokens: u64 = rows
+            .iter()
+            .map(|it| u64::from(it.load.first_token_ms))
+            .sum();
+        let gap = Duration::from_micros(gaps) / count;
+        let first_token = Duration::from_millis(first_tokens) / count;
+        let work = (first_token + gap.saturating_mul(self.cost)).mul_f64(WORK_MARGIN);
         self.deadline
             .checked_sub(work)
             .unwrap_or(now)
@@ -182,3 +186,6 @@
 
 /// Longest time in the queue, whatever the deadline.
 const MAX_QUEUE_TIME: Duration = Duration::from_secs(10);
+
+/// Work relative to its estimate that is allowed for, because targets slow down while a request waits.
+const WORK_MARGIN: f64 = 1.25;
--- a/crates/entry/src/calls/call_server.rs
+++ b/crates/entry/src/calls/call_server.rs
@@ -17,7 +17,7 @@
 use crate::calls::call_shared::CallShared;
 use crate::calls::directory;
 use crate::calls::dispatcher::Dispatcher;
-use crate::calls::{model_call, service_call};
+use crate::calls::{model_call, order_sweeper, service_call};
 use crate::control::{ControlSnapshot, SnapshotCell};
 
 /// Answers callers.
@@ -67,6 +67,11 @@
         let server = HttpServer::bind(address, limits)
             .with_context(|| format!("cannot listen on {address}"))?;
         tokio::spawn(self.dispatcher.shared.clone().pump_loop());
+        tokio::spawn(order_sweeper::sweep_loop(
+            self.table.clone(),
+            self.snapshots.clone(),
+            self.log.clone(),
+        ));
         Ok(server.serve(move |request, _peer| {
             let server = self.clone();
             async move { server.answer(request).await }
--- a/crates/entry/src/calls/mod.rs
+++ b/crates/entry/src/calls/mod.rs
@@ -12,6 +12,7 @@
 mod model_call;
 mod model_request;
 mod order_driver;
+mod order_sweeper;
 mod order_table;
 mod service_call;
 mod stream_events;
--- /dev/null
+++ b/crates/entry/src/calls/order_sweeper.rs
@@ -0,0 +1,65 @@
+//! Deletes the rows of orders whose outcomes need not be kept any more.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use platform::{TableClient, TableError, TableRow, TableTransaction};
+use rand::RngExt;
+use routing::OrderRow;
+use slog::{Logger, debug};
+
+use crate::calls::order_driver;
+use crate::calls::order_table::ORDER_PREFIX;
+use crate::control::SnapshotCell;
+
+/// Looks through the rows page by page, until the runtime ends.
+///
+/// Every entry does it, at a pace that falls with their number, so that no entry has to be chosen for it.
+pub(crate) async fn sweep_loop(table: TableClient, snapshots: Arc<SnapshotCell>, log: Logger) {
+    let mut after = String::new();
+    loop {
+        let entries = snapshots.load().entries.len() as u32 + 1;
+        let jitter = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep((PAGE_PAUSE * entries).mul_f64(jitter)).await;
+        let (pages, start) = (table.clone(), after.clone());
+        let page = tokio::task::spawn_blocking(move || sweep_page(&pages, &start)).await;
+        after = match page {
+            Ok(Ok(next)) => next,
+            failed => {
+                debug!(log, "orders were not swept"; "result" => ?failed);
+                after
+            }
+        };
+    }
+}
+
+/// Deletes the expired rows of the page after `after` and returns where the next one begins.
+fn sweep_page(table: &TableClient, after: &str) -> Result<String, TableError> {
+    let rows = table.scan(ORDER_PREFIX, after, PAGE_ROWS)?;
+    let mut transaction = TableTransaction::default();
+    for row in rows.iter().filter(|it| is_expired(it)) {
+        transaction = transaction.expect(&row.key, Some(row.version));
+        transaction.delete.push(row.key.clone());
+    }
+    if !transaction.delete.is_empty() {
+        table.transact(&transaction)?;
+    }
+    let last = rows.last().filter(|_| rows.len() == PAGE_ROWS);
+    Ok(last.map_or_else(String::new, |it| it.key.clone()))
+}
+
+/// Tells whether a row may go; the grace covers entries whose clocks differ.
+fn is_expired(row: &TableRow) -> bool {
+    let now_ms = order_driver::now_ms();
+    let row = serde_json::from_value::<OrderRow>(row.value.clone());
+    row.is_ok_and(|it| it.expires_ms + GRACE_MS < now_ms)
+}
+
+/// Pause between pages, for each entry.
+const PAGE_PAUSE: Duration = Duration::from_secs(5);
+
+/// Rows of a page.
+const PAGE_ROWS: usize = 200;
+
+/// Time after the expiry for which a row is kept, in milliseconds.
+const GRACE_MS: u64 = 60 * 60 * 1000;
--- a/crates/entry/src/calls/order_table.rs
+++ b/crates/entry/src/calls/order_table.rs
@@ -22,7 +22,7 @@
         let digest = blake3::hash(key.as_bytes());
         Self {
             table,
-            key: format!("order/{organisation}/{service}/{digest}"),
+            key: format!("{ORDER_PREFIX}{organisation}/{service}/{digest}"),
         }
     }
 
@@ -73,3 +73,6 @@
 async fn blocking<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static, failed: T) -> T {
     tokio::task::spawn_blocking(work).await.unwrap_or(failed)
 }
+
+/// Start of the keys of all orders.
+pub(crate) const ORDER_PREFIX: &str = "order/";
