Revisions in force are told in a few bytes, so that ctl sees them soon

Cause: the revision of a host travelled with its whole row, two rows an exchange, so that a command looked out of force for long in a large fleet though it was in force. Change: HostRevision beside the rows, with every exchange that is due.

--- a/crates/control/src/row_share.rs
+++ b/crates/control/src/row_share.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use model::{FencingNumber, GateState, HostName, Incarnation, TargetRow, VersionDigest};
+use model::{
+    ConfigRevision, FencingNumber, GateState, HostName, HostRevision, Incarnation, TargetRow,
+    VersionDigest,
+};
 
 /// Load-only rows in one share, so that a busy fleet does not cost more bytes than a quiet one may.
 const MAX_LOAD_ROWS: usize = 2;
@@ -15,6 +18,8 @@
 pub struct RowShare {
     /// Rows that changed since the last share that arrived.
     pub rows: Vec<TargetRow>,
+    /// Revisions in force on hosts of which nothing else has to be told.
+    pub revisions: Vec<HostRevision>,
     /// Hosts told before that this entry does not hear any more.
     pub gone: Vec<HostName>,
     /// Whether `rows` lists every target that the entry hears, so that any other is gone.
@@ -31,7 +36,8 @@
 #[derive(Clone, Debug)]
 struct ToldRow {
     state: RowState,
-    load: RowLoad,
+    load_step: u64,
+    revision: ConfigRevision,
     turn: u64,
 }
 
@@ -46,30 +52,33 @@
     overloaded: bool,
 }
 
-/// What of a row may reach a peer late.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct RowLoad {
-    step: u64,
-    revision: u64,
-}
-
 impl PeerShare {
     /// Returns what to tell the peer now about `rows`, the targets that this entry hears itself.
     pub fn next<'a>(&self, rows: impl Iterator<Item = &'a TargetRow> + Clone) -> RowShare {
         let Some(told) = &self.told else {
             return RowShare {
                 rows: rows.cloned().collect(),
-                gone: Vec::new(),
                 complete: true,
+                ..RowShare::default()
             };
         };
         let mut changed = Vec::new();
         let mut load_only = Vec::new();
+        let mut revisions = Vec::new();
         for row in rows.clone() {
-            match told.get(&row.host) {
-                Some(it) if it.state == row_state(row) && it.load == row_load(row) => {}
-                Some(it) if it.state == row_state(row) => load_only.push((it.turn, row)),
-                _ => changed.push(row.clone()),
+            let Some(it) = told.get(&row.host).filter(|it| it.state == row_state(row)) else {
+                changed.push(row.clone());
+                continue;
+            };
+            if it.load_step != load_step(row) {
+                load_only.push((it.turn, row));
+            }
+            if it.revision != row.revision {
+                revisions.push(HostRevision {
+                    host: row.host.clone(),
+                    incarnation: row.incarnation,
+                    revision: row.revision,
+                });
             }
         }
         load_only.sort_by_key(|it| it.0);
@@ -78,6 +87,7 @@
         let heard = |host: &HostName| rows.clone().any(|it| it.host == *host);
         RowShare {
             rows: changed,
+            revisions,
             gone: told.keys().filter(|it| !heard(it)).cloned().collect(),
             complete: false,
         }
@@ -104,10 +114,16 @@
         for host in &share.gone {
             told.remove(host);
         }
+        for it in &share.revisions {
+            if let Some(row) = told.get_mut(&it.host) {
+                row.revision = it.revision;
+            }
+        }
         for row in &share.rows {
             let it = ToldRow {
                 state: row_state(row),
-                load: row_load(row),
+                load_step: load_step(row),
+                revision: row.revision,
                 turn: self.turn,
             };
             told.insert(row.host.clone(), it);
@@ -132,10 +148,7 @@
     }
 }
 
-fn row_load(row: &TargetRow) -> RowLoad {
+fn load_step(row: &TargetRow) -> u64 {
     let limit = u64::from(row.load.limit.max(1));
-    RowLoad {
-        step: u64::from(row.load.in_flight) * LOAD_STEPS / limit,
-        revision: row.revision.0,
-    }
+    u64::from(row.load.in_flight) * LOAD_STEPS / limit
 }
--- a/crates/control/src/target_view.rs
+++ b/crates/control/src/target_view.rs
@@ -85,6 +85,13 @@
                 target.seen = now;
             }
         }
+        for it in share.revisions {
+            let known = self.targets.get_mut(&it.host);
+            let same = known.filter(|known| known.row.incarnation == it.incarnation);
+            if let Some(target) = same.filter(|known| known.row.revision < it.revision) {
+                Arc::make_mut(target).row.revision = it.revision;
+            }
+        }
         for row in share.rows {
             let target = self.take_row(row, now);
             target.vouchers.insert(home.clone());
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use control::{PeerShare, RowShare, TargetView};
-use model::{GateState, HostName, TargetRow};
+use model::{ConfigRevision, GateState, HostName, TargetRow};
 use support::target;
 
 fn host(name: &str) -> HostName {
@@ -113,7 +113,7 @@
             vec![target("h", 1, 1)]
         },
         gone: if gone { vec![host("h")] } else { vec![] },
-        complete: false,
+        ..RowShare::default()
     };
     view.take_share(&host("e0"), share(false), now);
     view.take_share(&host("e1"), share(false), now);
@@ -144,6 +144,16 @@
     share.acknowledge(&first);
     rows[0].sequence = 2;
     assert_eq!(share.next(rows.iter()), RowShare::default());
+    rows[0].revision = ConfigRevision(7);
+    let short = share.next(rows.iter());
+    assert!(short.rows.is_empty() && !share.is_urgent(rows.iter()));
+    assert_eq!(short.revisions[0].revision, ConfigRevision(7));
+    let mut view = TargetView::default();
+    view.take_share(&host("e0"), first, Instant::now());
+    view.take_share(&host("e0"), short.clone(), Instant::now());
+    assert_eq!(view.targets()[&host("a")].row.revision, ConfigRevision(7));
+    share.acknowledge(&short);
+    assert_eq!(share.next(rows.iter()), RowShare::default());
     rows[1].state = GateState::Leaving;
     assert!(share.is_urgent(rows.iter()));
     assert_eq!(share.next(rows.iter()).rows, [rows[1].clone()]);
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -129,6 +129,7 @@
         }
         let share = RowShare {
             rows: summary.targets,
+            revisions: summary.revisions,
             gone: summary.gone,
             complete: summary.complete,
         };
--- a/crates/entry/src/control/exchange_loop.rs
+++ b/crates/entry/src/control/exchange_loop.rs
@@ -111,6 +111,7 @@
     EntrySummary {
         entry: snapshot.own.clone().unwrap_or_else(unknown_entry),
         targets: Vec::new(),
+        revisions: Vec::new(),
         gone: Vec::new(),
         complete: false,
         permits: snapshot.own_permits.clone(),
@@ -161,6 +162,7 @@
     counters.add_message();
     let summary = EntrySummary {
         targets: std::mem::take(&mut share.rows),
+        revisions: share.revisions.clone(),
         gone: share.gone.clone(),
         complete: share.complete,
         ..summary.clone()
--- a/crates/wire/src/entry_summary.rs
+++ b/crates/wire/src/entry_summary.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use model::{ConfigRevision, EntryRow, HostName, SwitchPermit, TargetRow};
+use model::{ConfigRevision, EntryRow, HostName, HostRevision, SwitchPermit, TargetRow};
 use serde::{Deserialize, Serialize};
 
 /// What one entry tells another.
@@ -12,6 +12,8 @@
     pub entry: EntryRow,
     /// Rows of targets that the sender hears itself and that changed since the receiver was last told.
     pub targets: Vec<TargetRow>,
+    /// Revisions in force on hosts that the sender hears itself, where they changed.
+    pub revisions: Vec<HostRevision>,
     /// Hosts told before that the sender does not hear any more.
     pub gone: Vec<HostName>,
     /// Whether `targets` lists all that the sender hears, so that any other is gone.
