Bench: costs are measured after the first, complete exchanges

Cause: the first process sampled was sampled while the fleet was still joining, so at 32 + 100 one entry showed 35 KB/s; it was always one of the first in the order of names. Change: ten seconds from joining to the sample.

--- a/crates/xtask/src/bench_control.rs
+++ b/crates/xtask/src/bench_control.rs
@@ -18,6 +18,9 @@
 /// Time over which costs are measured.
 const COST_WINDOW: Duration = Duration::from_secs(10);
 
+/// Time after the fleet has come together until costs are measured.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
+
 /// Time for a fleet to come together.
 const START_TIMEOUT: Duration = Duration::from_secs(90);
 
@@ -103,6 +106,8 @@
     })?;
     let joined_ms = started.elapsed().as_millis() as u64;
     let seen = Mutex::new(BTreeMap::new());
+    // The first exchanges with every peer are complete ones; they count as the cost of joining.
+    std::thread::sleep(SETTLE_TIME);
     let (cost, reads, writes) = measure_cost(&mut fleet, &names)?;
     let busiest = cost
         .iter()
