--- a/crates/standin/src/harness/fleet_plan.rs
+++ b/crates/standin/src/harness/fleet_plan.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::engine::EngineOptions;
+use crate::links::SwitchOptions;
 
 /// The entries, agents and stand-ins of a fleet.
 #[derive(Clone, Debug)]
@@ -36,6 +37,23 @@
     pub directory_ttl: Duration,
     /// Time between heartbeats of the agents.
     pub heartbeat: Duration,
+    /// Links that chunks and requests of the agents pass, or `None` to connect them directly.
+    pub links: Option<LinkPlan>,
+}
+
+/// Links between the agents, and between them and the origin.
+#[derive(Clone, Debug)]
+pub struct LinkPlan {
+    /// What holds for all links.
+    pub options: SwitchOptions,
+    /// Speed of the origin's link in bytes a second.
+    pub origin_bytes_per_s: f64,
+    /// Speed of each host's link in bytes a second, in and out together.
+    pub host_bytes_per_s: f64,
+    /// Share of a host's link that its agent leaves for live requests.
+    pub live_share: f64,
+    /// Chunks that an agent fetches at once, and twice as many that it serves.
+    pub fetch_parallel: usize,
 }
 
 /// One entry.
@@ -103,6 +121,7 @@
             link_bytes_per_s: 200_000_000,
             profile: "time".to_owned(),
             directory_ttl: Duration::from_secs(2),
+            links: None,
             heartbeat: Duration::from_millis(200),
         }
     }
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod bench_control_report;
 mod bench_control_sample;
 mod bench_requests;
+mod bench_spread;
 mod capacity;
 mod demo;
 mod task;
@@ -22,6 +23,11 @@
         about: "runs the whole system among stand-ins and checks what it promises",
         run: demo::run,
     },
+    Task {
+        name: &["bench", "spread"],
+        about: "measures the spread of weights against baselines and the lower bound",
+        run: bench_spread::run,
+    },
     Task {
         name: &["bench", "requests"],
         about: "measures requests under load and faults, with baselines in the same run",
