--- a/crates/entry/src/tracker/offer_loop.rs
+++ b/crates/entry/src/tracker/offer_loop.rs
@@ -71,14 +71,17 @@
         return Ok(());
     }
     let address = tracker.control;
-    if !clients.contains_key(&address) {
-        let secret = settings.shared_key.reveal();
-        let client = wire::connect_entry(address, None, secret, counters).await?;
-        clients.insert(address, client);
-    }
+    let client = match clients.get(&address) {
+        Some(it) => it.clone(),
+        None => {
+            let secret = settings.shared_key.reveal();
+            let client = wire::connect_entry(address, None, secret, counters).await?;
+            clients.insert(address, client.clone());
+            client
+        }
+    };
     counters.add_message();
-    let asked =
-        clients[&address].offer_chunks(context::current(), wish.key, region.clone(), wish.known);
+    let asked = client.offer_chunks(context::current(), wish.key, region.clone(), wish.known);
     match asked.await {
         Ok(offers) if offers.is_empty() => {}
         Ok(offers) => trackers.take_offers(wish, region, &offers),
