--- a/crates/agent/src/control/control_thread.rs
+++ b/crates/agent/src/control/control_thread.rs
@@ -1,5 +1,6 @@
 //! The one thread that owns an agent's control state.
 
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
@@ -172,7 +173,15 @@
             }
         };
         self.engine_error.clone_from(&state.error);
-        if !self.switch.take_fencing(state.fencing) {
+        // An engine that does not check numbers does not keep them either.
+        let checks = matches!(
+            self.settings.target,
+            TargetSettings::Model {
+                checks_fencing: true,
+                ..
+            }
+        );
+        if checks && !self.switch.take_fencing(state.fencing) {
             debug!(self.log, "engine is behind in fencing numbers"; "engine" => %state.fencing);
         }
         match (state.state, state.version) {
@@ -204,7 +213,10 @@
         }
         let load = LoadOrder {
             manifest,
-            weights_url: format!("http://{}/weights/{version}", self.settings.listen.peers),
+            weights_url: format!(
+                "http://{}/weights/{version}",
+                local_address(self.settings.listen.peers)
+            ),
             fencing,
             beside: order.beside,
         };
@@ -222,6 +234,16 @@
     }
 }
 
+/// Returns where a process on this host reaches a listener, which may be bound to every address.
+fn local_address(listen: SocketAddr) -> SocketAddr {
+    let ip = match listen.ip() {
+        IpAddr::V4(it) if it.is_unspecified() => Ipv4Addr::LOCALHOST.into(),
+        IpAddr::V6(it) if it.is_unspecified() => Ipv6Addr::LOCALHOST.into(),
+        it => it,
+    };
+    SocketAddr::new(ip, listen.port())
+}
+
 /// Pause between looks at the engine.
 const STEP: Duration = Duration::from_millis(100);
 
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -2,8 +2,6 @@
 
 mod support;
 
-mod support;
-
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
--- a/crates/entry/src/control/command_runner.rs
+++ b/crates/entry/src/control/command_runner.rs
@@ -4,8 +4,13 @@
 use std::time::Duration;
 
 use control::{Change, CommandError, PlanContext, Statement};
-use model::{CommandId, ConfigDelta, ConfigRevision, FleetConfig, HostName, ResultCode};
-use platform::{HostListClient, SourceClient, TableClient, TableError, TableTransaction};
+use model::{
+    CommandId, ConfigDelta, ConfigRevision, FleetConfig, HostName, ModelName, ResultCode,
+    VersionLabel,
+};
+use platform::{
+    CallError, HostListClient, SourceClient, TableClient, TableError, TableTransaction,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::control::command_outcome::CommandOutcome;
@@ -91,7 +96,7 @@
             Change::Rollout { model, label, .. } => Some(
                 self.source
                     .manifest(&model.value, &label.value)
-                    .map_err(|err| err.to_string()),
+                    .map_err(|err| manifest_problem(&err, &model.value, &label.value)),
             ),
             _ => None,
         };
@@ -217,3 +222,11 @@
 
 /// Pause between those reads.
 const SETTLE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Says in a sentence why a rollout has no manifest.
+fn manifest_problem(err: &CallError, model: &ModelName, label: &VersionLabel) -> String {
+    match err {
+        CallError::NotFound => format!("the origin has no version {label} of the model {model}"),
+        _ => format!("the manifest of {label} of the model {model} was not read: {err}"),
+    }
+}
