--- a/crates/xtask/src/bench_requests/stream_probe.rs
+++ b/crates/xtask/src/bench_requests/stream_probe.rs
@@ -102,16 +102,22 @@
     let mut gaps = Vec::new();
     let mut last = start;
     let mut tokens = 0;
+    // A read may end inside of an event, so the end of the last one is looked at again.
+    let mut text = Vec::new();
     let mut is_whole = false;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        is_whole |= data.ends_with(b"data: [DONE]\n\n");
-        let arrived = data
+        text.extend_from_slice(&data);
+        let arrived = text
             .windows(INDEX_FIELD.len())
             .filter(|it| *it == INDEX_FIELD)
             .count();
+        let rest = text.len().min(END_MARK.len().max(INDEX_FIELD.len()) - 1);
+        let is_end = text.ends_with(END_MARK);
+        text.drain(..text.len() - rest);
+        is_whole |= is_end;
         if arrived == 0 {
             continue;
         }
