--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -1,4 +1,5 @@
-//! Rows for the tests.
+//! Rows and seeds for the tests.
+#![allow(dead_code)]
 
 use std::net::SocketAddr;
 
@@ -28,3 +29,12 @@
         load: LoadSample::default(),
     }
 }
+
+/// Returns the seed of one round: its upper half starts the generator, which must not be zero, and its lower half is
+/// the number of bytes that the generator gives.
+pub fn arbtest_seed(round: u64) -> u64 {
+    (round + 1) << 32 | ENTROPY_BYTES
+}
+
+/// Bytes of randomness for one round.
+const ENTROPY_BYTES: u64 = 4096;
