--- a/crates/standin/src/plain_service.rs
+++ b/crates/standin/src/plain_service.rs
@@ -29,6 +29,8 @@
     pub delay_ms: u64,
     /// Runs whose answers are lost, from the next one on.
     pub lose_next: u32,
+    /// Whether only answers to calls with an idempotency key are lost.
+    pub lose_keyed_only: bool,
     /// Whether every call is refused with 503 before it runs.
     pub refuse: bool,
 }
@@ -179,7 +181,7 @@
     tokio::time::sleep(delay).await;
     let mut inner = lock(&shared);
     inner.finish(&keys);
-    if inner.faults.lose_next > 0 {
+    if inner.faults.lose_next > 0 && (keys.key.is_some() || !inner.faults.lose_keyed_only) {
         inner.faults.lose_next -= 1;
         return None;
     }
--- a/crates/xtask/src/demo/demo_run.rs
+++ b/crates/xtask/src/demo/demo_run.rs
@@ -35,6 +35,7 @@
     for service in fleet.services.values() {
         service.set_faults(ServiceFaults {
             lose_next: LOST_ANSWERS,
+            lose_keyed_only: true,
             ..ServiceFaults::default()
         });
     }
@@ -201,7 +202,7 @@
     by_switch as usize + by_drain as usize + broke.count()
 }
 
-/// Answers of each service that are lost after the work has run.
+/// Answers to orders of each service that are lost after the work has run.
 const LOST_ANSWERS: u32 = 3;
 
 /// Share of the table's transactions whose replies are lost after they were applied.
