--- a/crates/xtask/src/bench_requests/stream_probe.rs
+++ b/crates/xtask/src/bench_requests/stream_probe.rs
@@ -143,6 +143,9 @@
 /// What each token's event holds once.
 const INDEX_FIELD: &[u8] = b"\"finish_reason\"";
 
+/// The end of every whole answer.
+const END_MARK: &[u8] = b"data: [DONE]\n\n";
+
 /// Streams at once for the added delay.
 const STREAMS: usize = 100;
 
