Listeners bind before connections start; links pass little more than a packet at once

Change: both roles bind every listener before they connect anywhere; the harness gives ports below those of connections; a link passes 2 KiB at once; the bench cuts the weights into 128 chunks of 32 KiB.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -50,17 +50,26 @@
     let counters = wire::WireCounters::default();
     let view = Arc::new(AgentView::new(incarnation));
 
-    let control = ControlThread::start(
-        &settings,
-        gate.clone(),
-        store.clone(),
-        view.clone(),
-        log.clone(),
-    )?;
     runtime.block_on(async {
         let gate_listener = gate::serve(&settings, gate.clone(), log.clone())?;
         let _peers = transfer::serve(&settings, store.clone(), pace.clone())?;
         control::serve(&settings, gate.clone(), counters.clone(), log.clone()).await?;
+        operators::serve(
+            settings.clone(),
+            view.clone(),
+            gate.clone(),
+            store.clone(),
+            counters.clone(),
+            log.clone(),
+        )?;
+        // Connections of this process take any free port, so they start when the listeners have theirs.
+        let control = ControlThread::start(
+            &settings,
+            gate.clone(),
+            store.clone(),
+            view.clone(),
+            log.clone(),
+        )?;
         tokio::spawn(control::heartbeat_loop(
             settings.clone(),
             view.clone(),
@@ -86,14 +95,6 @@
             store.clone(),
             counters.clone(),
         ));
-        operators::serve(
-            settings.clone(),
-            view.clone(),
-            gate.clone(),
-            store,
-            counters,
-            log.clone(),
-        )?;
         info!(log, "agent started"; "gate" => %settings.listen.gate);
         wait_for_stop().await?;
         info!(log, "planned stop requested");
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -50,20 +50,6 @@
         calls.clone(),
         log.clone(),
     )?;
-    control::start_poller(
-        &settings,
-        table.clone(),
-        snapshots.clone(),
-        control.sender(),
-        log.clone(),
-    )?;
-    control::start_driver(
-        &settings,
-        table.clone(),
-        snapshots.clone(),
-        control.sender(),
-        log.clone(),
-    )?;
     let operators = control::OperatorServer {
         settings: settings.clone(),
         snapshots: snapshots.clone(),
@@ -82,6 +68,23 @@
         tokio::spawn(report);
         control::serve(&settings, events.clone(), snapshots.clone(), tracker.clone(), counters.clone(), log.clone())
             .await?;
+        let server = CallServer::new(settings.clone(), snapshots.clone(), table.clone(), calls.clone(), log.clone());
+        let listener = server.start()?;
+        // Connections of this process take any free port, so they start when the listeners have theirs.
+        control::start_poller(
+            &settings,
+            table.clone(),
+            snapshots.clone(),
+            control.sender(),
+            log.clone(),
+        )?;
+        control::start_driver(
+            &settings,
+            table.clone(),
+            snapshots.clone(),
+            control.sender(),
+            log.clone(),
+        )?;
         tokio::spawn(control::exchange_loop(settings.clone(), snapshots.clone(), events, counters, log.clone()));
         tokio::spawn(tracker::offer_loop(
             settings.clone(),
@@ -90,8 +93,6 @@
             offer_counters,
             log.clone(),
         ));
-        let server = CallServer::new(settings.clone(), snapshots.clone(), table, calls.clone(), log.clone());
-        let listener = server.start()?;
         info!(log, "entry started"; "callers" => %settings.listen.callers);
         wait_for_stop().await?;
         info!(log, "planned stop requested");
--- a/crates/standin/src/harness/fleet_settings.rs
+++ b/crates/standin/src/harness/fleet_settings.rs
@@ -73,18 +73,24 @@
     ))
 }
 
-/// Returns `N` different free ports of `ip`.
+/// Returns `N` different free ports of `ip`, below those that the operating system gives to connections.
+///
+/// A port that was free when it was looked for could otherwise be taken by a connection of any process before the one
+/// that is to listen on it has started.
 pub(crate) fn free_addresses<const N: usize>(ip: IpAddr) -> io::Result<[SocketAddr; N]> {
     let mut addresses = [SocketAddr::new(ip, 0); N];
-    let mut listeners = Vec::with_capacity(N);
+    let mut ports = LISTEN_PORTS;
     for address in &mut addresses {
-        let listener = TcpListener::bind(SocketAddr::new(ip, 0))?;
-        *address = listener.local_addr()?;
-        listeners.push(listener);
+        let free = ports.find(|port| TcpListener::bind(SocketAddr::new(ip, *port)).is_ok());
+        let port = free.ok_or(io::ErrorKind::AddrInUse)?;
+        *address = SocketAddr::new(ip, port);
     }
     Ok(addresses)
 }
 
+/// Ports to listen on; Linux gives connections ports from 32768 on.
+const LISTEN_PORTS: std::ops::Range<u16> = 20_000..30_000;
+
 /// Writes the secrets that all settings files name.
 pub(crate) fn write_secrets(plan: &FleetPlan) -> io::Result<()> {
     std::fs::write(plan.dir.join("shared-key"), SHARED_KEY)?;
--- a/crates/standin/src/links/link_switch.rs
+++ b/crates/standin/src/links/link_switch.rs
@@ -350,8 +350,8 @@
     }
 }
 
-/// Bytes that pass at once; small, so that a token waits behind little on a slow link.
-const PIECE_BYTES: usize = 16 * 1024;
+/// Bytes that pass at once, little more than a packet: a link of 1.4 MB/s would hold back a token for 12 ms behind 16 KiB.
+const PIECE_BYTES: usize = 2 * 1024;
 
 /// Time whose worth of bytes may pass at once after a pause; covers the steps of the timer.
 const LIMIT_BURST: Duration = Duration::from_millis(10);
--- a/crates/xtask/src/bench_spread/spread_run.rs
+++ b/crates/xtask/src/bench_spread/spread_run.rs
@@ -64,7 +64,7 @@
             faults: false,
             only_regional: false,
             weight_bytes: 4 << 20,
-            chunk_bytes: 64 << 10,
+            chunk_bytes: 32 << 10,
             window: Duration::from_secs(6),
         }
     }
