--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -23,7 +23,7 @@
 use crate::gate::GateShared;
 use crate::transfer::{ChunkStore, TransferPace, TransferParts};
 
-/// Runs an agent until a planned stop has ended.
+/// Runs an agent until a planned stop has ended; `stop` completes when one is asked for.
 ///
 /// # Errors
 ///
@@ -32,6 +32,7 @@
     settings: AgentSettings,
     log: Logger,
     metrics: cadence::StatsdClient,
+    stop: impl Future<Output = anyhow::Result<()>>,
 ) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(TRAFFIC_THREADS)
@@ -39,7 +40,7 @@
         .build()
         .context("cannot start the traffic threads")?;
     let settings = Arc::new(settings);
-    let incarnation = Incarnation(new_incarnation());
+    let incarnation = new_incarnation();
     let gate = Arc::new(GateShared::new(
         incarnation,
         max_in_flight(&settings.target),
@@ -96,7 +97,7 @@
             counters.clone(),
         ));
         info!(log, "agent started"; "gate" => %settings.listen.gate);
-        wait_for_stop().await?;
+        stop.await?;
         info!(log, "planned stop requested");
         control.request_stop();
         wait_until_idle(&gate, settings.drain_warn, &log).await;
@@ -133,17 +134,6 @@
     }
 }
 
-async fn wait_for_stop() -> anyhow::Result<()> {
-    use tokio::signal::unix;
-    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
-    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
-
 /// Waits until no request is in progress; a stop that takes long is told, never forced.
 async fn wait_until_idle(gate: &GateShared, warn_after: Duration, log: &Logger) {
     let start = tokio::time::Instant::now();
@@ -160,17 +150,13 @@
     }
 }
 
-fn new_incarnation() -> u64 {
+fn new_incarnation() -> Incarnation {
     let since_epoch = std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
         .unwrap_or_default();
-    (since_epoch.as_millis() as u64) << INCARNATION_RANDOM_BITS
-        | u64::from(rand::random::<u16>()) >> (16 - INCARNATION_RANDOM_BITS)
+    Incarnation::new(since_epoch, rand::random())
 }
 
-/// Low bits of an incarnation that are random, so that two starts in one millisecond differ.
-const INCARNATION_RANDOM_BITS: u32 = 12;
-
 /// Threads that carry requests and chunks.
 const TRAFFIC_THREADS: usize = 2;
 
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -3,41 +3,16 @@
 mod support;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use control::{PeerShare, RowShare, TargetView};
-use model::{
-    ConfigRevision, FencingNumber, GateState, HostName, Incarnation, LoadSample, RegionName,
-    ServiceName, TargetKind, TargetRow, ZoneName,
-};
+use model::{ConfigRevision, GateState, HostName, TargetRow};
+use support::target;
 
 fn host(name: &str) -> HostName {
     HostName::new(name).unwrap()
 }
 
-/// Returns an open target on `host`.
-fn target(host: &str, incarnation: u64, sequence: u64) -> TargetRow {
-    let address: SocketAddr = ([127, 0, 0, 1], 1).into();
-    TargetRow {
-        host: HostName::new(host).unwrap(),
-        incarnation: Incarnation(incarnation),
-        sequence,
-        zone: ZoneName::new("z").unwrap(),
-        region: RegionName::new("r").unwrap(),
-        kind: TargetKind::Service(ServiceName::new("s").unwrap()),
-        gate: address,
-        peers: address,
-        control: address,
-        state: GateState::Open,
-        serving: None,
-        transfer: None,
-        fencing: FencingNumber::default(),
-        revision: ConfigRevision::default(),
-        load: LoadSample::default(),
-    }
-}
-
 fn direct(view: &TargetView) -> Vec<TargetRow> {
     let targets = view.targets().values().filter(|it| it.is_direct());
     targets.map(|it| it.row.clone()).collect()
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,7 +21,7 @@
 use crate::control::{ControlThread, SnapshotCell};
 use crate::tracker::TrackerSet;
 
-/// Runs an entry until a planned stop has ended.
+/// Runs an entry until a planned stop has ended; `stop` completes when one is asked for.
 ///
 /// # Errors
 ///
@@ -30,6 +30,7 @@
     settings: EntrySettings,
     log: Logger,
     metrics: cadence::StatsdClient,
+    stop: impl Future<Output = anyhow::Result<()>>,
 ) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(TRAFFIC_THREADS)
@@ -45,7 +46,7 @@
 
     let control = ControlThread::start(
         settings.clone(),
-        Incarnation(new_incarnation()),
+        new_incarnation(),
         snapshots.clone(),
         calls.clone(),
         log.clone(),
@@ -94,7 +95,7 @@
             log.clone(),
         ));
         info!(log, "entry started"; "callers" => %settings.listen.callers);
-        wait_for_stop().await?;
+        stop.await?;
         info!(log, "planned stop requested");
         control.request_stop();
         // Callers keep the directory for its time to live and may still come with this address.
@@ -117,28 +118,13 @@
     Ok(())
 }
 
-async fn wait_for_stop() -> anyhow::Result<()> {
-    use tokio::signal::unix;
-    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
-    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
-
-fn new_incarnation() -> u64 {
+fn new_incarnation() -> Incarnation {
     let since_epoch = std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
         .unwrap_or_default();
-    (since_epoch.as_millis() as u64) << INCARNATION_RANDOM_BITS
-        | u64::from(rand::random::<u16>()) >> (16 - INCARNATION_RANDOM_BITS)
+    Incarnation::new(since_epoch, rand::random())
 }
 
-/// Low bits of an incarnation that are random, so that two starts in one millisecond differ.
-const INCARNATION_RANDOM_BITS: u32 = 12;
-
 /// Threads that carry requests.
 const TRAFFIC_THREADS: usize = 2;
 
--- a/crates/fulmarline/src/main.rs
+++ b/crates/fulmarline/src/main.rs
@@ -7,6 +7,7 @@
 mod exit_status;
 mod logging;
 mod metrics;
+mod stop_signal;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -53,12 +54,12 @@
         (Settings::Entry(it), RoleName::Entry) => {
             let (log, _guard) = logging::start("entry", &it.host, &it.log);
             metrics::start("entry", &it.host, it.metrics.as_ref())
-                .and_then(|metrics| entry::run(it, log, metrics))
+                .and_then(|metrics| entry::run(it, log, metrics, stop_signal::wait()))
         }
         (Settings::Agent(it), RoleName::Agent) => {
             let (log, _guard) = logging::start("agent", &it.host, &it.log);
             metrics::start("agent", &it.host, it.metrics.as_ref())
-                .and_then(|metrics| agent::run(it, log, metrics))
+                .and_then(|metrics| agent::run(it, log, metrics, stop_signal::wait()))
         }
         (Settings::Entry(_), RoleName::Agent) => return wrong_role(file, "entry", "agent"),
         (Settings::Agent(_), RoleName::Entry) => return wrong_role(file, "agent", "entry"),
--- a/crates/model/src/target_row.rs
+++ b/crates/model/src/target_row.rs
@@ -1,6 +1,7 @@
 //! What the system knows about one target.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +20,17 @@
 )]
 pub struct Incarnation(pub u64);
 
+impl Incarnation {
+    /// Creates the incarnation of a process that starts `since_epoch`; `random` tells two starts in one millisecond apart.
+    pub fn new(since_epoch: Duration, random: u16) -> Self {
+        let random = u64::from(random) & ((1 << RANDOM_BITS) - 1);
+        Self((since_epoch.as_millis() as u64) << RANDOM_BITS | random)
+    }
+}
+
+/// Low bits of an incarnation that are random.
+const RANDOM_BITS: u32 = 12;
+
 /// One heartbeat of an agent, and the row that entries keep of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetRow {
