The wanted version is hashed once a revision, not at every step of the agent

Change: the version and a shared manifest are kept with the configuration and passed on. Behaviour is the same.

--- a/crates/agent/src/control/control_thread.rs
+++ b/crates/agent/src/control/control_thread.rs
@@ -29,12 +29,20 @@
     view: Arc<AgentView>,
     engine: Option<EngineClient>,
     config: FleetConfig,
+    /// The version that the configuration asks of this host's engine, hashed once a revision.
+    wanted: Option<WantedVersion>,
     switch: EngineSwitch,
     stopping: bool,
     engine_error: Option<String>,
     log: Logger,
 }
 
+#[derive(Clone)]
+struct WantedVersion {
+    version: VersionDigest,
+    manifest: Arc<WeightManifest>,
+}
+
 impl ControlThread {
     pub(crate) fn start(
         settings: &Arc<AgentSettings>,
@@ -65,6 +73,7 @@
             view,
             engine,
             config: FleetConfig::default(),
+            wanted: None,
             switch: EngineSwitch::new(loads_beside, permit_time),
             stopping: false,
             engine_error: None,
@@ -113,6 +122,7 @@
             ControlEvent::Config(config) if config.revision > self.config.revision => {
                 info!(self.log, "configuration in force"; "revision" => %config.revision);
                 self.config = *config;
+                self.wanted = self.wanted_version();
             }
             ControlEvent::Config(_) => {}
             ControlEvent::Permit(permit) => {
@@ -128,7 +138,7 @@
 
     fn step(&mut self) {
         let leaving = self.stopping || self.config.drains.contains(&self.settings.host.name);
-        let TargetSettings::Model { model, .. } = &self.settings.target else {
+        if matches!(self.settings.target, TargetSettings::Service { .. }) {
             let state = if leaving {
                 GateState::Leaving
             } else {
@@ -136,16 +146,16 @@
             };
             self.gate.set_state(state, None);
             return;
-        };
-        let wanted = self.config.models.get(model).map(|it| it.manifest.clone());
-        if let Some(manifest) = &wanted
-            && !self.store.aim(manifest)
+        }
+        let wanted = self.wanted.clone();
+        if let Some(WantedVersion { version, manifest }) = &wanted
+            && !self.store.aim(*version, manifest)
         {
             error!(self.log, "version does not fit into memory"; "bytes" => manifest.total_bytes);
         }
         let input = SwitchInput {
             engine: self.engine_report(),
-            wanted: wanted.as_ref().map(WeightManifest::version),
+            wanted: wanted.as_ref().map(|it| it.version),
             complete: self.complete_version(),
             in_flight: self.gate.in_flight(),
             leaving,
@@ -154,13 +164,24 @@
         self.gate.set_state(step.gate, step.serving);
         // New work may have been admitted since the count was taken; with the gate closed the count only falls.
         let is_idle = self.gate.in_flight() == 0;
-        if let (Some(order), Some(manifest)) = (step.order, &wanted)
+        if let (Some(order), Some(wanted)) = (step.order, &wanted)
             && (order.beside || is_idle)
         {
-            self.order_load(order, manifest);
+            self.order_load(order, &wanted.manifest);
         }
     }
 
+    fn wanted_version(&self) -> Option<WantedVersion> {
+        let TargetSettings::Model { model, .. } = &self.settings.target else {
+            return None;
+        };
+        let manifest = &self.config.models.get(model)?.manifest;
+        Some(WantedVersion {
+            version: manifest.version(),
+            manifest: Arc::new(manifest.clone()),
+        })
+    }
+
     fn engine_report(&mut self) -> EngineReport {
         let Some(engine) = &self.engine else {
             return EngineReport::Unreachable;
--- a/crates/agent/src/transfer/chunk_store.rs
+++ b/crates/agent/src/transfer/chunk_store.rs
@@ -35,11 +35,10 @@
         }
     }
 
-    /// Makes `manifest` the version to fetch; chunks that it shares with the one before are kept.
+    /// Makes `version`, which `manifest` describes, the one to fetch; chunks that it shares with the one before are kept.
     ///
     /// Returns whether the version fits into the memory that the settings allow.
-    pub(crate) fn aim(&self, manifest: &WeightManifest) -> bool {
-        let version = manifest.version();
+    pub(crate) fn aim(&self, version: VersionDigest, manifest: &Arc<WeightManifest>) -> bool {
         let mut held = self.lock();
         if held.as_ref().is_some_and(|it| it.version == version) {
             return true;
@@ -60,7 +59,7 @@
             .map(|(idx, _)| idx)
             .collect();
         *held = Some(HeldVersion {
-            manifest: Arc::new(manifest.clone()),
+            manifest: manifest.clone(),
             version,
             chunks,
             have,
--- a/crates/control/src/rollout_permits.rs
+++ b/crates/control/src/rollout_permits.rs
@@ -4,7 +4,7 @@
 
 use model::{
     FencingNumber, FleetConfig, GateState, HostName, ModelConfig, SwitchPermit, TargetKind,
-    TargetRow, ZoneName,
+    TargetRow, VersionDigest, ZoneName,
 };
 
 /// Returns the permits that hold under `config`, with the driver's `fencing` number.
@@ -33,7 +33,7 @@
             .map(|it| &it.host)
             .collect();
         for rows in zones.values() {
-            let hosts = permit_zone(wanted, rows, &known);
+            let hosts = permit_zone(wanted, version, rows, &known);
             permits.extend(hosts.into_iter().map(|host| SwitchPermit {
                 host: host.clone(),
                 version,
@@ -47,10 +47,10 @@
 /// Returns the hosts of one zone that may switch.
 fn permit_zone<'a>(
     wanted: &ModelConfig,
+    version: VersionDigest,
     rows: &[&'a TargetRow],
     known: &BTreeSet<&HostName>,
 ) -> Vec<&'a HostName> {
-    let version = wanted.manifest.version();
     let behind = |it: &TargetRow| it.serving != Some(version) || it.state != GateState::Open;
     let is_out = |it: &TargetRow| it.state != GateState::Open || it.serving.is_none();
     let is_granted = |it: &TargetRow| known.contains(&it.host) && behind(it);
