--- a/crates/agent/src/control/control_thread.rs
+++ b/crates/agent/src/control/control_thread.rs
@@ -7,7 +7,7 @@
 
 use control::{EngineReport, EngineSwitch, SwitchInput, SwitchOrder};
 use model::{FleetConfig, GateState, VersionDigest, WeightManifest};
-use platform::{EngineClient, EnginePhase, LoadOrder, OrderError};
+use upstream::{EngineClient, EnginePhase, LoadOrder, OrderError};
 use settings::{AgentSettings, TargetSettings};
 use slog::{Logger, debug, error, info, warn};
 
--- a/crates/entry/src/calls/call_server.rs
+++ b/crates/entry/src/calls/call_server.rs
@@ -6,7 +6,7 @@
 use anyhow::Context;
 use httpio::{HttpServer, Incoming, Method, ReplyBody, Request, Response, ServerLimits};
 use model::{OverloadCause, RequestId, ResultCode};
-use platform::TableClient;
+use upstream::TableClient;
 use routing::OverloadChange;
 use settings::EntrySettings;
 use slog::{Logger, info, warn};
--- a/crates/entry/src/calls/order_sweeper.rs
+++ b/crates/entry/src/calls/order_sweeper.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::{TableClient, TableError, TableRow, TableTransaction};
+use upstream::{TableClient, TableError, TableRow, TableTransaction};
 use rand::RngExt;
 use routing::OrderRow;
 use slog::{Logger, debug};
--- a/crates/entry/src/calls/order_table.rs
+++ b/crates/entry/src/calls/order_table.rs
@@ -1,7 +1,7 @@
 //! The rows of orders in the platform's table.
 
 use model::{OrganisationName, ServiceName};
-use platform::{TableClient, TableError, TableTransaction};
+use upstream::{TableClient, TableError, TableTransaction};
 use routing::{OrderEvent, OrderRow};
 
 /// Reads and writes the row of one order.
--- a/crates/entry/src/calls/service_call.rs
+++ b/crates/entry/src/calls/service_call.rs
@@ -6,7 +6,7 @@
 use futures::future::{self, Either};
 use httpio::{ReplyBody, Response};
 use model::{ResultCode, ServiceName, TargetKind};
-use platform::TableClient;
+use upstream::TableClient;
 use routing::{CallKind, OrderAnswer, OrderMachine, OrderOutcome, OrderRow, OrderState};
 use tokio::sync::oneshot;
 
--- a/crates/entry/src/control/command_runner.rs
+++ b/crates/entry/src/control/command_runner.rs
@@ -8,7 +8,7 @@
     CommandId, ConfigDelta, ConfigRevision, FleetConfig, HostName, ModelName, ResultCode,
     VersionLabel,
 };
-use platform::{
+use upstream::{
     CallError, HostListClient, SourceClient, TableClient, TableError, TableTransaction,
 };
 use serde::{Deserialize, Serialize};
--- a/crates/entry/src/control/config_poller.rs
+++ b/crates/entry/src/control/config_poller.rs
@@ -6,7 +6,7 @@
 
 use control::ConfigSource;
 use model::{CommandId, ConfigRevision, FleetConfig};
-use platform::{TableClient, TableError};
+use upstream::{TableClient, TableError};
 use serde::{Deserialize, Serialize};
 use settings::EntrySettings;
 use slog::{Logger, warn};
--- a/crates/entry/src/control/operator_server.rs
+++ b/crates/entry/src/control/operator_server.rs
@@ -8,7 +8,7 @@
 use anyhow::Context;
 use control::{ConfigSource, Statement};
 use model::{CommandId, ConfigRevision, ResultCode};
-use platform::{HostListClient, SourceClient, TableClient};
+use upstream::{HostListClient, SourceClient, TableClient};
 use serde::Deserialize;
 use serde_json::json;
 use settings::EntrySettings;
--- a/crates/entry/src/control/query_rows.rs
+++ b/crates/entry/src/control/query_rows.rs
@@ -7,7 +7,7 @@
     EntryRow, FleetConfig, GateState, HostName, ModelName, TargetKind, TargetRow, VersionDigest,
     WeightManifest,
 };
-use platform::{HostListClient, ListedState, TableClient};
+use upstream::{HostListClient, ListedState, TableClient};
 
 use crate::control::control_snapshot::ControlSnapshot;
 use crate::control::rollout_driver::{LEASE_KEY, LeaseRow};
--- a/crates/entry/src/control/rollout_driver.rs
+++ b/crates/entry/src/control/rollout_driver.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use model::{FencingNumber, SwitchPermit};
-use platform::{TableClient, TableError, TableTransaction};
+use upstream::{TableClient, TableError, TableTransaction};
 use serde::{Deserialize, Serialize};
 use settings::EntrySettings;
 use slog::{Logger, info, warn};
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,7 +13,7 @@
 
 use anyhow::Context;
 use model::Incarnation;
-use platform::TableClient;
+use upstream::TableClient;
 use settings::EntrySettings;
 use slog::{Logger, info, warn};
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -5,7 +5,7 @@
 
 use cadence::{Gauged, StatsdClient};
 use model::TargetKind;
-use platform::TableClient;
+use upstream::TableClient;
 use wire::WireCounters;
 
 use crate::control::{ControlSnapshot, SnapshotCell};
--- /dev/null
+++ b/crates/fleet/src/fleet_message.rs
@@ -0,0 +1,38 @@
+//! What processes tell each other in datagrams.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::load_board::LoadSample;
+use crate::peer_table::PeerRecord;
+use crate::replica::LoadedModel;
+
+/// One datagram. Every message holds the whole current state of its sender, so a lost one is made good by the next.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FleetMessage {
+    /// From an entry to other entries.
+    Entry(EntryNotice),
+    /// From an agent to entries.
+    Agent(AgentNotice),
+}
+
+/// An entry tells that it lives, and what it has in progress.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryNotice {
+    /// The entry itself.
+    pub record: PeerRecord,
+    /// Number of the message within the incarnation; an older one that arrives late is dropped.
+    pub number: u64,
+    /// Load on each replica, by the hash of its id.
+    pub loads: Vec<(u64, LoadSample)>,
+}
+
+/// An agent tells what the replica on its machine has loaded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentNotice {
+    /// Where the replica listens.
+    pub replica: SocketAddr,
+    /// Weights that serve; empty while the replica loads others.
+    pub models: Vec<LoadedModel>,
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,41 @@
+//! Pure decisions of the routed fleet: which route a request takes, which replica serves it, what may be repeated,
+//! which weights count, and who fetches which piece of them.
+//!
+//! State and the current time come in as arguments and decisions go out as values. The crate must not know sockets,
+//! clocks, processes or the names that the users' platform gives to its fields.
+
+mod api_keys;
+mod engine_profile;
+mod fetch_plan;
+mod fleet_message;
+mod freshness;
+mod load_board;
+mod peer_table;
+mod piece_manifest;
+mod repeat_budget;
+mod replica;
+mod replica_catalog;
+mod replica_choice;
+mod replica_health;
+mod route;
+mod route_table;
+mod stream_cursor;
+mod version_table;
+
+pub use api_keys::{ApiTenant, KeyTable};
+pub use engine_profile::{BatchLoad, EngineProfile, RequestSize};
+pub use fleet_message::{AgentNotice, EntryNotice, FleetMessage};
+pub use fetch_plan::{FetchPlan, PieceHolder, PieceSource};
+pub use freshness::ConfigFreshness;
+pub use load_board::{LoadBoard, LoadSample, ReplicaLoad};
+pub use peer_table::{PeerRecord, PeerTable};
+pub use piece_manifest::PieceManifest;
+pub use repeat_budget::RepeatBudget;
+pub use replica::{LoadedModel, Replica, ReplicaState};
+pub use replica_catalog::{CatalogChange, ReplicaCatalog};
+pub use replica_choice::{ChoiceRequest, ChosenReplica, NoReplica, choose_replica};
+pub use replica_health::{HealthTable, ReplicaOutcome};
+pub use route::{CallKind, Route, RouteTarget, ServiceConfig, WeightOrigin};
+pub use route_table::{IngressLimits, RouteTable};
+pub use stream_cursor::{EventPiece, StreamCursor, StreamFault};
+pub use version_table::{VersionDemand, VersionTable};
--- /dev/null
+++ b/crates/fleet/src/piece_manifest.rs
@@ -0,0 +1,36 @@
+//! The list of digests that a version of weights consists of.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// SHA-256 digests of all pieces of one version, in order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PieceManifest {
+    /// Name of the model.
+    pub model: String,
+    /// Version of the weights.
+    pub version: u64,
+    /// Bytes of a piece.
+    pub piece_bytes: usize,
+    /// Digest of each piece.
+    pub digests: Vec<[u8; 32]>,
+}
+
+impl PieceManifest {
+    /// Says whether `bytes` are piece `index` of this version.
+    pub fn matches(&self, index: usize, bytes: &[u8]) -> bool {
+        self.digests
+            .get(index)
+            .is_some_and(|it| Sha256::digest(bytes)[..] == it[..])
+    }
+
+    /// Returns the number of pieces.
+    pub fn len(&self) -> usize {
+        self.digests.len()
+    }
+
+    /// Says whether there are no pieces.
+    pub fn is_empty(&self) -> bool {
+        self.digests.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/replica_choice.rs
@@ -0,0 +1,148 @@
+//! Which replica a request is sent to, or that it is refused.
+
+use std::time::Instant;
+
+use crate::engine_profile::{EngineProfile, RequestSize};
+use crate::load_board::LoadBoard;
+use crate::replica::Replica;
+use crate::replica_catalog::ReplicaCatalog;
+use crate::replica_health::HealthTable;
+use crate::version_table::VersionDemand;
+
+/// What the choice depends on, beside the state of the replicas.
+#[derive(Clone, Debug)]
+pub struct ChoiceRequest<'a> {
+    /// Service that is asked.
+    pub service: &'a str,
+    /// Figures of its engine, where it has one.
+    pub engine: Option<&'a EngineProfile>,
+    /// Zone of this process.
+    pub zone: &'a str,
+    /// What the request asks of an engine.
+    pub size: RequestSize,
+    /// Versions that it may begin on.
+    pub demand: Option<VersionDemand>,
+    /// Ids of replicas that it was sent to before.
+    pub tried: &'a [String],
+    /// Time to the first event that still is worth a send, in milliseconds.
+    pub patience_ms: f64,
+    /// Uniform in 0..1, to break ties between entries with the same view.
+    pub pick: f64,
+}
+
+/// A replica that a request goes to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChosenReplica {
+    /// The replica.
+    pub replica: Replica,
+    /// Predicted time to its first event, in milliseconds.
+    pub predicted_ms: f64,
+    /// Version of the weights that the replica must have, where that matters.
+    pub expect_version: Option<u64>,
+}
+
+/// Why no replica can be chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NoReplica {
+    /// No replica is listed, sound and of an allowed version.
+    NoneUsable,
+    /// The best one would take this many milliseconds to its first event.
+    Overloaded(f64),
+}
+
+/// Chooses the replica with the shortest predicted time to the first event.
+///
+/// # Errors
+///
+/// [`NoReplica`] when none is usable or none is fast enough; the request has not run.
+pub fn choose_replica(
+    request: &ChoiceRequest<'_>,
+    catalog: &ReplicaCatalog,
+    board: &LoadBoard,
+    health: &HealthTable,
+    now: Instant,
+) -> Result<ChosenReplica, NoReplica> {
+    let candidates: Vec<&Replica> = catalog
+        .ready(request.service)
+        .filter(|it| !request.tried.contains(&it.id))
+        .filter(|it| has_allowed_version(request, it))
+        .collect();
+    let sound = |it: &&&Replica| health.is_usable(&it.id, now);
+    // Where every replica is out, guessing at one is better than certain refusal.
+    let usable: Vec<&Replica> = if candidates.iter().any(|it| sound(&it)) {
+        candidates.iter().filter(sound).copied().collect()
+    } else {
+        candidates
+    };
+    let best = usable
+        .iter()
+        .enumerate()
+        .map(|(index, replica)| {
+            let predicted = predicted_ms(request, replica, board, health, now);
+            let distance = if replica.zone == request.zone { 0.0 } else { OTHER_ZONE_MS };
+            let failures = health.failure_share(&replica.id, now) * FAILURE_MS;
+            let jitter = (request.pick * 17.0 + index as f64 * 0.618).fract() * JITTER_MS;
+            (predicted, predicted + distance + failures + jitter, *replica)
+        })
+        .min_by(|a, b| a.1.total_cmp(&b.1));
+    let Some((predicted_ms, _, replica)) = best else {
+        return Err(NoReplica::NoneUsable);
+    };
+    if predicted_ms > request.patience_ms {
+        return Err(NoReplica::Overloaded(predicted_ms));
+    }
+    let expect_version = request
+        .demand
+        .filter(|it| it.oldest_allowed > 0)
+        .and_then(|_| request.engine)
+        .and_then(|it| replica.version_of(&it.model));
+    Ok(ChosenReplica {
+        replica: replica.clone(),
+        predicted_ms,
+        expect_version,
+    })
+}
+
+fn has_allowed_version(request: &ChoiceRequest<'_>, replica: &Replica) -> bool {
+    let Some(engine) = request.engine else {
+        return true;
+    };
+    let Some(version) = replica.version_of(&engine.model) else {
+        return false;
+    };
+    request.demand.is_none_or(|it| version >= it.oldest_allowed)
+}
+
+fn predicted_ms(
+    request: &ChoiceRequest<'_>,
+    replica: &Replica,
+    board: &LoadBoard,
+    health: &HealthTable,
+    now: Instant,
+) -> f64 {
+    let load = board.load(&replica.id).total();
+    let base = match request.engine {
+        Some(engine) => engine.first_event_ms(load, request.size),
+        None => {
+            let waiting = (load.running + 1).saturating_sub(replica.slots.max(1));
+            PLAIN_WORK_MS * (f64::from(waiting) / f64::from(replica.slots.max(1)))
+                + f64::from(load.running) * PLAIN_RUNNING_MS
+        }
+    };
+    base * health.slowness(&replica.id, now)
+}
+
+/// Penalty of a replica in another zone: what bytes between regions cost against a first event that comes later.
+const OTHER_ZONE_MS: f64 = 12.0;
+
+/// Penalty of a replica that fails every request; a certain failure costs more than any wait within the objective.
+const FAILURE_MS: f64 = 1000.0;
+
+/// Spread between equally good replicas, so that entries with the same view do not all choose the same one.
+const JITTER_MS: f64 = 8.0;
+
+/// Work of a usual request of a plain service, whose real figure no configuration tells.
+const PLAIN_WORK_MS: f64 = 60.0;
+
+/// Weight of one running request of a plain service, which slows down as it fills.
+const PLAIN_RUNNING_MS: f64 = 6.0;
--- a/crates/fulmarline/src/logging.rs
+++ b/crates/fulmarline/src/logging.rs
@@ -1,9 +1,9 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines on standard error, or on standard output for the users' platform.
 
 use std::panic;
 
 use settings::{HostSettings, LogLevel, LogSettings};
-use slog::{Drain, Level, Logger, crit, o};
+use slog::{Drain, Level, Logger, OwnedKV, SendSyncRefUnwindSafeKV, crit, o};
 use slog_async::AsyncGuard;
 
 /// Starts a logger whose every line names the role, the host and its availability zone.
@@ -15,15 +15,31 @@
     host: &HostSettings,
     settings: &LogSettings,
 ) -> (Logger, AsyncGuard) {
-    let lines = slog_json::Json::default(std::io::stderr());
+    let place = o!("role" => role, "host" => host.name.to_string(), "zone" => host.zone.to_string());
+    start_on(std::io::stderr(), level(settings.level), place)
+}
+
+/// Starts a logger on standard output, where the platform collects logs.
+pub(crate) fn start_on_platform(
+    role: &'static str,
+    node: &str,
+    zone: &str,
+) -> (Logger, AsyncGuard) {
+    let place = o!("role" => role, "host" => node.to_owned(), "zone" => zone.to_owned());
+    start_on(std::io::stdout(), Level::Info, place)
+}
+
+fn start_on(
+    output: impl std::io::Write + Send + 'static,
+    level: Level,
+    place: OwnedKV<impl SendSyncRefUnwindSafeKV + 'static>,
+) -> (Logger, AsyncGuard) {
+    let lines = slog_json::Json::default(output);
     let (drain, guard) = slog_async::Async::new(lines.fuse())
         .chan_size(QUEUE_LINES)
         .build_with_guard();
-    let drain = drain.filter_level(level(settings.level)).fuse();
-    let log = Logger::root(
-        drain,
-        o!("role" => role, "host" => host.name.to_string(), "zone" => host.zone.to_string()),
-    );
+    let drain = drain.filter_level(level).fuse();
+    let log = Logger::root(drain, place);
     log_panics(log.clone());
     (log, guard)
 }
--- a/crates/fulmarline/src/main.rs
+++ b/crates/fulmarline/src/main.rs
@@ -7,11 +7,13 @@
 mod exit_status;
 mod logging;
 mod metrics;
+mod node;
 mod stop_signal;
 
 use std::path::Path;
 use std::process::ExitCode;
 
+use platform::NodeRole;
 use settings::Settings;
 
 use crate::command_line::{Fulmarline, FulmarlineCmd};
@@ -28,8 +30,14 @@
             eprintln!("fulmarline: a command is required, see fulmarline --help");
             ExitStatus::BadInput
         }
-        FulmarlineCmd::Entry(it) => run(&it.settings, RoleName::Entry),
-        FulmarlineCmd::Agent(it) => run(&it.settings, RoleName::Agent),
+        FulmarlineCmd::Entry(it) => match &it.settings {
+            Some(file) => run(file, RoleName::Entry),
+            None => node::run(NodeRole::Entry),
+        },
+        FulmarlineCmd::Agent(it) => match &it.settings {
+            Some(file) => run(file, RoleName::Agent),
+            None => node::run(NodeRole::Agent),
+        },
         FulmarlineCmd::Ctl(it) => ctl::run(&it),
         FulmarlineCmd::Check(it) => check(&it.file),
     };
--- /dev/null
+++ b/crates/fulmarline/src/node.rs
@@ -0,0 +1,41 @@
+//! Runs a role with the settings file of the users' platform.
+
+use std::path::PathBuf;
+
+use platform::{NodeRole, NodeSettings, SETTINGS_VARIABLE};
+
+use crate::exit_status::ExitStatus;
+use crate::{logging, stop_signal};
+
+/// Runs `role` on this node until the platform asks for a planned stop.
+pub(crate) fn run(role: NodeRole) -> ExitStatus {
+    let settings = match read() {
+        Ok(it) => it,
+        Err(err) => {
+            eprintln!("fulmarline: {err:#}");
+            return ExitStatus::BadInput;
+        }
+    };
+    let name = match role {
+        NodeRole::Entry => "entry",
+        NodeRole::Agent => "agent",
+    };
+    let (log, _guard) = logging::start_on_platform(name, &settings.node, &settings.zone);
+    let result = match role {
+        NodeRole::Entry => ingress::run(settings, log, stop_signal::wait()),
+        NodeRole::Agent => stager::run(settings, log, stop_signal::wait()),
+    };
+    match result {
+        Ok(()) => ExitStatus::Done,
+        Err(err) => {
+            eprintln!("fulmarline: {err:#}");
+            ExitStatus::Failed
+        }
+    }
+}
+
+fn read() -> anyhow::Result<NodeSettings> {
+    let path = std::env::var_os(SETTINGS_VARIABLE)
+        .ok_or_else(|| anyhow::anyhow!("--settings is missing and {SETTINGS_VARIABLE} is not set"))?;
+    NodeSettings::read(&PathBuf::from(path))
+}
--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -19,12 +19,14 @@
 pub struct HttpClient {
     local: Option<IpAddr>,
     connect_timeout: time::Duration,
+    /// Time after which a connection whose bytes are not acknowledged is given up by the operating system.
+    silence_timeout: Option<time::Duration>,
     idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
 struct IdleConnection {
     sender: SendRequest<ReplyBody>,
-    since: time::Instant,
+    expires: time::Instant,
 }
 
 /// An answer whose body can still be read; the connection returns to the pool through [`HttpReply::recycle`].
@@ -70,10 +72,20 @@
         Self {
             local,
             connect_timeout,
+            silence_timeout: None,
             idle: Arc::default(),
         }
     }
 
+    /// Lets connections fail whose bytes the other side does not acknowledge within `timeout`.
+    ///
+    /// Without it a request on a connection to a host that lost power waits for minutes.
+    #[must_use]
+    pub fn with_silence_timeout(mut self, timeout: time::Duration) -> Self {
+        self.silence_timeout = Some(timeout);
+        self
+    }
+
     /// Sends `request` to `address` and returns the head of the answer.
     ///
     /// The URI of the request must be in origin form (`/path?query`); the `Host` header is added.
@@ -106,14 +118,22 @@
         }
     }
 
-    async fn send_fresh(
+    /// Sends `request` on a new connection, which no earlier request has used.
+    ///
+    /// A late second answer to an earlier request cannot arrive on such a connection, and an idle connection that the
+    /// other side is closing cannot leave the outcome unknown.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::send`].
+    pub async fn send_fresh(
         &self,
         address: SocketAddr,
         request: Request<ReplyBody>,
     ) -> Result<HttpReply, ClientError> {
         let mut sender = self.connect(address).await.map_err(ClientError::NotSent)?;
         let response = sender
-            .send_request(request)
+            .send_request(with_host(request, address))
             .await
             .map_err(ClientError::Lost)?;
         Ok(HttpReply {
@@ -125,6 +145,16 @@
 
     /// Returns a connection whose answer was read to its end to the pool.
     pub fn recycle(&self, sender: SendRequest<ReplyBody>, address: SocketAddr) {
+        self.recycle_for(sender, address, MAX_IDLE);
+    }
+
+    /// Returns a connection to the pool that must not be used again after `max_idle` without a request.
+    pub fn recycle_for(
+        &self,
+        sender: SendRequest<ReplyBody>,
+        address: SocketAddr,
+        max_idle: time::Duration,
+    ) {
         if sender.is_closed() {
             return;
         }
@@ -136,11 +166,19 @@
         if connections.len() < MAX_IDLE_PER_ADDRESS {
             connections.push(IdleConnection {
                 sender,
-                since: time::Instant::now(),
+                expires: time::Instant::now() + max_idle.min(MAX_IDLE),
             });
         }
     }
 
+    /// Drops the idle connections to `address`, after one of them turned out to be dead.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle
+            .lock()
+            .expect("no holder of the pool's lock panics")
+            .remove(&address);
+    }
+
     async fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<ReplyBody>> {
         loop {
             let connection = {
@@ -150,7 +188,7 @@
                     .expect("no holder of the pool's lock panics");
                 idle.get_mut(&address)?.pop()?
             };
-            if connection.since.elapsed() > MAX_IDLE || connection.sender.is_closed() {
+            if connection.expires < time::Instant::now() || connection.sender.is_closed() {
                 continue;
             }
             let mut sender = connection.sender;
@@ -167,6 +205,9 @@
                 std::io::Error::new(std::io::ErrorKind::TimedOut, "connecting took too long")
             })??;
         stream.set_nodelay(true)?;
+        if let Some(timeout) = self.silence_timeout {
+            socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(timeout))?;
+        }
         let (sender, connection) = hyper::client::conn::http1::handshake(rt::TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
--- /dev/null
+++ b/crates/ingress/src/boot_clock.rs
@@ -0,0 +1,14 @@
+//! Time since the start of the machine, suspension included.
+
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Returns the time since the machine was started. Unlike `Instant` it goes on while the machine is suspended.
+pub(crate) fn now() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(
+        u64::try_from(time.tv_sec).unwrap_or_default(),
+        u32::try_from(time.tv_nsec).unwrap_or_default(),
+    )
+}
--- /dev/null
+++ b/crates/ingress/src/front.rs
@@ -0,0 +1,288 @@
+//! Clients' requests: route, key, limits, choice of replicas, repeats and the final answer.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use fleet::{ApiTenant, CallKind, ChoiceRequest, ChosenReplica, NoReplica, Route, RouteTable};
+use httpio::{HeaderMap, HeaderValue, Incoming, Method, ReplyBody, Request, Response, header};
+use platform::RequestFacts;
+use rand::RngExt;
+use slog::info;
+
+use crate::entry_shared::EntryShared;
+use crate::refusal::Refusal;
+use crate::replica_send::{NotRunReason, SendEnd};
+use crate::{boot_clock, stop, stream_relay, whole_relay};
+
+/// A client's request, read whole.
+#[derive(Debug)]
+pub(crate) struct ClientCall {
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) facts: RequestFacts,
+    pub(crate) table: Arc<RouteTable>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: String,
+    pub(crate) tenant: Option<Arc<ApiTenant>>,
+    pub(crate) method: Method,
+    pub(crate) target: http::Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    sends: AtomicU32,
+}
+
+impl ClientCall {
+    /// Returns the id for logs.
+    pub(crate) fn id(&self) -> &str {
+        self.facts.id.as_deref().unwrap_or("")
+    }
+
+    /// Returns the time until the client or the route gives up.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns the number of replicas that the request was sent to.
+    pub(crate) fn sends(&self) -> u32 {
+        self.sends.load(Ordering::Relaxed)
+    }
+
+    /// Counts one more send.
+    pub(crate) fn note_send(&self) {
+        self.sends.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Says whether the client comes back with a request that cannot be on time any more.
+    ///
+    /// The route's timeout is the time that clients usually allow, so what is missing of it has passed already.
+    fn is_late(&self) -> bool {
+        let patience = self.facts.patience.unwrap_or(self.route.timeout);
+        self.route.timeout.saturating_sub(patience) > self.route.objective / 2
+    }
+}
+
+/// Answers one request of a client.
+pub(crate) async fn answer(shared: Arc<EntryShared>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let arrived = Instant::now();
+    let id = platform::request_facts(request.headers()).id.unwrap_or_default();
+    let (kind, mut response, reason) = match read_call(&shared, request, arrived).await {
+        Err(refusal) => ("unrouted", refusal.response(), refusal.reason()),
+        Ok(call) => {
+            let kind = kind_label(call.route.kind);
+            match serve(&shared, Arc::new(call)).await {
+                Ok(response) => (kind, response, "answered"),
+                Err(refusal) => (kind, refusal.response(), refusal.reason()),
+            }
+        }
+    };
+    if shared.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    let status = response.status();
+    let labels = [kind, status.as_str(), reason];
+    shared.metrics.requests.with_label_values(&labels).inc();
+    if reason != "answered" || !status.is_success() {
+        info!(
+            shared.log, "request ended";
+            "request" => id,
+            "kind" => kind,
+            "status" => status.as_u16(),
+            "reason" => reason,
+            "ms" => u64::try_from(arrived.elapsed().as_millis()).unwrap_or(u64::MAX),
+        );
+    }
+    response
+}
+
+async fn read_call(
+    shared: &EntryShared,
+    request: Request<Incoming>,
+    arrived: Instant,
+) -> Result<ClientCall, Refusal> {
+    let facts = platform::request_facts(request.headers());
+    let (table, is_trusted, is_current) = {
+        let state = shared.state();
+        let now = boot_clock::now();
+        let table = state.routes.clone().ok_or(Refusal::NoConfig)?;
+        let is_current = state.freshness.age(now).is_some_and(|it| it < CURRENT_AGE);
+        (table, state.freshness.is_trusted(now), is_current)
+    };
+    let host = request
+        .headers()
+        .get(header::HOST)
+        .and_then(|it| it.to_str().ok())
+        .unwrap_or_default();
+    let path = request.uri().path();
+    // A refusal for good needs a configuration that is known to be the newest.
+    let unless_stale = |refusal| if is_current { refusal } else { Refusal::NoConfig };
+    let route = table
+        .find(host, path)
+        .ok_or_else(|| unless_stale(Refusal::NoRoute))?
+        .clone();
+    let tenant = match (table.keys().required() && !route.public, &facts.key) {
+        (false, key) => key.as_ref().and_then(|it| table.keys().tenant(it)).cloned(),
+        (true, _) if !is_trusted => return Err(Refusal::NoConfig),
+        (true, key) => {
+            let tenant = key.as_ref().and_then(|it| table.keys().tenant(it));
+            Some(tenant.ok_or_else(|| unless_stale(Refusal::UnknownKey))?.clone())
+        }
+    };
+    let (parts, body) = request.into_parts();
+    let patience = facts.patience.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrived + patience;
+    let max_bytes = table.limits().max_body_bytes;
+    let body = httpio::read_limited(body, max_bytes, patience)
+        .await
+        .map_err(|it| match it.kind() {
+            std::io::ErrorKind::InvalidData => Refusal::TooLarge,
+            std::io::ErrorKind::TimedOut => Refusal::Expired,
+            _ => Refusal::BadBody,
+        })?;
+    let service = route.target(rand::rng().random()).to_owned();
+    Ok(ClientCall {
+        arrived,
+        deadline,
+        facts,
+        service,
+        tenant,
+        method: parts.method,
+        target: parts.uri,
+        headers: parts.headers,
+        body,
+        table,
+        route,
+        sends: AtomicU32::new(0),
+    })
+}
+
+/// Sends a request until there is a final answer.
+async fn serve(shared: &Arc<EntryShared>, call: Arc<ClientCall>) -> Result<Response<ReplyBody>, Refusal> {
+    let mut tried = Vec::new();
+    let mut unknown = false;
+    if stop::refuses(shared, &call) {
+        return Err(Refusal::Leaving);
+    }
+    shared.state().budget(&call.service, &shared.settings, call.arrived).first(call.arrived);
+    loop {
+        if call.time_left() < MIN_SEND_TIME {
+            return Err(if unknown { Refusal::TimedOut } else { Refusal::Expired });
+        }
+        let chosen = match choose(shared, &call, &tried, call.facts.last_event) {
+            Ok(it) => it,
+            Err(_) if unknown => return Err(Refusal::Unknown),
+            Err(_) if !tried.is_empty() => return Err(Refusal::RefusedByReplicas),
+            Err(NoReplica::NoneUsable) => return Err(Refusal::NoReplica),
+            Err(NoReplica::Overloaded(_)) => return Err(Refusal::Overloaded),
+        };
+        call.note_send();
+        tried.push(chosen.replica.id.clone());
+        let end = if call.route.kind == CallKind::Stream {
+            stream_relay::start(shared, &call, &chosen).await
+        } else {
+            whole_relay::relay(shared, &call, &chosen).await
+        };
+        let arrived_there = match end {
+            RelayEnd::Answer(response) => return Ok(response),
+            RelayEnd::NotRun(reason) => reason.has_arrived(),
+            RelayEnd::Unknown if !call.route.may_repeat() => return Err(Refusal::Unknown),
+            RelayEnd::Unknown => {
+                unknown = true;
+                true
+            }
+        };
+        if !may_send_again(shared, &call, arrived_there) {
+            return Err(if unknown { Refusal::Unknown } else { Refusal::RefusedByReplicas });
+        }
+    }
+}
+
+/// How a relay ended before anything was passed on to the client.
+#[derive(Debug)]
+pub(crate) enum RelayEnd {
+    /// The answer for the client.
+    Answer(Response<ReplyBody>),
+    /// The replica has not run the request.
+    NotRun(NotRunReason),
+    /// It may have.
+    Unknown,
+}
+
+impl RelayEnd {
+    /// Returns the end of a relay whose send brought no answer.
+    pub(crate) fn of_failed_send(end: &SendEnd) -> Self {
+        match end {
+            SendEnd::NotRun(reason) => Self::NotRun(*reason),
+            SendEnd::Answered(..) | SendEnd::Unknown(_) => Self::Unknown,
+        }
+    }
+}
+
+/// Takes a repeat from the budget, where one is needed and the route allows another replica.
+pub(crate) fn may_send_again(shared: &EntryShared, call: &ClientCall, has_arrived: bool) -> bool {
+    if !has_arrived {
+        return call.sends() < MAX_SENDS;
+    }
+    if call.sends() >= call.route.max_attempts.max(1) {
+        return false;
+    }
+    let now = Instant::now();
+    shared.state().budget(&call.service, &shared.settings, now).try_repeat(now)
+}
+
+/// Chooses a replica for `call`.
+pub(crate) fn choose(
+    shared: &EntryShared,
+    call: &ClientCall,
+    tried: &[String],
+    last_event: Option<u64>,
+) -> Result<ChosenReplica, NoReplica> {
+    let engine = call.table.service(&call.service).and_then(|it| it.engine.as_ref());
+    let now = Instant::now();
+    let state = shared.state();
+    let objective = call.route.objective.saturating_sub(call.arrived.elapsed());
+    let patience = if last_event.is_some() || !tried.is_empty() {
+        call.time_left()
+    } else if call.is_late() {
+        objective.mul_f64(LATE_PATIENCE)
+    } else {
+        objective.mul_f64(FRESH_PATIENCE)
+    };
+    let patience = if engine.is_some() { patience } else { call.time_left() };
+    let request = ChoiceRequest {
+        service: &call.service,
+        engine,
+        zone: &shared.settings.zone,
+        size: call.facts.size,
+        demand: engine.and_then(|it| state.versions.demand(&it.model, now)),
+        tried,
+        patience_ms: patience.as_secs_f64() * 1000.0,
+        pick: rand::rng().random(),
+    };
+    fleet::choose_replica(&request, &state.catalog, &state.board, &state.health, now)
+}
+
+fn kind_label(kind: CallKind) -> &'static str {
+    match kind {
+        CallKind::Idempotent => "idempotent",
+        CallKind::NonIdempotent => "non_idempotent",
+        CallKind::Stream => "stream",
+    }
+}
+
+/// Time that must be left for a send to be of use.
+const MIN_SEND_TIME: Duration = Duration::from_millis(20);
+
+/// Sends of one request that reached no replica; beyond it the network is at fault, not a replica.
+const MAX_SENDS: u32 = 4;
+
+/// Share of the objective that a prediction may use up before a request is refused rather than answered late.
+const FRESH_PATIENCE: f64 = 0.95;
+
+/// The same for a request that is late already: it is served while replicas have room, and never delays others.
+const LATE_PATIENCE: f64 = 0.6;
+
+/// Age of the configuration up to which a route or key that it lacks does not exist.
+const CURRENT_AGE: Duration = Duration::from_millis(3000);
--- /dev/null
+++ b/crates/ingress/src/lib.rs
@@ -0,0 +1,107 @@
+//! The entry on the users' platform: it tells clients where to connect, takes their requests and relays them to
+//! replicas.
+//!
+//! Decisions are made in `fleet`, names and formats of the platform are in `platform`. The crate must not know either's
+//! insides, nor anything of agents beyond their datagrams.
+
+mod boot_clock;
+mod catalog_loop;
+mod config_loop;
+mod directory;
+mod entry_metrics;
+mod entry_shared;
+mod flight_guard;
+mod front;
+mod peer_loop;
+mod refusal;
+mod replica_send;
+mod stop;
+mod stream_relay;
+mod whole_relay;
+
+use std::sync::Arc;
+
+use anyhow::Context;
+use httpio::{HttpServer, ServerLimits};
+use platform::NodeSettings;
+use slog::{Logger, info};
+
+use crate::entry_shared::EntryShared;
+
+/// Runs an entry until `stop` completes and every request has ended or the grace is over.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be bound.
+pub fn run(
+    settings: NodeSettings,
+    log: Logger,
+    stop: impl Future<Output = anyhow::Result<()>>,
+) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("cannot start the runtime")?;
+    runtime.block_on(serve(settings, log, stop))
+}
+
+async fn serve(
+    settings: NodeSettings,
+    log: Logger,
+    stop: impl Future<Output = anyhow::Result<()>>,
+) -> anyhow::Result<()> {
+    let front = settings.listen.front.context("settings name no front address")?;
+    let shared = Arc::new(EntryShared::new(settings, front, log)?);
+    let log = &shared.log;
+    let settings = &shared.settings;
+
+    let limits = ServerLimits {
+        max_connections: settings.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS),
+        max_headers: MAX_HEADERS,
+        max_header_bytes: MAX_HEADER_BYTES,
+        header_timeout: IDLE_TIMEOUT,
+        fault_answer: None,
+    };
+    let front = HttpServer::bind(front, limits.clone()).context("cannot bind the front address")?;
+    let mut servers = Vec::new();
+    if let Some(address) = settings.listen.ready {
+        let server = HttpServer::bind(address, limits.clone()).context("cannot bind the ready address")?;
+        let shared = shared.clone();
+        servers.push(server.serve(move |request, _| directory::answer_ready(shared.clone(), request))?);
+    }
+    if let Some(address) = settings.listen.directory {
+        let server = HttpServer::bind(address, limits.clone()).context("cannot bind the directory address")?;
+        let shared = shared.clone();
+        servers.push(server.serve(move |request, _| directory::answer_directory(shared.clone(), request))?);
+    }
+    let metrics = (settings.ip, settings.last_port).into();
+    let server = HttpServer::bind(metrics, limits).context("cannot bind the metrics address")?;
+    let for_metrics = shared.clone();
+    servers.push(server.serve(move |_, _| entry_metrics::answer(for_metrics.clone()))?);
+    let for_front = shared.clone();
+    let front = front.serve(move |request, _| front::answer(for_front.clone(), request))?;
+
+    tokio::spawn(config_loop::run(shared.clone()));
+    tokio::spawn(catalog_loop::run(shared.clone()));
+    peer_loop::start(&shared).await?;
+    info!(log, "started"; "front" => front.address().to_string(), "pid" => std::process::id());
+
+    stop.await?;
+    stop::drain(&shared, &front).await;
+    for server in servers {
+        server.stop();
+    }
+    Ok(())
+}
+
+/// Descriptors that are kept for connections to replicas, the store and files.
+const RESERVED_DESCRIPTORS: usize = 1200;
+
+/// Header fields of one request.
+const MAX_HEADERS: usize = 100;
+
+/// Bytes of a request's head that are read before it is refused; configurations ask for 16 KiB.
+const MAX_HEADER_BYTES: usize = 32 * 1024;
+
+/// Time that a client's connection may stay idle; above four fifths of what configurations ask for (15 s).
+const IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(15);
--- /dev/null
+++ b/crates/ingress/src/peer_loop.rs
@@ -0,0 +1,203 @@
+//! Entries find each other through the store and then tell each other of their load in datagrams.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use fleet::{AgentNotice, EntryNotice, FleetMessage, LoadSample, PeerRecord};
+use platform::RowWrite;
+use slog::{info, warn};
+use tokio::net::UdpSocket;
+
+use crate::config_loop::retry_pause;
+use crate::entry_shared::EntryShared;
+
+/// Table of the store in which entries list themselves.
+pub(crate) const ENTRY_TABLE: &str = "entries";
+
+/// Opens the socket and starts the tasks that register, tell and listen.
+///
+/// # Errors
+///
+/// Returns an error when the socket cannot be opened.
+pub(crate) async fn start(shared: &Arc<EntryShared>) -> anyhow::Result<()> {
+    let address = SocketAddr::from((shared.settings.ip, shared.settings.first_port));
+    let socket = UdpSocket::bind(address).await.context("cannot bind the datagram address")?;
+    let socket = Arc::new(socket);
+    tokio::spawn(register(shared.clone()));
+    tokio::spawn(listen(shared.clone(), socket.clone()));
+    tokio::spawn(tell(shared.clone(), socket));
+    Ok(())
+}
+
+/// Lists this entry in the store and reads the others, again from time to time.
+async fn register(shared: Arc<EntryShared>) {
+    let mut failures = 0;
+    let mut is_listed = false;
+    loop {
+        match register_once(&shared, is_listed).await {
+            Ok(()) => {
+                failures = 0;
+                is_listed = true;
+                tokio::time::sleep(RELIST_INTERVAL).await;
+            }
+            Err(err) => {
+                warn!(shared.log, "registration failed"; "error" => err.to_string());
+                failures += 1;
+                tokio::time::sleep(retry_pause(failures)).await;
+            }
+        }
+        if shared.is_stopping() {
+            return;
+        }
+    }
+}
+
+async fn register_once(shared: &EntryShared, is_listed: bool) -> Result<(), platform::CallError> {
+    if !is_listed {
+        let record = PeerRecord {
+            ready: false,
+            ..shared.own_record()
+        };
+        let row = RowWrite {
+            table: ENTRY_TABLE.to_owned(),
+            key: record.node.clone(),
+            value: Some(serde_json::to_vec(&record).expect("a record is always encodable")),
+        };
+        shared.store.write(&[row]).await?;
+    }
+    let page = shared.store.read_table(ENTRY_TABLE).await?;
+    let mut state = shared.state();
+    for row in page.rows {
+        let Some(bytes) = row.value else {
+            continue;
+        };
+        match serde_json::from_slice::<PeerRecord>(&bytes) {
+            Ok(record) if record.node != shared.settings.node => state.peers.learn(record),
+            Ok(_) => {}
+            Err(err) => {
+                warn!(shared.log, "row of an entry skipped"; "key" => row.key, "error" => err.to_string());
+            }
+        }
+    }
+    drop(state);
+    shared.news.notify_one();
+    Ok(())
+}
+
+/// Tells all entries of this one's load, often while it changes and seldom while it does not.
+async fn tell(shared: Arc<EntryShared>, socket: Arc<UdpSocket>) {
+    let mut number = 0;
+    let mut last_told: Option<(Instant, EntryNotice)> = None;
+    loop {
+        let is_urgent = tokio::select! {
+            () = shared.news.notified() => true,
+            () = tokio::time::sleep(TELL_INTERVAL) => false,
+        };
+        let notice = own_notice(&shared, number);
+        let is_due = last_told.as_ref().is_none_or(|(at, before)| {
+            at.elapsed() >= HEARTBEAT_INTERVAL
+                || before.loads != notice.loads
+                || before.record != notice.record
+        });
+        if !is_due && !is_urgent {
+            continue;
+        }
+        number += 1;
+        let message = FleetMessage::Entry(notice.clone());
+        let bytes = postcard::to_allocvec(&message).expect("a notice is always encodable");
+        let peers: Vec<SocketAddr> = {
+            let now = Instant::now();
+            let state = shared.state();
+            let alive: Vec<_> = state.peers.alive(now).map(|it| it.inner).collect();
+            // Silent ones are tried less often, so that a healed partition shows.
+            let with_silent = number % SILENT_EVERY == 1 || is_urgent;
+            let all = state.peers.all().map(|it| it.inner);
+            if with_silent { all.collect() } else { alive }
+        };
+        for peer in peers {
+            // Datagrams may be lost anyway; the next one holds all that this one says.
+            let _ = socket.try_send_to(&bytes, peer);
+        }
+        last_told = Some((Instant::now(), notice));
+    }
+}
+
+fn own_notice(shared: &EntryShared, number: u64) -> EntryNotice {
+    let record = shared.own_record();
+    let loads = shared.state().board.own_samples().into_iter().collect();
+    EntryNotice {
+        record,
+        number,
+        loads,
+    }
+}
+
+async fn listen(shared: Arc<EntryShared>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut numbers: BTreeMap<String, (u64, u64)> = BTreeMap::new();
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            // An earlier datagram could not be delivered; nothing is wrong with the socket.
+            continue;
+        };
+        match postcard::from_bytes(&buffer[..length]) {
+            Ok(FleetMessage::Entry(notice)) => heard_entry(&shared, notice, &mut numbers),
+            Ok(FleetMessage::Agent(notice)) => heard_agent(&shared, &notice),
+            Err(err) => {
+                warn!(shared.log, "datagram skipped"; "from" => from.to_string(), "error" => err.to_string());
+            }
+        }
+    }
+}
+
+fn heard_entry(shared: &EntryShared, notice: EntryNotice, numbers: &mut BTreeMap<String, (u64, u64)>) {
+    let node = notice.record.node.clone();
+    if node == shared.settings.node {
+        return;
+    }
+    let stamp = (notice.record.incarnation, notice.number);
+    if numbers.get(&node).is_some_and(|it| *it >= stamp) {
+        return;
+    }
+    numbers.insert(node.clone(), stamp);
+    let now = Instant::now();
+    let loads: BTreeMap<u64, LoadSample> = notice.loads.into_iter().collect();
+    let mut state = shared.state();
+    state.board.heard(&node, loads, now);
+    state.board.expire(now);
+    let is_news = state.peers.heard(notice.record, now);
+    drop(state);
+    if is_news {
+        info!(shared.log, "entry heard"; "entry" => node);
+        shared.news.notify_one();
+    }
+}
+
+fn heard_agent(shared: &EntryShared, notice: &AgentNotice) {
+    let is_news = shared.state().catalog.note_weights(notice.replica, &notice.models);
+    if is_news {
+        info!(
+            shared.log, "weights of a replica changed";
+            "address" => notice.replica.to_string(),
+            "version" => notice.models.first().map(|it| it.version),
+        );
+    }
+}
+
+/// Least time between two messages; shorter than the time in which a replica's load changes (one pass, 50 ms or more).
+const TELL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest time between two messages.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Every how many messages silent entries are told too.
+const SILENT_EVERY: u64 = 5;
+
+/// Time after which the list of entries is read again, for those that a partition hid at the start.
+const RELIST_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Bytes of the largest datagram: one sample of 16 bytes for each of some thousand replicas.
+const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
--- /dev/null
+++ b/crates/stager/src/agent_metrics.rs
@@ -0,0 +1,53 @@
+//! Counters of an agent, as text for collectors.
+
+use std::sync::Arc;
+
+use httpio::{ReplyBody, Response};
+use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+use crate::agent_shared::AgentShared;
+
+/// Everything that an agent counts. Label values come from fixed sets.
+#[derive(Debug)]
+pub(crate) struct AgentMetrics {
+    registry: Registry,
+    pub(crate) pieces: IntCounterVec,
+    pub(crate) orders: IntCounterVec,
+    pub(crate) version: IntGauge,
+}
+
+impl AgentMetrics {
+    pub(crate) fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let pieces = IntCounterVec::new(
+            Opts::new("fulmarline_pieces_total", "Pieces of weights by source and outcome."),
+            &["source", "outcome"],
+        )?;
+        let orders = IntCounterVec::new(
+            Opts::new("fulmarline_load_orders_total", "Orders to the replica by outcome."),
+            &["outcome"],
+        )?;
+        let version = IntGauge::new("fulmarline_weights_version", "Version that the replica serves.")?;
+        registry.register(Box::new(pieces.clone()))?;
+        registry.register(Box::new(orders.clone()))?;
+        registry.register(Box::new(version.clone()))?;
+        Ok(Self {
+            registry,
+            pieces,
+            orders,
+            version,
+        })
+    }
+}
+
+/// Answers a collector.
+pub(crate) async fn answer(shared: Arc<AgentShared>) -> Response<ReplyBody> {
+    let version = shared.state().serving.first().map_or(0, |it| it.version);
+    shared.metrics.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    let mut text = Vec::new();
+    let written = TextEncoder::new().encode(&shared.metrics.registry.gather(), &mut text);
+    if let Err(err) = written {
+        slog::error!(shared.log, "metrics cannot be encoded"; "error" => err.to_string());
+    }
+    Response::new(httpio::full(text))
+}
--- /dev/null
+++ b/crates/stager/src/agent_shared.rs
@@ -0,0 +1,109 @@
+//! What all tasks of an agent share.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use anyhow::Context;
+use fleet::LoadedModel;
+use httpio::HttpClient;
+use platform::{NodeSettings, ReplicaApi, StoreClient};
+use slog::Logger;
+use tokio::sync::{Notify, Semaphore};
+
+use crate::agent_metrics::AgentMetrics;
+use crate::piece_book::PieceBook;
+
+/// The weights that the replica is to serve.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct WeightTarget {
+    pub(crate) model: String,
+    pub(crate) version: u64,
+    /// Origins of the weights, in the order of the configuration.
+    pub(crate) origins: Vec<SocketAddr>,
+}
+
+/// The state of one agent.
+#[derive(Debug, Default)]
+pub(crate) struct AgentState {
+    /// Weights that are wanted; `None` until the configuration was read.
+    pub(crate) target: Option<WeightTarget>,
+    /// Pieces that are staged at the replica.
+    pub(crate) book: PieceBook,
+    /// Weights that serve, as entries are told.
+    pub(crate) serving: Vec<LoadedModel>,
+}
+
+/// Shared by all tasks of an agent.
+#[derive(Debug)]
+pub(crate) struct AgentShared {
+    pub(crate) settings: NodeSettings,
+    pub(crate) log: Logger,
+    pub(crate) metrics: AgentMetrics,
+    pub(crate) store: StoreClient,
+    pub(crate) replica_address: SocketAddr,
+    pub(crate) replica: ReplicaApi,
+    /// Client for other agents and the origin.
+    pub(crate) sources: HttpClient,
+    /// Wakes the task that brings weights to the replica.
+    pub(crate) wanted: Notify,
+    /// Wakes the task that tells entries what serves.
+    pub(crate) served: Notify,
+    /// Wakes requests that wait for a piece.
+    pub(crate) arrived: Notify,
+    /// Pieces that are sent to other agents at once.
+    pub(crate) uploads: Semaphore,
+    /// Pieces that are fetched from the origin at once.
+    pub(crate) origin_fetches: Semaphore,
+    state: Mutex<AgentState>,
+}
+
+impl AgentShared {
+    pub(crate) fn new(settings: NodeSettings, log: Logger) -> anyhow::Result<Self> {
+        let replica_address = settings.replica.context("settings name no replica")?;
+        let client = || HttpClient::new(None, CONNECT_TIMEOUT).with_silence_timeout(SILENCE_TIMEOUT);
+        Ok(Self {
+            metrics: AgentMetrics::new()?,
+            store: StoreClient::new(client(), settings.store.address, STORE_TIMEOUT),
+            replica_address,
+            replica: ReplicaApi::new(client(), replica_address, REPLICA_TIMEOUT),
+            sources: client(),
+            wanted: Notify::new(),
+            served: Notify::new(),
+            arrived: Notify::new(),
+            uploads: Semaphore::new(MAX_UPLOADS),
+            origin_fetches: Semaphore::new(MAX_ORIGIN_FETCHES),
+            state: Mutex::default(),
+            settings,
+            log,
+        })
+    }
+
+    /// Locks the state; never held across an await.
+    pub(crate) fn state(&self) -> MutexGuard<'_, AgentState> {
+        self.state.lock().expect("no holder of the state's lock panics")
+    }
+
+    /// Returns where other agents fetch pieces from this one.
+    pub(crate) fn own_address(&self) -> SocketAddr {
+        (self.settings.ip, self.settings.first_port).into()
+    }
+}
+
+/// Time for a connection; all peers are a few milliseconds away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Time after which unacknowledged bytes end a connection.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(2000);
+
+/// Time for an answer of the store beyond what the call asks it to wait.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Time for an answer of the replica on the own machine.
+const REPLICA_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Pieces that are sent at once. The link also carries the replica's streams, which must not wait behind pieces.
+const MAX_UPLOADS: usize = 3;
+
+/// Pieces that are fetched from the origin at once; enough to keep its link busy with one other agent.
+const MAX_ORIGIN_FETCHES: usize = 2;
--- /dev/null
+++ b/crates/stager/src/config_loop.rs
@@ -0,0 +1,113 @@
+//! Follows the operator's rows for the weights that the replica is to serve.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fleet::RouteTable;
+use platform::{CONFIG_KEY, OPERATOR_TABLE, RowChange, VERSION_PREFIX};
+use rand::RngExt;
+use slog::{info, warn};
+
+use crate::agent_shared::{AgentShared, WeightTarget};
+
+/// Follows the rows for as long as the process lives.
+pub(crate) async fn run(shared: Arc<AgentShared>) {
+    let mut since: Option<u64> = None;
+    let mut failures = 0_u32;
+    let mut table: Option<RouteTable> = None;
+    let mut versions: BTreeMap<String, u64> = BTreeMap::new();
+    loop {
+        let result = match since {
+            None => shared.store.read_table(OPERATOR_TABLE).await.map(Some),
+            Some(version) => match shared.store.follow(OPERATOR_TABLE, version, FEED_WAIT).await {
+                Ok(RowChange::Changed(page)) => Ok(Some(page)),
+                Ok(RowChange::HistoryGone) => Ok(None),
+                Err(err) => Err(err),
+            },
+        };
+        match result {
+            Ok(Some(page)) => {
+                if failures > 0 {
+                    info!(shared.log, "store regained"; "failures" => failures);
+                }
+                failures = 0;
+                since = Some(page.version);
+                for row in &page.rows {
+                    let Some(bytes) = &row.value else {
+                        continue;
+                    };
+                    if let Err(err) = take(&row.key, bytes, &mut table, &mut versions) {
+                        warn!(shared.log, "operator's row skipped"; "key" => &row.key, "error" => format!("{err:#}"));
+                    }
+                }
+                aim(&shared, table.as_ref(), &versions);
+            }
+            Ok(None) => {
+                info!(shared.log, "history of the store is gone, reading all");
+                since = None;
+            }
+            Err(err) => {
+                if failures == 0 {
+                    warn!(shared.log, "store lost"; "error" => err.to_string());
+                }
+                failures += 1;
+                let pause = FIRST_RETRY * 2_u32.pow(failures.min(3));
+                let jitter = rand::rng().random_range(0.5..1.0);
+                tokio::time::sleep(pause.mul_f64(jitter)).await;
+            }
+        }
+    }
+}
+
+fn take(
+    key: &str,
+    bytes: &[u8],
+    table: &mut Option<RouteTable>,
+    versions: &mut BTreeMap<String, u64>,
+) -> anyhow::Result<()> {
+    if key == CONFIG_KEY {
+        let read = platform::decode_config(bytes)?;
+        if table.as_ref().is_none_or(|it| it.version() < read.version()) {
+            *table = Some(read);
+        }
+    } else if key.starts_with(VERSION_PREFIX) {
+        let (model, version) = platform::decode_declared_version(bytes)?;
+        let known = versions.entry(model).or_default();
+        *known = version.max(*known);
+    }
+    Ok(())
+}
+
+fn aim(shared: &AgentShared, table: Option<&RouteTable>, versions: &BTreeMap<String, u64>) {
+    let Some(table) = table else {
+        return;
+    };
+    let service = shared.settings.replica_service.as_deref().unwrap_or_default();
+    let Some(engine) = table.service(service).and_then(|it| it.engine.as_ref()) else {
+        return;
+    };
+    let target = WeightTarget {
+        model: engine.model.clone(),
+        version: versions.get(&engine.model).copied().unwrap_or(FIRST_VERSION),
+        origins: table.services().filter_map(|it| it.origin).map(|it| it.address).collect(),
+    };
+    let mut state = shared.state();
+    if state.target.as_ref() == Some(&target) {
+        return;
+    }
+    info!(shared.log, "weights wanted"; "model" => &target.model, "version" => target.version);
+    state.target = Some(target);
+    drop(state);
+    shared.wanted.notify_one();
+}
+
+/// Version of weights before any was declared.
+const FIRST_VERSION: u64 = 1;
+
+/// Time that the store holds a question for changes. Agents enforce no bound on the age of the configuration, so only a
+/// connection that went silent has to be noticed, well within the bound on declared weights (8 s).
+const FEED_WAIT: Duration = Duration::from_millis(4000);
+
+/// First pause after a failed call.
+const FIRST_RETRY: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/crates/stager/src/piece_fetch.rs
@@ -0,0 +1,282 @@
+//! Fetches manifests and pieces from the sources that the plan names.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use fleet::{FetchPlan, PieceHolder, PieceManifest, PieceSource};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use httpio::{Request, StatusCode};
+use platform::{REPLICA_TABLE, WeightApi};
+use slog::{info, warn};
+
+use crate::agent_shared::{AgentShared, WeightTarget};
+use crate::piece_server::{manifest_path, piece_path};
+use crate::source_pause::SourcePause;
+
+/// Reads which agents take part and plans for this one.
+pub(crate) async fn plan(shared: &AgentShared, target: &WeightTarget) -> Result<FetchPlan, platform::CallError> {
+    let page = shared.store.read_table(REPLICA_TABLE).await?;
+    let service = shared.settings.replica_service.as_deref().unwrap_or_default();
+    let replicas = page.rows.iter().filter_map(|row| {
+        // Entries of other writers are told of by the entries, which follow the table.
+        platform::decode_replica(&row.key, row.value.as_ref()?).ok()
+    });
+    let holders = replicas
+        .filter(|it| it.service == service)
+        .map(|it| PieceHolder {
+            address: (it.address.ip(), shared.settings.first_port).into(),
+            region: shared.settings.regions.get(&it.zone).cloned().unwrap_or_default(),
+            complete: it.version_of(&target.model) == Some(target.version),
+        })
+        .collect();
+    Ok(FetchPlan::new(shared.own_address(), &shared.settings.region, holders))
+}
+
+/// Fetches the manifest of the target.
+pub(crate) async fn manifest(
+    shared: &AgentShared,
+    target: &WeightTarget,
+    plan: &FetchPlan,
+    pauses: &SourcePause,
+) -> Option<PieceManifest> {
+    for source in plan.sources(MANIFEST_INDEX) {
+        let fetched = match source {
+            PieceSource::Agent(address) if pauses.is_paused(address, Instant::now()) => continue,
+            PieceSource::Agent(address) => manifest_from_agent(shared, target, address).await,
+            PieceSource::Origin => manifest_from_origin(shared, target).await,
+        };
+        match fetched {
+            Ok(manifest) => return Some(manifest),
+            Err(why) => {
+                info!(shared.log, "manifest not fetched"; "source" => format!("{source:?}"), "error" => why);
+                pause(pauses, source);
+            }
+        }
+    }
+    None
+}
+
+/// Fetches all pieces that are missing; returns whether none is left.
+pub(crate) async fn pieces(
+    shared: &Arc<AgentShared>,
+    target: &WeightTarget,
+    manifest: &Arc<PieceManifest>,
+    plan: &FetchPlan,
+    pauses: &SourcePause,
+) -> bool {
+    let mut missing = shared.state().book.missing();
+    // Pieces that others wait for go first: those that this agent takes from the origin or brings into its region.
+    missing.sort_by_key(|it| match plan.sources(*it).first() {
+        Some(PieceSource::Origin) => 0,
+        _ if plan.brings(*it) => 1,
+        _ => 2,
+    });
+    let results = futures::stream::iter(missing)
+        .map(|index| piece(shared, target, manifest, plan.sources(index), index, pauses))
+        .buffer_unordered(PARALLEL_PIECES);
+    results.fold(true, |all, it| std::future::ready(all && it)).await
+}
+
+/// Fetches one piece and stages it. A source that takes long is joined by the next one.
+async fn piece(
+    shared: &AgentShared,
+    target: &WeightTarget,
+    manifest: &PieceManifest,
+    sources: Vec<PieceSource>,
+    index: usize,
+    pauses: &SourcePause,
+) -> bool {
+    if shared.state().target.as_ref() != Some(target) {
+        return false;
+    }
+    let mut sources = sources.into_iter();
+    let mut running = FuturesUnordered::new();
+    loop {
+        if running.is_empty() {
+            let Some(source) = sources.next() else {
+                return false;
+            };
+            running.push(fetch(shared, target, manifest, source, index, pauses));
+        }
+        match tokio::time::timeout(HEDGE_DELAY, running.next()).await {
+            Ok(Some(Some(bytes))) => return stage(shared, target, index, bytes).await,
+            Ok(_) => {}
+            Err(_) => {
+                if let Some(source) = sources.next() {
+                    running.push(fetch(shared, target, manifest, source, index, pauses));
+                }
+            }
+        }
+    }
+}
+
+async fn fetch(
+    shared: &AgentShared,
+    target: &WeightTarget,
+    manifest: &PieceManifest,
+    source: PieceSource,
+    index: usize,
+    pauses: &SourcePause,
+) -> Option<Vec<u8>> {
+    let (label, fetched) = match source {
+        PieceSource::Agent(address) if pauses.is_paused(address, Instant::now()) => return None,
+        PieceSource::Agent(address) => ("agent", piece_from_agent(shared, target, address, index).await),
+        PieceSource::Origin => ("origin", piece_from_origin(shared, target, index).await),
+    };
+    let fetched = fetched.and_then(|bytes| {
+        if manifest.matches(index, &bytes) {
+            Ok(bytes)
+        } else {
+            Err(FetchError::Spoilt)
+        }
+    });
+    let outcome = match &fetched {
+        Ok(_) => "ok",
+        Err(FetchError::Absent) => "absent",
+        Err(FetchError::Spoilt) => "spoilt",
+        Err(FetchError::Unreachable(_)) => "unreachable",
+    };
+    shared.metrics.pieces.with_label_values(&[label, outcome]).inc();
+    match fetched {
+        Ok(bytes) => Some(bytes),
+        Err(err) => {
+            info!(
+                shared.log, "piece not fetched";
+                "index" => index,
+                "version" => target.version,
+                "source" => format!("{source:?}"),
+                "error" => format!("{err:?}"),
+            );
+            if matches!(err, FetchError::Unreachable(_)) {
+                pause(pauses, source);
+            }
+            None
+        }
+    }
+}
+
+async fn stage(shared: &AgentShared, target: &WeightTarget, index: usize, bytes: Vec<u8>) -> bool {
+    if let Err(err) = shared.replica.put_piece(&target.model, index, bytes).await {
+        warn!(shared.log, "piece not staged"; "index" => index, "error" => err.to_string());
+        return false;
+    }
+    let mut state = shared.state();
+    if state.book.manifest(&target.model, target.version).is_none() {
+        return false;
+    }
+    state.book.note_sound(index, Instant::now());
+    drop(state);
+    shared.arrived.notify_waiters();
+    true
+}
+
+/// Why a piece was not fetched.
+#[derive(Debug)]
+enum FetchError {
+    /// The source does not have it.
+    Absent,
+    /// The bytes do not have the digest.
+    Spoilt,
+    /// No usable answer.
+    Unreachable(String),
+}
+
+async fn piece_from_agent(
+    shared: &AgentShared,
+    target: &WeightTarget,
+    address: SocketAddr,
+    index: usize,
+) -> Result<Vec<u8>, FetchError> {
+    from_agent(shared, address, &piece_path(&target.model, target.version, index)).await
+}
+
+async fn manifest_from_agent(
+    shared: &AgentShared,
+    target: &WeightTarget,
+    address: SocketAddr,
+) -> Result<PieceManifest, String> {
+    let path = manifest_path(&target.model, target.version);
+    let bytes = from_agent(shared, address, &path).await.map_err(|it| format!("{it:?}"))?;
+    serde_json::from_slice(&bytes).map_err(|it| it.to_string())
+}
+
+async fn from_agent(shared: &AgentShared, address: SocketAddr, path: &str) -> Result<Vec<u8>, FetchError> {
+    let unreachable = |it: String| FetchError::Unreachable(it);
+    let request = Request::builder()
+        .uri(path)
+        .body(httpio::empty())
+        .map_err(|it| unreachable(it.to_string()))?;
+    let exchange = async {
+        let reply = shared.sources.send(address, request).await.map_err(|it| unreachable(it.to_string()))?;
+        let status = reply.response.status();
+        let answer = reply
+            .read(&shared.sources, MAX_PIECE_BYTES, PIECE_TIMEOUT)
+            .await
+            .map_err(|it| unreachable(it.to_string()))?;
+        match status {
+            StatusCode::OK => Ok(answer.into_body().to_vec()),
+            _ => Err(FetchError::Absent),
+        }
+    };
+    tokio::time::timeout(PIECE_TIMEOUT, exchange)
+        .await
+        .unwrap_or_else(|_| Err(unreachable("timed out".to_owned())))
+}
+
+async fn piece_from_origin(
+    shared: &AgentShared,
+    target: &WeightTarget,
+    index: usize,
+) -> Result<Vec<u8>, FetchError> {
+    let Ok(_permit) = shared.origin_fetches.acquire().await else {
+        return Err(FetchError::Absent);
+    };
+    let mut last = FetchError::Absent;
+    for origin in &target.origins {
+        let api = WeightApi::new(shared.sources.clone(), *origin, PIECE_TIMEOUT);
+        match api.piece(&target.model, target.version, index).await {
+            Ok(bytes) => return Ok(bytes),
+            Err(platform::CallError::Status(status)) if status == StatusCode::GONE => {
+                last = FetchError::Absent;
+            }
+            Err(err) => last = FetchError::Unreachable(err.to_string()),
+        }
+    }
+    Err(last)
+}
+
+async fn manifest_from_origin(shared: &AgentShared, target: &WeightTarget) -> Result<PieceManifest, String> {
+    let mut last = "no origin is configured".to_owned();
+    for origin in &target.origins {
+        let api = WeightApi::new(shared.sources.clone(), *origin, PIECE_TIMEOUT);
+        match api.manifest(&target.model, target.version).await {
+            Ok(manifest) if manifest.version == target.version => return Ok(manifest),
+            Ok(manifest) => last = format!("the origin sent version {}", manifest.version),
+            Err(err) => last = err.to_string(),
+        }
+    }
+    Err(last)
+}
+
+fn pause(pauses: &SourcePause, source: PieceSource) {
+    if let PieceSource::Agent(address) = source {
+        pauses.pause(address, Instant::now());
+    }
+}
+
+/// Stands for the manifest where sources are ranked by piece.
+const MANIFEST_INDEX: usize = usize::MAX;
+
+/// Pieces on their way at once. Some wait at agents that have not got them yet, so it is more than a link needs.
+const PARALLEL_PIECES: usize = 16;
+
+/// Time after which a second source is asked for a piece.
+const HEDGE_DELAY: Duration = Duration::from_millis(2000);
+
+/// Time for one piece from one source; a link that was squeezed to 0.9 Mbit/s takes 0.2 s for each.
+const PIECE_TIMEOUT: Duration = Duration::from_millis(5000);
+
+/// Largest piece or manifest.
+const MAX_PIECE_BYTES: usize = 4 * 1024 * 1024;
