Agents spread pieces by rank and serve from what is staged

Cause: agents of serving replicas offered nothing, neighbouring pieces ranked alike, and agents waited for each other. Ruled out: the origin's bandwidth (it idled).

--- a/crates/fleet/src/fetch_plan.rs
+++ b/crates/fleet/src/fetch_plan.rs
@@ -55,43 +55,45 @@
     }
 
     /// Returns the sources of piece `index` in the order in which they are to be tried.
+    ///
+    /// An agent asks only agents that rank before it, so two never wait for each other, and the next in rank goes up the
+    /// chain by itself when the first one is lost.
     pub fn sources(&self, index: usize) -> Vec<PieceSource> {
         let near = self.ranked(index, |it| it.region == self.region);
         let all = self.ranked(index, |_| true);
-        let has_complete_near = near.iter().any(|it| it.complete);
-        let has_complete = all.iter().any(|it| it.complete);
-        let brings_here = near.first().is_some_and(|it| it.address == self.own);
-        let is_first = all.first().is_some_and(|it| it.address == self.own);
-
         let mut sources = Vec::new();
-        let push = |sources: &mut Vec<PieceSource>, list: &[&PieceHolder], complete: bool| {
-            for holder in list.iter().filter(|it| it.complete == complete) {
-                let source = PieceSource::Agent(holder.address);
-                if holder.address != self.own && !sources.contains(&source) {
-                    sources.push(source);
-                }
-            }
-        };
-        if has_complete_near {
-            push(&mut sources, &near, true);
-        } else if brings_here && has_complete {
-            push(&mut sources, &all, true);
-        } else if is_first {
-            sources.push(PieceSource::Origin);
-        } else if brings_here {
-            push(&mut sources, &all[..1], false);
+        let complete_near: Vec<_> = near.iter().filter(|it| it.complete).copied().collect();
+        if complete_near.is_empty() {
+            self.push(&mut sources, self.before_own(&near));
         } else {
-            push(&mut sources, &near[..1], false);
+            self.push(&mut sources, &complete_near);
         }
-        if !sources.contains(&PieceSource::Origin) {
-            push(&mut sources, &all, true);
+        let complete: Vec<_> = all.iter().filter(|it| it.complete).copied().collect();
+        if complete.is_empty() {
+            self.push(&mut sources, self.before_own(&all));
+        } else {
+            self.push(&mut sources, &complete);
         }
-        // The last resorts: other agents nearby that may have it by now, then the origin.
-        let others = near.len().min(MAX_NEAR_SOURCES);
-        push(&mut sources, &near[..others], false);
-        if !sources.contains(&PieceSource::Origin) {
-            sources.push(PieceSource::Origin);
+        sources.push(PieceSource::Origin);
+        sources
+    }
+
+    /// Returns the sources of the manifest in the order in which they are to be tried.
+    ///
+    /// Agents whose replica serves the version are asked first; one of them, or of all where there are none, takes it
+    /// from the origin.
+    pub fn manifest_sources(&self) -> Vec<PieceSource> {
+        let has_complete = self.holders.iter().any(|it| it.complete);
+        let mut list = self.ranked(MANIFEST_RANK, |it| it.complete || !has_complete);
+        if list.first().is_some_and(|it| it.address == self.own) {
+            return vec![PieceSource::Origin];
         }
+        // Those nearby come first, behind the one that all others wait for.
+        let first = list.remove(0);
+        let near = list.iter().filter(|it| it.region == self.region && it.address != self.own);
+        let mut sources = vec![PieceSource::Agent(first.address)];
+        sources.extend(near.take(1).map(|it| PieceSource::Agent(it.address)));
+        sources.push(PieceSource::Origin);
         sources
     }
 
@@ -101,12 +103,38 @@
         near.first().is_some_and(|it| it.address == self.own)
     }
 
+    /// Returns the part of a ranking before this agent.
+    fn before_own<'a, 'b>(&self, ranked: &'a [&'b PieceHolder]) -> &'a [&'b PieceHolder] {
+        let own = ranked.iter().position(|it| it.address == self.own);
+        &ranked[..own.unwrap_or(ranked.len())]
+    }
+
+    fn push(&self, sources: &mut Vec<PieceSource>, holders: &[&PieceHolder]) {
+        for holder in holders.iter().take(MAX_RANKS) {
+            let source = PieceSource::Agent(holder.address);
+            if holder.address != self.own && !sources.contains(&source) {
+                sources.push(source);
+            }
+        }
+    }
+
     fn ranked(&self, index: usize, keep: impl Fn(&PieceHolder) -> bool) -> Vec<&PieceHolder> {
         let mut list: Vec<_> = self.holders.iter().filter(|it| keep(it)).collect();
-        list.sort_by_key(|it| replica_hash(&format!("{}/{index}", it.address)));
+        list.sort_by_key(|it| rank(it.address, index));
         list
     }
 }
 
-/// Agents nearby that are asked for a piece before the origin is.
-const MAX_NEAR_SOURCES: usize = 4;
+/// Ranks an agent for a piece. The product of the two hashes is mixed, since neighbouring pieces differ in few bits.
+fn rank(address: SocketAddr, index: usize) -> u64 {
+    let seed = replica_hash(&address.to_string()) ^ (index as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+/// Stands for the manifest where agents are ranked by piece.
+const MANIFEST_RANK: usize = usize::MAX;
+
+/// Agents of one ranking that are asked before the next ranking or the origin; more are seldom lost at once.
+const MAX_RANKS: usize = 3;
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -53,6 +53,8 @@
     pub(crate) arrived: Notify,
     /// Pieces that are sent to other agents at once.
     pub(crate) uploads: Semaphore,
+    /// Pieces that are fetched from other agents at once.
+    pub(crate) downloads: Semaphore,
     /// Pieces that are fetched from the origin at once.
     pub(crate) origin_fetches: Semaphore,
     state: Mutex<AgentState>,
@@ -72,6 +74,7 @@
             served: Notify::new(),
             arrived: Notify::new(),
             uploads: Semaphore::new(MAX_UPLOADS),
+            downloads: Semaphore::new(MAX_DOWNLOADS),
             origin_fetches: Semaphore::new(MAX_ORIGIN_FETCHES),
             state: Mutex::default(),
             settings,
@@ -103,7 +106,10 @@
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Pieces that are sent at once. The link also carries the replica's streams, which must not wait behind pieces.
-const MAX_UPLOADS: usize = 3;
+const MAX_UPLOADS: usize = 2;
+
+/// Pieces that are fetched from other agents at once, for the same reason.
+const MAX_DOWNLOADS: usize = 2;
 
 /// Pieces that are fetched from the origin at once; enough to keep its link busy with one other agent.
 const MAX_ORIGIN_FETCHES: usize = 2;
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -96,7 +96,12 @@
     if state.target.as_ref() == Some(&target) {
         return;
     }
-    info!(shared.log, "weights wanted"; "model" => &target.model, "version" => target.version);
+    info!(
+        shared.log, "weights wanted";
+        "model" => &target.model,
+        "version" => target.version,
+        "missing_before" => state.book.missing().len(),
+    );
     state.target = Some(target);
     drop(state);
     shared.wanted.notify_one();
--- a/crates/stager/src/piece_book.rs
+++ b/crates/stager/src/piece_book.rs
@@ -26,6 +26,11 @@
             .filter(|it| it.model == model && it.version == version)
     }
 
+    /// Takes all pieces as staged, because the replica serves the version; each is checked before it is passed on.
+    pub(crate) fn assume_all(&mut self, now: Instant) {
+        self.sound.fill(Some(now));
+    }
+
     /// Notes that a piece was found sound at the replica or put there.
     pub(crate) fn note_sound(&mut self, index: usize, now: Instant) {
         self.sound[index] = Some(now);
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -12,7 +12,7 @@
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, WeightTarget};
-use crate::piece_server::{manifest_path, piece_path};
+use crate::piece_server::{manifest_path, piece_path, ready_path};
 use crate::source_pause::SourcePause;
 
 /// Reads which agents take part and plans for this one.
@@ -41,7 +41,7 @@
     plan: &FetchPlan,
     pauses: &SourcePause,
 ) -> Option<PieceManifest> {
-    for source in plan.sources(MANIFEST_INDEX) {
+    for source in plan.manifest_sources() {
         let fetched = match source {
             PieceSource::Agent(address) if pauses.is_paused(address, Instant::now()) => continue,
             PieceSource::Agent(address) => manifest_from_agent(shared, target, address).await,
@@ -189,7 +189,13 @@
     address: SocketAddr,
     index: usize,
 ) -> Result<Vec<u8>, FetchError> {
-    from_agent(shared, address, &piece_path(&target.model, target.version, index)).await
+    let (model, version) = (&target.model, target.version);
+    // The wait costs no bandwidth; the transfer does, and few at once keep the queue of the link short.
+    from_agent(shared, address, &ready_path(model, version, index)).await?;
+    let Ok(_permit) = shared.downloads.acquire().await else {
+        return Err(FetchError::Absent);
+    };
+    from_agent(shared, address, &piece_path(model, version, index)).await
 }
 
 async fn manifest_from_agent(
@@ -266,17 +272,14 @@
     }
 }
 
-/// Stands for the manifest where sources are ranked by piece.
-const MANIFEST_INDEX: usize = usize::MAX;
-
 /// Pieces on their way at once. Some wait at agents that have not got them yet, so it is more than a link needs.
-const PARALLEL_PIECES: usize = 16;
+const PARALLEL_PIECES: usize = 32;
 
-/// Time after which a second source is asked for a piece.
-const HEDGE_DELAY: Duration = Duration::from_millis(2000);
+/// Time after which a second source is asked for a piece; longer than a source holds a question.
+const HEDGE_DELAY: Duration = Duration::from_millis(4500);
 
 /// Time for one piece from one source; a link that was squeezed to 0.9 Mbit/s takes 0.2 s for each.
-const PIECE_TIMEOUT: Duration = Duration::from_millis(5000);
+const PIECE_TIMEOUT: Duration = Duration::from_millis(6000);
 
 /// Largest piece or manifest.
 const MAX_PIECE_BYTES: usize = 4 * 1024 * 1024;
--- a/crates/stager/src/piece_server.rs
+++ b/crates/stager/src/piece_server.rs
@@ -13,6 +13,11 @@
     format!("/pieces/{model}/{version}/{index}")
 }
 
+/// Path of the question whether an agent has a piece; the answer is held until it has.
+pub(crate) fn ready_path(model: &str, version: u64, index: usize) -> String {
+    format!("/ready/{model}/{version}/{index}")
+}
+
 /// Path of a manifest at an agent.
 pub(crate) fn manifest_path(model: &str, version: u64) -> String {
     format!("/manifests/{model}/{version}")
@@ -26,6 +31,10 @@
             (Ok(version), Ok(index)) => piece(&shared, model, version, index).await,
             _ => None,
         },
+        ["ready", model, version, index] => match (version.parse(), index.parse()) {
+            (Ok(version), Ok(index)) => ready(&shared, model, version, index).await.map(|()| Vec::new()),
+            _ => None,
+        },
         ["manifests", model, version] => match version.parse() {
             Ok(version) => manifest(&shared, model, version).await,
             Err(_) => None,
@@ -42,12 +51,18 @@
     }
 }
 
-async fn piece(shared: &AgentShared, model: &str, version: u64, index: usize) -> Option<Vec<u8>> {
-    wait_until(shared, || {
+/// Waits for a piece that is on its way.
+async fn ready(shared: &AgentShared, model: &str, version: u64, index: usize) -> Option<()> {
+    let has_manifest = || shared.state().book.manifest(model, version).is_some();
+    wait_until(shared, MANIFEST_WAIT, has_manifest).await?;
+    wait_until(shared, PIECE_WAIT, || {
         let state = shared.state();
         state.book.manifest(model, version).is_some() && state.book.has(index)
     })
-    .await?;
+    .await
+}
+
+async fn piece(shared: &AgentShared, model: &str, version: u64, index: usize) -> Option<Vec<u8>> {
     let manifest = shared.state().book.manifest(model, version)?.clone();
     let _permit = shared.uploads.acquire().await.ok()?;
     let bytes = match shared.replica.read_piece(model, index).await {
@@ -71,14 +86,21 @@
 }
 
 async fn manifest(shared: &AgentShared, model: &str, version: u64) -> Option<Vec<u8>> {
-    wait_until(shared, || shared.state().book.manifest(model, version).is_some()).await?;
+    wait_until(shared, MANIFEST_WAIT, || {
+        shared.state().book.manifest(model, version).is_some()
+    })
+    .await?;
     let manifest = shared.state().book.manifest(model, version)?.clone();
     serde_json::to_vec(&*manifest).ok()
 }
 
 /// Waits for a while until `is_there`, or returns `None`.
-async fn wait_until(shared: &AgentShared, is_there: impl Fn() -> bool) -> Option<()> {
-    let deadline = tokio::time::Instant::now() + MAX_WAIT;
+async fn wait_until(
+    shared: &AgentShared,
+    wait: Duration,
+    is_there: impl Fn() -> bool,
+) -> Option<()> {
+    let deadline = tokio::time::Instant::now() + wait;
     loop {
         let arrived = shared.arrived.notified();
         if is_there() {
@@ -88,5 +110,9 @@
     }
 }
 
-/// Time for which a question for a piece that is still on its way is held.
-const MAX_WAIT: Duration = Duration::from_millis(1500);
+/// Time for which a question is held while the manifest is on its way; an agent that has not heard of the version by
+/// then most likely cannot reach the store.
+const MANIFEST_WAIT: Duration = Duration::from_millis(800);
+
+/// Time for which a question for a piece that is still on its way is held; about the time of a whole copy.
+const PIECE_WAIT: Duration = Duration::from_millis(3500);
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -34,7 +34,11 @@
         let Some(target) = shared.state().target.clone() else {
             continue;
         };
-        if report.ordering || serves(&report, &target) {
+        if report.ordering {
+            continue;
+        }
+        if serves(&report, &target) {
+            offer(&shared, &target, &pauses).await;
             continue;
         }
         bring(&shared, &target, &report, &pauses).await;
@@ -44,6 +48,28 @@
     }
 }
 
+/// Offers the weights that the replica serves to other agents, for which their manifest is needed.
+async fn offer(shared: &Arc<AgentShared>, target: &WeightTarget, pauses: &SourcePause) {
+    if shared.state().book.manifest(&target.model, target.version).is_some() {
+        return;
+    }
+    let plan = match piece_fetch::plan(shared, target).await {
+        Ok(it) => it,
+        Err(err) => {
+            warn!(shared.log, "agents not listed"; "error" => err.to_string());
+            return;
+        }
+    };
+    let Some(manifest) = piece_fetch::manifest(shared, target, &plan, pauses).await else {
+        return;
+    };
+    let mut state = shared.state();
+    state.book.aim(Arc::new(manifest));
+    state.book.assume_all(Instant::now());
+    drop(state);
+    shared.arrived.notify_waiters();
+}
+
 /// Stages and verifies all pieces and orders the replica to load them.
 async fn bring(shared: &Arc<AgentShared>, target: &WeightTarget, report: &ReplicaReport, pauses: &SourcePause) {
     let began = Instant::now();
