--- a/crates/fleet/src/fetch_plan.rs
+++ b/crates/fleet/src/fetch_plan.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 
-use crate::load_board::replica_hash;
-
 /// An agent that takes part in the exchange of pieces.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PieceHolder {
@@ -27,8 +25,8 @@
 /// The order of sources for each piece, the same on every agent with the same view.
 ///
 /// Each piece has one agent that fetches it from the origin and one agent in each region that brings it there; all
-/// others take it inside their region. Agents are ranked for each piece by rendezvous hashing, so the upload is spread
-/// evenly and the next in rank takes over when one is lost.
+/// others take it inside their region. Agents take turns by piece rather than by rendezvous hashing, whose uneven shares
+/// would make the busiest uplink half as long again; the next in turn takes over when one is lost.
 #[derive(Clone, Debug)]
 pub struct FetchPlan {
     own: SocketAddr,
@@ -59,7 +57,7 @@
     /// An agent asks only agents that rank before it, so two never wait for each other, and the next in rank goes up the
     /// chain by itself when the first one is lost.
     pub fn sources(&self, index: usize) -> Vec<PieceSource> {
-        let near = self.ranked(index, |it| it.region == self.region);
+        let near = self.ranked_in(&self.region, index, |_| true);
         let all = self.ranked(index, |_| true);
         let mut sources = Vec::new();
         let complete_near: Vec<_> = near.iter().filter(|it| it.complete).copied().collect();
@@ -99,7 +97,7 @@
 
     /// Says whether this agent is the one that brings piece `index` into its region.
     pub fn brings(&self, index: usize) -> bool {
-        let near = self.ranked(index, |it| it.region == self.region);
+        let near = self.ranked_in(&self.region, index, |_| true);
         near.first().is_some_and(|it| it.address == self.own)
     }
 
@@ -118,23 +116,43 @@
         }
     }
 
-    fn ranked(&self, index: usize, keep: impl Fn(&PieceHolder) -> bool) -> Vec<&PieceHolder> {
+    /// Ranks the agents of one region that `keep` lets pass, the one that brings the piece first.
+    fn ranked_in(&self, region: &str, index: usize, keep: impl Fn(&PieceHolder) -> bool) -> Vec<&PieceHolder> {
+        let mut list: Vec<_> = self
+            .holders
+            .iter()
+            .filter(|it| it.region == region && keep(it))
+            .collect();
+        rotate(&mut list, index);
+        list
+    }
+
+    /// Ranks the agents that `keep` lets pass, the one that fetches the piece from the origin first.
+    fn ranked(&self, index: usize, keep: impl Fn(&PieceHolder) -> bool + Copy) -> Vec<&PieceHolder> {
         let mut list: Vec<_> = self.holders.iter().filter(|it| keep(it)).collect();
-        list.sort_by_key(|it| rank(it.address, index));
+        rotate(&mut list, index);
+        // The first one should also be the one that brings the piece into its region, which saves a transfer there.
+        let Some(region) = list.first().map(|it| it.region.clone()) else {
+            return list;
+        };
+        let Some(first) = self.ranked_in(&region, index, keep).first().copied() else {
+            return list;
+        };
+        list.retain(|it| it.address != first.address);
+        list.insert(0, first);
         list
     }
 }
 
-/// Ranks an agent for a piece. The product of the two hashes is mixed, since neighbouring pieces differ in few bits.
-fn rank(address: SocketAddr, index: usize) -> u64 {
-    let seed = replica_hash(&address.to_string()) ^ (index as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    let mixed = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
+fn rotate(list: &mut [&PieceHolder], index: usize) {
+    list.sort_by_key(|it| it.address);
+    if !list.is_empty() {
+        list.rotate_left(index % list.len());
+    }
 }
 
 /// Stands for the manifest where agents are ranked by piece.
-const MANIFEST_RANK: usize = usize::MAX;
+const MANIFEST_RANK: usize = 0;
 
 /// Agents of one ranking that are asked before the next ranking or the origin; more are seldom lost at once.
 const MAX_RANKS: usize = 3;
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, Semaphore};
 
 use crate::agent_metrics::AgentMetrics;
+use crate::link_pace::LinkPace;
 use crate::piece_book::PieceBook;
 
 /// The weights that the replica is to serve.
@@ -51,6 +52,10 @@
     pub(crate) served: Notify,
     /// Wakes requests that wait for a piece.
     pub(crate) arrived: Notify,
+    /// Pace of pieces that are sent to other agents.
+    pub(crate) upload_pace: LinkPace,
+    /// Pace of pieces that are fetched.
+    pub(crate) download_pace: LinkPace,
     /// Pieces that are sent to other agents at once.
     pub(crate) uploads: Semaphore,
     /// Pieces that are fetched from other agents at once.
@@ -70,6 +75,8 @@
             replica_address,
             replica: ReplicaApi::new(client(), replica_address, REPLICA_TIMEOUT),
             sources: client(),
+            upload_pace: LinkPace::new(settings.link_mbps),
+            download_pace: LinkPace::new(settings.link_mbps),
             wanted: Notify::new(),
             served: Notify::new(),
             arrived: Notify::new(),
@@ -109,7 +116,7 @@
 const MAX_UPLOADS: usize = 2;
 
 /// Pieces that are fetched from other agents at once, for the same reason.
-const MAX_DOWNLOADS: usize = 2;
+const MAX_DOWNLOADS: usize = 3;
 
 /// Pieces that are fetched from the origin at once; enough to keep its link busy with one other agent.
 const MAX_ORIGIN_FETCHES: usize = 2;
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -6,6 +6,7 @@
 mod agent_metrics;
 mod agent_shared;
 mod config_loop;
+mod link_pace;
 mod notice_loop;
 mod piece_book;
 mod piece_fetch;
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -122,7 +122,7 @@
 ) -> Option<Vec<u8>> {
     let (label, fetched) = match source {
         PieceSource::Agent(address) if pauses.is_paused(address, Instant::now()) => return None,
-        PieceSource::Agent(address) => ("agent", piece_from_agent(shared, target, address, index).await),
+        PieceSource::Agent(address) => ("agent", piece_from_agent(shared, target, address, index, manifest.piece_bytes).await),
         PieceSource::Origin => ("origin", piece_from_origin(shared, target, index).await),
     };
     let fetched = fetched.and_then(|bytes| {
@@ -188,6 +188,7 @@
     target: &WeightTarget,
     address: SocketAddr,
     index: usize,
+    piece_bytes: usize,
 ) -> Result<Vec<u8>, FetchError> {
     let (model, version) = (&target.model, target.version);
     // The wait costs no bandwidth; the transfer does, and few at once keep the queue of the link short.
@@ -195,6 +196,7 @@
     let Ok(_permit) = shared.downloads.acquire().await else {
         return Err(FetchError::Absent);
     };
+    shared.download_pace.wait(piece_bytes).await;
     from_agent(shared, address, &piece_path(model, version, index)).await
 }
 
--- a/crates/stager/src/piece_server.rs
+++ b/crates/stager/src/piece_server.rs
@@ -65,6 +65,7 @@
 async fn piece(shared: &AgentShared, model: &str, version: u64, index: usize) -> Option<Vec<u8>> {
     let manifest = shared.state().book.manifest(model, version)?.clone();
     let _permit = shared.uploads.acquire().await.ok()?;
+    shared.upload_pace.wait(manifest.piece_bytes).await;
     let bytes = match shared.replica.read_piece(model, index).await {
         Ok(it) => it,
         Err(err) => {
