--- a/crates/fleet/src/fetch_plan.rs
+++ b/crates/fleet/src/fetch_plan.rs
@@ -95,6 +95,22 @@
         sources
     }
 
+    /// Returns this agent's place among all, in 0..1; neighbours in place are in different regions where possible.
+    pub fn turn(&self) -> f64 {
+        let mut places: Vec<_> = self
+            .holders
+            .iter()
+            .map(|it| {
+                let list = self.ranked_in(&it.region, 0, |_| true);
+                let place = list.iter().position(|other| other.address == it.address).unwrap_or(0);
+                (place as f64 / list.len() as f64, it.address)
+            })
+            .collect();
+        places.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let own = places.iter().position(|it| it.1 == self.own).unwrap_or(0);
+        own as f64 / places.len() as f64
+    }
+
     /// Says whether this agent is the one that brings piece `index` into its region.
     pub fn brings(&self, index: usize) -> bool {
         let near = self.ranked_in(&self.region, index, |_| true);
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use fleet::LoadedModel;
@@ -20,6 +20,8 @@
 pub(crate) struct WeightTarget {
     pub(crate) model: String,
     pub(crate) version: u64,
+    /// When the version became known.
+    pub(crate) declared: Instant,
     /// Origins of the weights, in the order of the configuration.
     pub(crate) origins: Vec<SocketAddr>,
 }
@@ -116,7 +118,7 @@
 const MAX_UPLOADS: usize = 2;
 
 /// Pieces that are fetched from other agents at once, for the same reason.
-const MAX_DOWNLOADS: usize = 3;
+const MAX_DOWNLOADS: usize = 8;
 
 /// Pieces that are fetched from the origin at once; enough to keep its link busy with one other agent.
-const MAX_ORIGIN_FETCHES: usize = 2;
+const MAX_ORIGIN_FETCHES: usize = 1;
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fleet::RouteTable;
 use platform::{CONFIG_KEY, OPERATOR_TABLE, RowChange, VERSION_PREFIX};
@@ -87,9 +87,15 @@
     let Some(engine) = table.service(service).and_then(|it| it.engine.as_ref()) else {
         return;
     };
+    let version = versions.get(&engine.model).copied().unwrap_or(FIRST_VERSION);
+    let known = shared.state().target.clone();
+    let declared = known
+        .filter(|it| it.model == engine.model && it.version == version)
+        .map_or_else(Instant::now, |it| it.declared);
     let target = WeightTarget {
         model: engine.model.clone(),
-        version: versions.get(&engine.model).copied().unwrap_or(FIRST_VERSION),
+        version,
+        declared,
         origins: table.services().filter_map(|it| it.origin).map(|it| it.address).collect(),
     };
     let mut state = shared.state();
--- a/crates/stager/src/link_pace.rs
+++ b/crates/stager/src/link_pace.rs
@@ -35,4 +35,4 @@
 }
 
 /// Share of the link that pieces may take; the rest keeps the queue in front of live streams short.
-const LINK_SHARE: f64 = 0.85;
+const LINK_SHARE: f64 = 0.93;
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -34,10 +34,7 @@
         let Some(target) = shared.state().target.clone() else {
             continue;
         };
-        if report.ordering {
-            continue;
-        }
-        if serves(&report, &target) {
+        if !report.ordering && serves(&report, &target) {
             offer(&shared, &target, &pauses).await;
             continue;
         }
@@ -73,14 +70,15 @@
 /// Stages and verifies all pieces and orders the replica to load them.
 async fn bring(shared: &Arc<AgentShared>, target: &WeightTarget, report: &ReplicaReport, pauses: &SourcePause) {
     let began = Instant::now();
-    if !stage_all(shared, target, pauses).await {
+    // What is staged may be replaced while a load is in progress: the replica took it when it accepted the order.
+    let Some(turn) = stage_all(shared, target, pauses).await else {
         return;
-    }
-    if !verify(shared, target).await {
+    };
+    let staged = began.elapsed();
+    if report.ordering || !wait_for_turn(shared, target, report, turn).await {
         return;
     }
-    let staged = began.elapsed();
-    if shared.state().target.as_ref() != Some(target) {
+    if !verify(shared, target).await || shared.state().target.as_ref() != Some(target) {
         return;
     }
     // Requests that arrive during a load are refused, so entries are told to send them elsewhere first.
@@ -109,31 +107,52 @@
     );
 }
 
-/// Stages what is missing; returns whether all pieces lie at the replica.
-async fn stage_all(shared: &Arc<AgentShared>, target: &WeightTarget, pauses: &SourcePause) -> bool {
+/// Waits for this replica's turn, so that not all replicas of the service are away at once; returns whether the target
+/// is still wanted.
+async fn wait_for_turn(
+    shared: &AgentShared,
+    target: &WeightTarget,
+    report: &ReplicaReport,
+    turn: f64,
+) -> bool {
+    let deadline = target.declared + shared.settings.bounds.version_switch.saturating_sub(LOAD_RESERVE);
+    let window = deadline.saturating_duration_since(Instant::now());
+    if report.models.is_empty() || window.is_zero() {
+        return true;
+    }
+    let start = Instant::now() + window.mul_f64(turn);
+    while Instant::now() < start {
+        if shared.state().target.as_ref() != Some(target) {
+            return false;
+        }
+        tokio::time::sleep(TURN_POLL).await;
+    }
+    true
+}
+
+/// Stages what is missing; returns this agent's turn in 0..1 once all pieces lie at the replica.
+async fn stage_all(shared: &Arc<AgentShared>, target: &WeightTarget, pauses: &SourcePause) -> Option<f64> {
     let is_known = shared.state().book.manifest(&target.model, target.version).is_some();
     if is_known && shared.state().book.missing().is_empty() {
-        return true;
+        // Whatever kept the load from beginning has cost time already.
+        return Some(0.0);
     }
     let plan = match piece_fetch::plan(shared, target).await {
         Ok(it) => it,
         Err(err) => {
             warn!(shared.log, "agents not listed"; "error" => err.to_string());
-            return false;
+            return None;
         }
     };
     if !is_known {
-        let Some(manifest) = piece_fetch::manifest(shared, target, &plan, pauses).await else {
-            return false;
-        };
+        let manifest = piece_fetch::manifest(shared, target, &plan, pauses).await?;
         shared.state().book.aim(Arc::new(manifest));
         shared.arrived.notify_waiters();
         look_for_staged(shared, target).await;
     }
-    let Some(manifest) = shared.state().book.manifest(&target.model, target.version).cloned() else {
-        return false;
-    };
-    piece_fetch::pieces(shared, target, &manifest, &plan, pauses).await
+    let manifest = shared.state().book.manifest(&target.model, target.version).cloned()?;
+    let is_whole = piece_fetch::pieces(shared, target, &manifest, &plan, pauses).await;
+    is_whole.then(|| plan.turn())
 }
 
 /// Finds pieces that an earlier process or incarnation has staged.
@@ -223,6 +242,13 @@
 /// Pause before the next try, and before the first look after an order.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time that is kept before the bound on a switch: the wait of a request that entries allow for (1.2 s), and the
+/// streams that a replica ends before it loads.
+const LOAD_RESERVE: Duration = Duration::from_millis(2800);
+
+/// Pause between looks at the target while a replica waits for its turn.
+const TURN_POLL: Duration = Duration::from_millis(20);
+
 /// Time for entries to stop sending before a load begins; a few times the way between regions.
 const NOTICE_TIME: Duration = Duration::from_millis(15);
 
