--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use crate::engine_profile::{EngineProfile, RequestSize};
+use crate::engine_profile::{BatchLoad, EngineProfile, RequestSize};
 use crate::load_board::LoadBoard;
 use crate::replica::Replica;
 use crate::replica_catalog::ReplicaCatalog;
@@ -26,6 +26,8 @@
     pub tried: &'a [String],
     /// Time to the first event that still is worth a send, in milliseconds.
     pub patience_ms: f64,
+    /// Delay by other requests below which a send is worth it however long the request's own prompt takes.
+    pub idle_delay_ms: f64,
     /// Uniform in 0..1, to break ties between entries with the same view.
     pub pick: f64,
 }
@@ -88,7 +90,10 @@
     let Some((predicted_ms, _, replica)) = best else {
         return Err(NoReplica::NoneUsable);
     };
-    if predicted_ms > request.patience_ms {
+    let alone_ms = request
+        .engine
+        .map_or(0.0, |it| it.first_event_ms(BatchLoad::default(), request.size));
+    if predicted_ms > request.patience_ms && predicted_ms - alone_ms > request.idle_delay_ms {
         return Err(NoReplica::Overloaded(predicted_ms));
     }
     let expect_version = request
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -165,7 +165,7 @@
 const REVOCATION_RESERVE: Duration = Duration::from_millis(1300);
 
 /// Part of the bound on a switch of weights that a request may wait at its replica before it begins.
-const SWITCH_RESERVE: Duration = Duration::from_millis(1200);
+const SWITCH_RESERVE: Duration = Duration::from_millis(900);
 
 /// Entries that share the allowance of repeats at least: those of the smallest deployment.
 const MIN_ENTRIES: usize = 8;
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -172,10 +172,7 @@
         }
         let chosen = match choose(shared, &call, &tried, call.facts.last_event) {
             Ok(it) => it,
-            Err(_) if unknown => return Err(Refusal::Unknown),
-            Err(_) if !tried.is_empty() => return Err(Refusal::RefusedByReplicas),
-            Err(NoReplica::NoneUsable) => return Err(Refusal::NoReplica),
-            Err(NoReplica::Overloaded(_)) => return Err(Refusal::Overloaded),
+            Err(why) => return Err(refuse(shared, &call, why, &tried, unknown)),
         };
         call.note_send();
         tried.push(chosen.replica.id.clone());
@@ -199,6 +196,39 @@
     }
 }
 
+/// Says why no replica is chosen, and what that means for the request.
+fn refuse(
+    shared: &EntryShared,
+    call: &ClientCall,
+    why: NoReplica,
+    tried: &[String],
+    unknown: bool,
+) -> Refusal {
+    let predicted_ms = match why {
+        NoReplica::NoneUsable => None,
+        NoReplica::Overloaded(predicted) => Some(predicted.round()),
+    };
+    let state = shared.state();
+    info!(
+        shared.log, "no replica chosen";
+        "request" => call.id(),
+        "service" => &call.service,
+        "best_predicted_ms" => predicted_ms,
+        "objective_ms" => u64::try_from(call.route.objective.as_millis()).unwrap_or(u64::MAX),
+        "left_ms" => u64::try_from(call.time_left().as_millis()).unwrap_or(u64::MAX),
+        "late" => call.is_late(),
+        "prompt" => call.facts.size.prompt_tokens,
+        "ready" => state.catalog.ready(&call.service).count(),
+        "tried" => tried.len(),
+    );
+    match why {
+        _ if unknown => Refusal::Unknown,
+        _ if !tried.is_empty() => Refusal::RefusedByReplicas,
+        NoReplica::NoneUsable => Refusal::NoReplica,
+        NoReplica::Overloaded(_) => Refusal::Overloaded,
+    }
+}
+
 /// How a relay ended before anything was passed on to the client.
 #[derive(Debug)]
 pub(crate) enum RelayEnd {
@@ -243,14 +273,13 @@
     let now = Instant::now();
     let state = shared.state();
     let objective = call.route.objective.saturating_sub(call.arrived.elapsed());
-    let patience = if last_event.is_some() || !tried.is_empty() {
+    let patience = if engine.is_none() || last_event.is_some() || !tried.is_empty() {
         call.time_left()
     } else if call.is_late() {
-        objective.mul_f64(LATE_PATIENCE)
+        Duration::ZERO
     } else {
         objective.mul_f64(FRESH_PATIENCE)
     };
-    let patience = if engine.is_some() { patience } else { call.time_left() };
     let request = ChoiceRequest {
         service: &call.service,
         engine,
@@ -259,6 +288,7 @@
         demand: engine.and_then(|it| state.versions.demand(&it.model, now)),
         tried,
         patience_ms: patience.as_secs_f64() * 1000.0,
+        idle_delay_ms: IDLE_DELAY_MS,
         pick: rand::rng().random(),
     };
     fleet::choose_replica(&request, &state.catalog, &state.board, &state.health, now)
@@ -281,8 +311,9 @@
 /// Share of the objective that a prediction may use up before a request is refused rather than answered late.
 const FRESH_PATIENCE: f64 = 0.95;
 
-/// The same for a request that is late already: it is served while replicas have room, and never delays others.
-const LATE_PATIENCE: f64 = 0.6;
+/// Delay by other requests, in milliseconds, up to which a replica has room for a request that is late already, or whose
+/// prompt takes up its objective: it is served where it does not delay others.
+const IDLE_DELAY_MS: f64 = 100.0;
 
 /// Age of the configuration up to which a route or key that it lacks does not exist.
 const CURRENT_AGE: Duration = Duration::from_millis(3000);
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -75,10 +75,12 @@
         return;
     };
     let staged = began.elapsed();
-    if report.ordering || !wait_for_turn(shared, target, report, turn).await {
+    if report.ordering {
         return;
     }
-    if !verify(shared, target).await || shared.state().target.as_ref() != Some(target) {
+    // A newer version that is declared meanwhile does not change the turn: it comes after the bound of this one.
+    wait_for_turn(shared, target, report, turn).await;
+    if !verify(shared, target).await {
         return;
     }
     // Requests that arrive during a load are refused, so entries are told to send them elsewhere first.
@@ -107,27 +109,13 @@
     );
 }
 
-/// Waits for this replica's turn, so that not all replicas of the service are away at once; returns whether the target
-/// is still wanted.
-async fn wait_for_turn(
-    shared: &AgentShared,
-    target: &WeightTarget,
-    report: &ReplicaReport,
-    turn: f64,
-) -> bool {
+/// Waits for this replica's turn, so that not all replicas of the service are away at once.
+async fn wait_for_turn(shared: &AgentShared, target: &WeightTarget, report: &ReplicaReport, turn: f64) {
     let deadline = target.declared + shared.settings.bounds.version_switch.saturating_sub(LOAD_RESERVE);
     let window = deadline.saturating_duration_since(Instant::now());
-    if report.models.is_empty() || window.is_zero() {
-        return true;
+    if !report.models.is_empty() {
+        tokio::time::sleep(window.mul_f64(turn)).await;
     }
-    let start = Instant::now() + window.mul_f64(turn);
-    while Instant::now() < start {
-        if shared.state().target.as_ref() != Some(target) {
-            return false;
-        }
-        tokio::time::sleep(TURN_POLL).await;
-    }
-    true
 }
 
 /// Stages what is missing; returns this agent's turn in 0..1 once all pieces lie at the replica.
@@ -242,12 +230,9 @@
 /// Pause before the next try, and before the first look after an order.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time that is kept before the bound on a switch: the wait of a request that entries allow for (1.2 s), and the
-/// streams that a replica ends before it loads.
-const LOAD_RESERVE: Duration = Duration::from_millis(2800);
-
-/// Pause between looks at the target while a replica waits for its turn.
-const TURN_POLL: Duration = Duration::from_millis(20);
+/// Time that is kept before the bound on a switch: the wait of a request that entries allow for (0.9 s), and part of the
+/// streams that the last replica ends before it loads.
+const LOAD_RESERVE: Duration = Duration::from_millis(1500);
 
 /// Time for entries to stop sending before a load begins; a few times the way between regions.
 const NOTICE_TIME: Duration = Duration::from_millis(15);
