--- a/crates/fleet/src/fetch_plan.rs
+++ b/crates/fleet/src/fetch_plan.rs
@@ -18,8 +18,10 @@
 pub enum PieceSource {
     /// The origin of the weights.
     Origin,
-    /// Another agent.
-    Agent(SocketAddr),
+    /// An agent that has it, or had when it was last listed.
+    Holder(SocketAddr),
+    /// An agent that fetches it as well and ranks before this one, so that it can be waited for.
+    Fetcher(SocketAddr),
 }
 
 /// The order of sources for each piece, the same on every agent with the same view.
@@ -60,17 +62,16 @@
         let near = self.ranked_in(&self.region, index, |_| true);
         let all = self.ranked(index, |_| true);
         let mut sources = Vec::new();
-        let complete_near: Vec<_> = near.iter().filter(|it| it.complete).copied().collect();
-        if complete_near.is_empty() {
-            self.push(&mut sources, self.before_own(&near));
-        } else {
-            self.push(&mut sources, &complete_near);
+        for ranking in [&near, &all] {
+            let complete = ranking.iter().filter(|it| it.complete && it.address != self.own);
+            for holder in complete.take(MAX_RANKS) {
+                push_new(&mut sources, PieceSource::Holder(holder.address));
+            }
         }
-        let complete: Vec<_> = all.iter().filter(|it| it.complete).copied().collect();
-        if complete.is_empty() {
-            self.push(&mut sources, self.before_own(&all));
-        } else {
-            self.push(&mut sources, &complete);
+        for ranking in [&near, &all] {
+            for fetcher in self.before_own(ranking).iter().take(MAX_RANKS) {
+                push_new(&mut sources, PieceSource::Fetcher(fetcher.address));
+            }
         }
         sources.push(PieceSource::Origin);
         sources
@@ -89,8 +90,8 @@
         // Those nearby come first, behind the one that all others wait for.
         let first = list.remove(0);
         let near = list.iter().filter(|it| it.region == self.region && it.address != self.own);
-        let mut sources = vec![PieceSource::Agent(first.address)];
-        sources.extend(near.take(1).map(|it| PieceSource::Agent(it.address)));
+        let mut sources = vec![PieceSource::Fetcher(first.address)];
+        sources.extend(near.take(1).map(|it| PieceSource::Fetcher(it.address)));
         sources.push(PieceSource::Origin);
         sources
     }
@@ -123,15 +124,6 @@
         &ranked[..own.unwrap_or(ranked.len())]
     }
 
-    fn push(&self, sources: &mut Vec<PieceSource>, holders: &[&PieceHolder]) {
-        for holder in holders.iter().take(MAX_RANKS) {
-            let source = PieceSource::Agent(holder.address);
-            if holder.address != self.own && !sources.contains(&source) {
-                sources.push(source);
-            }
-        }
-    }
-
     /// Ranks the agents of one region that `keep` lets pass, the one that brings the piece first.
     fn ranked_in(&self, region: &str, index: usize, keep: impl Fn(&PieceHolder) -> bool) -> Vec<&PieceHolder> {
         let mut list: Vec<_> = self
@@ -160,6 +152,12 @@
     }
 }
 
+fn push_new(sources: &mut Vec<PieceSource>, source: PieceSource) {
+    if !sources.contains(&source) {
+        sources.push(source);
+    }
+}
+
 fn rotate(list: &mut [&PieceHolder], index: usize) {
     list.sort_by_key(|it| it.address);
     if !list.is_empty() {
--- a/crates/fleet/src/fleet_message.rs
+++ b/crates/fleet/src/fleet_message.rs
@@ -26,6 +26,19 @@
     pub number: u64,
     /// Load on each replica, by the hash of its id.
     pub loads: Vec<(u64, LoadSample)>,
+    /// Versions of weights that are not in force yet.
+    pub weights: Vec<DeclaredAge>,
+}
+
+/// How long ago a version of weights was declared, for entries that have just started.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeclaredAge {
+    /// Model.
+    pub model: String,
+    /// Declared version.
+    pub version: u64,
+    /// Time since the declaration became known, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// An agent tells what the replica on its machine has loaded.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use api_keys::{ApiTenant, KeyTable};
 pub use engine_profile::{BatchLoad, EngineProfile, RequestSize};
-pub use fleet_message::{AgentNotice, EntryNotice, FleetMessage};
+pub use fleet_message::{AgentNotice, DeclaredAge, EntryNotice, FleetMessage};
 pub use fetch_plan::{FetchPlan, PieceHolder, PieceSource};
 pub use freshness::ConfigFreshness;
 pub use load_board::{LoadBoard, LoadSample, ReplicaLoad};
--- a/crates/fleet/src/version_table.rs
+++ b/crates/fleet/src/version_table.rs
@@ -16,7 +16,8 @@
 #[derive(Clone, Debug)]
 pub struct VersionTable {
     switch_time: Duration,
-    models: BTreeMap<String, BTreeMap<u64, Instant>>,
+    /// Versions with the time at which each became known; `None` for one that was declared at an unknown time before.
+    models: BTreeMap<String, BTreeMap<u64, Option<Instant>>>,
 }
 
 impl VersionTable {
@@ -28,8 +29,11 @@
         }
     }
 
-    /// Notes that `version` of `model` is declared and was first known at `known`; returns whether it is news.
-    pub fn declare(&mut self, model: &str, version: u64, known: Instant) -> bool {
+    /// Notes that `version` of `model` is declared; returns whether it is news.
+    ///
+    /// `known` is the time at which the declaration became known, or `None` where it may be old, as for a process that
+    /// has just started: such a version is in force at once.
+    pub fn declare(&mut self, model: &str, version: u64, known: Option<Instant>) -> bool {
         let versions = self.models.entry(model.to_owned()).or_default();
         if versions.contains_key(&version) {
             return false;
@@ -41,6 +45,26 @@
         true
     }
 
+    /// Notes that another process has known a version since `known`, for one whose time is not known here.
+    pub fn learn_time(&mut self, model: &str, version: u64, known: Instant) {
+        let time = self.models.get_mut(model).and_then(|it| it.get_mut(&version));
+        if let Some(time @ None) = time {
+            *time = Some(known);
+        }
+    }
+
+    /// Returns the versions that are not in force yet, with their age.
+    pub fn recent(&self, now: Instant) -> impl Iterator<Item = (&str, u64, Duration)> {
+        let versions = self.models.iter().flat_map(|(model, versions)| {
+            versions.iter().map(move |(version, known)| (model.as_str(), *version, *known))
+        });
+        versions
+            .filter_map(move |(model, version, known)| {
+                Some((model, version, now.saturating_duration_since(known?)))
+            })
+            .filter(|(_, _, age)| *age < self.switch_time)
+    }
+
     /// Returns what a request for `model` may begin on at `now`, or `None` when no version was ever declared.
     pub fn demand(&self, model: &str, now: Instant) -> Option<VersionDemand> {
         let versions = self.models.get(model)?;
@@ -48,20 +72,15 @@
         let oldest_allowed = versions
             .iter()
             .rev()
-            .find(|(_, known)| now.saturating_duration_since(**known) >= self.switch_time)
+            .find(|(_, known)| {
+                known.is_none_or(|it| now.saturating_duration_since(it) >= self.switch_time)
+            })
             .map_or(0, |(version, _)| *version);
         Some(VersionDemand {
             newest,
             oldest_allowed,
         })
     }
-
-    /// Returns the declared versions of all models with the time at which each was first known.
-    pub fn all(&self) -> impl Iterator<Item = (&str, u64, Instant)> {
-        self.models
-            .iter()
-            .flat_map(|(model, versions)| versions.iter().map(move |(v, at)| (model.as_str(), *v, *at)))
-    }
 }
 
 /// Versions that are remembered per model; older ones are long out of force.
--- a/crates/ingress/src/config_loop.rs
+++ b/crates/ingress/src/config_loop.rs
@@ -14,6 +14,10 @@
 pub(crate) async fn run(shared: Arc<EntryShared>) {
     let mut since: Option<u64> = None;
     let mut failures = 0_u32;
+    // What the first reading finds may have been declared long ago.
+    let mut is_first = true;
+    // Changes during a gap in the feed are known later than others.
+    let mut known_late = Duration::ZERO;
     loop {
         let sent = boot_clock::now();
         let result = match since {
@@ -35,7 +39,10 @@
                 failures = 0;
                 count(&shared, "ok");
                 let is_quiet = page.rows.is_empty() && since.is_some();
-                apply(&shared, &page.rows);
+                let known = (!is_first).then(|| Instant::now().checked_sub(known_late)).flatten();
+                apply(&shared, &page.rows, known);
+                is_first = false;
+                known_late = Duration::ZERO;
                 // An empty answer was given after the wait, any other one at some moment since the call.
                 let confirmed = if is_quiet { sent + FEED_WAIT } else { sent };
                 shared.state().freshness.confirm(confirmed.min(boot_clock::now()));
@@ -45,6 +52,7 @@
                 info!(shared.log, "history of the store is gone, reading all"; "table" => OPERATOR_TABLE);
                 count(&shared, "history_gone");
                 since = None;
+                known_late = FEED_GAP;
             }
             Err(err) => {
                 if failures == 0 {
@@ -65,7 +73,7 @@
     base.mul_f64(rand::rng().random_range(0.5..1.0))
 }
 
-fn apply(shared: &EntryShared, rows: &[StoredRow]) {
+fn apply(shared: &EntryShared, rows: &[StoredRow], known: Option<Instant>) {
     for row in rows {
         let Some(bytes) = &row.value else {
             continue;
@@ -73,7 +81,7 @@
         if row.key == CONFIG_KEY {
             apply_config(shared, bytes);
         } else if row.key.starts_with(VERSION_PREFIX) {
-            apply_version(shared, bytes);
+            apply_version(shared, bytes, known);
         }
     }
 }
@@ -100,7 +108,7 @@
     state.routes = Some(Arc::new(table));
 }
 
-fn apply_version(shared: &EntryShared, bytes: &[u8]) {
+fn apply_version(shared: &EntryShared, bytes: &[u8], known: Option<Instant>) {
     let (model, version) = match platform::decode_declared_version(bytes) {
         Ok(it) => it,
         Err(err) => {
@@ -108,8 +116,8 @@
             return;
         }
     };
-    if shared.state().versions.declare(&model, version, Instant::now()) {
-        info!(shared.log, "weights declared"; "model" => model, "version" => version);
+    if shared.state().versions.declare(&model, version, known) {
+        info!(shared.log, "weights declared"; "model" => model, "version" => version, "time_known" => known.is_some());
     }
 }
 
@@ -122,5 +130,8 @@
 /// away, so it is well below the bound on revocation (5 s); each call has a price, so it is not shorter.
 const FEED_WAIT: Duration = Duration::from_millis(2000);
 
+/// Time for which the feed may have been deaf before its history was gone.
+const FEED_GAP: Duration = Duration::from_millis(1000);
+
 /// First pause after a failed call.
 const FIRST_RETRY: Duration = Duration::from_millis(100);
--- a/crates/ingress/src/peer_loop.rs
+++ b/crates/ingress/src/peer_loop.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use fleet::{AgentNotice, EntryNotice, FleetMessage, LoadSample, PeerRecord};
+use fleet::{AgentNotice, DeclaredAge, EntryNotice, FleetMessage, LoadSample, PeerRecord};
 use platform::RowWrite;
 use slog::{info, warn};
 use tokio::net::UdpSocket;
@@ -127,11 +127,18 @@
 
 fn own_notice(shared: &EntryShared, number: u64) -> EntryNotice {
     let record = shared.own_record();
-    let loads = shared.state().board.own_samples().into_iter().collect();
+    let state = shared.state();
+    let loads = state.board.own_samples().into_iter().collect();
+    let weights = state.versions.recent(Instant::now()).map(|(model, version, age)| DeclaredAge {
+        model: model.to_owned(),
+        version,
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+    });
     EntryNotice {
         record,
         number,
         loads,
+        weights: weights.collect(),
     }
 }
 
@@ -168,6 +175,12 @@
     let mut state = shared.state();
     state.board.heard(&node, loads, now);
     state.board.expire(now);
+    for declared in notice.weights {
+        let age = Duration::from_millis(u64::from(declared.age_ms));
+        if let Some(known) = now.checked_sub(age) {
+            state.versions.learn_time(&declared.model, declared.version, known);
+        }
+    }
     let is_news = state.peers.heard(notice.record, now);
     drop(state);
     if is_news {
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -1,18 +1,18 @@
 //! Fetches manifests and pieces from the sources that the plan names.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::{FetchPlan, PieceHolder, PieceManifest, PieceSource};
+use fleet::{FetchPlan, PieceHolder, PieceManifest, PieceSource, Replica};
 use futures::StreamExt;
-use futures::stream::FuturesUnordered;
 use httpio::{Request, StatusCode};
 use platform::{REPLICA_TABLE, WeightApi};
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, WeightTarget};
-use crate::piece_server::{manifest_path, piece_path, ready_path};
+use crate::piece_server::{PieceState, manifest_path, piece_path, ready_path};
 use crate::source_pause::SourcePause;
 
 /// Reads which agents take part and plans for this one.
@@ -23,8 +23,16 @@
         // Entries of other writers are told of by the entries, which follow the table.
         platform::decode_replica(&row.key, row.value.as_ref()?).ok()
     });
-    let holders = replicas
-        .filter(|it| it.service == service)
+    // A replica that was restarted may be listed twice for a while; the newest incarnation counts.
+    let mut by_address: BTreeMap<SocketAddr, Replica> = BTreeMap::new();
+    for replica in replicas.filter(|it| it.service == service) {
+        let known = by_address.get(&replica.address);
+        if known.is_none_or(|it| it.born_ms < replica.born_ms) {
+            by_address.insert(replica.address, replica);
+        }
+    }
+    let holders = by_address
+        .into_values()
         .map(|it| PieceHolder {
             address: (it.address.ip(), shared.settings.first_port).into(),
             region: shared.settings.regions.get(&it.zone).cloned().unwrap_or_default(),
@@ -43,8 +51,12 @@
 ) -> Option<PieceManifest> {
     for source in plan.manifest_sources() {
         let fetched = match source {
-            PieceSource::Agent(address) if pauses.is_paused(address, Instant::now()) => continue,
-            PieceSource::Agent(address) => manifest_from_agent(shared, target, address).await,
+            PieceSource::Holder(address) | PieceSource::Fetcher(address)
+                if pauses.is_paused(address, Instant::now()) =>
+            {
+                continue;
+            }
+            PieceSource::Holder(address) | PieceSource::Fetcher(address) => manifest_from_agent(shared, target, address).await,
             PieceSource::Origin => manifest_from_origin(shared, target).await,
         };
         match fetched {
@@ -79,7 +91,7 @@
     results.fold(true, |all, it| std::future::ready(all && it)).await
 }
 
-/// Fetches one piece and stages it. A source that takes long is joined by the next one.
+/// Fetches one piece from the first source that has it, and stages it.
 async fn piece(
     shared: &AgentShared,
     target: &WeightTarget,
@@ -88,28 +100,15 @@
     index: usize,
     pauses: &SourcePause,
 ) -> bool {
-    if shared.state().target.as_ref() != Some(target) {
-        return false;
-    }
-    let mut sources = sources.into_iter();
-    let mut running = FuturesUnordered::new();
-    loop {
-        if running.is_empty() {
-            let Some(source) = sources.next() else {
-                return false;
-            };
-            running.push(fetch(shared, target, manifest, source, index, pauses));
+    for source in sources {
+        if !is_wanted(shared, target) {
+            return false;
         }
-        match tokio::time::timeout(HEDGE_DELAY, running.next()).await {
-            Ok(Some(Some(bytes))) => return stage(shared, target, index, bytes).await,
-            Ok(_) => {}
-            Err(_) => {
-                if let Some(source) = sources.next() {
-                    running.push(fetch(shared, target, manifest, source, index, pauses));
-                }
-            }
+        if let Some(bytes) = fetch(shared, target, manifest, source, index, pauses).await {
+            return stage(shared, target, index, bytes).await;
         }
     }
+    false
 }
 
 async fn fetch(
@@ -121,8 +120,17 @@
     pauses: &SourcePause,
 ) -> Option<Vec<u8>> {
     let (label, fetched) = match source {
-        PieceSource::Agent(address) if pauses.is_paused(address, Instant::now()) => return None,
-        PieceSource::Agent(address) => ("agent", piece_from_agent(shared, target, address, index, manifest.piece_bytes).await),
+        PieceSource::Holder(address) | PieceSource::Fetcher(address)
+            if pauses.is_paused(address, Instant::now()) =>
+        {
+            return None;
+        }
+        PieceSource::Holder(address) => {
+            ("holder", piece_from_agent(shared, target, manifest, address, index, false).await)
+        }
+        PieceSource::Fetcher(address) => {
+            ("fetcher", piece_from_agent(shared, target, manifest, address, index, true).await)
+        }
         PieceSource::Origin => ("origin", piece_from_origin(shared, target, index).await),
     };
     let fetched = fetched.and_then(|bytes| {
@@ -183,23 +191,41 @@
     Unreachable(String),
 }
 
+/// Fetches a piece from another agent; `patient` waits for one that is still fetching it.
 async fn piece_from_agent(
     shared: &AgentShared,
     target: &WeightTarget,
+    manifest: &PieceManifest,
     address: SocketAddr,
     index: usize,
-    piece_bytes: usize,
+    patient: bool,
 ) -> Result<Vec<u8>, FetchError> {
     let (model, version) = (&target.model, target.version);
-    // The wait costs no bandwidth; the transfer does, and few at once keep the queue of the link short.
-    from_agent(shared, address, &ready_path(model, version, index)).await?;
+    // The question costs no bandwidth; the transfer does, and few at once keep the queue of the link short.
+    loop {
+        let (status, _) = ask(shared, address, &ready_path(model, version, index), READY_TIMEOUT).await?;
+        match PieceState::of_status(status) {
+            PieceState::Staged => break,
+            PieceState::Fetching if patient && is_wanted(shared, target) => {}
+            PieceState::Fetching | PieceState::Unknown => return Err(FetchError::Absent),
+        }
+    }
     let Ok(_permit) = shared.downloads.acquire().await else {
         return Err(FetchError::Absent);
     };
-    shared.download_pace.wait(piece_bytes).await;
+    shared.download_pace.wait(manifest.piece_bytes).await;
     from_agent(shared, address, &piece_path(model, version, index)).await
 }
 
+/// Says whether it is worth going on with `target`: it is the newest, or all but complete.
+fn is_wanted(shared: &AgentShared, target: &WeightTarget) -> bool {
+    let state = shared.state();
+    state.target.as_ref() == Some(target)
+        || state.book.manifest(&target.model, target.version).is_some_and(|it| {
+            state.book.missing().len() <= it.len() / NEARLY_COMPLETE
+        })
+}
+
 async fn manifest_from_agent(
     shared: &AgentShared,
     target: &WeightTarget,
@@ -211,6 +237,18 @@
 }
 
 async fn from_agent(shared: &AgentShared, address: SocketAddr, path: &str) -> Result<Vec<u8>, FetchError> {
+    match ask(shared, address, path, PIECE_TIMEOUT).await? {
+        (StatusCode::OK, bytes) => Ok(bytes),
+        _ => Err(FetchError::Absent),
+    }
+}
+
+async fn ask(
+    shared: &AgentShared,
+    address: SocketAddr,
+    path: &str,
+    timeout: Duration,
+) -> Result<(StatusCode, Vec<u8>), FetchError> {
     let unreachable = |it: String| FetchError::Unreachable(it);
     let request = Request::builder()
         .uri(path)
@@ -218,17 +256,14 @@
         .map_err(|it| unreachable(it.to_string()))?;
     let exchange = async {
         let reply = shared.sources.send(address, request).await.map_err(|it| unreachable(it.to_string()))?;
-        let status = reply.response.status();
         let answer = reply
-            .read(&shared.sources, MAX_PIECE_BYTES, PIECE_TIMEOUT)
+            .read(&shared.sources, MAX_PIECE_BYTES, timeout)
             .await
             .map_err(|it| unreachable(it.to_string()))?;
-        match status {
-            StatusCode::OK => Ok(answer.into_body().to_vec()),
-            _ => Err(FetchError::Absent),
-        }
+        let status = answer.status();
+        Ok((status, answer.into_body().to_vec()))
     };
-    tokio::time::timeout(PIECE_TIMEOUT, exchange)
+    tokio::time::timeout(timeout, exchange)
         .await
         .unwrap_or_else(|_| Err(unreachable("timed out".to_owned())))
 }
@@ -269,7 +304,7 @@
 }
 
 fn pause(pauses: &SourcePause, source: PieceSource) {
-    if let PieceSource::Agent(address) = source {
+    if let PieceSource::Holder(address) | PieceSource::Fetcher(address) = source {
         pauses.pause(address, Instant::now());
     }
 }
@@ -277,8 +312,11 @@
 /// Pieces on their way at once. Some wait at agents that have not got them yet, so it is more than a link needs.
 const PARALLEL_PIECES: usize = 32;
 
-/// Time after which a second source is asked for a piece; longer than a source holds a question.
-const HEDGE_DELAY: Duration = Duration::from_millis(4500);
+/// Time for the answer whether a piece is there; about twice as long as a live agent holds the question.
+const READY_TIMEOUT: Duration = Duration::from_millis(2000);
+
+/// One in this many pieces may be missing of a version that is completed although a newer one is declared.
+const NEARLY_COMPLETE: usize = 8;
 
 /// Time for one piece from one source; a link that was squeezed to 0.9 Mbit/s takes 0.2 s for each.
 const PIECE_TIMEOUT: Duration = Duration::from_millis(6000);
--- a/crates/stager/src/piece_server.rs
+++ b/crates/stager/src/piece_server.rs
@@ -23,43 +23,82 @@
     format!("/manifests/{model}/{version}")
 }
 
+/// What an agent says to the question whether it has a piece.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PieceState {
+    /// It has the piece.
+    Staged,
+    /// It is fetching the piece; ask again.
+    Fetching,
+    /// It does not know the version.
+    Unknown,
+}
+
+impl PieceState {
+    fn status(self) -> StatusCode {
+        match self {
+            Self::Staged => StatusCode::OK,
+            Self::Fetching => StatusCode::ACCEPTED,
+            Self::Unknown => StatusCode::NOT_FOUND,
+        }
+    }
+
+    /// Reads the state from the answer's status.
+    pub(crate) fn of_status(status: StatusCode) -> Self {
+        match status {
+            StatusCode::OK => Self::Staged,
+            StatusCode::ACCEPTED => Self::Fetching,
+            _ => Self::Unknown,
+        }
+    }
+}
+
 /// Answers another agent.
 pub(crate) async fn answer(shared: Arc<AgentShared>, request: Request<Incoming>) -> Response<ReplyBody> {
     let parts: Vec<&str> = request.uri().path().split('/').skip(1).collect();
-    let body = match parts[..] {
-        ["pieces", model, version, index] => match (version.parse(), index.parse()) {
-            (Ok(version), Ok(index)) => piece(&shared, model, version, index).await,
-            _ => None,
-        },
+    let (status, bytes) = match parts[..] {
         ["ready", model, version, index] => match (version.parse(), index.parse()) {
-            (Ok(version), Ok(index)) => ready(&shared, model, version, index).await.map(|()| Vec::new()),
-            _ => None,
+            (Ok(version), Ok(index)) => {
+                let state = piece_state(&shared, model, version, index).await;
+                (state.status(), Vec::new())
+            }
+            _ => absent(),
+        },
+        ["pieces", model, version, index] => match (version.parse(), index.parse()) {
+            (Ok(version), Ok(index)) => found(piece(&shared, model, version, index).await),
+            _ => absent(),
         },
         ["manifests", model, version] => match version.parse() {
-            Ok(version) => manifest(&shared, model, version).await,
-            Err(_) => None,
+            Ok(version) => found(manifest(&shared, model, version).await),
+            Err(_) => absent(),
         },
-        _ => None,
+        _ => absent(),
     };
-    match body {
-        Some(bytes) => Response::new(httpio::full(bytes)),
-        None => {
-            let mut response = Response::new(httpio::empty());
-            *response.status_mut() = StatusCode::NOT_FOUND;
-            response
-        }
-    }
+    let mut response = Response::new(httpio::full(bytes));
+    *response.status_mut() = status;
+    response
+}
+
+fn found(bytes: Option<Vec<u8>>) -> (StatusCode, Vec<u8>) {
+    bytes.map_or_else(absent, |it| (StatusCode::OK, it))
+}
+
+fn absent() -> (StatusCode, Vec<u8>) {
+    (StatusCode::NOT_FOUND, Vec::new())
 }
 
-/// Waits for a piece that is on its way.
-async fn ready(shared: &AgentShared, model: &str, version: u64, index: usize) -> Option<()> {
+/// Waits for a piece that is on its way, for a while.
+async fn piece_state(shared: &AgentShared, model: &str, version: u64, index: usize) -> PieceState {
     let has_manifest = || shared.state().book.manifest(model, version).is_some();
-    wait_until(shared, MANIFEST_WAIT, has_manifest).await?;
-    wait_until(shared, PIECE_WAIT, || {
-        let state = shared.state();
-        state.book.manifest(model, version).is_some() && state.book.has(index)
-    })
-    .await
+    if wait_until(shared, MANIFEST_WAIT, has_manifest).await.is_none() {
+        return PieceState::Unknown;
+    }
+    let is_staged = || shared.state().book.has(index);
+    match wait_until(shared, PIECE_WAIT, is_staged).await {
+        _ if !has_manifest() => PieceState::Unknown,
+        Some(()) => PieceState::Staged,
+        None => PieceState::Fetching,
+    }
 }
 
 async fn piece(shared: &AgentShared, model: &str, version: u64, index: usize) -> Option<Vec<u8>> {
@@ -115,5 +154,6 @@
 /// then most likely cannot reach the store.
 const MANIFEST_WAIT: Duration = Duration::from_millis(800);
 
-/// Time for which a question for a piece that is still on its way is held; about the time of a whole copy.
-const PIECE_WAIT: Duration = Duration::from_millis(3500);
+/// Time for which a question for a piece that is still on its way is held. The asker takes silence beyond it as loss, so
+/// it is short; it is no shorter, because every question costs bytes.
+const PIECE_WAIT: Duration = Duration::from_millis(900);
