--- a/crates/agent/src/control/control_thread.rs
+++ b/crates/agent/src/control/control_thread.rs
@@ -7,9 +7,9 @@
 
 use control::{EngineReport, EngineSwitch, SwitchInput, SwitchOrder};
 use model::{FleetConfig, GateState, VersionDigest, WeightManifest};
-use upstream::{EngineClient, EnginePhase, LoadOrder, OrderError};
 use settings::{AgentSettings, TargetSettings};
 use slog::{Logger, debug, error, info, warn};
+use upstream::{EngineClient, EnginePhase, LoadOrder, OrderError};
 
 use crate::control::agent_view::AgentView;
 use crate::control::control_event::ControlEvent;
--- a/crates/entry/src/calls/call_server.rs
+++ b/crates/entry/src/calls/call_server.rs
@@ -6,10 +6,10 @@
 use anyhow::Context;
 use httpio::{HttpServer, Incoming, Method, ReplyBody, Request, Response, ServerLimits};
 use model::{OverloadCause, RequestId, ResultCode};
-use upstream::TableClient;
 use routing::OverloadChange;
 use settings::EntrySettings;
 use slog::{Logger, info, warn};
+use upstream::TableClient;
 
 use crate::calls::call_context::{self, CallContext};
 use crate::calls::call_counters::CallCounters;
--- a/crates/entry/src/calls/order_sweeper.rs
+++ b/crates/entry/src/calls/order_sweeper.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use upstream::{TableClient, TableError, TableRow, TableTransaction};
 use rand::RngExt;
 use routing::OrderRow;
 use slog::{Logger, debug};
+use upstream::{TableClient, TableError, TableRow, TableTransaction};
 
 use crate::calls::order_driver;
 use crate::calls::order_table::ORDER_PREFIX;
--- a/crates/entry/src/calls/order_table.rs
+++ b/crates/entry/src/calls/order_table.rs
@@ -1,8 +1,8 @@
 //! The rows of orders in the platform's table.
 
 use model::{OrganisationName, ServiceName};
-use upstream::{TableClient, TableError, TableTransaction};
 use routing::{OrderEvent, OrderRow};
+use upstream::{TableClient, TableError, TableTransaction};
 
 /// Reads and writes the row of one order.
 #[derive(Clone, Debug)]
--- a/crates/entry/src/calls/service_call.rs
+++ b/crates/entry/src/calls/service_call.rs
@@ -6,9 +6,9 @@
 use futures::future::{self, Either};
 use httpio::{ReplyBody, Response};
 use model::{ResultCode, ServiceName, TargetKind};
-use upstream::TableClient;
 use routing::{CallKind, OrderAnswer, OrderMachine, OrderOutcome, OrderRow, OrderState};
 use tokio::sync::oneshot;
+use upstream::TableClient;
 
 use crate::calls::attempt_plan::AttemptPlan;
 use crate::calls::call_context::CallContext;
--- a/crates/entry/src/control/command_runner.rs
+++ b/crates/entry/src/control/command_runner.rs
@@ -8,10 +8,10 @@
     CommandId, ConfigDelta, ConfigRevision, FleetConfig, HostName, ModelName, ResultCode,
     VersionLabel,
 };
+use serde::{Deserialize, Serialize};
 use upstream::{
     CallError, HostListClient, SourceClient, TableClient, TableError, TableTransaction,
 };
-use serde::{Deserialize, Serialize};
 
 use crate::control::command_outcome::CommandOutcome;
 use crate::control::config_poller::{HEAD_KEY, NEWEST_KEY, NewestRow, read_head, read_newest};
--- a/crates/entry/src/control/config_poller.rs
+++ b/crates/entry/src/control/config_poller.rs
@@ -6,10 +6,10 @@
 
 use control::ConfigSource;
 use model::{CommandId, ConfigRevision, FleetConfig};
-use upstream::{TableClient, TableError};
 use serde::{Deserialize, Serialize};
 use settings::EntrySettings;
 use slog::{Logger, warn};
+use upstream::{TableClient, TableError};
 
 use crate::control::control_event::ControlEvent;
 use crate::control::control_snapshot::{ControlSnapshot, SnapshotCell};
--- a/crates/entry/src/control/operator_server.rs
+++ b/crates/entry/src/control/operator_server.rs
@@ -8,11 +8,11 @@
 use anyhow::Context;
 use control::{ConfigSource, Statement};
 use model::{CommandId, ConfigRevision, ResultCode};
-use upstream::{HostListClient, SourceClient, TableClient};
 use serde::Deserialize;
 use serde_json::json;
 use settings::EntrySettings;
 use slog::{Logger, info, warn};
+use upstream::{HostListClient, SourceClient, TableClient};
 use wire::WireCounters;
 
 use crate::control::command_outcome::CommandOutcome;
--- a/crates/entry/src/control/rollout_driver.rs
+++ b/crates/entry/src/control/rollout_driver.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, Instant};
 
 use model::{FencingNumber, SwitchPermit};
-use upstream::{TableClient, TableError, TableTransaction};
 use serde::{Deserialize, Serialize};
 use settings::EntrySettings;
 use slog::{Logger, info, warn};
+use upstream::{TableClient, TableError, TableTransaction};
 
 use crate::control::control_event::ControlEvent;
 use crate::control::control_snapshot::{ControlSnapshot, SnapshotCell};
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,9 +13,9 @@
 
 use anyhow::Context;
 use model::Incarnation;
-use upstream::TableClient;
 use settings::EntrySettings;
 use slog::{Logger, info, warn};
+use upstream::TableClient;
 
 use crate::calls::{CallCounters, CallServer};
 use crate::control::{ControlThread, SnapshotCell};
--- a/crates/fleet/src/engine_profile.rs
+++ b/crates/fleet/src/engine_profile.rs
@@ -82,9 +82,8 @@
     /// Returns how long a usual request occupies a slot of a full batch, in milliseconds.
     pub fn service_ms(&self) -> f64 {
         let step = self.step_ms(self.slots);
-        let others_read = f64::from(self.slots) * self.usual_prompt
-            / self.prefill_tokens_per_second
-            * 1000.0;
+        let others_read =
+            f64::from(self.slots) * self.usual_prompt / self.prefill_tokens_per_second * 1000.0;
         self.usual_answer * step + others_read
     }
 }
--- a/crates/fleet/src/fetch_plan.rs
+++ b/crates/fleet/src/fetch_plan.rs
@@ -63,7 +63,9 @@
         let all = self.ranked(index, |_| true);
         let mut sources = Vec::new();
         for ranking in [&near, &all] {
-            let complete = ranking.iter().filter(|it| it.complete && it.address != self.own);
+            let complete = ranking
+                .iter()
+                .filter(|it| it.complete && it.address != self.own);
             for holder in complete.take(MAX_RANKS) {
                 push_new(&mut sources, PieceSource::Holder(holder.address));
             }
@@ -89,7 +91,9 @@
         }
         // Those nearby come first, behind the one that all others wait for.
         let first = list.remove(0);
-        let near = list.iter().filter(|it| it.region == self.region && it.address != self.own);
+        let near = list
+            .iter()
+            .filter(|it| it.region == self.region && it.address != self.own);
         let mut sources = vec![PieceSource::Fetcher(first.address)];
         sources.extend(near.take(1).map(|it| PieceSource::Fetcher(it.address)));
         sources.push(PieceSource::Origin);
@@ -103,7 +107,10 @@
             .iter()
             .map(|it| {
                 let list = self.ranked_in(&it.region, 0, |_| true);
-                let place = list.iter().position(|other| other.address == it.address).unwrap_or(0);
+                let place = list
+                    .iter()
+                    .position(|other| other.address == it.address)
+                    .unwrap_or(0);
                 (place as f64 / list.len() as f64, it.address)
             })
             .collect();
@@ -125,7 +132,12 @@
     }
 
     /// Ranks the agents of one region that `keep` lets pass, the one that brings the piece first.
-    fn ranked_in(&self, region: &str, index: usize, keep: impl Fn(&PieceHolder) -> bool) -> Vec<&PieceHolder> {
+    fn ranked_in(
+        &self,
+        region: &str,
+        index: usize,
+        keep: impl Fn(&PieceHolder) -> bool,
+    ) -> Vec<&PieceHolder> {
         let mut list: Vec<_> = self
             .holders
             .iter()
@@ -136,7 +148,11 @@
     }
 
     /// Ranks the agents that `keep` lets pass, the one that fetches the piece from the origin first.
-    fn ranked(&self, index: usize, keep: impl Fn(&PieceHolder) -> bool + Copy) -> Vec<&PieceHolder> {
+    fn ranked(
+        &self,
+        index: usize,
+        keep: impl Fn(&PieceHolder) -> bool + Copy,
+    ) -> Vec<&PieceHolder> {
         let mut list: Vec<_> = self.holders.iter().filter(|it| keep(it)).collect();
         rotate(&mut list, index);
         // The first one should also be the one that brings the piece into its region, which saves a transfer there.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,8 +24,8 @@
 
 pub use api_keys::{ApiTenant, KeyTable};
 pub use engine_profile::{BatchLoad, EngineProfile, RequestSize};
-pub use fleet_message::{AgentNotice, DeclaredAge, EntryNotice, FleetMessage};
 pub use fetch_plan::{FetchPlan, PieceHolder, PieceSource};
+pub use fleet_message::{AgentNotice, DeclaredAge, EntryNotice, FleetMessage};
 pub use freshness::ConfigFreshness;
 pub use load_board::{LoadBoard, LoadSample, ReplicaLoad};
 pub use peer_table::{PeerRecord, PeerTable};
--- a/crates/fleet/src/replica_catalog.rs
+++ b/crates/fleet/src/replica_catalog.rs
@@ -47,7 +47,9 @@
             None => Some(CatalogChange::Added(id)),
             Some(before) if before == *after => None,
             Some(before) if before.born_ms != after.born_ms => Some(CatalogChange::Added(id)),
-            Some(before) if before.state != after.state && after.state == ReplicaState::Draining => {
+            Some(before)
+                if before.state != after.state && after.state == ReplicaState::Draining =>
+            {
                 Some(CatalogChange::Draining(id))
             }
             Some(_) => Some(CatalogChange::Updated(id)),
--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -81,18 +81,26 @@
         .enumerate()
         .map(|(index, replica)| {
             let predicted = predicted_ms(request, replica, board, health, now);
-            let distance = if replica.zone == request.zone { 0.0 } else { OTHER_ZONE_MS };
+            let distance = if replica.zone == request.zone {
+                0.0
+            } else {
+                OTHER_ZONE_MS
+            };
             let failures = health.failure_share(&replica.id, now) * FAILURE_MS;
             let jitter = (request.pick * 17.0 + index as f64 * 0.618).fract() * JITTER_MS;
-            (predicted, predicted + distance + failures + jitter, *replica)
+            (
+                predicted,
+                predicted + distance + failures + jitter,
+                *replica,
+            )
         })
         .min_by(|a, b| a.1.total_cmp(&b.1));
     let Some((predicted_ms, _, replica)) = best else {
         return Err(NoReplica::NoneUsable);
     };
-    let alone_ms = request
-        .engine
-        .map_or(0.0, |it| it.first_event_ms(BatchLoad::default(), request.size));
+    let alone_ms = request.engine.map_or(0.0, |it| {
+        it.first_event_ms(BatchLoad::default(), request.size)
+    });
     if predicted_ms > request.patience_ms && predicted_ms - alone_ms > request.idle_delay_ms {
         return Err(NoReplica::Overloaded(predicted_ms));
     }
--- a/crates/fleet/src/replica_health.rs
+++ b/crates/fleet/src/replica_health.rs
@@ -66,7 +66,13 @@
     }
 
     /// Notes the time to the first event of a stream against the predicted one.
-    pub fn note_first_event(&mut self, id: &str, observed_ms: f64, predicted_ms: f64, now: Instant) {
+    pub fn note_first_event(
+        &mut self,
+        id: &str,
+        observed_ms: f64,
+        predicted_ms: f64,
+        now: Instant,
+    ) {
         let record = self.record(id, now);
         let ratio = (observed_ms / predicted_ms.max(1.0)).clamp(0.3, 8.0);
         record.slowness += (ratio - record.slowness) * SLOWNESS_WEIGHT;
--- a/crates/fleet/src/stream_cursor.rs
+++ b/crates/fleet/src/stream_cursor.rs
@@ -86,8 +86,14 @@
 }
 
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let unix = bytes.windows(2).rposition(|it| it == b"\n\n").map(|it| it + 2);
-    let dos = bytes.windows(4).rposition(|it| it == b"\r\n\r\n").map(|it| it + 4);
+    let unix = bytes
+        .windows(2)
+        .rposition(|it| it == b"\n\n")
+        .map(|it| it + 2);
+    let dos = bytes
+        .windows(4)
+        .rposition(|it| it == b"\r\n\r\n")
+        .map(|it| it + 4);
     unix.max(dos)
 }
 
--- a/crates/fleet/src/version_table.rs
+++ b/crates/fleet/src/version_table.rs
@@ -45,24 +45,39 @@
         true
     }
 
-    /// Notes that another process has known a version since `known`, for one whose time is not known here.
+    /// Notes that another process has known a version since `known`.
+    ///
+    /// That tells the time of a version whose time is not known here, and of versions that newer ones hid from a process
+    /// that started late.
     pub fn learn_time(&mut self, model: &str, version: u64, known: Instant) {
-        let time = self.models.get_mut(model).and_then(|it| it.get_mut(&version));
-        if let Some(time @ None) = time {
+        let Some(versions) = self.models.get_mut(model) else {
+            return;
+        };
+        let time = versions.entry(version).or_insert(Some(known));
+        if time.is_none() {
             *time = Some(known);
         }
     }
 
-    /// Returns the versions that are not in force yet, with their age.
-    pub fn recent(&self, now: Instant) -> impl Iterator<Item = (&str, u64, Duration)> {
-        let versions = self.models.iter().flat_map(|(model, versions)| {
-            versions.iter().map(move |(version, known)| (model.as_str(), *version, *known))
-        });
-        versions
-            .filter_map(move |(model, version, known)| {
-                Some((model, version, now.saturating_duration_since(known?)))
-            })
-            .filter(|(_, _, age)| *age < self.switch_time)
+    /// Returns the newest version of each model that is in force and those that are not yet, with their age; nothing of
+    /// models whose newest version is in force.
+    pub fn recent(&self, now: Instant) -> Vec<(&str, u64, Duration)> {
+        let mut recent = Vec::new();
+        for (model, versions) in &self.models {
+            let ages = versions.iter().rev().filter_map(|(version, known)| {
+                Some((
+                    model.as_str(),
+                    *version,
+                    now.saturating_duration_since((*known)?),
+                ))
+            });
+            let is_pending = |age: &Duration| *age < self.switch_time;
+            let pending = ages.clone().take_while(|it| is_pending(&it.2)).count();
+            if pending > 0 {
+                recent.extend(ages.take(pending + 1));
+            }
+        }
+        recent
     }
 
     /// Returns what a request for `model` may begin on at `now`, or `None` when no version was ever declared.
--- a/crates/fulmarline/src/logging.rs
+++ b/crates/fulmarline/src/logging.rs
@@ -15,7 +15,8 @@
     host: &HostSettings,
     settings: &LogSettings,
 ) -> (Logger, AsyncGuard) {
-    let place = o!("role" => role, "host" => host.name.to_string(), "zone" => host.zone.to_string());
+    let place =
+        o!("role" => role, "host" => host.name.to_string(), "zone" => host.zone.to_string());
     start_on(std::io::stderr(), level(settings.level), place)
 }
 
--- a/crates/fulmarline/src/node.rs
+++ b/crates/fulmarline/src/node.rs
@@ -35,7 +35,8 @@
 }
 
 fn read() -> anyhow::Result<NodeSettings> {
-    let path = std::env::var_os(SETTINGS_VARIABLE)
-        .ok_or_else(|| anyhow::anyhow!("--settings is missing and {SETTINGS_VARIABLE} is not set"))?;
+    let path = std::env::var_os(SETTINGS_VARIABLE).ok_or_else(|| {
+        anyhow::anyhow!("--settings is missing and {SETTINGS_VARIABLE} is not set")
+    })?;
     NodeSettings::read(&PathBuf::from(path))
 }
--- a/crates/ingress/src/catalog_loop.rs
+++ b/crates/ingress/src/catalog_loop.rs
@@ -38,7 +38,14 @@
                 if failures > 0 {
                     info!(shared.log, "store regained"; "table" => REPLICA_TABLE, "failures" => failures);
                 }
-                count(&shared, if version.is_some() { "ok" } else { "history_gone" });
+                count(
+                    &shared,
+                    if version.is_some() {
+                        "ok"
+                    } else {
+                        "history_gone"
+                    },
+                );
                 failures = 0;
                 since = version;
                 tokio::time::sleep(GATHER_TIME).await;
@@ -79,7 +86,10 @@
 
 fn update(shared: &EntryShared, page: &RowPage) {
     for row in &page.rows {
-        let decoded = row.value.as_ref().map(|it| platform::decode_replica(&row.key, it));
+        let decoded = row
+            .value
+            .as_ref()
+            .map(|it| platform::decode_replica(&row.key, it));
         let mut state = shared.state();
         let change = match decoded {
             None => state.catalog.remove(&row.key, Instant::now()),
--- a/crates/ingress/src/config_loop.rs
+++ b/crates/ingress/src/config_loop.rs
@@ -25,7 +25,11 @@
                 Ok(page) => Ok(Some(page)),
                 Err(err) => Err(err),
             },
-            Some(version) => match shared.store.follow(OPERATOR_TABLE, version, FEED_WAIT).await {
+            Some(version) => match shared
+                .store
+                .follow(OPERATOR_TABLE, version, FEED_WAIT)
+                .await
+            {
                 Ok(RowChange::Changed(page)) => Ok(Some(page)),
                 Ok(RowChange::HistoryGone) => Ok(None),
                 Err(err) => Err(err),
@@ -39,13 +43,18 @@
                 failures = 0;
                 count(&shared, "ok");
                 let is_quiet = page.rows.is_empty() && since.is_some();
-                let known = (!is_first).then(|| Instant::now().checked_sub(known_late)).flatten();
+                let known = (!is_first)
+                    .then(|| Instant::now().checked_sub(known_late))
+                    .flatten();
                 apply(&shared, &page.rows, known);
                 is_first = false;
                 known_late = Duration::ZERO;
                 // An empty answer was given after the wait, any other one at some moment since the call.
                 let confirmed = if is_quiet { sent + FEED_WAIT } else { sent };
-                shared.state().freshness.confirm(confirmed.min(boot_clock::now()));
+                shared
+                    .state()
+                    .freshness
+                    .confirm(confirmed.min(boot_clock::now()));
                 since = Some(page.version);
             }
             Ok(None) => {
--- a/crates/ingress/src/directory.rs
+++ b/crates/ingress/src/directory.rs
@@ -35,7 +35,10 @@
     if addresses.is_empty() {
         return bare(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let body = platform::directory_answer(&addresses, LIFETIME.min(shared.settings.bounds.directory_ttl));
+    let body = platform::directory_answer(
+        &addresses,
+        LIFETIME.min(shared.settings.bounds.directory_ttl),
+    );
     Response::builder()
         .header(header::CONTENT_TYPE, "application/json")
         .body(httpio::full(body))
@@ -60,7 +63,11 @@
     if region.len() >= MIN_NEAR_ENTRIES {
         return region;
     }
-    serving.iter().take(MAX_ADDRESSES).map(|it| it.front).collect()
+    serving
+        .iter()
+        .take(MAX_ADDRESSES)
+        .map(|it| it.front)
+        .collect()
 }
 
 fn bare(status: StatusCode) -> Response<ReplyBody> {
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use httpio::{ReplyBody, Response};
-use prometheus::{Encoder, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 
 use crate::entry_shared::EntryShared;
 
@@ -78,9 +80,18 @@
                 "Longest pause between two events of a stream.",
                 &FIRST_EVENT_BUCKETS,
             )?,
-            replicas_ready: gauge("fulmarline_replicas_ready", "Replicas that take new requests.")?,
-            config_version: gauge("fulmarline_config_version", "Version of the configuration in force.")?,
-            lines_dropped: gauge("fulmarline_log_lines_dropped", "Log lines that were left out.")?,
+            replicas_ready: gauge(
+                "fulmarline_replicas_ready",
+                "Replicas that take new requests.",
+            )?,
+            config_version: gauge(
+                "fulmarline_config_version",
+                "Version of the configuration in force.",
+            )?,
+            lines_dropped: gauge(
+                "fulmarline_log_lines_dropped",
+                "Log lines that were left out.",
+            )?,
             config_age,
             registry,
         })
@@ -100,13 +111,23 @@
 
 fn refresh(shared: &EntryShared) {
     let state = shared.state();
-    let ready = state.catalog.all().filter(|it| it.state == fleet::ReplicaState::Ready).count();
+    let ready = state
+        .catalog
+        .all()
+        .filter(|it| it.state == fleet::ReplicaState::Ready)
+        .count();
     let version = state.routes.as_ref().map_or(0, |it| it.version());
     let age = state.freshness.age(crate::boot_clock::now());
     let metrics = &shared.metrics;
-    metrics.replicas_ready.set(i64::try_from(ready).unwrap_or(i64::MAX));
-    metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
-    metrics.config_age.set(age.map_or(-1.0, |it| it.as_secs_f64()));
+    metrics
+        .replicas_ready
+        .set(i64::try_from(ready).unwrap_or(i64::MAX));
+    metrics
+        .config_version
+        .set(i64::try_from(version).unwrap_or(i64::MAX));
+    metrics
+        .config_age
+        .set(age.map_or(-1.0, |it| it.as_secs_f64()));
 }
 
 /// Bounds in seconds around the objectives of 0.1 s to 0.5 s.
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -56,14 +56,24 @@
 }
 
 impl EntryShared {
-    pub(crate) fn new(settings: NodeSettings, front: SocketAddr, log: Logger) -> anyhow::Result<Self> {
+    pub(crate) fn new(
+        settings: NodeSettings,
+        front: SocketAddr,
+        log: Logger,
+    ) -> anyhow::Result<Self> {
         let store_client =
             HttpClient::new(None, STORE_CONNECT_TIMEOUT).with_silence_timeout(SILENCE_TIMEOUT);
         let store = StoreClient::new(store_client, settings.store.address, STORE_TIMEOUT);
         let replicas =
             HttpClient::new(None, REPLICA_CONNECT_TIMEOUT).with_silence_timeout(SILENCE_TIMEOUT);
-        let max_age = settings.bounds.revocation.map(|it| it.saturating_sub(REVOCATION_RESERVE));
-        let switch = settings.bounds.version_switch.saturating_sub(SWITCH_RESERVE);
+        let max_age = settings
+            .bounds
+            .revocation
+            .map(|it| it.saturating_sub(REVOCATION_RESERVE));
+        let switch = settings
+            .bounds
+            .version_switch
+            .saturating_sub(SWITCH_RESERVE);
         let incarnation = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
@@ -93,12 +103,17 @@
 
     /// Locks the state; never held across an await.
     pub(crate) fn state(&self) -> MutexGuard<'_, EntryState> {
-        self.state.lock().expect("no holder of the state's lock panics")
+        self.state
+            .lock()
+            .expect("no holder of the state's lock panics")
     }
 
     /// Returns the time since the planned stop began.
     pub(crate) fn stopping_for(&self) -> Option<Duration> {
-        let began = self.stopping.lock().expect("no holder of the stop's lock panics");
+        let began = self
+            .stopping
+            .lock()
+            .expect("no holder of the stop's lock panics");
         began.map(|it| it.elapsed())
     }
 
@@ -107,7 +122,10 @@
     }
 
     pub(crate) fn begin_stop(&self) {
-        *self.stopping.lock().expect("no holder of the stop's lock panics") = Some(Instant::now());
+        *self
+            .stopping
+            .lock()
+            .expect("no holder of the stop's lock panics") = Some(Instant::now());
         self.news.notify_one();
     }
 
@@ -133,7 +151,12 @@
 
 impl EntryState {
     /// Returns the budget of repeats for `service`.
-    pub(crate) fn budget(&mut self, service: &str, settings: &NodeSettings, now: Instant) -> &mut RepeatBudget {
+    pub(crate) fn budget(
+        &mut self,
+        service: &str,
+        settings: &NodeSettings,
+        now: Instant,
+    ) -> &mut RepeatBudget {
         let entries = self.peers.alive(now).count() + 1;
         self.budgets.entry(service.to_owned()).or_insert_with(|| {
             let bounds = &settings.bounds;
--- a/crates/ingress/src/flight_guard.rs
+++ b/crates/ingress/src/flight_guard.rs
@@ -32,6 +32,9 @@
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
-        self.shared.state().board.ended(&self.replica, self.unread_tokens);
+        self.shared
+            .state()
+            .board
+            .ended(&self.replica, self.unread_tokens);
     }
 }
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -64,9 +64,14 @@
 }
 
 /// Answers one request of a client.
-pub(crate) async fn answer(shared: Arc<EntryShared>, request: Request<Incoming>) -> Response<ReplyBody> {
+pub(crate) async fn answer(
+    shared: Arc<EntryShared>,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
     let arrived = Instant::now();
-    let id = platform::request_facts(request.headers()).id.unwrap_or_default();
+    let id = platform::request_facts(request.headers())
+        .id
+        .unwrap_or_default();
     let (kind, mut response, reason) = match read_call(&shared, request, arrived).await {
         Err(refusal) => ("unrouted", refusal.response(), refusal.reason()),
         Ok(call) => {
@@ -117,7 +122,13 @@
         .unwrap_or_default();
     let path = request.uri().path();
     // A refusal for good needs a configuration that is known to be the newest.
-    let unless_stale = |refusal| if is_current { refusal } else { Refusal::NoConfig };
+    let unless_stale = |refusal| {
+        if is_current {
+            refusal
+        } else {
+            Refusal::NoConfig
+        }
+    };
     let route = table
         .find(host, path)
         .ok_or_else(|| unless_stale(Refusal::NoRoute))?
@@ -127,7 +138,11 @@
         (true, _) if !is_trusted => return Err(Refusal::NoConfig),
         (true, key) => {
             let tenant = key.as_ref().and_then(|it| table.keys().tenant(it));
-            Some(tenant.ok_or_else(|| unless_stale(Refusal::UnknownKey))?.clone())
+            Some(
+                tenant
+                    .ok_or_else(|| unless_stale(Refusal::UnknownKey))?
+                    .clone(),
+            )
         }
     };
     let (parts, body) = request.into_parts();
@@ -159,16 +174,26 @@
 }
 
 /// Sends a request until there is a final answer.
-async fn serve(shared: &Arc<EntryShared>, call: Arc<ClientCall>) -> Result<Response<ReplyBody>, Refusal> {
+async fn serve(
+    shared: &Arc<EntryShared>,
+    call: Arc<ClientCall>,
+) -> Result<Response<ReplyBody>, Refusal> {
     let mut tried = Vec::new();
     let mut unknown = false;
     if stop::refuses(shared, &call) {
         return Err(Refusal::Leaving);
     }
-    shared.state().budget(&call.service, &shared.settings, call.arrived).first(call.arrived);
+    shared
+        .state()
+        .budget(&call.service, &shared.settings, call.arrived)
+        .first(call.arrived);
     loop {
         if call.time_left() < MIN_SEND_TIME {
-            return Err(if unknown { Refusal::TimedOut } else { Refusal::Expired });
+            return Err(if unknown {
+                Refusal::TimedOut
+            } else {
+                Refusal::Expired
+            });
         }
         let chosen = match choose(shared, &call, &tried, call.facts.last_event) {
             Ok(it) => it,
@@ -191,7 +216,11 @@
             }
         };
         if !may_send_again(shared, &call, arrived_there) {
-            return Err(if unknown { Refusal::Unknown } else { Refusal::RefusedByReplicas });
+            return Err(if unknown {
+                Refusal::Unknown
+            } else {
+                Refusal::RefusedByReplicas
+            });
         }
     }
 }
@@ -259,7 +288,10 @@
         return false;
     }
     let now = Instant::now();
-    shared.state().budget(&call.service, &shared.settings, now).try_repeat(now)
+    shared
+        .state()
+        .budget(&call.service, &shared.settings, now)
+        .try_repeat(now)
 }
 
 /// Chooses a replica for `call`.
@@ -269,7 +301,10 @@
     tried: &[String],
     last_event: Option<u64>,
 ) -> Result<ChosenReplica, NoReplica> {
-    let engine = call.table.service(&call.service).and_then(|it| it.engine.as_ref());
+    let engine = call
+        .table
+        .service(&call.service)
+        .and_then(|it| it.engine.as_ref());
     let now = Instant::now();
     let state = shared.state();
     let objective = call.route.objective.saturating_sub(call.arrived.elapsed());
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -50,13 +50,18 @@
     log: Logger,
     stop: impl Future<Output = anyhow::Result<()>>,
 ) -> anyhow::Result<()> {
-    let front = settings.listen.front.context("settings name no front address")?;
+    let front = settings
+        .listen
+        .front
+        .context("settings name no front address")?;
     let shared = Arc::new(EntryShared::new(settings, front, log)?);
     let log = &shared.log;
     let settings = &shared.settings;
 
     let limits = ServerLimits {
-        max_connections: settings.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS),
+        max_connections: settings
+            .max_descriptors
+            .saturating_sub(RESERVED_DESCRIPTORS),
         max_headers: MAX_HEADERS,
         max_header_bytes: MAX_HEADER_BYTES,
         header_timeout: IDLE_TIMEOUT,
@@ -65,14 +70,20 @@
     let front = HttpServer::bind(front, limits.clone()).context("cannot bind the front address")?;
     let mut servers = Vec::new();
     if let Some(address) = settings.listen.ready {
-        let server = HttpServer::bind(address, limits.clone()).context("cannot bind the ready address")?;
+        let server =
+            HttpServer::bind(address, limits.clone()).context("cannot bind the ready address")?;
         let shared = shared.clone();
-        servers.push(server.serve(move |request, _| directory::answer_ready(shared.clone(), request))?);
+        servers.push(
+            server.serve(move |request, _| directory::answer_ready(shared.clone(), request))?,
+        );
     }
     if let Some(address) = settings.listen.directory {
-        let server = HttpServer::bind(address, limits.clone()).context("cannot bind the directory address")?;
+        let server = HttpServer::bind(address, limits.clone())
+            .context("cannot bind the directory address")?;
         let shared = shared.clone();
-        servers.push(server.serve(move |request, _| directory::answer_directory(shared.clone(), request))?);
+        servers.push(
+            server.serve(move |request, _| directory::answer_directory(shared.clone(), request))?,
+        );
     }
     let metrics = (settings.ip, settings.last_port).into();
     let server = HttpServer::bind(metrics, limits).context("cannot bind the metrics address")?;
--- a/crates/ingress/src/peer_loop.rs
+++ b/crates/ingress/src/peer_loop.rs
@@ -24,7 +24,9 @@
 /// Returns an error when the socket cannot be opened.
 pub(crate) async fn start(shared: &Arc<EntryShared>) -> anyhow::Result<()> {
     let address = SocketAddr::from((shared.settings.ip, shared.settings.first_port));
-    let socket = UdpSocket::bind(address).await.context("cannot bind the datagram address")?;
+    let socket = UdpSocket::bind(address)
+        .await
+        .context("cannot bind the datagram address")?;
     let socket = Arc::new(socket);
     tokio::spawn(register(shared.clone()));
     tokio::spawn(listen(shared.clone(), socket.clone()));
@@ -129,7 +131,8 @@
     let record = shared.own_record();
     let state = shared.state();
     let loads = state.board.own_samples().into_iter().collect();
-    let weights = state.versions.recent(Instant::now()).map(|(model, version, age)| DeclaredAge {
+    let recent = state.versions.recent(Instant::now());
+    let weights = recent.into_iter().map(|(model, version, age)| DeclaredAge {
         model: model.to_owned(),
         version,
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
@@ -160,7 +163,11 @@
     }
 }
 
-fn heard_entry(shared: &EntryShared, notice: EntryNotice, numbers: &mut BTreeMap<String, (u64, u64)>) {
+fn heard_entry(
+    shared: &EntryShared,
+    notice: EntryNotice,
+    numbers: &mut BTreeMap<String, (u64, u64)>,
+) {
     let node = notice.record.node.clone();
     if node == shared.settings.node {
         return;
@@ -178,7 +185,9 @@
     for declared in notice.weights {
         let age = Duration::from_millis(u64::from(declared.age_ms));
         if let Some(known) = now.checked_sub(age) {
-            state.versions.learn_time(&declared.model, declared.version, known);
+            state
+                .versions
+                .learn_time(&declared.model, declared.version, known);
         }
     }
     let is_news = state.peers.heard(notice.record, now);
@@ -190,7 +199,10 @@
 }
 
 fn heard_agent(shared: &EntryShared, notice: &AgentNotice) {
-    let is_news = shared.state().catalog.note_weights(notice.replica, &notice.models);
+    let is_news = shared
+        .state()
+        .catalog
+        .note_weights(notice.replica, &notice.models);
     if is_news {
         info!(
             shared.log, "weights of a replica changed";
--- a/crates/ingress/src/refusal.rs
+++ b/crates/ingress/src/refusal.rs
@@ -79,7 +79,9 @@
             Self::Leaving => LEAVING_RETRY_MS,
             _ => return None,
         };
-        Some(Duration::from_millis(rand::rng().random_range(range.0..range.1)))
+        Some(Duration::from_millis(
+            rand::rng().random_range(range.0..range.1),
+        ))
     }
 
     /// Builds the answer.
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -93,7 +93,9 @@
     let is_refusal = facts.not_run
         && matches!(
             status,
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::BAD_REQUEST
+            StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::BAD_REQUEST
         );
     if status == StatusCode::MISDIRECTED_REQUEST {
         return SendEnd::NotRun(NotRunReason::Misdirected);
@@ -122,12 +124,15 @@
         SendEnd::NotRun(NotRunReason::NotSent) => ("not_sent", ReplicaOutcome::Unreachable),
         SendEnd::NotRun(NotRunReason::Refused) => ("refused", ReplicaOutcome::Refused),
         SendEnd::NotRun(NotRunReason::Misdirected) => ("misdirected", ReplicaOutcome::Refused),
-        SendEnd::Unknown(why @ ("connection_lost" | "no_answer")) => (*why, ReplicaOutcome::Unreachable),
+        SendEnd::Unknown(why @ ("connection_lost" | "no_answer")) => {
+            (*why, ReplicaOutcome::Unreachable)
+        }
         SendEnd::Unknown(why) => (*why, ReplicaOutcome::Failed),
     };
     let mut state = shared.state();
     let out = state.health.note(id, outcome, now);
-    if matches!(end, SendEnd::NotRun(NotRunReason::Misdirected)) && chosen.expect_version.is_none() {
+    if matches!(end, SendEnd::NotRun(NotRunReason::Misdirected)) && chosen.expect_version.is_none()
+    {
         state.catalog.misdirected(id);
     }
     drop(state);
@@ -143,5 +148,9 @@
         );
     }
     let repeat = if call.sends() > 1 { "yes" } else { "no" };
-    shared.metrics.sends.with_label_values(&[label, repeat]).inc();
+    shared
+        .metrics
+        .sends
+        .with_label_values(&[label, repeat])
+        .inc();
 }
--- a/crates/ingress/src/stop.rs
+++ b/crates/ingress/src/stop.rs
@@ -20,7 +20,11 @@
     let unlist = tokio::spawn(unlist(shared.clone()));
     tokio::time::sleep(LINGER).await;
     front.stop();
-    let deadline = shared.settings.bounds.stop_grace.saturating_sub(EXIT_RESERVE);
+    let deadline = shared
+        .settings
+        .bounds
+        .stop_grace
+        .saturating_sub(EXIT_RESERVE);
     while front.open_connections() > 0 && began.elapsed() < deadline {
         tokio::time::sleep(POLL).await;
     }
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -64,7 +64,14 @@
     note_first_event(shared, call, &mut part);
     let (sender, body) = httpio::stream(BUFFERED_PIECES);
     let response = head(&part).map(|()| body);
-    tokio::spawn(relay(shared.clone(), call.clone(), part, cursor, sender, first));
+    tokio::spawn(relay(
+        shared.clone(),
+        call.clone(),
+        part,
+        cursor,
+        sender,
+        first,
+    ));
     RelayEnd::Answer(response)
 }
 
@@ -93,7 +100,8 @@
 async fn relay_failure(shared: &EntryShared, call: &ClientCall, part: StreamPart) -> RelayEnd {
     let (parts, body) = part.reply.response.into_parts();
     let status = parts.status;
-    if status.is_server_error() && call.route.may_repeat() && call.sends() < call.route.max_attempts {
+    if status.is_server_error() && call.route.may_repeat() && call.sends() < call.route.max_attempts
+    {
         return RelayEnd::Unknown;
     }
     match httpio::read_limited(body, MAX_FAILURE_BYTES, call.time_left()).await {
@@ -172,7 +180,11 @@
         };
     };
     shared.metrics.pause.observe(longest_pause.as_secs_f64());
-    shared.metrics.requests.with_label_values(&["stream_end", "200", outcome]).inc();
+    shared
+        .metrics
+        .requests
+        .with_label_values(&["stream_end", "200", outcome])
+        .inc();
     if outcome != "complete" {
         info!(
             shared.log, "stream ended";
@@ -215,7 +227,13 @@
         if !part.reply.response.status().is_success() {
             continue;
         }
-        match next(&mut part, cursor, first_event_wait(&chosen).min(call.time_left())).await {
+        match next(
+            &mut part,
+            cursor,
+            first_event_wait(&chosen).min(call.time_left()),
+        )
+        .await
+        {
             PartEvent::Events(bytes) => {
                 part.guard.first_event();
                 return Some((part, bytes));
@@ -251,13 +269,18 @@
 }
 
 async fn pass_on(sender: &BodySender, bytes: Bytes) -> bool {
-    sender.send(Ok(hyper::body::Frame::data(bytes))).await.is_ok()
+    sender
+        .send(Ok(hyper::body::Frame::data(bytes)))
+        .await
+        .is_ok()
 }
 
 fn recycle(shared: &EntryShared, part: StreamPart) {
     let (_, sender, address) = part.reply.into_parts();
     match part.facts.idle {
-        Some(idle) => shared.replicas.recycle_for(sender, address, idle.mul_f64(IDLE_SHARE)),
+        Some(idle) => shared
+            .replicas
+            .recycle_for(sender, address, idle.mul_f64(IDLE_SHARE)),
         None => shared.replicas.recycle(sender, address),
     }
 }
@@ -266,14 +289,29 @@
     part.guard.first_event();
     let observed = part.sent.elapsed().as_secs_f64();
     let predicted = part.chosen.predicted_ms;
-    shared.metrics.first_event.observe(call.arrived.elapsed().as_secs_f64());
-    shared.metrics.prediction_ratio.observe(observed * 1000.0 / predicted.max(1.0));
+    shared
+        .metrics
+        .first_event
+        .observe(call.arrived.elapsed().as_secs_f64());
+    shared
+        .metrics
+        .prediction_ratio
+        .observe(observed * 1000.0 / predicted.max(1.0));
     let now = Instant::now();
     let id = &part.chosen.replica.id;
-    shared.state().health.note_first_event(id, observed * 1000.0, predicted, now);
+    shared
+        .state()
+        .health
+        .note_first_event(id, observed * 1000.0, predicted, now);
 }
 
-fn broke_off(shared: &EntryShared, call: &ClientCall, part: &StreamPart, why: &str, cursor: &StreamCursor) {
+fn broke_off(
+    shared: &EntryShared,
+    call: &ClientCall,
+    part: &StreamPart,
+    why: &str,
+    cursor: &StreamCursor,
+) {
     let outcome = if call.time_left() < MIN_RESUME_TIME {
         // The route's time is over, which is not the replica's fault.
         None
--- a/crates/ingress/src/whole_relay.rs
+++ b/crates/ingress/src/whole_relay.rs
@@ -18,7 +18,14 @@
     chosen: &ChosenReplica,
 ) -> RelayEnd {
     let _guard = FlightGuard::new(shared, &chosen.replica.id, 0);
-    let end = send(shared, call, chosen, call.facts.last_event, call.time_left()).await;
+    let end = send(
+        shared,
+        call,
+        chosen,
+        call.facts.last_event,
+        call.time_left(),
+    )
+    .await;
     let (reply, facts) = match end {
         SendEnd::Answered(reply, facts) => (reply, facts),
         failed => return RelayEnd::of_failed_send(&failed),
@@ -39,16 +46,18 @@
         }
     };
     if let Some(idle) = facts.idle {
-        shared.replicas.recycle_for(sender, address, idle.mul_f64(IDLE_SHARE));
+        shared
+            .replicas
+            .recycle_for(sender, address, idle.mul_f64(IDLE_SHARE));
     } else {
         shared.replicas.recycle(sender, address);
     }
     let is_failure = status == StatusCode::INTERNAL_SERVER_ERROR;
     if is_failure && call.route.may_repeat() && may_send_again(shared, call, true) {
         // The budget was taken here; the caller's loop must not take it twice.
-        return retry_elsewhere(shared, call, chosen).await.unwrap_or_else(|| {
-            RelayEnd::Answer(build(parts, bytes))
-        });
+        return retry_elsewhere(shared, call, chosen)
+            .await
+            .unwrap_or_else(|| RelayEnd::Answer(build(parts, bytes)));
     }
     RelayEnd::Answer(build(parts, bytes))
 }
--- a/crates/stager/src/agent_metrics.rs
+++ b/crates/stager/src/agent_metrics.rs
@@ -20,14 +20,23 @@
     pub(crate) fn new() -> anyhow::Result<Self> {
         let registry = Registry::new();
         let pieces = IntCounterVec::new(
-            Opts::new("fulmarline_pieces_total", "Pieces of weights by source and outcome."),
+            Opts::new(
+                "fulmarline_pieces_total",
+                "Pieces of weights by source and outcome.",
+            ),
             &["source", "outcome"],
         )?;
         let orders = IntCounterVec::new(
-            Opts::new("fulmarline_load_orders_total", "Orders to the replica by outcome."),
+            Opts::new(
+                "fulmarline_load_orders_total",
+                "Orders to the replica by outcome.",
+            ),
             &["outcome"],
         )?;
-        let version = IntGauge::new("fulmarline_weights_version", "Version that the replica serves.")?;
+        let version = IntGauge::new(
+            "fulmarline_weights_version",
+            "Version that the replica serves.",
+        )?;
         registry.register(Box::new(pieces.clone()))?;
         registry.register(Box::new(orders.clone()))?;
         registry.register(Box::new(version.clone()))?;
@@ -43,7 +52,10 @@
 /// Answers a collector.
 pub(crate) async fn answer(shared: Arc<AgentShared>) -> Response<ReplyBody> {
     let version = shared.state().serving.first().map_or(0, |it| it.version);
-    shared.metrics.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    shared
+        .metrics
+        .version
+        .set(i64::try_from(version).unwrap_or(i64::MAX));
     let mut text = Vec::new();
     let written = TextEncoder::new().encode(&shared.metrics.registry.gather(), &mut text);
     if let Err(err) = written {
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -70,7 +70,8 @@
 impl AgentShared {
     pub(crate) fn new(settings: NodeSettings, log: Logger) -> anyhow::Result<Self> {
         let replica_address = settings.replica.context("settings name no replica")?;
-        let client = || HttpClient::new(None, CONNECT_TIMEOUT).with_silence_timeout(SILENCE_TIMEOUT);
+        let client =
+            || HttpClient::new(None, CONNECT_TIMEOUT).with_silence_timeout(SILENCE_TIMEOUT);
         Ok(Self {
             metrics: AgentMetrics::new()?,
             store: StoreClient::new(client(), settings.store.address, STORE_TIMEOUT),
@@ -93,7 +94,9 @@
 
     /// Locks the state; never held across an await.
     pub(crate) fn state(&self) -> MutexGuard<'_, AgentState> {
-        self.state.lock().expect("no holder of the state's lock panics")
+        self.state
+            .lock()
+            .expect("no holder of the state's lock panics")
     }
 
     /// Returns where other agents fetch pieces from this one.
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -20,7 +20,11 @@
     loop {
         let result = match since {
             None => shared.store.read_table(OPERATOR_TABLE).await.map(Some),
-            Some(version) => match shared.store.follow(OPERATOR_TABLE, version, FEED_WAIT).await {
+            Some(version) => match shared
+                .store
+                .follow(OPERATOR_TABLE, version, FEED_WAIT)
+                .await
+            {
                 Ok(RowChange::Changed(page)) => Ok(Some(page)),
                 Ok(RowChange::HistoryGone) => Ok(None),
                 Err(err) => Err(err),
@@ -68,7 +72,10 @@
 ) -> anyhow::Result<()> {
     if key == CONFIG_KEY {
         let read = platform::decode_config(bytes)?;
-        if table.as_ref().is_none_or(|it| it.version() < read.version()) {
+        if table
+            .as_ref()
+            .is_none_or(|it| it.version() < read.version())
+        {
             *table = Some(read);
         }
     } else if key.starts_with(VERSION_PREFIX) {
@@ -83,11 +90,18 @@
     let Some(table) = table else {
         return;
     };
-    let service = shared.settings.replica_service.as_deref().unwrap_or_default();
+    let service = shared
+        .settings
+        .replica_service
+        .as_deref()
+        .unwrap_or_default();
     let Some(engine) = table.service(service).and_then(|it| it.engine.as_ref()) else {
         return;
     };
-    let version = versions.get(&engine.model).copied().unwrap_or(FIRST_VERSION);
+    let version = versions
+        .get(&engine.model)
+        .copied()
+        .unwrap_or(FIRST_VERSION);
     let known = shared.state().target.clone();
     let declared = known
         .filter(|it| it.model == engine.model && it.version == version)
@@ -96,7 +110,11 @@
         model: engine.model.clone(),
         version,
         declared,
-        origins: table.services().filter_map(|it| it.origin).map(|it| it.address).collect(),
+        origins: table
+            .services()
+            .filter_map(|it| it.origin)
+            .map(|it| it.address)
+            .collect(),
     };
     let mut state = shared.state();
     if state.target.as_ref() == Some(&target) {
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -53,7 +53,8 @@
     )
     .context("cannot bind the address for pieces")?;
     let for_pieces = shared.clone();
-    let pieces = pieces.serve(move |request, _| piece_server::answer(for_pieces.clone(), request))?;
+    let pieces =
+        pieces.serve(move |request, _| piece_server::answer(for_pieces.clone(), request))?;
     let metrics = HttpServer::bind(
         (settings.ip, settings.last_port).into(),
         ServerLimits::default(),
--- a/crates/stager/src/notice_loop.rs
+++ b/crates/stager/src/notice_loop.rs
@@ -26,7 +26,8 @@
             match shared.store.read_table(ENTRY_TABLE).await {
                 Ok(page) => {
                     let records = page.rows.iter().filter_map(|it| it.value.as_ref());
-                    let records = records.filter_map(|it| serde_json::from_slice::<PeerRecord>(it).ok());
+                    let records =
+                        records.filter_map(|it| serde_json::from_slice::<PeerRecord>(it).ok());
                     entries = (Some(Instant::now()), records.map(|it| it.inner).collect());
                 }
                 Err(err) => {
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -16,9 +16,16 @@
 use crate::source_pause::SourcePause;
 
 /// Reads which agents take part and plans for this one.
-pub(crate) async fn plan(shared: &AgentShared, target: &WeightTarget) -> Result<FetchPlan, platform::CallError> {
+pub(crate) async fn plan(
+    shared: &AgentShared,
+    target: &WeightTarget,
+) -> Result<FetchPlan, platform::CallError> {
     let page = shared.store.read_table(REPLICA_TABLE).await?;
-    let service = shared.settings.replica_service.as_deref().unwrap_or_default();
+    let service = shared
+        .settings
+        .replica_service
+        .as_deref()
+        .unwrap_or_default();
     let replicas = page.rows.iter().filter_map(|row| {
         // Entries of other writers are told of by the entries, which follow the table.
         platform::decode_replica(&row.key, row.value.as_ref()?).ok()
@@ -35,11 +42,20 @@
         .into_values()
         .map(|it| PieceHolder {
             address: (it.address.ip(), shared.settings.first_port).into(),
-            region: shared.settings.regions.get(&it.zone).cloned().unwrap_or_default(),
+            region: shared
+                .settings
+                .regions
+                .get(&it.zone)
+                .cloned()
+                .unwrap_or_default(),
             complete: it.version_of(&target.model) == Some(target.version),
         })
         .collect();
-    Ok(FetchPlan::new(shared.own_address(), &shared.settings.region, holders))
+    Ok(FetchPlan::new(
+        shared.own_address(),
+        &shared.settings.region,
+        holders,
+    ))
 }
 
 /// Fetches the manifest of the target.
@@ -56,7 +72,9 @@
             {
                 continue;
             }
-            PieceSource::Holder(address) | PieceSource::Fetcher(address) => manifest_from_agent(shared, target, address).await,
+            PieceSource::Holder(address) | PieceSource::Fetcher(address) => {
+                manifest_from_agent(shared, target, address).await
+            }
             PieceSource::Origin => manifest_from_origin(shared, target).await,
         };
         match fetched {
@@ -78,6 +96,7 @@
     plan: &FetchPlan,
     pauses: &SourcePause,
 ) -> bool {
+    let plan_ends = Instant::now() + PLAN_LIFETIME;
     let mut missing = shared.state().book.missing();
     // Pieces that others wait for go first: those that this agent takes from the origin or brings into its region.
     missing.sort_by_key(|it| match plan.sources(*it).first() {
@@ -86,12 +105,27 @@
         _ => 2,
     });
     let results = futures::stream::iter(missing)
-        .map(|index| piece(shared, target, manifest, plan.sources(index), index, pauses))
+        .map(|index| {
+            piece(
+                shared,
+                target,
+                manifest,
+                plan.sources(index),
+                index,
+                pauses,
+                plan_ends,
+            )
+        })
         .buffer_unordered(PARALLEL_PIECES);
-    results.fold(true, |all, it| std::future::ready(all && it)).await
+    results
+        .fold(true, |all, it| std::future::ready(all && it))
+        .await
 }
 
 /// Fetches one piece from the first source that has it, and stages it.
+///
+/// It goes round the sources until the plan is out of date: other agents may wait for this piece, so it must not wait for
+/// the others of this agent.
 async fn piece(
     shared: &AgentShared,
     target: &WeightTarget,
@@ -99,16 +133,21 @@
     sources: Vec<PieceSource>,
     index: usize,
     pauses: &SourcePause,
+    plan_ends: Instant,
 ) -> bool {
-    for source in sources {
-        if !is_wanted(shared, target) {
-            return false;
-        }
-        if let Some(bytes) = fetch(shared, target, manifest, source, index, pauses).await {
-            return stage(shared, target, index, bytes).await;
+    loop {
+        for source in &sources {
+            if !is_wanted(shared, target) || Instant::now() > plan_ends {
+                return false;
+            }
+            if let Some(bytes) =
+                fetch(shared, target, manifest, *source, index, pauses, plan_ends).await
+            {
+                return stage(shared, target, index, bytes).await;
+            }
         }
+        tokio::time::sleep(ROUND_PAUSE).await;
     }
-    false
 }
 
 async fn fetch(
@@ -118,6 +157,7 @@
     source: PieceSource,
     index: usize,
     pauses: &SourcePause,
+    plan_ends: Instant,
 ) -> Option<Vec<u8>> {
     let (label, fetched) = match source {
         PieceSource::Holder(address) | PieceSource::Fetcher(address)
@@ -125,12 +165,14 @@
         {
             return None;
         }
-        PieceSource::Holder(address) => {
-            ("holder", piece_from_agent(shared, target, manifest, address, index, false).await)
-        }
-        PieceSource::Fetcher(address) => {
-            ("fetcher", piece_from_agent(shared, target, manifest, address, index, true).await)
-        }
+        PieceSource::Holder(address) => (
+            "holder",
+            piece_from_agent(shared, target, manifest, address, index, None).await,
+        ),
+        PieceSource::Fetcher(address) => (
+            "fetcher",
+            piece_from_agent(shared, target, manifest, address, index, Some(plan_ends)).await,
+        ),
         PieceSource::Origin => ("origin", piece_from_origin(shared, target, index).await),
     };
     let fetched = fetched.and_then(|bytes| {
@@ -146,7 +188,11 @@
         Err(FetchError::Spoilt) => "spoilt",
         Err(FetchError::Unreachable(_)) => "unreachable",
     };
-    shared.metrics.pieces.with_label_values(&[label, outcome]).inc();
+    shared
+        .metrics
+        .pieces
+        .with_label_values(&[label, outcome])
+        .inc();
     match fetched {
         Ok(bytes) => Some(bytes),
         Err(err) => {
@@ -191,22 +237,30 @@
     Unreachable(String),
 }
 
-/// Fetches a piece from another agent; `patient` waits for one that is still fetching it.
+/// Fetches a piece from another agent; `patient_until` bounds the wait for one that is still fetching it.
 async fn piece_from_agent(
     shared: &AgentShared,
     target: &WeightTarget,
     manifest: &PieceManifest,
     address: SocketAddr,
     index: usize,
-    patient: bool,
+    patient_until: Option<Instant>,
 ) -> Result<Vec<u8>, FetchError> {
     let (model, version) = (&target.model, target.version);
     // The question costs no bandwidth; the transfer does, and few at once keep the queue of the link short.
     loop {
-        let (status, _) = ask(shared, address, &ready_path(model, version, index), READY_TIMEOUT).await?;
+        let (status, _) = ask(
+            shared,
+            address,
+            &ready_path(model, version, index),
+            READY_TIMEOUT,
+        )
+        .await?;
         match PieceState::of_status(status) {
             PieceState::Staged => break,
-            PieceState::Fetching if patient && is_wanted(shared, target) => {}
+            PieceState::Fetching
+                if patient_until.is_some_and(|it| Instant::now() < it)
+                    && is_wanted(shared, target) => {}
             PieceState::Fetching | PieceState::Unknown => return Err(FetchError::Absent),
         }
     }
@@ -221,9 +275,10 @@
 fn is_wanted(shared: &AgentShared, target: &WeightTarget) -> bool {
     let state = shared.state();
     state.target.as_ref() == Some(target)
-        || state.book.manifest(&target.model, target.version).is_some_and(|it| {
-            state.book.missing().len() <= it.len() / NEARLY_COMPLETE
-        })
+        || state
+            .book
+            .manifest(&target.model, target.version)
+            .is_some_and(|it| state.book.missing().len() <= it.len() / NEARLY_COMPLETE)
 }
 
 async fn manifest_from_agent(
@@ -232,11 +287,17 @@
     address: SocketAddr,
 ) -> Result<PieceManifest, String> {
     let path = manifest_path(&target.model, target.version);
-    let bytes = from_agent(shared, address, &path).await.map_err(|it| format!("{it:?}"))?;
+    let bytes = from_agent(shared, address, &path)
+        .await
+        .map_err(|it| format!("{it:?}"))?;
     serde_json::from_slice(&bytes).map_err(|it| it.to_string())
 }
 
-async fn from_agent(shared: &AgentShared, address: SocketAddr, path: &str) -> Result<Vec<u8>, FetchError> {
+async fn from_agent(
+    shared: &AgentShared,
+    address: SocketAddr,
+    path: &str,
+) -> Result<Vec<u8>, FetchError> {
     match ask(shared, address, path, PIECE_TIMEOUT).await? {
         (StatusCode::OK, bytes) => Ok(bytes),
         _ => Err(FetchError::Absent),
@@ -255,7 +316,11 @@
         .body(httpio::empty())
         .map_err(|it| unreachable(it.to_string()))?;
     let exchange = async {
-        let reply = shared.sources.send(address, request).await.map_err(|it| unreachable(it.to_string()))?;
+        let reply = shared
+            .sources
+            .send(address, request)
+            .await
+            .map_err(|it| unreachable(it.to_string()))?;
         let answer = reply
             .read(&shared.sources, MAX_PIECE_BYTES, timeout)
             .await
@@ -290,7 +355,10 @@
     Err(last)
 }
 
-async fn manifest_from_origin(shared: &AgentShared, target: &WeightTarget) -> Result<PieceManifest, String> {
+async fn manifest_from_origin(
+    shared: &AgentShared,
+    target: &WeightTarget,
+) -> Result<PieceManifest, String> {
     let mut last = "no origin is configured".to_owned();
     for origin in &target.origins {
         let api = WeightApi::new(shared.sources.clone(), *origin, PIECE_TIMEOUT);
@@ -315,6 +383,12 @@
 /// Time for the answer whether a piece is there; about twice as long as a live agent holds the question.
 const READY_TIMEOUT: Duration = Duration::from_millis(2000);
 
+/// Time after which the agents that take part are read again; a little longer than the transfer of a whole copy.
+const PLAN_LIFETIME: Duration = Duration::from_millis(4500);
+
+/// Pause after no source had a piece.
+const ROUND_PAUSE: Duration = Duration::from_millis(150);
+
 /// One in this many pieces may be missing of a version that is completed although a newer one is declared.
 const NEARLY_COMPLETE: usize = 8;
 
--- a/crates/stager/src/piece_server.rs
+++ b/crates/stager/src/piece_server.rs
@@ -54,7 +54,10 @@
 }
 
 /// Answers another agent.
-pub(crate) async fn answer(shared: Arc<AgentShared>, request: Request<Incoming>) -> Response<ReplyBody> {
+pub(crate) async fn answer(
+    shared: Arc<AgentShared>,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
     let parts: Vec<&str> = request.uri().path().split('/').skip(1).collect();
     let (status, bytes) = match parts[..] {
         ["ready", model, version, index] => match (version.parse(), index.parse()) {
@@ -90,7 +93,10 @@
 /// Waits for a piece that is on its way, for a while.
 async fn piece_state(shared: &AgentShared, model: &str, version: u64, index: usize) -> PieceState {
     let has_manifest = || shared.state().book.manifest(model, version).is_some();
-    if wait_until(shared, MANIFEST_WAIT, has_manifest).await.is_none() {
+    if wait_until(shared, MANIFEST_WAIT, has_manifest)
+        .await
+        .is_none()
+    {
         return PieceState::Unknown;
     }
     let is_staged = || shared.state().book.has(index);
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -30,7 +30,11 @@
             incarnation = Some(report.born_ms);
             shared.state().book.clear();
         }
-        tell(&shared, if report.ordering { &[] } else { &report.models }, None);
+        tell(
+            &shared,
+            if report.ordering { &[] } else { &report.models },
+            None,
+        );
         let Some(target) = shared.state().target.clone() else {
             continue;
         };
@@ -47,7 +51,12 @@
 
 /// Offers the weights that the replica serves to other agents, for which their manifest is needed.
 async fn offer(shared: &Arc<AgentShared>, target: &WeightTarget, pauses: &SourcePause) {
-    if shared.state().book.manifest(&target.model, target.version).is_some() {
+    if shared
+        .state()
+        .book
+        .manifest(&target.model, target.version)
+        .is_some()
+    {
         return;
     }
     let plan = match piece_fetch::plan(shared, target).await {
@@ -68,7 +77,12 @@
 }
 
 /// Stages and verifies all pieces and orders the replica to load them.
-async fn bring(shared: &Arc<AgentShared>, target: &WeightTarget, report: &ReplicaReport, pauses: &SourcePause) {
+async fn bring(
+    shared: &Arc<AgentShared>,
+    target: &WeightTarget,
+    report: &ReplicaReport,
+    pauses: &SourcePause,
+) {
     let began = Instant::now();
     // What is staged may be replaced while a load is in progress: the replica took it when it accepted the order.
     let Some(turn) = stage_all(shared, target, pauses).await else {
@@ -110,8 +124,18 @@
 }
 
 /// Waits for this replica's turn, so that not all replicas of the service are away at once.
-async fn wait_for_turn(shared: &AgentShared, target: &WeightTarget, report: &ReplicaReport, turn: f64) {
-    let deadline = target.declared + shared.settings.bounds.version_switch.saturating_sub(LOAD_RESERVE);
+async fn wait_for_turn(
+    shared: &AgentShared,
+    target: &WeightTarget,
+    report: &ReplicaReport,
+    turn: f64,
+) {
+    let deadline = target.declared
+        + shared
+            .settings
+            .bounds
+            .version_switch
+            .saturating_sub(LOAD_RESERVE);
     let window = deadline.saturating_duration_since(Instant::now());
     if !report.models.is_empty() {
         tokio::time::sleep(window.mul_f64(turn)).await;
@@ -119,8 +143,16 @@
 }
 
 /// Stages what is missing; returns this agent's turn in 0..1 once all pieces lie at the replica.
-async fn stage_all(shared: &Arc<AgentShared>, target: &WeightTarget, pauses: &SourcePause) -> Option<f64> {
-    let is_known = shared.state().book.manifest(&target.model, target.version).is_some();
+async fn stage_all(
+    shared: &Arc<AgentShared>,
+    target: &WeightTarget,
+    pauses: &SourcePause,
+) -> Option<f64> {
+    let is_known = shared
+        .state()
+        .book
+        .manifest(&target.model, target.version)
+        .is_some();
     if is_known && shared.state().book.missing().is_empty() {
         // Whatever kept the load from beginning has cost time already.
         return Some(0.0);
@@ -138,14 +170,23 @@
         shared.arrived.notify_waiters();
         look_for_staged(shared, target).await;
     }
-    let manifest = shared.state().book.manifest(&target.model, target.version).cloned()?;
+    let manifest = shared
+        .state()
+        .book
+        .manifest(&target.model, target.version)
+        .cloned()?;
     let is_whole = piece_fetch::pieces(shared, target, &manifest, &plan, pauses).await;
     is_whole.then(|| plan.turn())
 }
 
 /// Finds pieces that an earlier process or incarnation has staged.
 async fn look_for_staged(shared: &AgentShared, target: &WeightTarget) {
-    let Some(manifest) = shared.state().book.manifest(&target.model, target.version).cloned() else {
+    let Some(manifest) = shared
+        .state()
+        .book
+        .manifest(&target.model, target.version)
+        .cloned()
+    else {
         return;
     };
     for index in 0..manifest.len() {
@@ -154,7 +195,9 @@
                 shared.state().book.note_sound(index, Instant::now());
                 shared.arrived.notify_waiters();
             }
-            Ok(Some(_)) if index >= PROBED_PIECES && shared.state().book.missing().len() > index => {
+            Ok(Some(_))
+                if index >= PROBED_PIECES && shared.state().book.missing().len() > index =>
+            {
                 // The first pieces are all of another version, so the others are as well.
                 return;
             }
@@ -170,7 +213,12 @@
 
 /// Reads back pieces that may have rotted since they were last seen; returns whether all are sound.
 async fn verify(shared: &AgentShared, target: &WeightTarget) -> bool {
-    let Some(manifest) = shared.state().book.manifest(&target.model, target.version).cloned() else {
+    let Some(manifest) = shared
+        .state()
+        .book
+        .manifest(&target.model, target.version)
+        .cloned()
+    else {
         return false;
     };
     let moment = Instant::now().checked_sub(SOUND_TIME);
