Only entries missing at the first reading after an outage lapse

Cause: a replica that left without notice 2.2 s after the store's return was taken as lapsed and kept for 2.2 s more. Ruled out: a late feed; the entry had read the removal at 13.82 s, 1 ms after the acknowledgement.

--- a/crates/fleet/src/replica_catalog.rs
+++ b/crates/fleet/src/replica_catalog.rs
@@ -27,14 +27,19 @@
     replicas: BTreeMap<String, Replica>,
     /// Replicas whose entries were missing when the store came back, with the end of their grace.
     lapsed: BTreeMap<String, Instant>,
-    /// When the store was last away.
-    outage: Option<Instant>,
+    /// Whether the store was away since it was last read.
+    was_away: bool,
 }
 
 impl ReplicaCatalog {
-    /// Notes that the store could not be reached at `now`.
-    pub fn note_outage(&mut self, now: Instant) {
-        self.outage = Some(now);
+    /// Notes that the store could not be reached.
+    pub fn note_outage(&mut self) {
+        self.was_away = true;
+    }
+
+    /// Notes that all changes up to now were read: what is removed from here on has left, and has not lapsed.
+    pub fn note_read(&mut self) {
+        self.was_away = false;
     }
 
     /// Adds a replica or replaces what is known of it.
@@ -59,10 +64,7 @@
     /// Removes a replica whose entry is gone, or lets it lapse when the store was away just before.
     pub fn remove(&mut self, id: &str, now: Instant) -> Option<CatalogChange> {
         let replica = self.replicas.get(id)?;
-        let is_after_outage = self
-            .outage
-            .is_some_and(|it| now.saturating_duration_since(it) < LAPSE_WINDOW);
-        if is_after_outage && replica.state == ReplicaState::Ready {
+        if self.was_away && replica.state == ReplicaState::Ready {
             if self.lapsed.contains_key(id) {
                 return None;
             }
@@ -131,15 +133,13 @@
     }
 
     /// Returns the replicas of `service` that take new requests.
-    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Replica> {
+    pub fn ready<'a>(&'a self, service: &'a str, now: Instant) -> impl Iterator<Item = &'a Replica> {
         self.replicas
             .values()
             .filter(move |it| it.service == service && it.state == ReplicaState::Ready)
+            .filter(move |it| self.lapsed.get(&it.id).is_none_or(|end| now < *end))
     }
 }
 
-/// Time after an outage of the store in which missing entries may have lapsed (platform's page on discovery).
-const LAPSE_WINDOW: Duration = Duration::from_secs(3);
-
 /// Time in which a lapsed entry comes back if its replica lives: "about two seconds" (platform's page on discovery).
-const LAPSE_GRACE: Duration = Duration::from_millis(1800);
+const LAPSE_GRACE: Duration = Duration::from_millis(1600);
--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -65,7 +65,7 @@
     now: Instant,
 ) -> Result<ChosenReplica, NoReplica> {
     let candidates: Vec<&Replica> = catalog
-        .ready(request.service)
+        .ready(request.service, now)
         .filter(|it| !request.tried.contains(&it.id))
         .filter(|it| has_allowed_version(request, it))
         .collect();
--- a/crates/ingress/src/catalog_loop.rs
+++ b/crates/ingress/src/catalog_loop.rs
@@ -47,6 +47,9 @@
                     },
                 );
                 failures = 0;
+                if version.is_some() {
+                    shared.state().catalog.note_read();
+                }
                 since = version;
                 tokio::time::sleep(GATHER_TIME).await;
             }
@@ -56,7 +59,7 @@
                 }
                 count(&shared, "failed");
                 failures += 1;
-                shared.state().catalog.note_outage(Instant::now());
+                shared.state().catalog.note_outage();
                 tokio::time::sleep(retry_pause(failures)).await;
             }
         }
--- a/crates/ingress/src/config_loop.rs
+++ b/crates/ingress/src/config_loop.rs
@@ -69,7 +69,6 @@
                 }
                 count(&shared, "failed");
                 failures += 1;
-                shared.state().catalog.note_outage(Instant::now());
                 tokio::time::sleep(retry_pause(failures)).await;
             }
         }
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -247,7 +247,7 @@
         "left_ms" => u64::try_from(call.time_left().as_millis()).unwrap_or(u64::MAX),
         "late" => call.is_late(),
         "prompt" => call.facts.size.prompt_tokens,
-        "ready" => state.catalog.ready(&call.service).count(),
+        "ready" => state.catalog.ready(&call.service, Instant::now()).count(),
         "tried" => tried.len(),
     );
     match why {
