--- a/crates/fleet/src/fetch_plan.rs
+++ b/crates/fleet/src/fetch_plan.rs
@@ -148,6 +148,9 @@
     }
 
     /// Ranks the agents that `keep` lets pass, the one that fetches the piece from the origin first.
+    ///
+    /// The first agents of all regions come before the second ones and so on, so that this ranking and those of the
+    /// regions never contradict each other: agents that wait along either cannot form a ring.
     fn ranked(
         &self,
         index: usize,
@@ -155,22 +158,21 @@
     ) -> Vec<&PieceHolder> {
         let mut list: Vec<_> = self.holders.iter().filter(|it| keep(it)).collect();
         rotate(&mut list, index);
-        // The first one should also be the one that brings the piece into its region, which saves a transfer there.
-        let Some(region) = list.first().map(|it| it.region.clone()) else {
-            return list;
-        };
-        let Some(first) = self.ranked_in(&region, index, keep).first().copied() else {
-            return list;
-        };
-        list.retain(|it| it.address != first.address);
-        list.insert(0, first);
-        list
-    }
-}
-
-fn push_new(sources: &mut Vec<PieceSource>, source: PieceSource) {
-    if !sources.contains(&source) {
-        sources.push(source);
+        let mut regions: Vec<&str> = Vec::new();
+        for holder in list {
+            if !regions.contains(&holder.region.as_str()) {
+                regions.push(&holder.region);
+            }
+        }
+        let in_regions: Vec<Vec<&PieceHolder>> = regions
+            .iter()
+            .map(|it| self.ranked_in(it, index, keep))
+            .collect();
+        let longest = in_regions.iter().map(Vec::len).max().unwrap_or(0);
+        (0..longest)
+            .flat_map(|place| in_regions.iter().filter_map(move |it| it.get(place)))
+            .copied()
+            .collect()
     }
 }
 
@@ -181,6 +183,12 @@
     }
 }
 
+fn push_new(sources: &mut Vec<PieceSource>, source: PieceSource) {
+    if !sources.contains(&source) {
+        sources.push(source);
+    }
+}
+
 /// Stands for the manifest where agents are ranked by piece.
 const MANIFEST_RANK: usize = 0;
 
--- a/crates/fleet/src/replica_catalog.rs
+++ b/crates/fleet/src/replica_catalog.rs
@@ -133,7 +133,11 @@
     }
 
     /// Returns the replicas of `service` that take new requests.
-    pub fn ready<'a>(&'a self, service: &'a str, now: Instant) -> impl Iterator<Item = &'a Replica> {
+    pub fn ready<'a>(
+        &'a self,
+        service: &'a str,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Replica> {
         self.replicas
             .values()
             .filter(move |it| it.service == service && it.state == ReplicaState::Ready)
--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -104,10 +104,10 @@
     if predicted_ms > request.patience_ms && predicted_ms - alone_ms > request.idle_delay_ms {
         return Err(NoReplica::Overloaded(predicted_ms));
     }
+    let has_demand = request.demand.is_some_and(|it| it.oldest_allowed > 0);
     let expect_version = request
-        .demand
-        .filter(|it| it.oldest_allowed > 0)
-        .and_then(|_| request.engine)
+        .engine
+        .filter(|_| has_demand)
         .and_then(|it| replica.version_of(&it.model));
     Ok(ChosenReplica {
         replica: replica.clone(),
--- /dev/null
+++ b/crates/fleet/tests/fetch_plan.rs
@@ -0,0 +1,149 @@
+//! Who fetches which piece from whom: never in a ring, evenly, and to the origin in the end.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use fleet::{FetchPlan, PieceHolder, PieceSource};
+
+const PIECES: usize = 96;
+
+fn address(index: usize) -> SocketAddr {
+    (
+        [
+            10,
+            0,
+            u8::try_from(index / 250).unwrap(),
+            u8::try_from(index % 250).unwrap(),
+        ],
+        7000,
+    )
+        .into()
+}
+
+fn holders(sizes: &[usize]) -> Vec<PieceHolder> {
+    let mut holders = Vec::new();
+    for (region, size) in sizes.iter().enumerate() {
+        for _ in 0..*size {
+            holders.push(PieceHolder {
+                address: address(holders.len()),
+                region: format!("r{region}"),
+                complete: false,
+            });
+        }
+    }
+    holders
+}
+
+fn plans(holders: &[PieceHolder]) -> Vec<FetchPlan> {
+    holders
+        .iter()
+        .map(|it| FetchPlan::new(it.address, &it.region, holders.to_vec()))
+        .collect()
+}
+
+/// An earlier plan let agents wait for each other, and a piece whose origin was away for a moment never came.
+#[test]
+fn agents_never_wait_for_each_other() {
+    let check = |u: &mut Unstructured<'_>| -> Result<()> {
+        let sizes = [
+            u.int_in_range(1..=9)?,
+            u.int_in_range(0..=9)?,
+            u.int_in_range(0..=9)?,
+        ];
+        let mut holders = holders(&sizes);
+        for holder in &mut holders {
+            holder.complete = u.ratio(1, 8)?;
+        }
+        let plans = plans(&holders);
+        let index = u.int_in_range(0..=PIECES - 1)?;
+        let mut waits: BTreeMap<SocketAddr, BTreeSet<SocketAddr>> = BTreeMap::new();
+        for (holder, plan) in holders.iter().zip(&plans) {
+            let sources = plan.sources(index);
+            assert_eq!(sources.last(), Some(&PieceSource::Origin));
+            let waited = sources.iter().filter_map(|it| match it {
+                PieceSource::Fetcher(address) => Some(*address),
+                PieceSource::Holder(_) | PieceSource::Origin => None,
+            });
+            waits.insert(holder.address, waited.collect());
+        }
+        // Agents that wait for nobody are taken out until none is left; a ring would stay.
+        while let Some(free) = waits.iter().find(|it| it.1.is_empty()).map(|it| *it.0) {
+            waits.remove(&free);
+            for waited in waits.values_mut() {
+                waited.remove(&free);
+            }
+        }
+        assert!(waits.is_empty(), "a ring of waits: {waits:?}");
+        Ok(())
+    };
+    for seed in 0..300 {
+        arbtest::arbtest(check).seed((seed << 32) | 0x40).run();
+    }
+}
+
+#[test]
+fn without_losses_one_copy_leaves_the_origin_and_one_enters_each_region() {
+    let holders = holders(&[8, 7, 4]);
+    let plans = plans(&holders);
+    let region_of: BTreeMap<SocketAddr, &str> = holders
+        .iter()
+        .map(|it| (it.address, it.region.as_str()))
+        .collect();
+    let mut from_origin = 0;
+    let mut across = 0;
+    let mut sent: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for index in 0..PIECES {
+        for (holder, plan) in holders.iter().zip(&plans) {
+            match plan.sources(index)[0] {
+                PieceSource::Origin => from_origin += 1,
+                PieceSource::Holder(source) | PieceSource::Fetcher(source) => {
+                    *sent.entry(source).or_default() += 1;
+                    across += usize::from(region_of[&source] != holder.region);
+                }
+            }
+        }
+    }
+    assert_eq!(from_origin, PIECES);
+    assert_eq!(across, 2 * PIECES);
+    // The busiest uplink decides how long a transfer takes: at most a fifth above one copy.
+    let most = sent.values().max().copied().unwrap_or(0);
+    assert!(
+        most <= PIECES * 6 / 5,
+        "the busiest agent sends {most} pieces"
+    );
+}
+
+#[test]
+fn holders_nearby_go_first() {
+    let mut holders = holders(&[3, 2]);
+    holders[1].complete = true;
+    holders[4].complete = true;
+    let plan = FetchPlan::new(holders[0].address, "r0", holders.clone());
+    assert_eq!(plan.sources(5)[0], PieceSource::Holder(address(1)));
+    assert_eq!(plan.sources(5)[1], PieceSource::Holder(address(4)));
+}
+
+#[test]
+fn one_agent_takes_the_manifest_from_the_origin() {
+    for complete in [false, true] {
+        let mut holders = holders(&[4, 4, 3]);
+        for holder in holders.iter_mut().skip(2).take(5) {
+            holder.complete = complete;
+        }
+        let from_origin = plans(&holders)
+            .iter()
+            .filter(|it| it.manifest_sources() == [PieceSource::Origin])
+            .count();
+        assert_eq!(from_origin, 1);
+    }
+}
+
+#[test]
+fn turns_are_spread_over_regions() {
+    let holders = holders(&[4, 4, 3]);
+    let mut turns: Vec<f64> = plans(&holders).iter().map(FetchPlan::turn).collect();
+    turns.sort_by(f64::total_cmp);
+    let expected: Vec<f64> = (0..11).map(|it| f64::from(it) / 11.0).collect();
+    assert_eq!(turns, expected);
+}
--- /dev/null
+++ b/crates/fleet/tests/routes.rs
@@ -0,0 +1,99 @@
+//! Routes, keys and limits of a configuration.
+
+use std::time::Duration;
+
+use expect_test::{Expect, expect};
+use fleet::{ApiTenant, CallKind, IngressLimits, KeyTable, Route, RouteTable, RouteTarget};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: CallKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        targets: vec![RouteTarget {
+            service: "stock".to_owned(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        public: false,
+        resumable: false,
+    }
+}
+
+fn table() -> RouteTable {
+    let routes = vec![
+        route("root", "a.example", "/"),
+        route("lists", "a.example", "/lists/"),
+        route("spring", "a.example", "/lists/spring/"),
+        route("only", "b.example", "/only/"),
+    ];
+    let limits = IngressLimits {
+        max_header_bytes: 16_384,
+        max_body_bytes: 1_000,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    RouteTable::new(7, routes, Vec::new(), KeyTable::default(), limits)
+}
+
+fn check(host: &str, path: &str, expected: &Expect) {
+    let table = table();
+    let name = table.find(host, path).map_or("none", |it| it.name.as_str());
+    expected.assert_eq(name);
+}
+
+#[test]
+fn longest_prefix_wins() {
+    check("a.example", "/lists/spring/1", &expect!["spring"]);
+    check("a.example", "/lists/spring/", &expect!["spring"]);
+    check("a.example", "/lists/spring", &expect!["lists"]);
+    check("a.example", "/lists", &expect!["root"]);
+    check("a.example", "/", &expect!["root"]);
+    check("A.Example", "/x", &expect!["root"]);
+    check("b.example", "/only/x/y/z", &expect!["only"]);
+    check("b.example", "/other/", &expect!["none"]);
+    check("c.example", "/", &expect!["none"]);
+    check("a.example", "", &expect!["none"]);
+}
+
+#[test]
+fn targets_follow_their_weights() {
+    let mut route = route("split", "a.example", "/");
+    route.targets = vec![
+        RouteTarget {
+            service: "old".to_owned(),
+            weight: 90,
+        },
+        RouteTarget {
+            service: "none".to_owned(),
+            weight: 0,
+        },
+        RouteTarget {
+            service: "new".to_owned(),
+            weight: 10,
+        },
+    ];
+    let picks = [0.0, 0.5, 0.899, 0.901, 0.999];
+    let services: Vec<&str> = picks.iter().map(|it| route.target(*it)).collect();
+    expect![[r#"["old", "old", "old", "new", "new"]"#]].assert_eq(&format!("{services:?}"));
+}
+
+#[test]
+fn keys_name_tenants_and_stay_out_of_dumps() {
+    let tenant = ApiTenant {
+        name: "shop".to_owned(),
+        priority: Some(1),
+    };
+    let keys = KeyTable::new(Some(vec![(tenant, vec!["secret-key".to_owned()])]));
+    assert!(keys.required());
+    assert_eq!(
+        keys.tenant("secret-key").map(|it| it.name.as_str()),
+        Some("shop")
+    );
+    assert_eq!(keys.tenant("other"), None);
+    assert!(!KeyTable::new(None).required());
+    expect!["KeyTable { keys: 1, required: true }"].assert_eq(&format!("{keys:?}"));
+}
--- a/crates/fulmarline/src/command_line.rs
+++ b/crates/fulmarline/src/command_line.rs
@@ -45,9 +45,16 @@
             /// Prints the completion script of a shell (bash).
             optional --completion completion: String
         }
+        /// Tells the story of one request from the logs of several processes.
+        cmd explain {
+            /// Id of the request.
+            required --request request: String
+            /// Files with log lines, in any order.
+            repeated files: PathBuf
+        }
         /// Checks a settings file and starts nothing.
         cmd check {
-            /// The settings file.
+            /// The settings file; one that ends in .toml is taken for the platform's.
             required file: PathBuf
         }
     }
--- a/crates/fulmarline/src/main.rs
+++ b/crates/fulmarline/src/main.rs
@@ -5,6 +5,7 @@
 mod command_line;
 mod ctl;
 mod exit_status;
+mod explain;
 mod logging;
 mod metrics;
 mod node;
@@ -40,6 +41,7 @@
         },
         FulmarlineCmd::Ctl(it) => ctl::run(&it),
         FulmarlineCmd::Check(it) => check(&it.file),
+        FulmarlineCmd::Explain(it) => explain::run(&it.request, &it.files),
     };
     status.into()
 }
@@ -90,6 +92,9 @@
 }
 
 fn check(file: &Path) -> ExitStatus {
+    if file.extension().is_some_and(|it| it == "toml") {
+        return node::check(file);
+    }
     match settings::read(file) {
         Ok(settings) => {
             println!(
--- a/crates/fulmarline/src/node.rs
+++ b/crates/fulmarline/src/node.rs
@@ -1,6 +1,6 @@
 //! Runs a role with the settings file of the users' platform.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use platform::{NodeRole, NodeSettings, SETTINGS_VARIABLE};
 
@@ -34,6 +34,28 @@
     }
 }
 
+/// Checks a settings file of the platform and starts nothing.
+pub(crate) fn check(file: &Path) -> ExitStatus {
+    match NodeSettings::read(file) {
+        Ok(it) => {
+            let role = match it.role {
+                NodeRole::Entry => "entry",
+                NodeRole::Agent => "agent",
+            };
+            let (node, zone, region) = (&it.node, &it.zone, &it.region);
+            println!(
+                "{}: valid settings of {role} {node} in {zone}, {region}",
+                file.display()
+            );
+            ExitStatus::Done
+        }
+        Err(err) => {
+            eprintln!("{err:#}");
+            ExitStatus::BadInput
+        }
+    }
+}
+
 fn read() -> anyhow::Result<NodeSettings> {
     let path = std::env::var_os(SETTINGS_VARIABLE).ok_or_else(|| {
         anyhow::anyhow!("--settings is missing and {SETTINGS_VARIABLE} is not set")
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -125,6 +125,10 @@
     metrics
         .config_version
         .set(i64::try_from(version).unwrap_or(i64::MAX));
+    let suppressed = shared.lines.suppressed_total();
+    metrics
+        .lines_dropped
+        .set(i64::try_from(suppressed).unwrap_or(i64::MAX));
     metrics
         .config_age
         .set(age.map_or(-1.0, |it| it.as_secs_f64()));
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::entry_metrics::EntryMetrics;
+use crate::line_budget::{LineBudget, LineKind};
 
 /// The state of one entry. All tasks run on one thread, so the lock is never contended.
 #[derive(Debug)]
@@ -47,6 +48,7 @@
     pub(crate) incarnation: u64,
     pub(crate) log: Logger,
     pub(crate) metrics: EntryMetrics,
+    pub(crate) lines: LineBudget,
     pub(crate) store: StoreClient,
     pub(crate) replicas: HttpClient,
     /// Wakes the task that tells other entries of a change that cannot wait.
@@ -81,6 +83,7 @@
             front,
             incarnation,
             metrics: EntryMetrics::new()?,
+            lines: LineBudget::new(Instant::now()),
             store,
             replicas,
             news: Notify::new(),
@@ -101,6 +104,11 @@
         })
     }
 
+    /// Says whether a line of `kind` about a request may be written now.
+    pub(crate) fn may_log(&self, kind: LineKind) -> bool {
+        self.lines.allows(kind, Instant::now(), &self.log)
+    }
+
     /// Locks the state; never held across an await.
     pub(crate) fn state(&self) -> MutexGuard<'_, EntryState> {
         self.state
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -12,6 +12,7 @@
 use slog::info;
 
 use crate::entry_shared::EntryShared;
+use crate::line_budget::LineKind;
 use crate::refusal::Refusal;
 use crate::replica_send::{NotRunReason, SendEnd};
 use crate::{boot_clock, stop, stream_relay, whole_relay};
@@ -89,7 +90,14 @@
     let status = response.status();
     let labels = [kind, status.as_str(), reason];
     shared.metrics.requests.with_label_values(&labels).inc();
-    if reason != "answered" || !status.is_success() {
+    let is_served = reason == "answered" && status.is_success();
+    let line = if is_served {
+        LineKind::Served
+    } else {
+        LineKind::Failed
+    };
+    // A stream's own line tells its end.
+    if !(is_served && kind == "stream") && shared.may_log(line) {
         info!(
             shared.log, "request ended";
             "request" => id,
@@ -238,7 +246,10 @@
         NoReplica::Overloaded(predicted) => Some(predicted.round()),
     };
     let state = shared.state();
-    info!(
+    let ready = state.catalog.ready(&call.service, Instant::now()).count();
+    drop(state);
+    if shared.may_log(LineKind::Failed) {
+        info!(
         shared.log, "no replica chosen";
         "request" => call.id(),
         "service" => &call.service,
@@ -247,9 +258,11 @@
         "left_ms" => u64::try_from(call.time_left().as_millis()).unwrap_or(u64::MAX),
         "late" => call.is_late(),
         "prompt" => call.facts.size.prompt_tokens,
-        "ready" => state.catalog.ready(&call.service, Instant::now()).count(),
+        "ready" => ready,
         "tried" => tried.len(),
-    );
+        "config" => call.table.version(),
+        );
+    }
     match why {
         _ if unknown => Refusal::Unknown,
         _ if !tried.is_empty() => Refusal::RefusedByReplicas,
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -11,12 +11,13 @@
 
 use crate::entry_shared::EntryShared;
 use crate::front::ClientCall;
+use crate::line_budget::LineKind;
 
 /// What came of a send.
 #[derive(Debug)]
 pub(crate) enum SendEnd {
     /// The head of an answer that belongs to the request.
-    Answered(HttpReply, ReplicaAnswer),
+    Answered(Box<HttpReply>, ReplicaAnswer),
     /// The replica cannot have run it.
     NotRun(NotRunReason),
     /// The replica may have run it.
@@ -110,7 +111,7 @@
     if status.is_success() && (!facts.signed || facts.request_id.is_none() || facts.encoded) {
         return SendEnd::Unknown("unsigned_answer");
     }
-    SendEnd::Answered(reply, facts)
+    SendEnd::Answered(Box::new(reply), facts)
 }
 
 fn note(shared: &EntryShared, call: &ClientCall, chosen: &ChosenReplica, end: &SendEnd) {
@@ -138,6 +139,8 @@
     drop(state);
     if !matches!(end, SendEnd::Answered(..)) {
         shared.replicas.forget(chosen.replica.address);
+    }
+    if !matches!(end, SendEnd::Answered(..)) && shared.may_log(LineKind::Failed) {
         info!(
             shared.log, "send failed";
             "request" => call.id(),
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -14,6 +14,7 @@
 use crate::entry_shared::EntryShared;
 use crate::flight_guard::FlightGuard;
 use crate::front::{ClientCall, RelayEnd, choose, may_send_again};
+use crate::line_budget::LineKind;
 use crate::replica_send::{SendEnd, send};
 
 /// A replica's part of a stream.
@@ -86,7 +87,7 @@
     let wait = first_event_wait(chosen).min(call.time_left());
     match send(shared, call, chosen, last_event, wait).await {
         SendEnd::Answered(reply, facts) => Ok(StreamPart {
-            reply,
+            reply: *reply,
             facts,
             guard,
             chosen: chosen.clone(),
@@ -185,14 +186,20 @@
         .requests
         .with_label_values(&["stream_end", "200", outcome])
         .inc();
-    if outcome != "complete" {
+    let kind = if outcome == "complete" {
+        LineKind::Served
+    } else {
+        LineKind::Failed
+    };
+    if shared.may_log(kind) {
         info!(
             shared.log, "stream ended";
             "request" => call.id(),
             "outcome" => outcome,
             "replica" => tried.last(),
             "last_event" => cursor.last_id(),
-            "ms" => u64::try_from(call.arrived.elapsed().as_millis()).unwrap_or(u64::MAX),
+            "longest_pause_ms" => millis(longest_pause),
+            "ms" => millis(call.arrived.elapsed()),
         );
     }
 }
@@ -324,16 +331,23 @@
         let id = &part.chosen.replica.id;
         shared.state().health.note(id, outcome, Instant::now());
     }
+    if !shared.may_log(LineKind::Failed) {
+        return;
+    }
     info!(
         shared.log, "stream broke off";
         "request" => call.id(),
         "replica" => &part.chosen.replica.id,
         "why" => why,
         "last_event" => cursor.last_id(),
-        "left_ms" => u64::try_from(call.time_left().as_millis()).unwrap_or(u64::MAX),
+        "left_ms" => millis(call.time_left()),
     );
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns how long the first event of a replica is waited for before it is taken as lost.
 fn first_event_wait(chosen: &ChosenReplica) -> Duration {
     FIRST_EVENT_MIN_WAIT + Duration::from_secs_f64(chosen.predicted_ms.max(0.0) * 3.0 / 1000.0)
--- a/crates/ingress/src/whole_relay.rs
+++ b/crates/ingress/src/whole_relay.rs
@@ -9,6 +9,7 @@
 use crate::entry_shared::EntryShared;
 use crate::flight_guard::FlightGuard;
 use crate::front::{ClientCall, RelayEnd, may_send_again};
+use crate::line_budget::LineKind;
 use crate::replica_send::{SendEnd, send};
 
 /// Sends `call` to `chosen` and reads the whole answer, so that a broken one never reaches the client.
@@ -27,7 +28,7 @@
     )
     .await;
     let (reply, facts) = match end {
-        SendEnd::Answered(reply, facts) => (reply, facts),
+        SendEnd::Answered(reply, facts) => (*reply, facts),
         failed => return RelayEnd::of_failed_send(&failed),
     };
     let status = reply.response.status();
@@ -36,12 +37,14 @@
     let bytes = match httpio::read_limited(body, MAX_ANSWER_BYTES, call.time_left()).await {
         Ok(bytes) => bytes,
         Err(err) => {
-            info!(
-                shared.log, "answer broke off";
-                "request" => call.id(),
-                "replica" => &chosen.replica.id,
-                "error" => err.to_string(),
-            );
+            if shared.may_log(LineKind::Failed) {
+                info!(
+                    shared.log, "answer broke off";
+                    "request" => call.id(),
+                    "replica" => &chosen.replica.id,
+                    "error" => err.to_string(),
+                );
+            }
             return RelayEnd::Unknown;
         }
     };
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -1,6 +1,7 @@
 //! Fetches manifests and pieces from the sources that the plan names.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -201,7 +202,7 @@
                 "index" => index,
                 "version" => target.version,
                 "source" => format!("{source:?}"),
-                "error" => format!("{err:?}"),
+                "error" => err.to_string(),
             );
             if matches!(err, FetchError::Unreachable(_)) {
                 pause(pauses, source);
@@ -237,6 +238,16 @@
     Unreachable(String),
 }
 
+impl fmt::Display for FetchError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Absent => f.write_str("the source does not have it"),
+            Self::Spoilt => f.write_str("the bytes do not have the digest"),
+            Self::Unreachable(why) => f.write_str(why),
+        }
+    }
+}
+
 /// Fetches a piece from another agent; `patient_until` bounds the wait for one that is still fetching it.
 async fn piece_from_agent(
     shared: &AgentShared,
@@ -289,7 +300,7 @@
     let path = manifest_path(&target.model, target.version);
     let bytes = from_agent(shared, address, &path)
         .await
-        .map_err(|it| format!("{it:?}"))?;
+        .map_err(|it| it.to_string())?;
     serde_json::from_slice(&bytes).map_err(|it| it.to_string())
 }
 
