--- /dev/null
+++ b/crates/fulmarline/tests/support/site.rs
@@ -0,0 +1,295 @@
+//! A small site: the platform's stand-ins and real processes, each on a loopback address of its own.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use http_body_util::BodyExt;
+use httpio::{HttpClient, Method, Request, StatusCode};
+use serde_json::{Value, json};
+use standin::{
+    ChildProcess, ReplicaKind, SiteMachine, SiteOrigin, SitePorts, SiteReplica, SiteStore,
+    SiteWeights, StandinRuntime,
+};
+
+/// Longest wait for anything; far above what a busy machine needs.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// The weights of the site's model.
+pub const WEIGHTS: SiteWeights = SiteWeights {
+    pieces: 24,
+    piece_bytes: 4096,
+};
+
+/// The stand-ins and processes of one test.
+pub struct TestSite {
+    pub runtime: StandinRuntime,
+    pub store: SiteStore,
+    pub origin: SiteOrigin,
+    pub models: Vec<SiteReplica>,
+    pub orders: Vec<SiteReplica>,
+    pub entries: Vec<ChildProcess>,
+    pub agents: Vec<ChildProcess>,
+    pub ports: SitePorts,
+    pub machines: Vec<SiteMachine>,
+    client: HttpClient,
+    config: u64,
+    dir: PathBuf,
+}
+
+/// One answer to a client.
+#[derive(Debug)]
+pub struct SiteAnswer {
+    pub status: StatusCode,
+    pub headers: httpio::HeaderMap,
+    /// The body, and whether it ended as a whole one.
+    pub body: String,
+    pub whole: bool,
+}
+
+impl TestSite {
+    /// Starts two entries, two replicas of a plain service, and a replica with an agent for each of `versions`.
+    ///
+    /// `net` tells the addresses of tests apart that run at the same time.
+    pub fn start(name: &str, net: u8, versions: &[u64]) -> Self {
+        let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        // Logs of an earlier run would be taken for those of this one.
+        let _ = std::fs::remove_dir_all(&dir);
+        std::fs::create_dir_all(&dir).unwrap();
+        let runtime = StandinRuntime::new(2).unwrap();
+        let store = SiteStore::start(&runtime).unwrap();
+        let origin = SiteOrigin::start(&runtime, WEIGHTS).unwrap();
+        let mut site = Self {
+            client: HttpClient::new(None, Duration::from_secs(5)),
+            ports: SitePorts::free().unwrap(),
+            runtime,
+            store,
+            origin,
+            models: Vec::new(),
+            orders: Vec::new(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            machines: Vec::new(),
+            config: 0,
+            dir,
+        };
+        for index in 0..2_u8 {
+            let zone = ["a", "b"][usize::from(index)];
+            site.machines.push(SiteMachine::new(
+                &format!("edge-{index}"),
+                net + index,
+                zone,
+            ));
+            let id = format!("o-{index}");
+            let address = ([127, 0, 1, net + index], 0).into();
+            let order =
+                SiteReplica::start(&site.runtime, &id, address, ReplicaKind::Plain, WEIGHTS)
+                    .unwrap();
+            site.store
+                .put("servers", &id, &order.row("orders", zone, "ready"));
+            site.orders.push(order);
+        }
+        site.configure(&json!([]));
+        for (index, version) in versions.iter().enumerate() {
+            site.add_model(net + 10 + u8::try_from(index).unwrap(), *version);
+        }
+        for index in 0..2 {
+            site.start_entry(index);
+        }
+        site.wait("ready entries", |it| {
+            (0..2)
+                .all(|entry| it.ready(entry) == Some(StatusCode::OK))
+                .then_some(())
+        });
+        site
+    }
+
+    /// Adds a replica of the model with an agent beside it.
+    pub fn add_model(&mut self, host: u8, version: u64) {
+        let index = self.models.len();
+        let zone = ["a", "b"][index % 2];
+        let machine = SiteMachine::new(&format!("side-{index}"), host, zone);
+        let address = (machine.ip, 0).into();
+        let kind = ReplicaKind::Model { version };
+        let id = format!("m-{index}");
+        let replica = SiteReplica::start(&self.runtime, &id, address, kind, WEIGHTS).unwrap();
+        self.store
+            .put("servers", &id, &replica.row("pool", zone, "ready"));
+        let settings =
+            machine.agent_settings(self.ports, self.store.address(), replica.address(), "pool");
+        self.models.push(replica);
+        let agent = self.spawn("agent", &machine.name, &settings);
+        self.agents.push(agent);
+    }
+
+    /// Starts an entry, again if it ran before.
+    pub fn start_entry(&mut self, index: usize) {
+        let machine = &self.machines[index];
+        let settings = machine.entry_settings(self.ports, self.store.address());
+        let entry = self.spawn("entry", &machine.name.clone(), &settings);
+        if index < self.entries.len() {
+            self.entries[index] = entry;
+        } else {
+            self.entries.push(entry);
+        }
+    }
+
+    fn spawn(&self, role: &str, name: &str, settings: &str) -> ChildProcess {
+        let file = self.dir.join(format!("{name}.toml"));
+        std::fs::write(&file, settings).unwrap();
+        let binary = Path::new(env!("CARGO_BIN_EXE_fulmarline"));
+        ChildProcess::start_on_platform(binary, role, &file, &self.log_file(name)).unwrap()
+    }
+
+    /// Returns the file that a machine's process logs into.
+    pub fn log_file(&self, name: &str) -> PathBuf {
+        self.dir.join(format!("{name}.log"))
+    }
+
+    /// Writes the next configuration, with more routes than the usual ones.
+    pub fn configure(&mut self, more: &Value) {
+        self.config += 3;
+        let route = |prefix: &str, kind: &str, service: &str| {
+            json!({
+                "name": prefix, "host": "shop.example", "prefix": prefix, "kind": kind, "timeoutMs": 6000,
+                "sloMs": 2000, "prio": 1, "service": service, "maxAttempts": 2, "public": false,
+                "resumable": kind == "stream",
+            })
+        };
+        let mut routes = vec![
+            route("/draft/", "stream", "pool"),
+            route("/order/", "non_idempotent", "orders"),
+            route("/lookup/", "idempotent", "orders"),
+        ];
+        routes.extend(more.as_array().unwrap().iter().cloned());
+        let engine = json!({
+            "slots": 16, "stride": 5, "models": [{"name": "m", "warmS": 0.1}], "step_ms": 2.0, "per_seq_ms": 0.02,
+            "context_per_k": 0.03, "read_per_s": 20000.0, "chunk": 2048, "usual": {"prompt": 100, "answer": 60},
+            "chunks": WEIGHTS.pieces,
+        });
+        let config = json!({
+            "version": self.config, "routes": routes,
+            "services": [
+                {"name": "pool", "maxConns": 100, "engine": engine},
+                {"name": "orders", "maxConns": 100},
+                {"name": "weights", "origin": self.origin.address().to_string(), "maxConns": 100},
+            ],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+            "tenants": [{"name": "dealer", "apiKeys": ["key-1"], "prio": 1}],
+        });
+        self.store.put("op", "config", &config);
+    }
+
+    /// Declares new weights.
+    pub fn declare(&self, version: u64) {
+        self.store.put(
+            "op",
+            "version/m",
+            &json!({"model": "m", "version": version}),
+        );
+    }
+
+    /// Writes what the model's replicas say of themselves into the store again.
+    pub fn refresh_rows(&self) {
+        for (index, replica) in self.models.iter().enumerate() {
+            let zone = ["a", "b"][index % 2];
+            self.store.put(
+                "servers",
+                &format!("m-{index}"),
+                &replica.row("pool", zone, "ready"),
+            );
+        }
+    }
+
+    /// Sends a request to an entry.
+    pub fn call(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        id: &str,
+        key: &str,
+    ) -> Option<SiteAnswer> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("Host", "shop.example")
+            .header("Request-Id", id)
+            .header("Deadline-Ms", "6000")
+            .header("Token-Count", "100,60")
+            .header("Tenant", "forged")
+            .header("Authorization", format!("Token {key}"))
+            .body(httpio::empty())
+            .unwrap();
+        let address = (self.machines[entry].ip, self.ports.front).into();
+        self.runtime.block_on(async {
+            let reply = self.client.send_fresh(address, request).await.ok()?;
+            let (response, _sender, _) = reply.into_parts();
+            let (parts, mut body) = response.into_parts();
+            let mut bytes = Vec::new();
+            let whole = loop {
+                match body.frame().await {
+                    None => break true,
+                    Some(Err(_)) => break false,
+                    Some(Ok(frame)) => bytes.extend(frame.into_data().unwrap_or_default()),
+                }
+            };
+            Some(SiteAnswer {
+                status: parts.status,
+                headers: parts.headers,
+                body: String::from_utf8_lossy(&bytes).into_owned(),
+                whole,
+            })
+        })
+    }
+
+    /// Asks an entry whether it is ready.
+    pub fn ready(&self, entry: usize) -> Option<StatusCode> {
+        self.get(entry, self.ports.ready, "/fulmarline/ready")
+            .map(|it| it.0)
+    }
+
+    /// Asks an entry where to connect.
+    pub fn directory(&self, entry: usize, zone: &str) -> Vec<String> {
+        let path = format!("/fulmarline/resolve?name=shop.example&region={zone}&zone={zone}");
+        let answer = self.get(entry, self.ports.directory, &path);
+        let body: Value = answer
+            .and_then(|it| serde_json::from_str(&it.1).ok())
+            .unwrap_or_default();
+        let addresses = body["addrs"].as_array().cloned().unwrap_or_default();
+        addresses
+            .iter()
+            .filter_map(|it| it.as_str().map(str::to_owned))
+            .collect()
+    }
+
+    /// Returns the text of an entry's metrics.
+    pub fn metrics(&self, entry: usize) -> String {
+        self.get(entry, self.ports.inner.1, "/metrics")
+            .map(|it| it.1)
+            .unwrap_or_default()
+    }
+
+    fn get(&self, entry: usize, port: u16, path: &str) -> Option<(StatusCode, String)> {
+        let request = Request::builder().uri(path).body(httpio::empty()).unwrap();
+        let address = (self.machines[entry].ip, port).into();
+        self.runtime.block_on(async {
+            let reply = self.client.send_fresh_whole(address, request).await.ok()?;
+            Some((
+                reply.status(),
+                String::from_utf8_lossy(reply.body()).into_owned(),
+            ))
+        })
+    }
+
+    /// Waits until `look` finds what it looks for.
+    pub fn wait<T>(&self, what: &str, look: impl Fn(&Self) -> Option<T>) -> T {
+        let start = Instant::now();
+        loop {
+            if let Some(found) = look(self) {
+                return found;
+            }
+            assert!(start.elapsed() < PATIENCE, "waited in vain for {what}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::{fmt, time};
 
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, Response};
@@ -143,6 +144,22 @@
         })
     }
 
+    /// Sends `request` on a new connection and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::send`]; an answer that ends early counts as lost.
+    pub async fn send_fresh_whole(
+        &self,
+        address: SocketAddr,
+        request: Request<ReplyBody>,
+    ) -> Result<Response<bytes::Bytes>, ClientError> {
+        let reply = self.send_fresh(address, request).await?;
+        let (parts, body) = reply.response.into_parts();
+        let collected = body.collect().await.map_err(ClientError::Lost)?;
+        Ok(Response::from_parts(parts, collected.to_bytes()))
+    }
+
     /// Returns a connection whose answer was read to its end to the pool.
     pub fn recycle(&self, sender: SendRequest<ReplyBody>, address: SocketAddr) {
         self.recycle_for(sender, address, MAX_IDLE);
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -33,6 +33,8 @@
     pub(crate) target: Option<WeightTarget>,
     /// Pieces that are staged at the replica.
     pub(crate) book: PieceBook,
+    /// Whether missing pieces are being fetched, so that others may wait for them.
+    pub(crate) is_fetching: bool,
     /// Weights that serve, as entries are told.
     pub(crate) serving: Vec<LoadedModel>,
 }
--- a/crates/stager/src/piece_server.rs
+++ b/crates/stager/src/piece_server.rs
@@ -99,11 +99,18 @@
     {
         return PieceState::Unknown;
     }
-    let is_staged = || shared.state().book.has(index);
-    match wait_until(shared, PIECE_WAIT, is_staged).await {
-        _ if !has_manifest() => PieceState::Unknown,
-        Some(()) => PieceState::Staged,
-        None => PieceState::Fetching,
+    // An agent whose replica serves the version fetches nothing, even where a staged piece has rotted.
+    let is_settled = || {
+        let state = shared.state();
+        state.book.has(index) || !state.is_fetching
+    };
+    wait_until(shared, PIECE_WAIT, is_settled).await;
+    let state = shared.state();
+    match state.book.has(index) {
+        _ if state.book.manifest(model, version).is_none() => PieceState::Unknown,
+        true => PieceState::Staged,
+        false if state.is_fetching => PieceState::Fetching,
+        false => PieceState::Unknown,
     }
 }
 
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -51,6 +51,7 @@
 
 /// Offers the weights that the replica serves to other agents, for which their manifest is needed.
 async fn offer(shared: &Arc<AgentShared>, target: &WeightTarget, pauses: &SourcePause) {
+    shared.state().is_fetching = false;
     if shared
         .state()
         .book
@@ -157,6 +158,7 @@
         // Whatever kept the load from beginning has cost time already.
         return Some(0.0);
     }
+    shared.state().is_fetching = true;
     let plan = match piece_fetch::plan(shared, target).await {
         Ok(it) => it,
         Err(err) => {
--- a/crates/standin/src/harness/child_process.rs
+++ b/crates/standin/src/harness/child_process.rs
@@ -24,11 +24,30 @@
     ///
     /// Returns what the operating system said when the process cannot be started.
     pub fn start(binary: &Path, role: &str, settings: &Path, log: &Path) -> io::Result<Self> {
+        let mut command = Command::new(binary);
+        command.arg(role).arg("--settings").arg(settings);
+        Self::spawn(command, log)
+    }
+
+    /// Starts `binary ROLE` with the platform's settings file, which a variable names.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system said when the process cannot be started.
+    pub fn start_on_platform(
+        binary: &Path,
+        role: &str,
+        settings: &Path,
+        log: &Path,
+    ) -> io::Result<Self> {
+        let mut command = Command::new(binary);
+        command.arg(role).env("FULMARLINE_BOOT", settings);
+        Self::spawn(command, log)
+    }
+
+    fn spawn(mut command: Command, log: &Path) -> io::Result<Self> {
         let output = File::options().create(true).append(true).open(log)?;
-        let child = Command::new(binary)
-            .arg(role)
-            .arg("--settings")
-            .arg(settings)
+        let child = command
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
             .stderr(output)
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 mod object_store;
 mod plain_service;
 mod rate_limiter;
+mod site;
 mod standin_runtime;
 mod table;
 mod weights;
@@ -39,6 +40,10 @@
 pub use object_store::{ObjectStore, StoreCounters, StoreFaults};
 pub use plain_service::{PlainService, ServiceAnswer, ServiceFaults};
 pub use rate_limiter::RateLimiter;
+pub use site::{
+    ReplicaFaults, ReplicaKind, SiteMachine, SiteOrigin, SitePorts, SiteReplica, SiteStore,
+    SiteWeights,
+};
 pub use standin_runtime::StandinRuntime;
 pub use table::{TableCounters, TableFaults, TableService};
 pub use weights::{ServedBytes, WeightCatalog, WeightFaults, WeightSource, synthetic_weights};
--- /dev/null
+++ b/crates/standin/src/site/mod.rs
@@ -0,0 +1,13 @@
+//! Stand-ins of the users' platform, after their published protocol: the store, replicas and the origin of weights.
+
+mod site_origin;
+mod site_replica;
+mod site_settings;
+mod site_store;
+mod site_weights;
+
+pub use site_origin::SiteOrigin;
+pub use site_replica::{ReplicaFaults, ReplicaKind, SiteReplica};
+pub use site_settings::{SiteMachine, SitePorts};
+pub use site_store::SiteStore;
+pub use site_weights::SiteWeights;
--- /dev/null
+++ b/crates/standin/src/site/site_origin.rs
@@ -0,0 +1,94 @@
+//! The origin of weights.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use httpio::{Incoming, ReplyBody, Request, Response, ServerHandle, StatusCode};
+use serde_json::json;
+
+use crate::StandinRuntime;
+use crate::site::site_weights::SiteWeights;
+
+/// Hands out manifests and pieces and counts the pieces.
+#[derive(Clone, Debug)]
+pub struct SiteOrigin {
+    shared: Arc<OriginShared>,
+    server: ServerHandle,
+}
+
+#[derive(Debug)]
+struct OriginShared {
+    weights: SiteWeights,
+    pieces: AtomicU64,
+    spoils: AtomicBool,
+}
+
+impl SiteOrigin {
+    /// Starts an origin of `weights`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system said when no port can be bound.
+    pub fn start(runtime: &StandinRuntime, weights: SiteWeights) -> std::io::Result<Self> {
+        let shared = Arc::new(OriginShared {
+            weights,
+            pieces: AtomicU64::new(0),
+            spoils: AtomicBool::new(false),
+        });
+        let for_server = shared.clone();
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server =
+            crate::standin_runtime::serve(runtime.handle(), address, move |request, _| {
+                answer(for_server.clone(), request)
+            })?;
+        Ok(Self { shared, server })
+    }
+
+    /// Returns where the origin listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the number of pieces that were sent.
+    pub fn pieces_sent(&self) -> u64 {
+        self.shared.pieces.load(Ordering::Relaxed)
+    }
+
+    /// Spoils every third piece that is sent, or none.
+    pub fn set_spoils(&self, spoils: bool) {
+        self.shared.spoils.store(spoils, Ordering::Relaxed);
+    }
+}
+
+async fn answer(shared: Arc<OriginShared>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let field = |name: &str| {
+        form_urlencoded::parse(request.uri().query().unwrap_or_default().as_bytes())
+            .find(|(it, _)| it == name)
+            .and_then(|(_, value)| value.parse::<u64>().ok())
+    };
+    let weights = &shared.weights;
+    let version = field("version").unwrap_or(1);
+    let path = request.uri().path();
+    if let Some(model) = path.strip_prefix("/fulmarline/manifest/") {
+        let digests: Vec<String> = (0..weights.pieces)
+            .map(|it| weights.digest(version, it))
+            .collect();
+        let body = json!({
+            "model": model, "version": version, "chunkBytes": weights.piece_bytes, "layers": 16, "digests": digests,
+        });
+        return Response::new(httpio::full(body.to_string()));
+    }
+    if !path.starts_with("/fulmarline/piece/") {
+        let mut response = Response::new(httpio::empty());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    }
+    let index = usize::try_from(field("num").unwrap_or(0)).unwrap_or(0);
+    let count = shared.pieces.fetch_add(1, Ordering::Relaxed);
+    let mut bytes = weights.piece(version, index);
+    if shared.spoils.load(Ordering::Relaxed) && count % 3 == 0 {
+        bytes[0] ^= 1;
+    }
+    Response::new(httpio::full(bytes))
+}
--- /dev/null
+++ b/crates/standin/src/site/site_weights.rs
@@ -0,0 +1,33 @@
+//! Weights whose every byte follows from version and place, so that any mixture shows.
+
+use sha2::{Digest, Sha256};
+
+/// The shape of a model's weights.
+#[derive(Clone, Copy, Debug)]
+pub struct SiteWeights {
+    /// Number of pieces.
+    pub pieces: usize,
+    /// Bytes of a piece.
+    pub piece_bytes: usize,
+}
+
+impl SiteWeights {
+    /// Returns the bytes of piece `index` of `version`.
+    pub fn piece(&self, version: u64, index: usize) -> Vec<u8> {
+        let mut state = version.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ index as u64;
+        (0..self.piece_bytes)
+            .map(|_| {
+                state = state
+                    .wrapping_mul(6_364_136_223_846_793_005)
+                    .wrapping_add(1);
+                (state >> 56) as u8
+            })
+            .collect()
+    }
+
+    /// Returns the SHA-256 of piece `index` of `version` as text.
+    pub fn digest(&self, version: u64, index: usize) -> String {
+        let digest = Sha256::digest(self.piece(version, index));
+        digest.iter().map(|it| format!("{it:02x}")).collect()
+    }
+}
