--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -394,8 +394,9 @@
 /// Time for the answer whether a piece is there; about twice as long as a live agent holds the question.
 const READY_TIMEOUT: Duration = Duration::from_millis(2000);
 
-/// Time after which the agents that take part are read again; a little longer than the transfer of a whole copy.
-const PLAN_LIFETIME: Duration = Duration::from_millis(4500);
+/// Time after which the agents that take part are read again: agents that read different lists, as after an outage of the
+/// store, may wait for each other that long.
+const PLAN_LIFETIME: Duration = Duration::from_millis(2500);
 
 /// Pause after no source had a piece.
 const ROUND_PAUSE: Duration = Duration::from_millis(150);
