--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -38,4 +38,4 @@
 pub use route::{CallKind, Route, RouteTarget, ServiceConfig, WeightOrigin};
 pub use route_table::{IngressLimits, RouteTable};
 pub use stream_cursor::{EventPiece, StreamCursor, StreamFault};
-pub use version_table::{VersionDemand, VersionTable};
+pub use version_table::{NextSwitch, VersionDemand, VersionTable};
--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -81,6 +81,10 @@
         .enumerate()
         .map(|(index, replica)| {
             let predicted = predicted_ms(request, replica, board, health, now);
+            (predicted, index, *replica)
+        })
+        .filter(|(predicted, _, replica)| begins_in_time(request, replica, *predicted))
+        .map(|(predicted, index, replica)| {
             let distance = if replica.zone == request.zone {
                 0.0
             } else {
@@ -88,11 +92,7 @@
             };
             let failures = health.failure_share(&replica.id, now) * FAILURE_MS;
             let jitter = (request.pick * 17.0 + index as f64 * 0.618).fract() * JITTER_MS;
-            (
-                predicted,
-                predicted + distance + failures + jitter,
-                *replica,
-            )
+            (predicted, predicted + distance + failures + jitter, replica)
         })
         .min_by(|a, b| a.1.total_cmp(&b.1));
     let Some((predicted_ms, _, replica)) = best else {
@@ -126,6 +126,19 @@
     request.demand.is_none_or(|it| version >= it.oldest_allowed)
 }
 
+/// Says whether a request will begin before the weights of `replica` may not serve any more, with room for a replica that is
+/// slower than predicted.
+fn begins_in_time(request: &ChoiceRequest<'_>, replica: &Replica, predicted_ms: f64) -> bool {
+    let (Some(engine), Some(next)) = (request.engine, request.demand.and_then(|it| it.next_switch))
+    else {
+        return true;
+    };
+    let is_current = replica
+        .version_of(&engine.model)
+        .is_some_and(|it| it >= next.version);
+    is_current || predicted_ms * SLOW_FACTOR < next.left.as_secs_f64() * 1000.0
+}
+
 fn predicted_ms(
     request: &ChoiceRequest<'_>,
     replica: &Replica,
@@ -145,6 +158,9 @@
     base * health.slowness(&replica.id, now)
 }
 
+/// Factor by which a replica may be slower than predicted without a request beginning too late.
+const SLOW_FACTOR: f64 = 3.0;
+
 /// Penalty of a replica in another zone: what bytes between regions cost against a first event that comes later.
 const OTHER_ZONE_MS: f64 = 12.0;
 
--- a/crates/fleet/src/version_table.rs
+++ b/crates/fleet/src/version_table.rs
@@ -10,6 +10,17 @@
     pub newest: u64,
     /// Oldest version that may still serve.
     pub oldest_allowed: u64,
+    /// Time until an older version than the next one may not serve any more, where that is known.
+    pub next_switch: Option<NextSwitch>,
+}
+
+/// The next version to come into force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NextSwitch {
+    /// Version that will be the oldest one allowed.
+    pub version: u64,
+    /// Time until then.
+    pub left: Duration,
 }
 
 /// Declared versions by model.
@@ -91,9 +102,20 @@
                 known.is_none_or(|it| now.saturating_duration_since(it) >= self.switch_time)
             })
             .map_or(0, |(version, _)| *version);
+        let next_switch = versions
+            .iter()
+            .filter(|(version, _)| **version > oldest_allowed)
+            .find_map(|(version, known)| {
+                let age = now.saturating_duration_since((*known)?);
+                Some(NextSwitch {
+                    version: *version,
+                    left: self.switch_time.saturating_sub(age),
+                })
+            });
         Some(VersionDemand {
             newest,
             oldest_allowed,
+            next_switch,
         })
     }
 }
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -5,8 +5,9 @@
 
 use expect_test::{Expect, expect};
 use fleet::{
-    ChoiceRequest, EngineProfile, HealthTable, LoadBoard, LoadedModel, NoReplica, Replica,
-    ReplicaCatalog, ReplicaOutcome, ReplicaState, RequestSize, VersionDemand, choose_replica,
+    ChoiceRequest, EngineProfile, HealthTable, LoadBoard, LoadedModel, NextSwitch, NoReplica,
+    Replica, ReplicaCatalog, ReplicaOutcome, ReplicaState, RequestSize, VersionDemand,
+    choose_replica,
 };
 
 fn engine() -> EngineProfile {
@@ -35,6 +36,7 @@
     patience_ms: f64,
     oldest_allowed: u64,
     failed: &'a [&'a str],
+    next_switch: Option<NextSwitch>,
 }
 
 impl Default for Case<'_> {
@@ -45,6 +47,7 @@
             patience_ms: 380.0,
             oldest_allowed: 0,
             failed: &[],
+            next_switch: None,
         }
     }
 }
@@ -90,6 +93,7 @@
         demand: Some(VersionDemand {
             newest: 2,
             oldest_allowed: case.oldest_allowed,
+            next_switch: case.next_switch,
         }),
         tried: &[],
         patience_ms: case.patience_ms,
@@ -239,3 +243,19 @@
     other.ended("r1", 50);
     assert_eq!(other.own_samples(), BTreeMap::new());
 }
+
+/// A request waited for a second at a replica and began on weights that were out of force by then.
+#[test]
+fn old_weights_get_only_what_begins_in_time() {
+    let replicas: &[Row] = &[("r1", "a", Some(1), 0), ("r2", "b", Some(2), 14)];
+    let soon = |left| {
+        let left = Duration::from_millis(left);
+        Case {
+            replicas,
+            next_switch: Some(NextSwitch { version: 2, left }),
+            ..Case::default()
+        }
+    };
+    check(&soon(1000), &expect!["r1 in 113 ms, version None"]);
+    check(&soon(300), &expect!["r2 in 119 ms, version None"]);
+}
--- a/crates/fulmarline/src/main.rs
+++ b/crates/fulmarline/src/main.rs
@@ -9,6 +9,7 @@
 mod logging;
 mod metrics;
 mod node;
+mod reload_signal;
 mod stop_signal;
 
 use std::path::Path;
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -195,8 +195,9 @@
 /// of a request between its sending and its reading.
 const REVOCATION_RESERVE: Duration = Duration::from_millis(1300);
 
-/// Part of the bound on a switch of weights that a request may wait at its replica before it begins.
-const SWITCH_RESERVE: Duration = Duration::from_millis(900);
+/// Part of the bound on a switch of weights that the news of it may take, and the way to a replica; the wait there is
+/// predicted.
+const SWITCH_RESERVE: Duration = Duration::from_millis(600);
 
 /// Entries that share the allowance of repeats at least: those of the smallest deployment.
 const MIN_ENTRIES: usize = 8;
