Few agents ask the origin

A third of its connections now names the agents that fetch from it; they pass each piece to one agent of each region.

--- a/crates/fleet/src/fetch_plan.rs
+++ b/crates/fleet/src/fetch_plan.rs
@@ -34,11 +34,18 @@
     own: SocketAddr,
     region: String,
     holders: Vec<PieceHolder>,
+    origin_clients: usize,
 }
 
 impl FetchPlan {
-    /// Plans for the agent at `own` among `holders`, which may contain it.
-    pub fn new(own: SocketAddr, region: &str, holders: Vec<PieceHolder>) -> Self {
+    /// Plans for the agent at `own` among `holders`, which may contain it; at most `origin_clients` of them fetch from the
+    /// origin, which accepts few connections.
+    pub fn new(
+        own: SocketAddr,
+        region: &str,
+        holders: Vec<PieceHolder>,
+        origin_clients: usize,
+    ) -> Self {
         let mut holders = holders;
         if !holders.iter().any(|it| it.address == own) {
             holders.push(PieceHolder {
@@ -51,6 +58,7 @@
             own,
             region: region.to_owned(),
             holders,
+            origin_clients: origin_clients.max(1),
         }
     }
 
@@ -70,9 +78,12 @@
                 push_new(&mut sources, PieceSource::Holder(holder.address));
             }
         }
-        for ranking in [&near, &all] {
-            for fetcher in self.before_own(ranking).iter().take(MAX_RANKS) {
-                push_new(&mut sources, PieceSource::Fetcher(fetcher.address));
+        // Whoever fetches the piece from the origin waits for nobody.
+        if all.first().is_none_or(|it| it.address != self.own) {
+            for ranking in [&near, &all] {
+                for fetcher in self.before_own(ranking).iter().take(MAX_RANKS) {
+                    push_new(&mut sources, PieceSource::Fetcher(fetcher.address));
+                }
             }
         }
         sources.push(PieceSource::Origin);
@@ -149,7 +160,7 @@
 
     /// Ranks the agents that `keep` lets pass, the one that fetches the piece from the origin first.
     ///
-    /// The first agents of all regions come before the second ones and so on, so that this ranking and those of the
+    /// Behind that one, the first agents of all regions come before the second ones and so on, so that this ranking and those of the
     /// regions never contradict each other: agents that wait along either cannot form a ring.
     fn ranked(
         &self,
@@ -169,10 +180,35 @@
             .map(|it| self.ranked_in(it, index, keep))
             .collect();
         let longest = in_regions.iter().map(Vec::len).max().unwrap_or(0);
-        (0..longest)
+        let mut ranked: Vec<_> = (0..longest)
             .flat_map(|place| in_regions.iter().filter_map(move |it| it.get(place)))
             .copied()
-            .collect()
+            .collect();
+        if let Some(first) = self.origin_client(index, keep) {
+            ranked.retain(|it| it.address != first);
+            ranked.splice(0..0, self.holders.iter().filter(|it| it.address == first));
+        }
+        ranked
+    }
+
+    /// Returns the agent that fetches piece `index` from the origin: one of a few, which take turns.
+    fn origin_client(
+        &self,
+        index: usize,
+        keep: impl Fn(&PieceHolder) -> bool,
+    ) -> Option<SocketAddr> {
+        let mut list: Vec<SocketAddr> = self
+            .holders
+            .iter()
+            .filter(|it| keep(it))
+            .map(|it| it.address)
+            .collect();
+        list.sort_unstable();
+        let clients = self.origin_clients.min(list.len());
+        if clients == 0 {
+            return None;
+        }
+        list.get((index % clients) * list.len() / clients).copied()
     }
 }
 
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -24,6 +24,8 @@
     pub(crate) declared: Instant,
     /// Origins of the weights, in the order of the configuration.
     pub(crate) origins: Vec<SocketAddr>,
+    /// Connections that an origin accepts from all agents together.
+    pub(crate) origin_connections: usize,
 }
 
 /// The state of one agent.
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -1,6 +1,7 @@
 //! Follows the operator's rows for the weights that the replica is to serve.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -106,15 +107,22 @@
     let declared = known
         .filter(|it| it.model == engine.model && it.version == version)
         .map_or_else(Instant::now, |it| it.declared);
+    let origins: Vec<(SocketAddr, usize)> = table
+        .services()
+        .filter_map(|it| {
+            Some((
+                it.origin?.address,
+                it.max_connections.unwrap_or(DEFAULT_CONNECTIONS),
+            ))
+        })
+        .map(|(address, connections)| (address, usize::try_from(connections).unwrap_or(usize::MAX)))
+        .collect();
     let target = WeightTarget {
         model: engine.model.clone(),
         version,
         declared,
-        origins: table
-            .services()
-            .filter_map(|it| it.origin)
-            .map(|it| it.address)
-            .collect(),
+        origins: origins.iter().map(|it| it.0).collect(),
+        origin_connections: origins.iter().map(|it| it.1).min().unwrap_or(1),
     };
     let mut state = shared.state();
     if state.target.as_ref() == Some(&target) {
@@ -131,6 +139,9 @@
     shared.wanted.notify_one();
 }
 
+/// Connections of an origin that states no bound; that of the deployments that were described.
+const DEFAULT_CONNECTIONS: u32 = 48;
+
 /// Version of weights before any was declared.
 const FIRST_VERSION: u64 = 1;
 
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -56,6 +56,7 @@
         shared.own_address(),
         &shared.settings.region,
         holders,
+        target.origin_connections / CONNECTIONS_PER_ORIGIN_CLIENT,
     ))
 }
 
@@ -136,8 +137,13 @@
     pauses: &SourcePause,
     plan_ends: Instant,
 ) -> bool {
+    let mut round = 0;
     loop {
         for source in &sources {
+            // The origin is slow for all when many turn to it because others are still starting.
+            if *source == PieceSource::Origin && round == 0 && sources.len() > 1 {
+                continue;
+            }
             if !is_wanted(shared, target) || Instant::now() > plan_ends {
                 return false;
             }
@@ -147,6 +153,7 @@
                 return stage(shared, target, index, bytes).await;
             }
         }
+        round += 1;
         tokio::time::sleep(ROUND_PAUSE).await;
     }
 }
@@ -398,8 +405,11 @@
 /// store, may wait for each other that long.
 const PLAN_LIFETIME: Duration = Duration::from_millis(2500);
 
+/// Connections of the origin for each agent that fetches from it in turn; the rest is for those that stand in for lost ones.
+const CONNECTIONS_PER_ORIGIN_CLIENT: usize = 3;
+
 /// Pause after no source had a piece.
-const ROUND_PAUSE: Duration = Duration::from_millis(150);
+const ROUND_PAUSE: Duration = Duration::from_millis(250);
 
 /// One in this many pieces may be missing of a version that is completed although a newer one is declared.
 const NEARLY_COMPLETE: usize = 8;
