--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -162,7 +162,7 @@
 const SLOW_FACTOR: f64 = 3.0;
 
 /// Penalty of a replica in another zone: what bytes between regions cost against a first event that comes later.
-const OTHER_ZONE_MS: f64 = 12.0;
+const OTHER_ZONE_MS: f64 = 60.0;
 
 /// Penalty of a replica that fails every request; a certain failure costs more than any wait within the objective.
 const FAILURE_MS: f64 = 1000.0;
--- a/crates/fleet/tests/fetch_plan.rs
+++ b/crates/fleet/tests/fetch_plan.rs
@@ -122,7 +122,10 @@
     // took from the origin one for each region.
     let most = sent.values().max().copied().unwrap_or(0);
     let bound = PIECES + PIECES / ORIGIN_CLIENTS * 3;
-    assert!(most <= bound, "the busiest agent sends {most} pieces, bound {bound}");
+    assert!(
+        most <= bound,
+        "the busiest agent sends {most} pieces, bound {bound}"
+    );
 }
 
 #[test]
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -310,6 +310,18 @@
         .state()
         .health
         .note_first_event(id, observed * 1000.0, predicted, now);
+    if shared.may_log(LineKind::Served) {
+        info!(
+            shared.log, "first event";
+            "request" => call.id(),
+            "replica" => id,
+            "sent_ms" => (observed * 1000.0).round(),
+            "predicted_ms" => predicted.round(),
+            "ms" => millis(call.arrived.elapsed()),
+            "version" => part.facts.version,
+            "config" => call.table.version(),
+        );
+    }
 }
 
 fn broke_off(
