Entries compare samples of replicas; pieces leave slow agents at once

Cause: an agent behind a squeezed link held its region up, since its pieces were waited for up to 6 s; entries with views of one age sent to the same replica. Now transfers between agents end after 1.2 s and the next in rank takes over.

--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -30,6 +30,8 @@
     pub idle_delay_ms: f64,
     /// Uniform in 0..1, to break ties between entries with the same view.
     pub pick: f64,
+    /// Entries that choose at the same time, this one included.
+    pub entries: usize,
 }
 
 /// A replica that a request goes to.
@@ -76,26 +78,11 @@
     } else {
         candidates
     };
-    let best = usable
-        .iter()
-        .enumerate()
-        .map(|(index, replica)| {
-            let predicted = predicted_ms(request, replica, board, health, now);
-            (predicted, index, *replica)
-        })
-        .filter(|(predicted, _, replica)| begins_in_time(request, replica, *predicted))
-        .map(|(predicted, index, replica)| {
-            let distance = if replica.zone == request.zone {
-                0.0
-            } else {
-                OTHER_ZONE_MS
-            };
-            let failures = health.failure_share(&replica.id, now) * FAILURE_MS;
-            let jitter = (request.pick * 17.0 + index as f64 * 0.618).fract() * JITTER_MS;
-            (predicted, predicted + distance + failures + jitter, replica)
-        })
-        .min_by(|a, b| a.1.total_cmp(&b.1));
-    let Some((predicted_ms, _, replica)) = best else {
+    let sample = sample(request, &usable);
+    let best = best_of(request, &sample, board, health, now)
+        .filter(|it| it.0 <= request.patience_ms)
+        .or_else(|| best_of(request, &usable, board, health, now));
+    let Some((predicted_ms, replica)) = best else {
         return Err(NoReplica::NoneUsable);
     };
     let alone_ms = request.engine.map_or(0.0, |it| {
@@ -116,6 +103,50 @@
     })
 }
 
+/// Returns a random part of the replicas. Entries that all look at all replicas with views of the same age would send to
+/// the same one; the more entries there are, the smaller the part.
+fn sample<'a>(request: &ChoiceRequest<'_>, usable: &[&'a Replica]) -> Vec<&'a Replica> {
+    let share = 1.0 / (request.entries.max(1) as f64).sqrt();
+    let size = ((usable.len() as f64 * share).ceil() as usize).max(MIN_SAMPLE);
+    let mut order: Vec<(u64, &Replica)> = usable
+        .iter()
+        .enumerate()
+        .map(|(index, replica)| (scramble(request.pick, index), *replica))
+        .collect();
+    order.sort_unstable_by_key(|it| it.0);
+    order.into_iter().take(size).map(|it| it.1).collect()
+}
+
+/// Spreads `pick` over replicas (the finisher of SplitMix64).
+fn scramble(pick: f64, index: usize) -> u64 {
+    let seed = pick.to_bits() ^ (index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+/// Returns the best replica with its predicted time to the first event.
+fn best_of<'a>(
+    request: &ChoiceRequest<'_>,
+    replicas: &[&'a Replica],
+    board: &LoadBoard,
+    health: &HealthTable,
+    now: Instant,
+) -> Option<(f64, &'a Replica)> {
+    replicas
+        .iter()
+        .map(|it| (predicted_ms(request, it, board, health, now), *it))
+        .filter(|(predicted, replica)| begins_in_time(request, replica, *predicted))
+        .map(|(predicted, replica)| {
+            let is_near = replica.zone == request.zone;
+            let distance = if is_near { 0.0 } else { OTHER_ZONE_MS };
+            let failures = health.failure_share(&replica.id, now) * FAILURE_MS;
+            (predicted + distance + failures, predicted, replica)
+        })
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, predicted, replica)| (predicted, replica))
+}
+
 fn has_allowed_version(request: &ChoiceRequest<'_>, replica: &Replica) -> bool {
     let Some(engine) = request.engine else {
         return true;
@@ -167,8 +198,8 @@
 /// Penalty of a replica that fails every request; a certain failure costs more than any wait within the objective.
 const FAILURE_MS: f64 = 1000.0;
 
-/// Spread between equally good replicas, so that entries with the same view do not all choose the same one.
-const JITTER_MS: f64 = 8.0;
+/// Replicas that are compared at least.
+const MIN_SAMPLE: usize = 3;
 
 /// Work of a usual request of a plain service, whose real figure no configuration tells.
 const PLAIN_WORK_MS: f64 = 60.0;
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -99,6 +99,7 @@
         patience_ms: case.patience_ms,
         idle_delay_ms: 100.0,
         pick: 0.0,
+        entries: 1,
     };
     let text = match choose_replica(&request, &catalog, &board, &health, now) {
         Ok(it) => format!(
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -338,6 +338,7 @@
         patience_ms: patience.as_secs_f64() * 1000.0,
         idle_delay_ms: IDLE_DELAY_MS,
         pick: rand::rng().random(),
+        entries: state.peers.alive(now).count() + 1,
     };
     fleet::choose_replica(&request, &state.catalog, &state.board, &state.health, now)
 }
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -286,7 +286,11 @@
         return Err(FetchError::Absent);
     };
     shared.download_pace.wait(manifest.piece_bytes).await;
-    from_agent(shared, address, &piece_path(model, version, index)).await
+    let path = piece_path(model, version, index);
+    match ask(shared, address, &path, TRANSFER_TIMEOUT).await? {
+        (StatusCode::OK, bytes) => Ok(bytes),
+        _ => Err(FetchError::Absent),
+    }
 }
 
 /// Says whether it is worth going on with `target`: it is the newest, or all but complete.
@@ -305,20 +309,10 @@
     address: SocketAddr,
 ) -> Result<PieceManifest, String> {
     let path = manifest_path(&target.model, target.version);
-    let bytes = from_agent(shared, address, &path)
-        .await
-        .map_err(|it| it.to_string())?;
-    serde_json::from_slice(&bytes).map_err(|it| it.to_string())
-}
-
-async fn from_agent(
-    shared: &AgentShared,
-    address: SocketAddr,
-    path: &str,
-) -> Result<Vec<u8>, FetchError> {
-    match ask(shared, address, path, PIECE_TIMEOUT).await? {
-        (StatusCode::OK, bytes) => Ok(bytes),
-        _ => Err(FetchError::Absent),
+    match ask(shared, address, &path, PIECE_TIMEOUT).await {
+        Ok((StatusCode::OK, bytes)) => serde_json::from_slice(&bytes).map_err(|it| it.to_string()),
+        Ok((status, _)) => Err(format!("status {status}")),
+        Err(err) => Err(err.to_string()),
     }
 }
 
@@ -414,6 +408,10 @@
 /// One in this many pieces may be missing of a version that is completed although a newer one is declared.
 const NEARLY_COMPLETE: usize = 8;
 
+/// Time for one piece from another agent. A link that was squeezed to a tenth takes 0.2 s for each of a few at once; an
+/// agent behind such a link must not hold up all others, which find the piece elsewhere.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1200);
+
 /// Time for one piece from one source; a link that was squeezed to 0.9 Mbit/s takes 0.2 s for each.
 const PIECE_TIMEOUT: Duration = Duration::from_millis(6000);
 
