Entries of a zone tell each other of every change of load

Cause: under overload 32 entries sent to a replica that had just loaded within one interval of their exchange (100 ms): ten requests at once, predicted 80 to 125 ms, observed 520 ms. Entries of the own zone are now told at each change, at most every 15 ms, all others every 150 ms.

--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -53,6 +53,8 @@
     pub(crate) replicas: HttpClient,
     /// Wakes the task that tells other entries of a change that cannot wait.
     pub(crate) news: Notify,
+    /// Wakes the same task when this entry's load on a replica has changed.
+    pub(crate) load_changed: Notify,
     stopping: Mutex<Option<Instant>>,
     state: Mutex<EntryState>,
 }
@@ -87,6 +89,7 @@
             store,
             replicas,
             news: Notify::new(),
+            load_changed: Notify::new(),
             stopping: Mutex::new(None),
             state: Mutex::new(EntryState {
                 routes: None,
--- a/crates/ingress/src/flight_guard.rs
+++ b/crates/ingress/src/flight_guard.rs
@@ -15,6 +15,7 @@
 impl FlightGuard {
     pub(crate) fn new(shared: &Arc<EntryShared>, replica: &str, prompt_tokens: u32) -> Self {
         shared.state().board.sent(replica, prompt_tokens);
+        shared.load_changed.notify_one();
         Self {
             shared: shared.clone(),
             replica: replica.to_owned(),
@@ -36,5 +37,6 @@
             .state()
             .board
             .ended(&self.replica, self.unread_tokens);
+        self.shared.load_changed.notify_one();
     }
 }
--- a/crates/ingress/src/peer_loop.rs
+++ b/crates/ingress/src/peer_loop.rs
@@ -89,41 +89,52 @@
     Ok(())
 }
 
-/// Tells all entries of this one's load, often while it changes and seldom while it does not.
+/// Tells entries of this one's load: those of the own zone at each change, all others less often.
+///
+/// Entries share mostly the replicas of their zone, where they must not choose alike; between zones bytes have a price.
 async fn tell(shared: Arc<EntryShared>, socket: Arc<UdpSocket>) {
     let mut number = 0;
-    let mut last_told: Option<(Instant, EntryNotice)> = None;
+    let mut told_all: Option<(Instant, EntryNotice)> = None;
     loop {
         let is_urgent = tokio::select! {
             () = shared.news.notified() => true,
-            () = tokio::time::sleep(TELL_INTERVAL) => false,
+            () = shared.load_changed.notified() => false,
+            () = tokio::time::sleep(HEARTBEAT_INTERVAL) => false,
         };
+        number += 1;
         let notice = own_notice(&shared, number);
-        let is_due = last_told.as_ref().is_none_or(|(at, before)| {
+        let is_due = told_all.as_ref().is_none_or(|(at, before)| {
             at.elapsed() >= HEARTBEAT_INTERVAL
-                || before.loads != notice.loads
-                || before.record != notice.record
+                || (at.elapsed() >= TELL_ALL_INTERVAL && before.loads != notice.loads)
         });
-        if !is_due && !is_urgent {
-            continue;
+        let tells_all = is_urgent || is_due;
+        send_notice(&shared, &socket, &notice, tells_all);
+        if tells_all {
+            told_all = Some((Instant::now(), notice));
         }
-        number += 1;
-        let message = FleetMessage::Entry(notice.clone());
-        let bytes = postcard::to_allocvec(&message).expect("a notice is always encodable");
-        let peers: Vec<SocketAddr> = {
-            let now = Instant::now();
-            let state = shared.state();
-            let alive: Vec<_> = state.peers.alive(now).map(|it| it.inner).collect();
-            // Silent ones are tried less often, so that a healed partition shows.
-            let with_silent = number % SILENT_EVERY == 1 || is_urgent;
-            let all = state.peers.all().map(|it| it.inner);
-            if with_silent { all.collect() } else { alive }
-        };
-        for peer in peers {
-            // Datagrams may be lost anyway; the next one holds all that this one says.
-            let _ = socket.try_send_to(&bytes, peer);
-        }
-        last_told = Some((Instant::now(), notice));
+        tokio::time::sleep(TELL_NEAR_INTERVAL).await;
+    }
+}
+
+fn send_notice(shared: &EntryShared, socket: &UdpSocket, notice: &EntryNotice, tells_all: bool) {
+    let message = FleetMessage::Entry(notice.clone());
+    let bytes = postcard::to_allocvec(&message).expect("a notice is always encodable");
+    let zone = &shared.settings.zone;
+    let state = shared.state();
+    // Silent ones are told with all others, so that a healed partition shows.
+    let peers: Vec<SocketAddr> = if tells_all {
+        state.peers.all().map(|it| it.inner).collect()
+    } else {
+        let alive = state.peers.alive(Instant::now());
+        alive
+            .filter(|it| it.zone == *zone)
+            .map(|it| it.inner)
+            .collect()
+    };
+    drop(state);
+    for peer in peers {
+        // Datagrams may be lost anyway; the next one holds all that this one says.
+        let _ = socket.try_send_to(&bytes, peer);
     }
 }
 
@@ -212,14 +223,15 @@
     }
 }
 
-/// Least time between two messages; shorter than the time in which a replica's load changes (one pass, 50 ms or more).
-const TELL_INTERVAL: Duration = Duration::from_millis(100);
+/// Least time between two messages to entries of the own zone; a few requests of the zone arrive in it.
+const TELL_NEAR_INTERVAL: Duration = Duration::from_millis(15);
 
-/// Longest time between two messages.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Least time between two messages to all entries; about the time in which a replica's load changes (one pass, 50 ms or
+/// more), a few times.
+const TELL_ALL_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Every how many messages silent entries are told too.
-const SILENT_EVERY: u64 = 5;
+/// Longest time between two messages to all entries.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time after which the list of entries is read again, for those that a partition hid at the start.
 const RELIST_INTERVAL: Duration = Duration::from_secs(30);
