--- a/crates/fulmarline/src/command_line.rs
+++ b/crates/fulmarline/src/command_line.rs
@@ -18,12 +18,12 @@
         default cmd overview {}
         /// Runs an entry until SIGTERM or SIGINT asks for a planned stop.
         cmd entry {
-            /// The settings file; without it the platform's, which FULMARLINE_BOOT names.
+            /// The settings file; without it the one that the platform names.
             optional --settings settings: PathBuf
         }
         /// Runs the agent of a target host until SIGTERM or SIGINT asks for a planned stop.
         cmd agent {
-            /// The settings file; without it the platform's, which FULMARLINE_BOOT names.
+            /// The settings file; without it the one that the platform names.
             optional --settings settings: PathBuf
         }
         /// Asks an entry and gives it commands; without --execute and --file it shows a prompt.
--- a/crates/fulmarline/tests/platform_path.rs
+++ b/crates/fulmarline/tests/platform_path.rs
@@ -3,7 +3,8 @@
 #[path = "support/site.rs"]
 mod site;
 
-use std::process::Command;
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use httpio::{Method, StatusCode};
@@ -345,3 +346,56 @@
         ],
     );
 }
+
+/// Floods an entry whose standard output nobody reads: every request is answered, and every line is written or counted.
+#[test]
+fn a_reader_of_logs_that_stalls_holds_no_request_up() {
+    const CALLERS: usize = 4;
+    const CALLS: usize = 400;
+    let mut site = TestSite::start("platform-flood", 51, &[]);
+    site.entries[1].kill();
+    let mut entry = Command::new(env!("CARGO_BIN_EXE_fulmarline"))
+        .arg("entry")
+        .env("FULMARLINE_BOOT", site.settings_file("edge-1"))
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    site.wait("the entry", |it| {
+        (it.ready(1) == Some(StatusCode::OK)).then_some(())
+    });
+    let unknown_key = |id: &str| {
+        let answer = site
+            .call(1, Method::GET, "/lookup/1", id, "no-key")
+            .expect("an answer");
+        assert_eq!(answer.status, StatusCode::UNAUTHORIZED);
+    };
+    std::thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            scope.spawn(move || {
+                for call in 0..CALLS {
+                    unknown_key(&format!("flood-{caller}-{call}"));
+                }
+            });
+        }
+    });
+    // The next window of the budget tells of the last one.
+    std::thread::sleep(Duration::from_millis(1100));
+    unknown_key("flood-last");
+
+    let mut written = 0;
+    let mut suppressed = 0;
+    for line in BufReader::new(entry.stdout.take().unwrap()).lines() {
+        let line: serde_json::Value = serde_json::from_str(&line.unwrap()).unwrap();
+        match line["msg"].as_str().unwrap() {
+            "request ended" => written += 1,
+            "lines suppressed" => suppressed += line["failed"].as_u64().unwrap(),
+            _ => {}
+        }
+        if line["request"] == "flood-last" {
+            break;
+        }
+    }
+    entry.kill().unwrap();
+    entry.wait().unwrap();
+    assert_eq!(written + suppressed, (CALLERS * CALLS + 1) as u64);
+}
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -140,6 +140,11 @@
         ChildProcess::start_on_platform(binary, role, &file, &self.log_file(name)).unwrap()
     }
 
+    /// Returns the settings file of a machine's process.
+    pub fn settings_file(&self, name: &str) -> PathBuf {
+        self.dir.join(format!("{name}.toml"))
+    }
+
     /// Returns the file that a machine's process logs into.
     pub fn log_file(&self, name: &str) -> PathBuf {
         self.dir.join(format!("{name}.log"))
--- a/crates/ingress/src/catalog_loop.rs
+++ b/crates/ingress/src/catalog_loop.rs
@@ -148,4 +148,4 @@
 const FEED_WAIT: Duration = Duration::from_millis(2500);
 
 /// Pause that gathers changes which come together into one call; well below the bound on draining (2 s).
-const GATHER_TIME: Duration = Duration::from_millis(200);
+const GATHER_TIME: Duration = Duration::from_millis(500);
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -125,7 +125,7 @@
     metrics
         .config_version
         .set(i64::try_from(version).unwrap_or(i64::MAX));
-    let suppressed = shared.lines.suppressed_total();
+    let suppressed = shared.lines().suppressed_total();
     metrics
         .lines_dropped
         .set(i64::try_from(suppressed).unwrap_or(i64::MAX));
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -6,16 +6,15 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fleet::{
-    ConfigFreshness, HealthTable, LoadBoard, PeerRecord, PeerTable, RepeatBudget, ReplicaCatalog,
-    RouteTable, VersionTable,
+    ConfigFreshness, HealthTable, LineBudget, LineKind, LoadBoard, PeerRecord, PeerTable,
+    RepeatBudget, ReplicaCatalog, RouteTable, VersionTable,
 };
 use httpio::HttpClient;
 use platform::{NodeSettings, StoreClient};
-use slog::Logger;
+use slog::{Logger, warn};
 use tokio::sync::Notify;
 
 use crate::entry_metrics::EntryMetrics;
-use crate::line_budget::{LineBudget, LineKind};
 
 /// The state of one entry. All tasks run on one thread, so the lock is never contended.
 #[derive(Debug)]
@@ -48,7 +47,7 @@
     pub(crate) incarnation: u64,
     pub(crate) log: Logger,
     pub(crate) metrics: EntryMetrics,
-    pub(crate) lines: LineBudget,
+    lines: Mutex<LineBudget>,
     pub(crate) store: StoreClient,
     pub(crate) replicas: HttpClient,
     /// Wakes the task that tells other entries of a change that cannot wait.
@@ -85,7 +84,7 @@
             front,
             incarnation,
             metrics: EntryMetrics::new()?,
-            lines: LineBudget::new(Instant::now()),
+            lines: Mutex::new(LineBudget::new(Instant::now())),
             store,
             replicas,
             news: Notify::new(),
@@ -107,9 +106,20 @@
         })
     }
 
+    /// Locks the budget of lines; never held across an await.
+    pub(crate) fn lines(&self) -> MutexGuard<'_, LineBudget> {
+        self.lines
+            .lock()
+            .expect("no holder of the lines' lock panics")
+    }
+
     /// Says whether a line of `kind` about a request may be written now.
     pub(crate) fn may_log(&self, kind: LineKind) -> bool {
-        self.lines.allows(kind, Instant::now(), &self.log)
+        let decision = self.lines().take(kind, Instant::now());
+        if let Some([served, failed]) = decision.suppressed_before {
+            warn!(self.log, "lines suppressed"; "served" => served, "failed" => failed);
+        }
+        decision.allowed
     }
 
     /// Locks the state; never held across an await.
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -5,14 +5,15 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{ApiTenant, CallKind, ChoiceRequest, ChosenReplica, NoReplica, Route, RouteTable};
+use fleet::{
+    ApiTenant, CallKind, ChoiceRequest, ChosenReplica, LineKind, NoReplica, Route, RouteTable,
+};
 use httpio::{HeaderMap, HeaderValue, Incoming, Method, ReplyBody, Request, Response, header};
 use platform::RequestFacts;
 use rand::RngExt;
 use slog::info;
 
 use crate::entry_shared::EntryShared;
-use crate::line_budget::LineKind;
 use crate::refusal::Refusal;
 use crate::replica_send::{NotRunReason, SendEnd};
 use crate::{boot_clock, stop, stream_relay, whole_relay};
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -12,7 +12,6 @@
 mod entry_shared;
 mod flight_guard;
 mod front;
-mod line_budget;
 mod peer_loop;
 mod refusal;
 mod replica_send;
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -4,14 +4,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{CallKind, ChosenReplica, ReplicaOutcome};
+use fleet::{CallKind, ChosenReplica, LineKind, ReplicaOutcome};
 use httpio::{ClientError, HttpReply, Request, StatusCode};
 use platform::{ReplicaAnswer, SendFacts};
 use slog::info;
 
 use crate::entry_shared::EntryShared;
 use crate::front::ClientCall;
-use crate::line_budget::LineKind;
 
 /// What came of a send.
 #[derive(Debug)]
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{ChosenReplica, ReplicaOutcome, StreamCursor};
+use fleet::{ChosenReplica, LineKind, ReplicaOutcome, StreamCursor};
 use http_body_util::BodyExt;
 use httpio::{BodySender, HttpReply, Incoming, Response};
 use platform::ReplicaAnswer;
@@ -14,7 +14,6 @@
 use crate::entry_shared::EntryShared;
 use crate::flight_guard::FlightGuard;
 use crate::front::{ClientCall, RelayEnd, choose, may_send_again};
-use crate::line_budget::LineKind;
 use crate::replica_send::{SendEnd, send};
 
 /// A replica's part of a stream.
--- a/crates/ingress/src/whole_relay.rs
+++ b/crates/ingress/src/whole_relay.rs
@@ -2,14 +2,13 @@
 
 use std::sync::Arc;
 
-use fleet::ChosenReplica;
+use fleet::{ChosenReplica, LineKind};
 use httpio::{Response, StatusCode};
 use slog::info;
 
 use crate::entry_shared::EntryShared;
 use crate::flight_guard::FlightGuard;
 use crate::front::{ClientCall, RelayEnd, may_send_again};
-use crate::line_budget::LineKind;
 use crate::replica_send::{SendEnd, send};
 
 /// Sends `call` to `chosen` and reads the whole answer, so that a broken one never reaches the client.
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -147,7 +147,7 @@
 
 /// Time that the store holds a question for changes. Agents enforce no bound on the age of the configuration, so only a
 /// connection that went silent has to be noticed, well within the bound on declared weights (8 s).
-const FEED_WAIT: Duration = Duration::from_millis(4000);
+const FEED_WAIT: Duration = Duration::from_millis(6000);
 
 /// First pause after a failed call.
 const FIRST_RETRY: Duration = Duration::from_millis(100);
