No idle connections to the origin, and few agents ask it for the manifest

Cause: 68 agents kept idle connections to an origin that accepts 48, so that it reset the next ones; all fell back to it for the manifest at once.

--- a/crates/fleet/src/fetch_plan.rs
+++ b/crates/fleet/src/fetch_plan.rs
@@ -107,10 +107,17 @@
             .filter(|it| it.region == self.region && it.address != self.own);
         let mut sources = vec![PieceSource::Fetcher(first.address)];
         sources.extend(near.take(1).map(|it| PieceSource::Fetcher(it.address)));
-        sources.push(PieceSource::Origin);
+        if self.asks_origin() {
+            sources.push(PieceSource::Origin);
+        }
         sources
     }
 
+    /// Says whether this agent is one of those that fetch from the origin in turn.
+    fn asks_origin(&self) -> bool {
+        (0..self.origin_clients).any(|it| self.origin_client(it, |_| true) == Some(self.own))
+    }
+
     /// Returns this agent's place among all, in 0..1; neighbours in place are in different regions where possible.
     pub fn turn(&self) -> f64 {
         let mut places: Vec<_> = self
--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -22,6 +22,7 @@
     connect_timeout: time::Duration,
     /// Time after which a connection whose bytes are not acknowledged is given up by the operating system.
     silence_timeout: Option<time::Duration>,
+    max_idle: time::Duration,
     idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
@@ -74,6 +75,7 @@
             local,
             connect_timeout,
             silence_timeout: None,
+            max_idle: MAX_IDLE,
             idle: Arc::default(),
         }
     }
@@ -87,6 +89,13 @@
         self
     }
 
+    /// Closes every connection after its answer, for a server that accepts few of them.
+    #[must_use]
+    pub fn without_idle_connections(mut self) -> Self {
+        self.max_idle = time::Duration::ZERO;
+        self
+    }
+
     /// Sends `request` to `address` and returns the head of the answer.
     ///
     /// The URI of the request must be in origin form (`/path?query`); the `Host` header is added.
@@ -172,7 +181,7 @@
         address: SocketAddr,
         max_idle: time::Duration,
     ) {
-        if sender.is_closed() {
+        if sender.is_closed() || self.max_idle.is_zero() {
             return;
         }
         let mut idle = self
@@ -183,7 +192,7 @@
         if connections.len() < MAX_IDLE_PER_ADDRESS {
             connections.push(IdleConnection {
                 sender,
-                expires: time::Instant::now() + max_idle.min(MAX_IDLE),
+                expires: time::Instant::now() + max_idle.min(self.max_idle),
             });
         }
     }
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -50,8 +50,10 @@
     pub(crate) store: StoreClient,
     pub(crate) replica_address: SocketAddr,
     pub(crate) replica: ReplicaApi,
-    /// Client for other agents and the origin.
+    /// Client for other agents.
     pub(crate) sources: HttpClient,
+    /// Client for the origin, whose few connections all agents share.
+    pub(crate) origin: HttpClient,
     /// Wakes the task that brings weights to the replica.
     pub(crate) wanted: Notify,
     /// Wakes the task that tells entries what serves.
@@ -82,6 +84,7 @@
             replica_address,
             replica: ReplicaApi::new(client(), replica_address, REPLICA_TIMEOUT),
             sources: client(),
+            origin: client().without_idle_connections(),
             upload_pace: LinkPace::new(settings.link_mbps),
             download_pace: LinkPace::new(settings.link_mbps),
             wanted: Notify::new(),
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -355,7 +355,7 @@
     };
     let mut last = FetchError::Absent;
     for origin in &target.origins {
-        let api = WeightApi::new(shared.sources.clone(), *origin, PIECE_TIMEOUT);
+        let api = WeightApi::new(shared.origin.clone(), *origin, PIECE_TIMEOUT);
         match api.piece(&target.model, target.version, index).await {
             Ok(bytes) => return Ok(bytes),
             Err(platform::CallError::Status(status)) if status == StatusCode::GONE => {
@@ -373,7 +373,7 @@
 ) -> Result<PieceManifest, String> {
     let mut last = "no origin is configured".to_owned();
     for origin in &target.origins {
-        let api = WeightApi::new(shared.sources.clone(), *origin, PIECE_TIMEOUT);
+        let api = WeightApi::new(shared.origin.clone(), *origin, PIECE_TIMEOUT);
         match api.manifest(&target.model, target.version).await {
             Ok(manifest) if manifest.version == target.version => return Ok(manifest),
             Ok(manifest) => last = format!("the origin sent version {}", manifest.version),
--- a/crates/stager/src/piece_server.rs
+++ b/crates/stager/src/piece_server.rs
@@ -165,7 +165,7 @@
 
 /// Time for which a question is held while the manifest is on its way; an agent that has not heard of the version by
 /// then most likely cannot reach the store.
-const MANIFEST_WAIT: Duration = Duration::from_millis(800);
+const MANIFEST_WAIT: Duration = Duration::from_millis(1200);
 
 /// Time for which a question for a piece that is still on its way is held. The asker takes silence beyond it as loss, so
 /// it is short; it is no shorter, because every question costs bytes.
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -5,6 +5,7 @@
 
 use fleet::LoadedModel;
 use platform::{CallError, LoadOrder, OrderReply, ReplicaReport};
+use rand::RngExt;
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, WeightTarget};
@@ -45,7 +46,8 @@
         bring(&shared, &target, &report, &pauses).await;
         // Look again at once: the order has begun, or something is missing.
         shared.wanted.notify_one();
-        tokio::time::sleep(RETRY_PAUSE).await;
+        let jitter = rand::rng().random_range(1.0..3.0);
+        tokio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
     }
 }
 
@@ -277,7 +279,8 @@
 /// Time between looks at the replica, which are free of charge on its own machine.
 const LOOK_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Pause before the next try, and before the first look after an order.
+/// Least pause before the next try, and before the first look after an order; up to three times as long, so that agents
+/// that fail together do not come back together.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Time that is kept before the bound on a switch: the wait of a request that entries allow for (0.9 s), and part of the
