--- a/crates/fleet/src/fleet_message.rs
+++ b/crates/fleet/src/fleet_message.rs
@@ -15,6 +15,17 @@
     Entry(EntryNotice),
     /// From an agent to entries.
     Agent(AgentNotice),
+    /// From an entry to the agents of its zone: the newest declared version of each model.
+    Weights(Vec<DeclaredWeights>),
+}
+
+/// The newest declared version of a model.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeclaredWeights {
+    /// Model.
+    pub model: String,
+    /// Declared version.
+    pub version: u64,
 }
 
 /// An entry tells that it lives, and what it has in progress.
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -52,7 +52,9 @@
     pub(crate) replicas: HttpClient,
     /// Wakes the task that tells other entries of a change that cannot wait.
     pub(crate) news: Notify,
-    /// Wakes the same task when this entry's load on a replica has changed.
+    /// Wakes the task that tells agents of declared weights.
+    pub(crate) declared: Notify,
+    /// Wakes the first task when this entry's load on a replica has changed.
     pub(crate) load_changed: Notify,
     stopping: Mutex<Option<Instant>>,
     state: Mutex<EntryState>,
@@ -89,6 +91,7 @@
             replicas,
             news: Notify::new(),
             load_changed: Notify::new(),
+            declared: Notify::new(),
             stopping: Mutex::new(None),
             state: Mutex::new(EntryState {
                 routes: None,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -4,6 +4,7 @@
 //! Decisions are made in `fleet`, names and formats of the platform are in `platform`. The crate must not know either's
 //! insides, nor anything of agents beyond their datagrams.
 
+mod agent_loop;
 mod boot_clock;
 mod catalog_loop;
 mod config_loop;
@@ -94,6 +95,7 @@
 
     tokio::spawn(config_loop::run(shared.clone()));
     tokio::spawn(catalog_loop::run(shared.clone()));
+    tokio::spawn(agent_loop::run(shared.clone()));
     peer_loop::start(&shared).await?;
     info!(log, "started"; "front" => front.address().to_string(), "pid" => std::process::id());
 
--- a/crates/ingress/src/peer_loop.rs
+++ b/crates/ingress/src/peer_loop.rs
@@ -167,6 +167,9 @@
         match postcard::from_bytes(&buffer[..length]) {
             Ok(FleetMessage::Entry(notice)) => heard_entry(&shared, notice, &mut numbers),
             Ok(FleetMessage::Agent(notice)) => heard_agent(&shared, &notice),
+            Ok(FleetMessage::Weights(_)) => {
+                warn!(shared.log, "datagram for an agent skipped"; "from" => from.to_string());
+            }
             Err(err) => {
                 warn!(shared.log, "datagram skipped"; "from" => from.to_string(), "error" => err.to_string());
             }
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -1,5 +1,6 @@
 //! What all tasks of an agent share.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -33,6 +34,10 @@
 pub(crate) struct AgentState {
     /// Weights that are wanted; `None` until the configuration was read.
     pub(crate) target: Option<WeightTarget>,
+    /// Newest declared version of each model, as entries told.
+    pub(crate) told: BTreeMap<String, u64>,
+    /// When an entry last told of declared versions.
+    pub(crate) told_at: Option<Instant>,
     /// Pieces that are staged at the replica.
     pub(crate) book: PieceBook,
     /// Whether missing pieces are being fetched, so that others may wait for them.
@@ -56,6 +61,8 @@
     pub(crate) origin: HttpClient,
     /// Wakes the task that brings weights to the replica.
     pub(crate) wanted: Notify,
+    /// Wakes the task that follows declarations.
+    pub(crate) told: Notify,
     /// Wakes the task that tells entries what serves.
     pub(crate) served: Notify,
     /// Wakes requests that wait for a piece.
@@ -89,6 +96,7 @@
             download_pace: LinkPace::new(settings.link_mbps),
             wanted: Notify::new(),
             served: Notify::new(),
+            told: Notify::new(),
             arrived: Notify::new(),
             uploads: Semaphore::new(MAX_UPLOADS),
             downloads: Semaphore::new(MAX_DOWNLOADS),
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -19,6 +19,16 @@
     let mut table: Option<RouteTable> = None;
     let mut versions: BTreeMap<String, u64> = BTreeMap::new();
     loop {
+        if since.is_some() && is_told(&shared) {
+            for (model, version) in &shared.state().told {
+                let known = versions.entry(model.clone()).or_default();
+                *known = (*version).max(*known);
+            }
+            aim(&shared, table.as_ref(), &versions);
+            // A message and its absence lead to the same look.
+            let _ = tokio::time::timeout(TOLD_LIFETIME, shared.told.notified()).await;
+            continue;
+        }
         let result = match since {
             None => shared.store.read_table(OPERATOR_TABLE).await.map(Some),
             Some(version) => match shared
@@ -65,6 +75,14 @@
     }
 }
 
+/// Says whether entries tell of declarations, so that the store need not be asked.
+fn is_told(shared: &AgentShared) -> bool {
+    shared
+        .state()
+        .told_at
+        .is_some_and(|it| it.elapsed() < TOLD_LIFETIME)
+}
+
 fn take(
     key: &str,
     bytes: &[u8],
@@ -142,6 +160,9 @@
 /// Connections of an origin that states no bound; that of the deployments that were described.
 const DEFAULT_CONNECTIONS: u32 = 48;
 
+/// Silence of entries after which the store is asked again; three of their messages.
+const TOLD_LIFETIME: Duration = Duration::from_millis(2200);
+
 /// Version of weights before any was declared.
 const FIRST_VERSION: u64 = 1;
 
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -6,6 +6,7 @@
 mod agent_metrics;
 mod agent_shared;
 mod config_loop;
+mod declared_loop;
 mod link_pace;
 mod notice_loop;
 mod piece_book;
@@ -64,6 +65,7 @@
     metrics.serve(move |_, _| agent_metrics::answer(for_metrics.clone()))?;
 
     tokio::spawn(config_loop::run(shared.clone()));
+    tokio::spawn(declared_loop::run(shared.clone()));
     tokio::spawn(notice_loop::run(shared.clone()));
     tokio::spawn(weight_loop::run(shared.clone()));
     info!(shared.log, "started"; "pid" => std::process::id());
