--- a/crates/ingress/src/catalog_loop.rs
+++ b/crates/ingress/src/catalog_loop.rs
@@ -7,7 +7,6 @@
 use platform::{REPLICA_TABLE, RowChange, RowPage};
 use slog::{debug, info, warn};
 
-use crate::config_loop::retry_pause;
 use crate::entry_shared::EntryShared;
 
 /// Follows the entries for as long as the process lives.
@@ -60,7 +59,7 @@
                 count(&shared, "failed");
                 failures += 1;
                 shared.state().catalog.note_outage();
-                tokio::time::sleep(retry_pause(failures)).await;
+                tokio::time::sleep(fleet::retry_pause(failures, rand::random())).await;
             }
         }
     }
--- /dev/null
+++ b/crates/ingress/src/client_call.rs
@@ -0,0 +1,146 @@
+//! A client's request: its route, its key, its limits and its whole body.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use fleet::{ApiTenant, CallKind, Route, RouteTable};
+use httpio::{HeaderMap, Incoming, Method, Request, header};
+use platform::RequestFacts;
+use rand::RngExt;
+
+use crate::boot_clock;
+use crate::entry_shared::EntryShared;
+use crate::refusal::Refusal;
+
+/// A client's request, read whole.
+#[derive(Debug)]
+pub(crate) struct ClientCall {
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) facts: RequestFacts,
+    pub(crate) table: Arc<RouteTable>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: String,
+    pub(crate) tenant: Option<Arc<ApiTenant>>,
+    pub(crate) method: Method,
+    pub(crate) target: http::Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    sends: AtomicU32,
+}
+
+impl ClientCall {
+    /// Returns the id for logs.
+    pub(crate) fn id(&self) -> &str {
+        self.facts.id.as_deref().unwrap_or("")
+    }
+
+    /// Returns the time until the client or the route gives up.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns the number of replicas that the request was sent to.
+    pub(crate) fn sends(&self) -> u32 {
+        self.sends.load(Ordering::Relaxed)
+    }
+
+    /// Counts one more send.
+    pub(crate) fn note_send(&self) {
+        self.sends.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Says whether the client comes back with a request that cannot be on time any more.
+    ///
+    /// The route's timeout is the time that clients usually allow, so what is missing of it has passed already.
+    pub(crate) fn is_late(&self) -> bool {
+        let patience = self.facts.patience.unwrap_or(self.route.timeout);
+        self.route.timeout.saturating_sub(patience) > self.route.objective / 2
+    }
+}
+
+/// Finds the route and the tenant of a request and reads it whole.
+pub(crate) async fn read_call(
+    shared: &EntryShared,
+    request: Request<Incoming>,
+    arrived: Instant,
+) -> Result<ClientCall, Refusal> {
+    let facts = platform::request_facts(request.headers());
+    let (table, is_trusted, is_current) = {
+        let state = shared.state();
+        let now = boot_clock::now();
+        let table = state.routes.clone().ok_or(Refusal::NoConfig)?;
+        let is_current = state.freshness.age(now).is_some_and(|it| it < CURRENT_AGE);
+        (table, state.freshness.is_trusted(now), is_current)
+    };
+    let host = request
+        .headers()
+        .get(header::HOST)
+        .and_then(|it| it.to_str().ok())
+        .unwrap_or_default();
+    let path = request.uri().path();
+    // A refusal for good needs a configuration that is known to be the newest.
+    let unless_stale = |refusal| {
+        if is_current {
+            refusal
+        } else {
+            Refusal::NoConfig
+        }
+    };
+    let route = table
+        .find(host, path)
+        .ok_or_else(|| unless_stale(Refusal::NoRoute))?
+        .clone();
+    let tenant = match (table.keys().required() && !route.public, &facts.key) {
+        (false, key) => key.as_ref().and_then(|it| table.keys().tenant(it)).cloned(),
+        (true, _) if !is_trusted => return Err(Refusal::NoConfig),
+        (true, key) => {
+            let tenant = key.as_ref().and_then(|it| table.keys().tenant(it));
+            Some(
+                tenant
+                    .ok_or_else(|| unless_stale(Refusal::UnknownKey))?
+                    .clone(),
+            )
+        }
+    };
+    let (parts, body) = request.into_parts();
+    let patience = facts.patience.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrived + patience;
+    let max_bytes = table.limits().max_body_bytes;
+    let body = httpio::read_limited(body, max_bytes, patience)
+        .await
+        .map_err(|it| match it.kind() {
+            std::io::ErrorKind::InvalidData => Refusal::TooLarge,
+            std::io::ErrorKind::TimedOut => Refusal::Expired,
+            _ => Refusal::BadBody,
+        })?;
+    let service = route.target(rand::rng().random()).to_owned();
+    Ok(ClientCall {
+        arrived,
+        deadline,
+        facts,
+        service,
+        tenant,
+        method: parts.method,
+        target: parts.uri,
+        headers: parts.headers,
+        body,
+        table,
+        route,
+        sends: AtomicU32::new(0),
+    })
+}
+
+/// Returns the kind for logs and metrics.
+pub(crate) fn kind_label(kind: CallKind) -> &'static str {
+    match kind {
+        CallKind::Idempotent => "idempotent",
+        CallKind::NonIdempotent => "non_idempotent",
+        CallKind::Stream => "stream",
+    }
+}
+
+/// Age of the configuration up to which a route or key that it lacks does not exist.
+const CURRENT_AGE: Duration = Duration::from_millis(3000);
--- a/crates/ingress/src/config_loop.rs
+++ b/crates/ingress/src/config_loop.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use platform::{CONFIG_KEY, OPERATOR_TABLE, RowChange, StoredRow, VERSION_PREFIX};
-use rand::RngExt;
 use slog::{info, warn};
 
 use crate::boot_clock;
@@ -69,18 +68,12 @@
                 }
                 count(&shared, "failed");
                 failures += 1;
-                tokio::time::sleep(retry_pause(failures)).await;
+                tokio::time::sleep(fleet::retry_pause(failures, rand::random())).await;
             }
         }
     }
 }
 
-/// Returns the pause before the next try after `failures` in a row; jittered, because all entries fail together.
-pub(crate) fn retry_pause(failures: u32) -> Duration {
-    let base = FIRST_RETRY * 2_u32.pow(failures.min(3));
-    base.mul_f64(rand::rng().random_range(0.5..1.0))
-}
-
 fn apply(shared: &EntryShared, rows: &[StoredRow], known: Option<Instant>) {
     for row in rows {
         let Some(bytes) = &row.value else {
@@ -141,6 +134,3 @@
 
 /// Time for which the feed may have been deaf before its history was gone.
 const FEED_GAP: Duration = Duration::from_millis(1000);
-
-/// First pause after a failed call.
-const FIRST_RETRY: Duration = Duration::from_millis(100);
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -7,6 +7,7 @@
 mod agent_loop;
 mod boot_clock;
 mod catalog_loop;
+mod client_call;
 mod config_loop;
 mod directory;
 mod entry_metrics;
--- a/crates/ingress/src/peer_loop.rs
+++ b/crates/ingress/src/peer_loop.rs
@@ -11,7 +11,6 @@
 use slog::{info, warn};
 use tokio::net::UdpSocket;
 
-use crate::config_loop::retry_pause;
 use crate::entry_shared::EntryShared;
 
 /// Table of the store in which entries list themselves.
@@ -48,7 +47,7 @@
             Err(err) => {
                 warn!(shared.log, "registration failed"; "error" => err.to_string());
                 failures += 1;
-                tokio::time::sleep(retry_pause(failures)).await;
+                tokio::time::sleep(fleet::retry_pause(failures, rand::random())).await;
             }
         }
         if shared.is_stopping() {
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -9,8 +9,8 @@
 use platform::{ReplicaAnswer, SendFacts};
 use slog::info;
 
+use crate::client_call::ClientCall;
 use crate::entry_shared::EntryShared;
-use crate::front::ClientCall;
 
 /// What came of a send.
 #[derive(Debug)]
--- a/crates/ingress/src/stop.rs
+++ b/crates/ingress/src/stop.rs
@@ -8,8 +8,8 @@
 use platform::RowWrite;
 use slog::{info, warn};
 
+use crate::client_call::ClientCall;
 use crate::entry_shared::EntryShared;
-use crate::front::ClientCall;
 use crate::peer_loop::ENTRY_TABLE;
 
 /// Leaves the directory, serves clients that still hold the address, and waits for the last request.
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -11,9 +11,10 @@
 use platform::ReplicaAnswer;
 use slog::info;
 
+use crate::client_call::ClientCall;
 use crate::entry_shared::EntryShared;
 use crate::flight_guard::FlightGuard;
-use crate::front::{ClientCall, RelayEnd, choose, may_send_again};
+use crate::front::{RelayEnd, choose, may_send_again};
 use crate::replica_send::{SendEnd, send};
 
 /// A replica's part of a stream.
--- a/crates/ingress/src/whole_relay.rs
+++ b/crates/ingress/src/whole_relay.rs
@@ -6,9 +6,10 @@
 use httpio::{Response, StatusCode};
 use slog::info;
 
+use crate::client_call::ClientCall;
 use crate::entry_shared::EntryShared;
 use crate::flight_guard::FlightGuard;
-use crate::front::{ClientCall, RelayEnd, may_send_again};
+use crate::front::{RelayEnd, may_send_again};
 use crate::replica_send::{SendEnd, send};
 
 /// Sends `call` to `chosen` and reads the whole answer, so that a broken one never reaches the client.
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -7,7 +7,6 @@
 
 use fleet::RouteTable;
 use platform::{CONFIG_KEY, OPERATOR_TABLE, RowChange, VERSION_PREFIX};
-use rand::RngExt;
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, WeightTarget};
@@ -67,9 +66,8 @@
                     warn!(shared.log, "store lost"; "error" => err.to_string());
                 }
                 failures += 1;
-                let pause = FIRST_RETRY * 2_u32.pow(failures.min(3));
-                let jitter = rand::rng().random_range(0.5..1.0);
-                tokio::time::sleep(pause.mul_f64(jitter)).await;
+                let pause = fleet::retry_pause(failures, rand::random());
+                tokio::time::sleep(pause).await;
             }
         }
     }
@@ -169,6 +167,3 @@
 /// Time that the store holds a question for changes. Agents enforce no bound on the age of the configuration, so only a
 /// connection that went silent has to be noticed, well within the bound on declared weights (8 s).
 const FEED_WAIT: Duration = Duration::from_millis(6000);
-
-/// First pause after a failed call.
-const FIRST_RETRY: Duration = Duration::from_millis(100);
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -12,6 +12,7 @@
 mod piece_book;
 mod piece_fetch;
 mod piece_server;
+mod piece_source;
 mod source_pause;
 mod weight_loop;
 
