--- a/crates/fleet/src/stream_cursor.rs
+++ b/crates/fleet/src/stream_cursor.rs
@@ -21,7 +21,6 @@
 pub struct StreamCursor {
     buffer: Vec<u8>,
     last_id: Option<u64>,
-    saw_whole_event: bool,
 }
 
 impl StreamCursor {
@@ -30,7 +29,6 @@
         Self {
             buffer: Vec::new(),
             last_id,
-            saw_whole_event: false,
         }
     }
 
@@ -39,11 +37,6 @@
         self.last_id
     }
 
-    /// Says whether any event was passed on.
-    pub fn has_events(&self) -> bool {
-        self.saw_whole_event
-    }
-
     /// Says whether bytes of an unfinished event are held back.
     pub fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
@@ -80,7 +73,6 @@
             }
             self.last_id = Some(id);
         }
-        self.saw_whole_event = true;
         Ok(Some(EventPiece { bytes: whole }))
     }
 }
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -1,11 +1,13 @@
 //! One send of a request to one replica, up to the head of the answer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use fleet::{CallKind, ChosenReplica, LineKind, ReplicaOutcome};
-use httpio::{ClientError, HttpReply, Request, StatusCode};
+use httpio::{ClientError, HttpReply, ReplyBody, Request, StatusCode};
+use hyper::client::conn::http1::SendRequest;
 use platform::{ReplicaAnswer, SendFacts};
 use slog::info;
 
@@ -80,6 +82,21 @@
     end
 }
 
+/// Returns the connection of an answer that was read to its end to the pool.
+pub(crate) fn recycle(
+    shared: &EntryShared,
+    sender: SendRequest<ReplyBody>,
+    address: SocketAddr,
+    facts: &ReplicaAnswer,
+) {
+    match facts.idle {
+        Some(idle) => shared
+            .replicas
+            .recycle_for(sender, address, idle.mul_f64(IDLE_SHARE)),
+        None => shared.replicas.recycle(sender, address),
+    }
+}
+
 fn body(bytes: &Bytes) -> httpio::ReplyBody {
     if bytes.is_empty() {
         return httpio::empty();
@@ -156,3 +173,6 @@
         .with_label_values(&[label, repeat])
         .inc();
 }
+
+/// Share of a replica's idle time that a connection is kept, so that it is not used as it is being closed.
+const IDLE_SHARE: f64 = 0.6;
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -15,7 +15,7 @@
 use crate::entry_shared::EntryShared;
 use crate::flight_guard::FlightGuard;
 use crate::front::{RelayEnd, choose, may_send_again};
-use crate::replica_send::{SendEnd, send};
+use crate::replica_send::{SendEnd, recycle, send};
 
 /// A replica's part of a stream.
 struct StreamPart {
@@ -160,7 +160,8 @@
                 if !bytes.is_empty() {
                     pass_on(&sender, bytes).await;
                 }
-                recycle(&shared, part);
+                let (_, connection, address) = part.reply.into_parts();
+                recycle(&shared, connection, address, &part.facts);
                 break "complete";
             }
             PartEvent::Broken(why) => {
@@ -282,16 +283,6 @@
         .is_ok()
 }
 
-fn recycle(shared: &EntryShared, part: StreamPart) {
-    let (_, sender, address) = part.reply.into_parts();
-    match part.facts.idle {
-        Some(idle) => shared
-            .replicas
-            .recycle_for(sender, address, idle.mul_f64(IDLE_SHARE)),
-        None => shared.replicas.recycle(sender, address),
-    }
-}
-
 fn note_first_event(shared: &EntryShared, call: &ClientCall, part: &mut StreamPart) {
     part.guard.first_event();
     let observed = part.sent.elapsed().as_secs_f64();
@@ -379,6 +370,3 @@
 
 /// Time that must be left for a stream to be worth resuming.
 const MIN_RESUME_TIME: Duration = Duration::from_millis(100);
-
-/// Share of a replica's idle time that a connection is kept, so that it is not used as it is being closed.
-const IDLE_SHARE: f64 = 0.6;
--- a/crates/ingress/src/whole_relay.rs
+++ b/crates/ingress/src/whole_relay.rs
@@ -10,7 +10,7 @@
 use crate::entry_shared::EntryShared;
 use crate::flight_guard::FlightGuard;
 use crate::front::{RelayEnd, may_send_again};
-use crate::replica_send::{SendEnd, send};
+use crate::replica_send::{SendEnd, recycle, send};
 
 /// Sends `call` to `chosen` and reads the whole answer, so that a broken one never reaches the client.
 pub(crate) async fn relay(
@@ -48,13 +48,7 @@
             return RelayEnd::Unknown;
         }
     };
-    if let Some(idle) = facts.idle {
-        shared
-            .replicas
-            .recycle_for(sender, address, idle.mul_f64(IDLE_SHARE));
-    } else {
-        shared.replicas.recycle(sender, address);
-    }
+    recycle(shared, sender, address, &facts);
     let is_failure = status == StatusCode::INTERNAL_SERVER_ERROR;
     if is_failure && call.route.may_repeat() && may_send_again(shared, call, true) {
         // The budget was taken here; the caller's loop must not take it twice.
@@ -88,6 +82,3 @@
 
 /// Bytes of an answer that is read whole; answers of plain services are a few kilobytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-
-/// Share of a replica's idle time that a connection is kept, so that it is not used as it is being closed.
-const IDLE_SHARE: f64 = 0.6;
