Weights: manifest down a tree, holders in turn, stand-ins at the origin by rank

Newcomers asked the same holder for every piece whose turn fell to an agent without weights. Then all agents turned to the origin, which refused the one that the others waited for: no replica had version 2 or 3 when the older ones expired.

Manifests go down a tree of four in postcard, holders take turns among themselves, and an agent goes to the origin after as many rounds as agents rank before it. Three tests fail on the earlier plan.

--- a/crates/fleet/src/fetch_plan.rs
+++ b/crates/fleet/src/fetch_plan.rs
@@ -70,11 +70,13 @@
         let near = self.ranked_in(&self.region, index, |_| true);
         let all = self.ranked(index, |_| true);
         let mut sources = Vec::new();
-        for ranking in [&near, &all] {
-            let complete = ranking
-                .iter()
-                .filter(|it| it.complete && it.address != self.own);
-            for holder in complete.take(MAX_RANKS) {
+        // Agents that start together ask different holders for the same piece.
+        let turn = index + self.own_position();
+        let is_source = |it: &PieceHolder| it.complete && it.address != self.own;
+        let complete_near = self.ranked_in(&self.region, turn, is_source);
+        let complete = self.ranked(turn, is_source);
+        for ranking in [&complete_near, &complete] {
+            for holder in ranking.iter().take(MAX_RANKS) {
                 push_new(&mut sources, PieceSource::Holder(holder.address));
             }
         }
@@ -90,24 +92,38 @@
         sources
     }
 
+    /// Returns how many rounds through the other sources of piece `index` come before this agent turns to the origin.
+    ///
+    /// The origin carries little more than one copy at a time. When agents are lost, the next in rank stands in for them;
+    /// if all did at once, the origin would refuse the one that all others wait for.
+    pub fn rounds_before_origin(&self, index: usize) -> usize {
+        self.before_own(&self.ranked(index, |_| true)).len()
+    }
+
     /// Returns the sources of the manifest in the order in which they are to be tried.
     ///
-    /// Agents whose replica serves the version are asked first; one of them, or of all where there are none, takes it
-    /// from the origin.
+    /// One agent takes it from the origin, one agent of each other region from that one, and inside a region it goes down
+    /// a tree, since the uplink of one agent would carry many copies for long.
     pub fn manifest_sources(&self) -> Vec<PieceSource> {
         let has_complete = self.holders.iter().any(|it| it.complete);
-        let mut list = self.ranked(MANIFEST_RANK, |it| it.complete || !has_complete);
-        if list.first().is_some_and(|it| it.address == self.own) {
+        let first = self.origin_client(MANIFEST_RANK, |it| it.complete || !has_complete);
+        if first == Some(self.own) {
             return vec![PieceSource::Origin];
         }
-        // Those nearby come first, behind the one that all others wait for.
-        let first = list.remove(0);
-        let near = list
-            .iter()
-            .filter(|it| it.region == self.region && it.address != self.own);
-        let mut sources = vec![PieceSource::Fetcher(first.address)];
-        sources.extend(near.take(1).map(|it| PieceSource::Fetcher(it.address)));
-        if self.asks_origin() {
+        let mut near = self.ranked_in(&self.region, MANIFEST_RANK, |_| true);
+        near.sort_by_key(|it| (Some(it.address) != first, !it.complete));
+        let place = near.iter().position(|it| it.address == self.own);
+        let mut place = place.unwrap_or(near.len());
+        let stands_in = place <= 1 || self.asks_origin();
+        let mut sources = Vec::new();
+        while place > 0 {
+            place = (place - 1) / MANIFEST_FANOUT;
+            sources.push(PieceSource::Fetcher(near[place].address));
+        }
+        if let Some(first) = first {
+            push_new(&mut sources, PieceSource::Fetcher(first));
+        }
+        if stands_in {
             sources.push(PieceSource::Origin);
         }
         sources
@@ -118,6 +134,11 @@
         (0..self.origin_clients).any(|it| self.origin_client(it, |_| true) == Some(self.own))
     }
 
+    fn own_position(&self) -> usize {
+        let own = self.holders.iter().position(|it| it.address == self.own);
+        own.unwrap_or(0)
+    }
+
     /// Returns this agent's place among all, in 0..1; neighbours in place are in different regions where possible.
     pub fn turn(&self) -> f64 {
         let mut places: Vec<_> = self
@@ -235,5 +256,8 @@
 /// Stands for the manifest where agents are ranked by piece.
 const MANIFEST_RANK: usize = 0;
 
+/// Agents that take the manifest from the same agent; it is small, so that a few copies hold up no pieces.
+const MANIFEST_FANOUT: usize = 4;
+
 /// Agents of one ranking that are asked before the next ranking or the origin; more are seldom lost at once.
 const MAX_RANKS: usize = 3;
--- a/crates/fleet/tests/fetch_plan.rs
+++ b/crates/fleet/tests/fetch_plan.rs
@@ -161,3 +161,68 @@
     let expected: Vec<f64> = (0..11).map(|it| f64::from(it) / 11.0).collect();
     assert_eq!(turns, expected);
 }
+
+/// Newcomers all asked the same holder for every piece whose turn fell to an agent without weights, and its uplink held up
+/// the transfer for seconds.
+#[test]
+fn newcomers_spread_over_the_holders_of_their_region() {
+    let mut holders = holders(&[23, 23, 22]);
+    for (index, holder) in holders.iter_mut().enumerate() {
+        holder.complete = index % 23 < 13;
+    }
+    let newcomers: Vec<_> = holders.iter().filter(|it| !it.complete).collect();
+    let mut sent: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for newcomer in &newcomers {
+        let plan = FetchPlan::new(
+            newcomer.address,
+            &newcomer.region,
+            holders.clone(),
+            ORIGIN_CLIENTS,
+        );
+        for index in 0..PIECES {
+            match plan.sources(index)[0] {
+                PieceSource::Holder(source) => *sent.entry(source).or_default() += 1,
+                source => panic!("piece {index} from {source:?}"),
+            }
+        }
+    }
+    let most = sent.values().max().copied().unwrap_or(0);
+    let even = newcomers.len() * PIECES / sent.len();
+    assert!(most <= even + even / 4, "one of them sends {most} pieces");
+}
+
+/// When agents were lost, all others turned to the origin at once; it refused the one that they waited for.
+#[test]
+fn few_agents_stand_in_at_the_origin() {
+    let holders = holders(&[23, 23, 22]);
+    let plans = plans(&holders);
+    let in_time = plans.iter().filter(|it| it.rounds_before_origin(7) <= 3);
+    assert_eq!(in_time.count(), 4);
+    let regions = 3;
+    for region in ["r0", "r1", "r2"] {
+        let of_region = holders.iter().zip(&plans).filter(|it| it.0.region == region);
+        let first = of_region.map(|it| it.1.rounds_before_origin(7)).min();
+        assert!(first <= Some(regions), "{region} waits {first:?} rounds");
+    }
+}
+
+/// One agent answered all others, which kept its uplink busy for most of a second.
+#[test]
+fn a_manifest_goes_down_a_tree() {
+    let holders = holders(&[23, 23, 22]);
+    let mut asked: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    let plans = plans(&holders);
+    for plan in &plans {
+        if let PieceSource::Fetcher(source) = plan.manifest_sources()[0] {
+            *asked.entry(source).or_default() += 1;
+        }
+    }
+    assert!(asked.values().all(|it| *it <= 6), "{asked:?}");
+    let at_origin = |it: &&FetchPlan| it.manifest_sources().contains(&PieceSource::Origin);
+    assert!(plans.iter().filter(at_origin).count() <= 6 + ORIGIN_CLIENTS);
+    for (holder, plan) in holders.iter().zip(&plans) {
+        // Each agent waits for others only, and the way up ends at the one that asks the origin.
+        let sources = plan.manifest_sources();
+        assert!(!sources.contains(&PieceSource::Fetcher(holder.address)));
+    }
+}
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -79,9 +79,12 @@
         };
         match fetched {
             Ok(manifest) => return Some(manifest),
-            Err(why) => {
-                info!(shared.log, "manifest not fetched"; "source" => format!("{source:?}"), "error" => why);
-                pause(pauses, source);
+            Err(err) => {
+                info!(shared.log, "manifest not fetched"; "source" => format!("{source:?}"), "error" => err.to_string());
+                // An agent that has no manifest yet may still have pieces later.
+                if matches!(err, piece_source::FetchError::Unreachable(_)) {
+                    pause(pauses, source);
+                }
             }
         }
     }
@@ -110,7 +113,7 @@
                 shared,
                 target,
                 manifest,
-                plan.sources(index),
+                (plan.sources(index), plan.rounds_before_origin(index)),
                 index,
                 pauses,
                 plan_ends,
@@ -130,7 +133,7 @@
     shared: &AgentShared,
     target: &WeightTarget,
     manifest: &PieceManifest,
-    sources: Vec<PieceSource>,
+    (sources, rounds_before_origin): (Vec<PieceSource>, usize),
     index: usize,
     pauses: &SourcePause,
     plan_ends: Instant,
@@ -138,8 +141,7 @@
     let mut round = 0;
     loop {
         for source in &sources {
-            // The origin is slow for all when many turn to it because others are still starting.
-            if *source == PieceSource::Origin && round == 0 && sources.len() > 1 {
+            if *source == PieceSource::Origin && round < rounds_before_origin {
                 continue;
             }
             if !piece_source::is_wanted(shared, target) || Instant::now() > plan_ends {
--- a/crates/stager/src/piece_server.rs
+++ b/crates/stager/src/piece_server.rs
@@ -144,7 +144,7 @@
     })
     .await?;
     let manifest = shared.state().book.manifest(model, version)?.clone();
-    serde_json::to_vec(&*manifest).ok()
+    postcard::to_allocvec(&*manifest).ok()
 }
 
 /// Waits for a while until `is_there`, or returns `None`.
--- a/crates/stager/src/piece_source.rs
+++ b/crates/stager/src/piece_source.rs
@@ -85,12 +85,13 @@
     shared: &AgentShared,
     target: &WeightTarget,
     address: SocketAddr,
-) -> Result<PieceManifest, String> {
+) -> Result<PieceManifest, FetchError> {
     let path = manifest_path(&target.model, target.version);
-    match ask(shared, address, &path, PIECE_TIMEOUT).await {
-        Ok((StatusCode::OK, bytes)) => serde_json::from_slice(&bytes).map_err(|it| it.to_string()),
-        Ok((status, _)) => Err(format!("status {status}")),
-        Err(err) => Err(err.to_string()),
+    match ask(shared, address, &path, READY_TIMEOUT).await? {
+        (StatusCode::OK, bytes) => {
+            postcard::from_bytes(&bytes).map_err(|it| FetchError::Unreachable(it.to_string()))
+        }
+        _ => Err(FetchError::Absent),
     }
 }
 
@@ -150,14 +151,17 @@
 pub(crate) async fn manifest_from_origin(
     shared: &AgentShared,
     target: &WeightTarget,
-) -> Result<PieceManifest, String> {
-    let mut last = "no origin is configured".to_owned();
+) -> Result<PieceManifest, FetchError> {
+    let mut last = FetchError::Absent;
     for origin in &target.origins {
         let api = WeightApi::new(shared.origin.clone(), *origin, PIECE_TIMEOUT);
         match api.manifest(&target.model, target.version).await {
             Ok(manifest) if manifest.version == target.version => return Ok(manifest),
-            Ok(manifest) => last = format!("the origin sent version {}", manifest.version),
-            Err(err) => last = err.to_string(),
+            Ok(manifest) => {
+                let why = format!("the origin sent version {}", manifest.version);
+                last = FetchError::Unreachable(why);
+            }
+            Err(err) => last = FetchError::Unreachable(err.to_string()),
         }
     }
     Err(last)
