Weights: agents of the origin's region fetch from it

The configuration tells the origin's zone, so its own region's agents are its clients. Test: agents_of_the_origins_region_fetch_from_it.

--- a/crates/fleet/src/fetch_plan.rs
+++ b/crates/fleet/src/fetch_plan.rs
@@ -24,6 +24,16 @@
     Fetcher(SocketAddr),
 }
 
+/// How the origin of the weights may be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OriginAccess {
+    /// Agents that fetch from it; it accepts few connections.
+    pub clients: usize,
+    /// Region that it is in, where that is known. Agents of that region fetch from it, so that its bytes cross no link between
+    /// regions but for the copies that other regions need.
+    pub region: Option<String>,
+}
+
 /// The order of sources for each piece, the same on every agent with the same view.
 ///
 /// Each piece has one agent that fetches it from the origin and one agent in each region that brings it there; all
@@ -34,17 +44,16 @@
     own: SocketAddr,
     region: String,
     holders: Vec<PieceHolder>,
-    origin_clients: usize,
+    origin: OriginAccess,
 }
 
 impl FetchPlan {
-    /// Plans for the agent at `own` among `holders`, which may contain it; at most `origin_clients` of them fetch from the
-    /// origin, which accepts few connections.
+    /// Plans for the agent at `own` among `holders`, which may contain it.
     pub fn new(
         own: SocketAddr,
         region: &str,
         holders: Vec<PieceHolder>,
-        origin_clients: usize,
+        origin: OriginAccess,
     ) -> Self {
         let mut holders = holders;
         if !holders.iter().any(|it| it.address == own) {
@@ -58,7 +67,7 @@
             own,
             region: region.to_owned(),
             holders,
-            origin_clients: origin_clients.max(1),
+            origin,
         }
     }
 
@@ -131,7 +140,7 @@
 
     /// Says whether this agent is one of those that fetch from the origin in turn.
     fn asks_origin(&self) -> bool {
-        (0..self.origin_clients).any(|it| self.origin_client(it, |_| true) == Some(self.own))
+        (0..self.origin.clients.max(1)).any(|it| self.origin_client(it, |_| true) == Some(self.own))
     }
 
     fn own_position(&self) -> usize {
@@ -225,14 +234,15 @@
         index: usize,
         keep: impl Fn(&PieceHolder) -> bool,
     ) -> Option<SocketAddr> {
-        let mut list: Vec<SocketAddr> = self
-            .holders
-            .iter()
-            .filter(|it| keep(it))
+        let near = |it: &PieceHolder| Some(&it.region) == self.origin.region.as_ref();
+        let kept = || self.holders.iter().filter(|it| keep(it));
+        let has_near = kept().any(near);
+        let mut list: Vec<SocketAddr> = kept()
+            .filter(|it| !has_near || near(it))
             .map(|it| it.address)
             .collect();
         list.sort_unstable();
-        let clients = self.origin_clients.min(list.len());
+        let clients = self.origin.clients.max(1).min(list.len());
         if clients == 0 {
             return None;
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use api_keys::{ApiTenant, KeyTable};
 pub use engine_profile::{BatchLoad, EngineProfile, RequestSize};
-pub use fetch_plan::{FetchPlan, PieceHolder, PieceSource};
+pub use fetch_plan::{FetchPlan, OriginAccess, PieceHolder, PieceSource};
 pub use fleet_message::{AgentNotice, DeclaredAge, DeclaredWeights, EntryNotice, FleetMessage};
 pub use freshness::ConfigFreshness;
 pub use line_budget::{LineBudget, LineDecision, LineKind};
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -64,10 +64,12 @@
 }
 
 /// A server that hands out manifests and pieces of weights.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct WeightOrigin {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Availability zone that it is in, where the configuration says so.
+    pub zone: Option<String>,
 }
 
 impl Route {
--- a/crates/fleet/tests/fetch_plan.rs
+++ b/crates/fleet/tests/fetch_plan.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use arbtest::arbitrary::{Result, Unstructured};
-use fleet::{FetchPlan, PieceHolder, PieceSource};
+use fleet::{FetchPlan, OriginAccess, PieceHolder, PieceSource};
 
 const PIECES: usize = 96;
 
@@ -37,10 +37,17 @@
     holders
 }
 
+fn origin(region: Option<&str>) -> OriginAccess {
+    OriginAccess {
+        clients: ORIGIN_CLIENTS,
+        region: region.map(str::to_owned),
+    }
+}
+
 fn plans(holders: &[PieceHolder]) -> Vec<FetchPlan> {
     holders
         .iter()
-        .map(|it| FetchPlan::new(it.address, &it.region, holders.to_vec(), ORIGIN_CLIENTS))
+        .map(|it| FetchPlan::new(it.address, &it.region, holders.to_vec(), origin(None)))
         .collect()
 }
 
@@ -133,7 +140,7 @@
     let mut holders = holders(&[3, 2]);
     holders[1].complete = true;
     holders[4].complete = true;
-    let plan = FetchPlan::new(holders[0].address, "r0", holders.clone(), ORIGIN_CLIENTS);
+    let plan = FetchPlan::new(holders[0].address, "r0", holders.clone(), origin(None));
     assert_eq!(plan.sources(5)[0], PieceSource::Holder(address(1)));
     assert_eq!(plan.sources(5)[1], PieceSource::Holder(address(4)));
 }
@@ -177,7 +184,7 @@
             newcomer.address,
             &newcomer.region,
             holders.clone(),
-            ORIGIN_CLIENTS,
+            origin(None),
         );
         for index in 0..PIECES {
             match plan.sources(index)[0] {
@@ -200,7 +207,10 @@
     assert_eq!(in_time.count(), 4);
     let regions = 3;
     for region in ["r0", "r1", "r2"] {
-        let of_region = holders.iter().zip(&plans).filter(|it| it.0.region == region);
+        let of_region = holders
+            .iter()
+            .zip(&plans)
+            .filter(|it| it.0.region == region);
         let first = of_region.map(|it| it.1.rounds_before_origin(7)).min();
         assert!(first <= Some(regions), "{region} waits {first:?} rounds");
     }
@@ -226,3 +236,21 @@
         assert!(!sources.contains(&PieceSource::Fetcher(holder.address)));
     }
 }
+
+/// Agents far from the origin fetched from it over links between regions that were full of other traffic.
+#[test]
+fn agents_of_the_origins_region_fetch_from_it() {
+    let holders = holders(&[8, 7, 4]);
+    for index in 0..PIECES {
+        for holder in &holders {
+            let plan = FetchPlan::new(
+                holder.address,
+                &holder.region,
+                holders.clone(),
+                origin(Some("r1")),
+            );
+            let is_client = plan.sources(index)[0] == PieceSource::Origin;
+            assert!(!is_client || holder.region == "r1");
+        }
+    }
+}
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -27,6 +27,8 @@
     pub(crate) origins: Vec<SocketAddr>,
     /// Connections that an origin accepts from all agents together.
     pub(crate) origin_connections: usize,
+    /// Region of the first origin, where that is known.
+    pub(crate) origin_region: Option<String>,
 }
 
 /// The state of one agent.
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -1,11 +1,10 @@
 //! Follows the operator's rows for the weights that the replica is to serve.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::RouteTable;
+use fleet::{RouteTable, WeightOrigin};
 use platform::{CONFIG_KEY, OPERATOR_TABLE, RowChange, VERSION_PREFIX};
 use slog::{info, warn};
 
@@ -123,22 +122,22 @@
     let declared = known
         .filter(|it| it.model == engine.model && it.version == version)
         .map_or_else(Instant::now, |it| it.declared);
-    let origins: Vec<(SocketAddr, usize)> = table
+    let origins: Vec<(&WeightOrigin, u32)> = table
         .services()
         .filter_map(|it| {
-            Some((
-                it.origin?.address,
-                it.max_connections.unwrap_or(DEFAULT_CONNECTIONS),
-            ))
+            let connections = it.max_connections.unwrap_or(DEFAULT_CONNECTIONS);
+            Some((it.origin.as_ref()?, connections))
         })
-        .map(|(address, connections)| (address, usize::try_from(connections).unwrap_or(usize::MAX)))
         .collect();
+    let connections = origins.iter().map(|it| it.1).min().unwrap_or(1);
+    let origin_zone = origins.first().and_then(|it| it.0.zone.as_ref());
     let target = WeightTarget {
         model: engine.model.clone(),
         version,
         declared,
-        origins: origins.iter().map(|it| it.0).collect(),
-        origin_connections: origins.iter().map(|it| it.1).min().unwrap_or(1),
+        origins: origins.iter().map(|it| it.0.address).collect(),
+        origin_connections: usize::try_from(connections).unwrap_or(usize::MAX),
+        origin_region: origin_zone.and_then(|it| shared.settings.regions.get(it).cloned()),
     };
     let mut state = shared.state();
     if state.target.as_ref() == Some(&target) {
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::{FetchPlan, PieceHolder, PieceManifest, PieceSource, Replica};
+use fleet::{FetchPlan, OriginAccess, PieceHolder, PieceManifest, PieceSource, Replica};
 use futures::StreamExt;
 use platform::REPLICA_TABLE;
 use slog::{info, warn};
@@ -54,7 +54,10 @@
         shared.own_address(),
         &shared.settings.region,
         holders,
-        target.origin_connections / CONNECTIONS_PER_ORIGIN_CLIENT,
+        OriginAccess {
+            clients: target.origin_connections / CONNECTIONS_PER_ORIGIN_CLIENT,
+            region: target.origin_region.clone(),
+        },
     ))
 }
 
