Entries of a zone follow a few readers of the store; agents follow entries

Answers timed out and were asked for again, entries refused requests because their configuration was too old, agents that were no longer told of weights read the operator's table as well, and the links stayed full for ten seconds.

The first three entries of a zone by name read the store; the others and the agents ask them for changes (crate relay), fall back to the next one when a copy is too old or there is no answer, and to the store after three. The two feed loops are one. Rows carry when they became known, and whether they were found after an outage.

--- /dev/null
+++ b/crates/fleet/src/feed_readers.rs
@@ -0,0 +1,56 @@
+//! Which entries of a zone read the store, and whom the others follow.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::peer_table::PeerTable;
+
+/// Where an entry learns of changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FeedSource {
+    /// The store, which other entries of the zone may be following through this one.
+    Store {
+        /// Whether the zone has entries that do not read the store themselves.
+        has_followers: bool,
+    },
+    /// An entry of the zone that reads the store.
+    Entry(SocketAddr),
+}
+
+/// Returns where the entry `own` of `zone` learns of changes; `attempt` counts readers that failed it.
+///
+/// The first few entries of a zone by name read the store, so that its calls, and the bytes between regions, grow with the
+/// number of zones and not of entries. More than one of them does, since each may be lost or cut off.
+pub fn feed_source(
+    peers: &PeerTable,
+    own: &str,
+    zone: &str,
+    attempt: usize,
+    now: Instant,
+) -> FeedSource {
+    let of_zone = peers.alive(now).filter(|it| it.zone == zone);
+    let mut others: Vec<_> = of_zone.map(|it| (it.node.as_str(), it.inner)).collect();
+    others.sort_unstable();
+    let before = others.iter().filter(|it| it.0 < own).count();
+    if before < READERS {
+        return FeedSource::Store {
+            has_followers: others.len() >= READERS,
+        };
+    }
+    // Followers are spread over the readers by their place.
+    FeedSource::Entry(others[(before + attempt) % READERS].1)
+}
+
+/// Returns the age of a reader's copy beyond which it is not followed.
+///
+/// The store holds a reader's question for `wait`, and the reader asks again after `pause`. An answer that brings a change
+/// was given at some moment of the wait, so the copy may be as old as two waits before the next answer.
+pub fn stale_age(wait: Duration, pause: Duration) -> Duration {
+    wait * 2 + pause + STALE_RESERVE
+}
+
+/// Entries of a zone that read the store.
+pub const READERS: usize = 3;
+
+/// Round trips to a distant store.
+const STALE_RESERVE: Duration = Duration::from_millis(250);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod api_keys;
 mod engine_profile;
+mod feed_mirror;
+mod feed_readers;
 mod fetch_plan;
 mod fleet_message;
 mod freshness;
@@ -26,6 +28,8 @@
 
 pub use api_keys::{ApiTenant, KeyTable};
 pub use engine_profile::{BatchLoad, EngineProfile, RequestSize};
+pub use feed_mirror::{FeedAnswer, FeedChange, FeedMirror, FeedRow, FeedTable};
+pub use feed_readers::{FeedSource, READERS, feed_source, stale_age};
 pub use fetch_plan::{FetchPlan, OriginAccess, PieceHolder, PieceSource};
 pub use fleet_message::{AgentNotice, DeclaredAge, DeclaredWeights, EntryNotice, FleetMessage};
 pub use freshness::ConfigFreshness;
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -16,6 +16,7 @@
     pub(crate) requests: IntCounterVec,
     pub(crate) sends: IntCounterVec,
     pub(crate) store_calls: IntCounterVec,
+    pub(crate) relayed_reads: IntCounterVec,
     pub(crate) first_event: Histogram,
     pub(crate) prediction_ratio: Histogram,
     pub(crate) pause: Histogram,
@@ -65,6 +66,11 @@
                 "Calls to the store by table and outcome.",
                 &["table", "outcome"],
             )?,
+            relayed_reads: counters(
+                "fulmarline_relayed_reads_total",
+                "Readings of the store's tables through entries of the zone, by table and outcome.",
+                &["table", "outcome"],
+            )?,
             first_event: histogram(
                 "fulmarline_first_event_seconds",
                 "Time from a request's arrival to its first event.",
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fleet::{
-    ConfigFreshness, HealthTable, LineBudget, LineKind, LoadBoard, PeerRecord, PeerTable,
-    RepeatBudget, ReplicaCatalog, RouteTable, VersionTable,
+    ConfigFreshness, FeedMirror, FeedTable, HealthTable, LineBudget, LineKind, LoadBoard,
+    PeerRecord, PeerTable, RepeatBudget, ReplicaCatalog, RouteTable, VersionTable,
 };
 use httpio::HttpClient;
 use platform::{NodeSettings, StoreClient};
@@ -23,6 +23,8 @@
     pub(crate) routes: Option<Arc<RouteTable>>,
     /// How recently it was confirmed.
     pub(crate) freshness: ConfigFreshness,
+    /// Copies of the tables that are followed.
+    feeds: BTreeMap<FeedTable, FeedMirror>,
     /// Replicas that the store lists.
     pub(crate) catalog: ReplicaCatalog,
     /// Whether the list was read at least once.
@@ -54,6 +56,8 @@
     pub(crate) news: Notify,
     /// Wakes the task that tells agents of declared weights.
     pub(crate) declared: Notify,
+    /// Wakes questions of other entries when a table that they follow has changed.
+    pub(crate) feed_changed: Notify,
     /// Wakes the first task when this entry's load on a replica has changed.
     pub(crate) load_changed: Notify,
     stopping: Mutex<Option<Instant>>,
@@ -90,12 +94,14 @@
             store,
             replicas,
             news: Notify::new(),
+            feed_changed: Notify::new(),
             load_changed: Notify::new(),
             declared: Notify::new(),
             stopping: Mutex::new(None),
             state: Mutex::new(EntryState {
                 routes: None,
                 freshness: ConfigFreshness::new(max_age),
+                feeds: BTreeMap::new(),
                 catalog: ReplicaCatalog::default(),
                 catalog_read: false,
                 versions: VersionTable::new(switch),
@@ -174,6 +180,11 @@
 }
 
 impl EntryState {
+    /// Returns the copy of `table`.
+    pub(crate) fn feed(&mut self, table: FeedTable) -> &mut FeedMirror {
+        self.feeds.entry(table).or_default()
+    }
+
     /// Returns the budget of repeats for `service`.
     pub(crate) fn budget(
         &mut self,
--- /dev/null
+++ b/crates/ingress/src/feed_relay.rs
@@ -0,0 +1,71 @@
+//! Entries that read the store pass its changes on to the other entries of their zone.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use fleet::{FeedAnswer, FeedTable};
+use httpio::{Incoming, ReplyBody, Request, Response, StatusCode};
+use relay::RelayQuestion;
+
+use crate::boot_clock;
+use crate::entry_shared::EntryShared;
+use crate::feed_loop::{feed_wait, gather_time};
+
+/// Answers a process of the zone that follows a table through this entry.
+pub(crate) async fn answer(
+    shared: Arc<EntryShared>,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    let mut response = Response::new(httpio::empty());
+    let Some(question) = RelayQuestion::parse(request.uri().path()) else {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    };
+    match wait_for_changes(&shared, question).await {
+        Some(answer) => {
+            let bytes = postcard::to_allocvec(&answer).expect("an answer is always encodable");
+            response.map(|_| httpio::full(bytes))
+        }
+        None => {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            response
+        }
+    }
+}
+
+async fn wait_for_changes(shared: &EntryShared, question: RelayQuestion) -> Option<FeedAnswer> {
+    let hold = if question.holds {
+        relay::HOLD
+    } else {
+        Duration::ZERO
+    };
+    let deadline = Instant::now() + hold;
+    loop {
+        let changed = shared.feed_changed.notified();
+        let answer = current(shared, question)?;
+        let left = deadline.saturating_duration_since(Instant::now());
+        let age = Duration::from_millis(answer.age_ms.into());
+        let until_stale = stale_age(question.table).saturating_sub(age);
+        if !answer.rows.is_empty() || left.is_zero() || until_stale.is_zero() {
+            return Some(answer);
+        }
+        // Whether it is a change or the end of the wait is seen in the next round.
+        let _ = tokio::time::timeout(left.min(until_stale), changed).await;
+    }
+}
+
+fn current(shared: &EntryShared, question: RelayQuestion) -> Option<FeedAnswer> {
+    let mut state = shared.state();
+    let feed = state.feed(question.table);
+    let age = boot_clock::now().saturating_sub(feed.confirmed()?);
+    Some(FeedAnswer {
+        version: feed.version()?,
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        rows: feed.since(question.since, Instant::now()),
+    })
+}
+
+/// Returns the age of a reader's copy beyond which it is not followed.
+pub(crate) fn stale_age(table: FeedTable) -> Duration {
+    fleet::stale_age(feed_wait(table, true), gather_time(table))
+}
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -6,16 +6,18 @@
 
 mod agent_loop;
 mod boot_clock;
-mod catalog_loop;
 mod client_call;
-mod config_loop;
 mod directory;
 mod entry_metrics;
 mod entry_shared;
+mod feed_loop;
+mod feed_relay;
 mod flight_guard;
 mod front;
+mod operator_rows;
 mod peer_loop;
 mod refusal;
+mod replica_rows;
 mod replica_send;
 mod stop;
 mod stream_relay;
@@ -24,6 +26,7 @@
 use std::sync::Arc;
 
 use anyhow::Context;
+use fleet::FeedTable;
 use httpio::{HttpServer, ServerLimits};
 use platform::NodeSettings;
 use slog::{Logger, info};
@@ -87,6 +90,11 @@
             server.serve(move |request, _| directory::answer_directory(shared.clone(), request))?,
         );
     }
+    let inner = (settings.ip, settings.first_port).into();
+    let server =
+        HttpServer::bind(inner, limits.clone()).context("cannot bind the inner address")?;
+    let for_entries = shared.clone();
+    servers.push(server.serve(move |request, _| feed_relay::answer(for_entries.clone(), request))?);
     let metrics = (settings.ip, settings.last_port).into();
     let server = HttpServer::bind(metrics, limits).context("cannot bind the metrics address")?;
     let for_metrics = shared.clone();
@@ -94,8 +102,9 @@
     let for_front = shared.clone();
     let front = front.serve(move |request, _| front::answer(for_front.clone(), request))?;
 
-    tokio::spawn(config_loop::run(shared.clone()));
-    tokio::spawn(catalog_loop::run(shared.clone()));
+    for table in [FeedTable::Operator, FeedTable::Replicas] {
+        tokio::spawn(feed_loop::run(shared.clone(), table));
+    }
     tokio::spawn(agent_loop::run(shared.clone()));
     peer_loop::start(&shared).await?;
     info!(log, "started"; "front" => front.address().to_string(), "pid" => std::process::id());
--- /dev/null
+++ b/crates/ingress/src/operator_rows.rs
@@ -0,0 +1,60 @@
+//! The operator's rows: the configuration and the declared weights.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use fleet::FeedChange;
+use platform::{CONFIG_KEY, VERSION_PREFIX};
+use slog::{info, warn};
+
+use crate::entry_shared::EntryShared;
+
+/// Puts changed rows in force.
+pub(crate) fn apply(shared: &EntryShared, changes: &[FeedChange]) {
+    for row in changes {
+        let Some(bytes) = &row.value else {
+            continue;
+        };
+        if row.key == CONFIG_KEY {
+            apply_config(shared, bytes);
+        } else if row.key.starts_with(VERSION_PREFIX) {
+            apply_version(shared, bytes, row.known);
+        }
+    }
+}
+
+fn apply_config(shared: &EntryShared, bytes: &[u8]) {
+    let table = match platform::decode_config(bytes) {
+        Ok(it) => it,
+        Err(err) => {
+            warn!(shared.log, "configuration rejected"; "error" => format!("{err:#}"));
+            return;
+        }
+    };
+    let mut state = shared.state();
+    let before = state.routes.as_ref().map(|it| it.version());
+    if before.is_some_and(|it| it >= table.version()) {
+        return;
+    }
+    info!(
+        shared.log, "configuration in force";
+        "version" => table.version(),
+        "before" => before,
+        "routes" => table.route_count(),
+    );
+    state.routes = Some(Arc::new(table));
+}
+
+fn apply_version(shared: &EntryShared, bytes: &[u8], known: Option<Instant>) {
+    let (model, version) = match platform::decode_declared_version(bytes) {
+        Ok(it) => it,
+        Err(err) => {
+            warn!(shared.log, "declaration of weights rejected"; "error" => format!("{err:#}"));
+            return;
+        }
+    };
+    if shared.state().versions.declare(&model, version, known) {
+        shared.declared.notify_one();
+        info!(shared.log, "weights declared"; "model" => model, "version" => version, "time_known" => known.is_some());
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/replica_rows.rs
@@ -0,0 +1,71 @@
+//! The replicas' entries.
+
+use std::time::Instant;
+
+use fleet::{CatalogChange, FeedChange};
+use slog::{debug, info};
+
+use crate::entry_shared::EntryShared;
+
+/// Brings changed entries into the catalog.
+pub(crate) fn apply(shared: &EntryShared, changes: &[FeedChange]) {
+    for row in changes {
+        let decoded = row
+            .value
+            .as_ref()
+            .map(|it| platform::decode_replica(&row.key, it));
+        let mut state = shared.state();
+        if row.after_outage {
+            state.catalog.note_outage();
+        }
+        let change = match decoded {
+            None => state.catalog.remove(&row.key, Instant::now()),
+            Some(Ok(replica)) => state.catalog.put(replica),
+            Some(Err(err)) => {
+                skip(shared, &row.key, &err);
+                state.catalog.remove(&row.key, Instant::now())
+            }
+        };
+        drop(state);
+        if let Some(change) = change {
+            tell(shared, &change);
+        }
+    }
+    let mut state = shared.state();
+    state.catalog.note_read();
+    let is_first = !std::mem::replace(&mut state.catalog_read, true);
+    drop(state);
+    if is_first {
+        shared.news.notify_one();
+    }
+}
+
+/// Drops replicas whose entries did not come back after an outage.
+pub(crate) fn expire(shared: &EntryShared) {
+    let changes = shared.state().catalog.expire(Instant::now());
+    for change in changes {
+        tell(shared, &change);
+    }
+}
+
+fn skip(shared: &EntryShared, id: &str, err: &anyhow::Error) {
+    info!(shared.log, "entry of a replica skipped"; "replica" => id, "error" => format!("{err:#}"));
+}
+
+fn tell(shared: &EntryShared, change: &CatalogChange) {
+    match change {
+        CatalogChange::Added(id) => {
+            shared.state().health.forget(id);
+            info!(shared.log, "replica added"; "replica" => id);
+        }
+        CatalogChange::Draining(id) => info!(shared.log, "replica draining"; "replica" => id),
+        CatalogChange::Updated(id) => debug!(shared.log, "replica updated"; "replica" => id),
+        CatalogChange::Gone(id) => {
+            shared.state().health.forget(id);
+            info!(shared.log, "replica gone"; "replica" => id);
+        }
+        CatalogChange::Lapsed(id) => {
+            info!(shared.log, "replica's entry missing after an outage of the store"; "replica" => id);
+        }
+    }
+}
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use fleet::LoadedModel;
+use fleet::{FeedMirror, FeedTable, LoadedModel};
 use httpio::HttpClient;
 use platform::{NodeSettings, ReplicaApi, StoreClient};
 use slog::Logger;
@@ -40,6 +40,10 @@
     pub(crate) told: BTreeMap<String, u64>,
     /// When an entry last told of declared versions.
     pub(crate) told_at: Option<Instant>,
+    /// Entries of the zone that were heard, with the time of the last message.
+    pub(crate) entries: BTreeMap<SocketAddr, Instant>,
+    /// Copies of the store's tables.
+    pub(crate) feeds: BTreeMap<FeedTable, FeedMirror>,
     /// Pieces that are staged at the replica.
     pub(crate) book: PieceBook,
     /// Whether missing pieces are being fetched, so that others may wait for them.
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -4,20 +4,20 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::{RouteTable, WeightOrigin};
-use platform::{CONFIG_KEY, OPERATOR_TABLE, RowChange, VERSION_PREFIX};
+use fleet::{FeedTable, RouteTable, WeightOrigin};
+use platform::{CONFIG_KEY, VERSION_PREFIX};
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, WeightTarget};
+use crate::feed_reader;
 
 /// Follows the rows for as long as the process lives.
 pub(crate) async fn run(shared: Arc<AgentShared>) {
-    let mut since: Option<u64> = None;
     let mut failures = 0_u32;
     let mut table: Option<RouteTable> = None;
     let mut versions: BTreeMap<String, u64> = BTreeMap::new();
     loop {
-        if since.is_some() && is_told(&shared) {
+        if table.is_some() && is_told(&shared) {
             for (model, version) in &shared.state().told {
                 let known = versions.entry(model.clone()).or_default();
                 *known = (*version).max(*known);
@@ -27,42 +27,25 @@
             let _ = tokio::time::timeout(TOLD_LIFETIME, shared.told.notified()).await;
             continue;
         }
-        let result = match since {
-            None => shared.store.read_table(OPERATOR_TABLE).await.map(Some),
-            Some(version) => match shared
-                .store
-                .follow(OPERATOR_TABLE, version, FEED_WAIT)
-                .await
-            {
-                Ok(RowChange::Changed(page)) => Ok(Some(page)),
-                Ok(RowChange::HistoryGone) => Ok(None),
-                Err(err) => Err(err),
-            },
-        };
-        match result {
-            Ok(Some(page)) => {
+        match feed_reader::refresh(&shared, FeedTable::Operator, FEED_WAIT).await {
+            Ok(changes) => {
                 if failures > 0 {
-                    info!(shared.log, "store regained"; "failures" => failures);
+                    info!(shared.log, "operator's rows regained"; "failures" => failures);
                 }
                 failures = 0;
-                since = Some(page.version);
-                for row in &page.rows {
-                    let Some(bytes) = &row.value else {
+                for change in &changes {
+                    let Some(bytes) = &change.value else {
                         continue;
                     };
-                    if let Err(err) = take(&row.key, bytes, &mut table, &mut versions) {
-                        warn!(shared.log, "operator's row skipped"; "key" => &row.key, "error" => format!("{err:#}"));
+                    if let Err(err) = take(&change.key, bytes, &mut table, &mut versions) {
+                        warn!(shared.log, "operator's row skipped"; "key" => &change.key, "error" => format!("{err:#}"));
                     }
                 }
                 aim(&shared, table.as_ref(), &versions);
             }
-            Ok(None) => {
-                info!(shared.log, "history of the store is gone, reading all");
-                since = None;
-            }
-            Err(err) => {
+            Err(why) => {
                 if failures == 0 {
-                    warn!(shared.log, "store lost"; "error" => err.to_string());
+                    warn!(shared.log, "operator's rows lost"; "error" => why);
                 }
                 failures += 1;
                 let pause = fleet::retry_pause(failures, rand::random());
--- a/crates/stager/src/declared_loop.rs
+++ b/crates/stager/src/declared_loop.rs
@@ -27,7 +27,10 @@
         match postcard::from_bytes(&buffer[..length]) {
             Ok(FleetMessage::Weights(weights)) => {
                 let mut state = shared.state();
-                state.told_at = Some(Instant::now());
+                let now = Instant::now();
+                state.told_at = Some(now);
+                let inner = (from.ip(), shared.settings.first_port).into();
+                state.entries.insert(inner, now);
                 for declared in weights {
                     let known = state.told.entry(declared.model).or_default();
                     *known = declared.version.max(*known);
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -7,6 +7,7 @@
 mod agent_shared;
 mod config_loop;
 mod declared_loop;
+mod feed_reader;
 mod link_pace;
 mod notice_loop;
 mod piece_book;
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -5,30 +5,27 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::{FetchPlan, OriginAccess, PieceHolder, PieceManifest, PieceSource, Replica};
+use fleet::{FeedTable, FetchPlan, OriginAccess, PieceHolder, PieceManifest, PieceSource, Replica};
 use futures::StreamExt;
-use platform::REPLICA_TABLE;
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, WeightTarget};
-use crate::piece_source;
 use crate::source_pause::SourcePause;
+use crate::{feed_reader, piece_source};
 
 /// Reads which agents take part and plans for this one.
-pub(crate) async fn plan(
-    shared: &AgentShared,
-    target: &WeightTarget,
-) -> Result<FetchPlan, platform::CallError> {
-    let page = shared.store.read_table(REPLICA_TABLE).await?;
+pub(crate) async fn plan(shared: &AgentShared, target: &WeightTarget) -> Result<FetchPlan, String> {
+    feed_reader::refresh(shared, FeedTable::Replicas, Duration::ZERO).await?;
     let service = shared
         .settings
         .replica_service
         .as_deref()
         .unwrap_or_default();
-    let replicas = page.rows.iter().filter_map(|row| {
-        // Entries of other writers are told of by the entries, which follow the table.
-        platform::decode_replica(&row.key, row.value.as_ref()?).ok()
-    });
+    let mut state = shared.state();
+    let feed = state.feeds.entry(FeedTable::Replicas).or_default();
+    // Entries of other writers are told of by the entries, which follow the table.
+    let replicas = feed.rows();
+    let replicas = replicas.filter_map(|it| platform::decode_replica(it.0, it.1).ok());
     // A replica that was restarted may be listed twice for a while; the newest incarnation counts.
     let mut by_address: BTreeMap<SocketAddr, Replica> = BTreeMap::new();
     for replica in replicas.filter(|it| it.service == service) {
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -65,7 +65,7 @@
     let plan = match piece_fetch::plan(shared, target).await {
         Ok(it) => it,
         Err(err) => {
-            warn!(shared.log, "agents not listed"; "error" => err.to_string());
+            warn!(shared.log, "agents not listed"; "error" => err);
             return;
         }
     };
@@ -164,7 +164,7 @@
     let plan = match piece_fetch::plan(shared, target).await {
         Ok(it) => it,
         Err(err) => {
-            warn!(shared.log, "agents not listed"; "error" => err.to_string());
+            warn!(shared.log, "agents not listed"; "error" => err);
             return None;
         }
     };
