Weights: agents far away and the origin are asked by rank; the store's clock tells when it answered

Cause: an agent that its region's bringer kept waiting went to agents of other regions and to the origin at once, and so did all others of the region. Now one more agent of a region stands in after each round of 0.6 s. A reader's copy counted as old as its question, which the store may have held for the whole wait; the store states its time with each answer.

The link from the origin's region to the store's is still full from 20 s on; what fills it is not known yet.

--- a/crates/fleet/src/feed_readers.rs
+++ b/crates/fleet/src/feed_readers.rs
@@ -43,14 +43,14 @@
 
 /// Returns the age of a reader's copy beyond which it is not followed.
 ///
-/// The store holds a reader's question for `wait`, and the reader asks again after `pause`. An answer that brings a change
-/// was given at some moment of the wait, so the copy may be as old as two waits before the next answer.
+/// The store holds a reader's question for `wait`, and the reader asks again after `pause`.
 pub fn stale_age(wait: Duration, pause: Duration) -> Duration {
-    wait * 2 + pause + STALE_RESERVE
+    wait + pause + STALE_RESERVE
 }
 
 /// Entries of a zone that read the store.
 pub const READERS: usize = 3;
 
-/// Round trips to a distant store.
-const STALE_RESERVE: Duration = Duration::from_millis(250);
+/// The way of an answer of 100 KB over a link that carries other traffic. If others read the store themselves as soon as
+/// one answer is late, they fill the link that makes it late.
+const STALE_RESERVE: Duration = Duration::from_millis(650);
--- a/crates/fleet/src/fetch_plan.rs
+++ b/crates/fleet/src/fetch_plan.rs
@@ -71,44 +71,44 @@
         }
     }
 
-    /// Returns the sources of piece `index` in the order in which they are to be tried.
+    /// Returns the sources of piece `index` in the order in which they are to be tried in `round`.
     ///
-    /// An agent asks only agents that rank before it, so two never wait for each other, and the next in rank goes up the
-    /// chain by itself when the first one is lost.
-    pub fn sources(&self, index: usize) -> Vec<PieceSource> {
+    /// An agent asks only agents that rank before it, so two never wait for each other. The first round is for what is
+    /// usual: one agent fetches a piece from the origin, one in each region brings it there, and the others of the region
+    /// wait for that one. The next in rank stands in a round later, and so on: if all turned elsewhere at once when
+    /// somebody is late, the links between regions would carry a copy for each, and the origin would refuse the one that
+    /// all others wait for.
+    pub fn sources(&self, index: usize, round: usize) -> Vec<PieceSource> {
         let near = self.ranked_in(&self.region, index, |_| true);
         let all = self.ranked(index, |_| true);
-        let mut sources = Vec::new();
+        let near_place = self.before_own(&near).len();
+        let place = self.before_own(&all).len();
         // Agents that start together ask different holders for the same piece.
-        let turn = index + self.own_position();
+        let turn = index + self.own_position() + round * MAX_RANKS;
         let is_source = |it: &PieceHolder| it.complete && it.address != self.own;
-        let complete_near = self.ranked_in(&self.region, turn, is_source);
-        let complete = self.ranked(turn, is_source);
-        for ranking in [&complete_near, &complete] {
+        let stands_in = round >= near_place;
+        let mut sources = Vec::new();
+        let holders = self.ranked_in(&self.region, turn, is_source);
+        let far_holders = self.ranked(turn, |it| is_source(it) && stands_in);
+        for ranking in [&holders, &far_holders] {
             for holder in ranking.iter().take(MAX_RANKS) {
                 push_new(&mut sources, PieceSource::Holder(holder.address));
             }
         }
         // Whoever fetches the piece from the origin waits for nobody.
-        if all.first().is_none_or(|it| it.address != self.own) {
-            for ranking in [&near, &all] {
-                for fetcher in self.before_own(ranking).iter().take(MAX_RANKS) {
-                    push_new(&mut sources, PieceSource::Fetcher(fetcher.address));
-                }
+        if place > 0 {
+            let far = all[..place].iter().filter(|_| stands_in);
+            let fetchers = near[..near_place].iter().take(MAX_RANKS);
+            for fetcher in fetchers.chain(far.take(MAX_RANKS)) {
+                push_new(&mut sources, PieceSource::Fetcher(fetcher.address));
             }
         }
-        sources.push(PieceSource::Origin);
+        if round >= place {
+            sources.push(PieceSource::Origin);
+        }
         sources
     }
 
-    /// Returns how many rounds through the other sources of piece `index` come before this agent turns to the origin.
-    ///
-    /// The origin carries little more than one copy at a time. When agents are lost, the next in rank stands in for them;
-    /// if all did at once, the origin would refuse the one that all others wait for.
-    pub fn rounds_before_origin(&self, index: usize) -> usize {
-        self.before_own(&self.ranked(index, |_| true)).len()
-    }
-
     /// Returns the sources of the manifest in the order in which they are to be tried.
     ///
     /// One agent takes it from the origin, one agent of each other region from that one, and inside a region it goes down
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 mod retry_pause;
 mod route;
 mod route_table;
+mod store_clock;
 mod stream_cursor;
 mod version_table;
 
@@ -45,5 +46,6 @@
 pub use retry_pause::retry_pause;
 pub use route::{CallKind, Route, RouteTarget, ServiceConfig, WeightOrigin};
 pub use route_table::{IngressLimits, RouteTable};
+pub use store_clock::StoreClock;
 pub use stream_cursor::{EventPiece, StreamCursor, StreamFault};
 pub use version_table::{NextSwitch, VersionDemand, VersionTable};
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -7,7 +7,7 @@
 
 use fleet::{
     ConfigFreshness, FeedMirror, FeedTable, HealthTable, LineBudget, LineKind, LoadBoard,
-    PeerRecord, PeerTable, RepeatBudget, ReplicaCatalog, RouteTable, VersionTable,
+    PeerRecord, PeerTable, RepeatBudget, ReplicaCatalog, RouteTable, StoreClock, VersionTable,
 };
 use httpio::HttpClient;
 use platform::{NodeSettings, StoreClient};
@@ -23,6 +23,8 @@
     pub(crate) routes: Option<Arc<RouteTable>>,
     /// How recently it was confirmed.
     pub(crate) freshness: ConfigFreshness,
+    /// Stand of the store's clock.
+    pub(crate) store_clock: StoreClock,
     /// Copies of the tables that are followed.
     feeds: BTreeMap<FeedTable, FeedMirror>,
     /// Replicas that the store lists.
@@ -101,6 +103,7 @@
             state: Mutex::new(EntryState {
                 routes: None,
                 freshness: ConfigFreshness::new(max_age),
+                store_clock: StoreClock::default(),
                 feeds: BTreeMap::new(),
                 catalog: ReplicaCatalog::default(),
                 catalog_read: false,
--- a/crates/ingress/src/feed_loop.rs
+++ b/crates/ingress/src/feed_loop.rs
@@ -182,25 +182,19 @@
     let known = (!is_first)
         .then(|| Instant::now().checked_sub(gap))
         .flatten();
-    // An empty answer was given after the wait, any other one at some moment since the call.
-    let confirmed = if page.rows.is_empty() && !is_whole {
-        sent + feed_wait(table, has_followers)
-    } else {
-        sent
-    };
+    let received = boot_clock::now();
     let version = page.version;
+    let store_ms = page.store_ms;
     let changes = changes(page, known, after_outage);
     let mut state = shared.state();
+    let confirmed = state.store_clock.answered(store_ms, sent, received);
     let feed = state.feed(table);
     let changes = if is_whole {
         feed.replace(changes, version, after_outage)
     } else {
         feed.change(changes, version)
     };
-    Ok(Some(FeedUpdate {
-        changes,
-        confirmed: confirmed.min(boot_clock::now()),
-    }))
+    Ok(Some(FeedUpdate { changes, confirmed }))
 }
 
 fn changes(page: RowPage, known: Option<Instant>, after_outage: bool) -> Vec<FeedChange> {
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -306,6 +306,7 @@
             shared.log, "first event";
             "request" => call.id(),
             "replica" => id,
+            "replica_zone" => &part.chosen.replica.zone,
             "sent_ms" => (observed * 1000.0).round(),
             "predicted_ms" => predicted.round(),
             "ms" => millis(call.arrived.elapsed()),
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -102,23 +102,13 @@
     let plan_ends = Instant::now() + PLAN_LIFETIME;
     let mut missing = shared.state().book.missing();
     // Pieces that others wait for go first: those that this agent takes from the origin or brings into its region.
-    missing.sort_by_key(|it| match plan.sources(*it).first() {
+    missing.sort_by_key(|it| match plan.sources(*it, 0).first() {
         Some(PieceSource::Origin) => 0,
         _ if plan.brings(*it) => 1,
         _ => 2,
     });
     let results = futures::stream::iter(missing)
-        .map(|index| {
-            piece(
-                shared,
-                target,
-                manifest,
-                (plan.sources(index), plan.rounds_before_origin(index)),
-                index,
-                pauses,
-                plan_ends,
-            )
-        })
+        .map(|index| piece(shared, target, manifest, plan, index, pauses, plan_ends))
         .buffer_unordered(PARALLEL_PIECES);
     results
         .fold(true, |all, it| std::future::ready(all && it))
@@ -133,29 +123,28 @@
     shared: &AgentShared,
     target: &WeightTarget,
     manifest: &PieceManifest,
-    (sources, rounds_before_origin): (Vec<PieceSource>, usize),
+    plan: &FetchPlan,
     index: usize,
     pauses: &SourcePause,
     plan_ends: Instant,
 ) -> bool {
-    let mut round = 0;
-    loop {
-        for source in &sources {
-            if *source == PieceSource::Origin && round < rounds_before_origin {
-                continue;
-            }
+    for round in 0.. {
+        for source in plan.sources(index, round) {
             if !piece_source::is_wanted(shared, target) || Instant::now() > plan_ends {
                 return false;
             }
             if let Some(bytes) =
-                fetch(shared, target, manifest, *source, index, pauses, plan_ends).await
+                fetch(shared, target, manifest, source, index, pauses, plan_ends).await
             {
                 return stage(shared, target, index, bytes).await;
             }
         }
-        round += 1;
+        if !piece_source::is_wanted(shared, target) || Instant::now() > plan_ends {
+            break;
+        }
         tokio::time::sleep(ROUND_PAUSE).await;
     }
+    false
 }
 
 async fn fetch(
@@ -261,5 +250,5 @@
 /// Connections of the origin for each agent that fetches from it in turn; the rest is for those that stand in for lost ones.
 const CONNECTIONS_PER_ORIGIN_CLIENT: usize = 3;
 
-/// Pause after no source had a piece.
-const ROUND_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after no source had a piece; one more agent stands in after each, so few do within the lifetime of a plan.
+const ROUND_PAUSE: Duration = Duration::from_millis(600);
