Entries: one stand-in for the readers of a zone; answers that move are read to the end; agents ask entries first

Three agents that had been restarted waited for the next one at the store, beside three entries; the copies of the zone's readers became 1.2 s old, so that all ten followers read the store as well, and gave up answers that were half here.

Agents wait for an entry's message before they turn to the store. Two entries of a zone read it; where both fail the third one reads for all, and the others follow that one before they read themselves. An answer that has begun is read for as long as it moves.

--- a/crates/fleet/src/feed_readers.rs
+++ b/crates/fleet/src/feed_readers.rs
@@ -14,7 +14,14 @@
         has_followers: bool,
     },
     /// An entry of the zone that reads the store.
-    Entry(SocketAddr),
+    Entry {
+        /// Where it answers.
+        address: SocketAddr,
+        /// Whether it only reads the store while the usual readers fail.
+        stands_in: bool,
+        /// Whether the store is to be read when this one fails as well.
+        is_last: bool,
+    },
 }
 
 /// Returns where the entry `own` of `zone` learns of changes; `attempt` counts readers that failed it.
@@ -37,8 +44,22 @@
             has_followers: others.len() >= READERS,
         };
     }
-    // Followers are spread over the readers by their place.
-    FeedSource::Entry(others[(before + attempt) % READERS].1)
+    // Followers are spread over the readers by their place. Where these fail, one more reads the store for all: it is the
+    // same one for all followers, and has no other to ask than the readers.
+    let sources = if before > READERS {
+        READERS + 1
+    } else {
+        READERS
+    };
+    let place = match attempt % sources {
+        READERS => READERS,
+        attempt => (before + attempt) % READERS,
+    };
+    FeedSource::Entry {
+        address: others[place].1,
+        stands_in: place == READERS,
+        is_last: attempt % sources + 1 == sources,
+    }
 }
 
 /// Returns the age of a reader's copy beyond which it is not followed.
@@ -49,7 +70,7 @@
 }
 
 /// Entries of a zone that read the store.
-pub const READERS: usize = 3;
+const READERS: usize = 2;
 
 /// The way of an answer of 100 KB over a link that carries other traffic. If others read the store themselves as soon as
 /// one answer is late, they fill the link that makes it late.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -30,7 +30,7 @@
 pub use api_keys::{ApiTenant, KeyTable};
 pub use engine_profile::{BatchLoad, EngineProfile, RequestSize};
 pub use feed_mirror::{FeedAnswer, FeedChange, FeedMirror, FeedRow, FeedTable};
-pub use feed_readers::{FeedSource, READERS, feed_source, stale_age};
+pub use feed_readers::{FeedSource, feed_source, stale_age};
 pub use fetch_plan::{FetchPlan, OriginAccess, PieceHolder, PieceSource};
 pub use fleet_message::{AgentNotice, DeclaredAge, DeclaredWeights, EntryNotice, FleetMessage};
 pub use freshness::ConfigFreshness;
--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -62,6 +62,47 @@
     }
 }
 
+/// Reads a whole body of at most `max_bytes`, giving up when nothing of it arrives for `silence`.
+///
+/// A large body over a slow link takes its time; giving it up and asking again would only fill the link with more copies.
+///
+/// # Errors
+///
+/// As [`read_limited`].
+pub async fn read_moving<B>(
+    mut body: B,
+    max_bytes: usize,
+    silence: time::Duration,
+) -> std::io::Result<Bytes>
+where
+    B: body::Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut bytes = bytes::BytesMut::new();
+    loop {
+        let frame = match tokio::time::timeout(silence, body.frame()).await {
+            Err(_) => {
+                return Err(std::io::Error::new(
+                    std::io::ErrorKind::TimedOut,
+                    "the body stopped",
+                ));
+            }
+            Ok(None) => return Ok(bytes.freeze()),
+            Ok(Some(frame)) => frame.map_err(std::io::Error::other)?,
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > max_bytes {
+            return Err(std::io::Error::new(
+                std::io::ErrorKind::InvalidData,
+                "the body is larger than the limit",
+            ));
+        }
+        bytes.extend_from_slice(&data);
+    }
+}
+
 fn never(it: convert::Infallible) -> std::io::Error {
     match it {}
 }
--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -274,6 +274,23 @@
         Ok(Response::from_parts(parts, bytes))
     }
 
+    /// Reads the whole answer, as [`Self::read`], for as long as some of it arrives within each span of `silence`.
+    ///
+    /// # Errors
+    ///
+    /// As [`crate::read_moving`].
+    pub async fn read_moving(
+        self,
+        client: &HttpClient,
+        max_bytes: usize,
+        silence: time::Duration,
+    ) -> std::io::Result<Response<bytes::Bytes>> {
+        let (parts, body) = self.response.into_parts();
+        let bytes = crate::body::read_moving(body, max_bytes, silence).await?;
+        client.recycle(self.sender, self.address);
+        Ok(Response::from_parts(parts, bytes))
+    }
+
     /// Takes the reply apart so that a streamed body can be read and the connection recycled afterwards.
     pub fn into_parts(self) -> (Response<Incoming>, SendRequest<ReplyBody>, SocketAddr) {
         (self.response, self.sender, self.address)
--- a/crates/ingress/src/feed_loop.rs
+++ b/crates/ingress/src/feed_loop.rs
@@ -33,7 +33,14 @@
     loop {
         let source = source(&shared, attempt, direct_until);
         let result = match source {
-            FeedSource::Entry(address) => read_entry(&shared, table, address).await,
+            FeedSource::Entry {
+                address, stands_in, ..
+            } => {
+                if stands_in && attempt > 0 {
+                    tokio::time::sleep(STAND_IN_TIME).await;
+                }
+                read_entry(&shared, table, address).await
+            }
             FeedSource::Store { has_followers } => {
                 read_store(&shared, table, has_followers, failures > 0, is_deaf)
                     .await
@@ -41,7 +48,7 @@
             }
         };
         let reader = match source {
-            FeedSource::Entry(address) => Some(address),
+            FeedSource::Entry { address, .. } => Some(address),
             FeedSource::Store { .. } => None,
         };
         count(&shared, table, reader.is_some(), &result);
@@ -78,8 +85,8 @@
                     "error" => why,
                 );
                 attempt += 1;
-                let is_late = last_update.elapsed() > PATIENCE;
-                if is_late || attempt % fleet::READERS == 0 {
+                let is_last = matches!(source, FeedSource::Entry { is_last: true, .. });
+                if is_last || last_update.elapsed() > PATIENCE {
                     direct_until = Some(Instant::now() + DIRECT_TIME);
                 }
             }
@@ -266,7 +273,11 @@
 const GATHER_TIME: Duration = Duration::from_millis(300);
 
 /// Time without any update after which no further entry is tried before the store.
-const PATIENCE: Duration = Duration::from_millis(1000);
+const PATIENCE: Duration = Duration::from_millis(1500);
+
+/// Time in which the entry that stands in for the readers of the zone has read the store. All others would fill the link
+/// to the store if they read it as well.
+const STAND_IN_TIME: Duration = Duration::from_millis(250);
 
 /// Time for which the store is read after an entry could not be followed.
 const DIRECT_TIME: Duration = Duration::from_millis(2500);
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -13,6 +13,8 @@
 
 /// Follows the rows for as long as the process lives.
 pub(crate) async fn run(shared: Arc<AgentShared>) {
+    // A configuration may be large, and entries of the zone pass it on.
+    let _ = tokio::time::timeout(START_WAIT, shared.told.notified()).await;
     let mut failures = 0_u32;
     let mut table: Option<RouteTable> = None;
     let mut versions: BTreeMap<String, u64> = BTreeMap::new();
@@ -143,6 +145,9 @@
 /// Silence of entries after which the store is asked again; three of their messages.
 const TOLD_LIFETIME: Duration = Duration::from_millis(2200);
 
+/// Time for an entry to tell of itself after the start; entries do so every 0.7 s once the replica is listed.
+const START_WAIT: Duration = Duration::from_millis(1500);
+
 /// Version of weights before any was declared.
 const FIRST_VERSION: u64 = 1;
 
