Tests of the feeds: copies, readers of a zone, frozen and lost readers; all entries of a small zone read

A reader that others follow asks the store about three times as often, so entries of zones of up to six read it themselves, as before.

--- a/crates/fleet/src/feed_readers.rs
+++ b/crates/fleet/src/feed_readers.rs
@@ -39,9 +39,10 @@
     let mut others: Vec<_> = of_zone.map(|it| (it.node.as_str(), it.inner)).collect();
     others.sort_unstable();
     let before = others.iter().filter(|it| it.0 < own).count();
-    if before < READERS {
+    let is_small = others.len() < SMALL_ZONE;
+    if is_small || before < READERS {
         return FeedSource::Store {
-            has_followers: others.len() >= READERS,
+            has_followers: !is_small,
         };
     }
     // Followers are spread over the readers by their place. Where these fail, one more reads the store for all: it is the
@@ -72,6 +73,10 @@
 /// Entries of a zone that read the store.
 const READERS: usize = 2;
 
+/// Entries of a zone up to which all of them read the store. A reader that others follow asks about three times as often,
+/// so that fewer calls are made only in larger zones.
+const SMALL_ZONE: usize = 6;
+
 /// The way of an answer of 100 KB over a link that carries other traffic. If others read the store themselves as soon as
 /// one answer is late, they fill the link that makes it late.
 const STALE_RESERVE: Duration = Duration::from_millis(650);
--- /dev/null
+++ b/crates/fleet/tests/feeds.rs
@@ -0,0 +1,212 @@
+//! Copies of the store's tables, and who reads them for whom.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use expect_test::expect;
+use fleet::{FeedChange, FeedMirror, FeedSource, PeerRecord, PeerTable, StoreClock, feed_source};
+
+fn change(key: &str, version: u64, value: Option<&str>) -> FeedChange {
+    FeedChange {
+        key: key.to_owned(),
+        version,
+        value: value.map(|it| it.as_bytes().to_vec()),
+        known: None,
+        after_outage: false,
+    }
+}
+
+fn shown(changes: &[FeedChange]) -> String {
+    let shown = changes.iter().map(|it| {
+        let value = it.value.as_deref().map(String::from_utf8_lossy);
+        format!(
+            "{}@{}={}",
+            it.key,
+            it.version,
+            value.as_deref().unwrap_or("-")
+        )
+    });
+    shown.collect::<Vec<_>>().join(" ")
+}
+
+fn follow(from: &FeedMirror, to: &mut FeedMirror, now: Instant) -> Vec<FeedChange> {
+    let rows = from.since(to.version(), now);
+    let rows = rows.into_iter().map(|it| it.into_change(now)).collect();
+    to.change(rows, from.version().unwrap())
+}
+
+#[test]
+fn a_follower_has_what_its_reader_has() {
+    let now = Instant::now();
+    let mut reader = FeedMirror::default();
+    let mut follower = FeedMirror::default();
+    reader.change(
+        vec![change("a", 3, Some("1")), change("b", 4, Some("1"))],
+        7,
+    );
+    let news = follow(&reader, &mut follower, now);
+    expect!["a@3=1 b@4=1"].assert_eq(&shown(&news));
+
+    reader.change(vec![change("b", 9, None), change("c", 10, Some("1"))], 12);
+    let news = follow(&reader, &mut follower, now);
+    expect!["b@9=- c@10=1"].assert_eq(&shown(&news));
+    expect![""].assert_eq(&shown(&follow(&reader, &mut follower, now)));
+}
+
+#[test]
+fn a_whole_reading_removes_what_it_lacks() {
+    let now = Instant::now();
+    let mut reader = FeedMirror::default();
+    let mut follower = FeedMirror::default();
+    reader.change(
+        vec![change("a", 3, Some("1")), change("b", 4, Some("1"))],
+        7,
+    );
+    follow(&reader, &mut follower, now);
+
+    let all = reader.replace(vec![change("a", 3, Some("1"))], 20, true);
+    expect!["a@3=1 b@20=-"].assert_eq(&shown(&all));
+    let news = follow(&reader, &mut follower, now);
+    expect!["b@20=-"].assert_eq(&shown(&news));
+    assert!(
+        news[0].after_outage,
+        "an entry may have lapsed while the store was away"
+    );
+}
+
+/// A follower that has read the store itself must not take an older row from its reader.
+#[test]
+fn older_rows_are_no_news() {
+    let now = Instant::now();
+    let mut reader = FeedMirror::default();
+    reader.change(vec![change("a", 3, Some("old"))], 7);
+    let mut follower = FeedMirror::default();
+    follower.change(vec![change("a", 9, Some("new"))], 9);
+    follow(&reader, &mut follower, now);
+    let rows: Vec<_> = follower.rows().collect();
+    assert_eq!(rows, [("a", "new".as_bytes())]);
+    assert_eq!(follower.version(), Some(9));
+}
+
+#[test]
+fn the_age_of_a_declaration_survives_the_way() {
+    let start = Instant::now();
+    let mut reader = FeedMirror::default();
+    let declared = FeedChange {
+        known: Some(start),
+        ..change("a", 3, Some("1"))
+    };
+    reader.change(vec![declared], 3);
+    let later = start + Duration::from_millis(700);
+    let told = reader.since(None, later).remove(0).into_change(later);
+    assert_eq!(told.known, Some(start));
+}
+
+fn peers(names: &[&str], now: Instant) -> PeerTable {
+    let mut peers = PeerTable::default();
+    for (index, name) in names.iter().enumerate() {
+        peers.heard(
+            PeerRecord {
+                node: (*name).to_owned(),
+                incarnation: 1,
+                front: address(index, 80),
+                inner: address(index, 90),
+                zone: "z1".to_owned(),
+                region: "r1".to_owned(),
+                ready: true,
+            },
+            now,
+        );
+    }
+    peers
+}
+
+fn address(index: usize, port: u16) -> SocketAddr {
+    ([10, 0, 0, u8::try_from(index).unwrap()], port).into()
+}
+
+#[test]
+fn two_entries_of_a_zone_read_for_the_others() {
+    let now = Instant::now();
+    let names = ["e1", "e2", "e3", "e4", "e5", "e6", "e7"];
+    let mut shown = String::new();
+    for own in names {
+        let others: Vec<_> = names.iter().copied().filter(|it| *it != own).collect();
+        let peers = peers(&others, now);
+        for attempt in 0..3 {
+            let source = match feed_source(&peers, own, "z1", attempt, now) {
+                FeedSource::Store { has_followers } => format!("store, followed: {has_followers}"),
+                FeedSource::Entry {
+                    address,
+                    stands_in,
+                    is_last,
+                } => {
+                    let node = peers.all().find(|it| it.inner == address);
+                    let node = node.map_or("?", |it| it.node.as_str());
+                    format!("{node}, stands in: {stands_in}, last: {is_last}")
+                }
+            };
+            shown += &format!("{own} try {attempt}: {source}\n");
+        }
+    }
+    expect![[r#"
+        e1 try 0: store, followed: true
+        e1 try 1: store, followed: true
+        e1 try 2: store, followed: true
+        e2 try 0: store, followed: true
+        e2 try 1: store, followed: true
+        e2 try 2: store, followed: true
+        e3 try 0: e1, stands in: false, last: false
+        e3 try 1: e2, stands in: false, last: true
+        e3 try 2: e1, stands in: false, last: false
+        e4 try 0: e2, stands in: false, last: false
+        e4 try 1: e1, stands in: false, last: false
+        e4 try 2: e3, stands in: true, last: true
+        e5 try 0: e1, stands in: false, last: false
+        e5 try 1: e2, stands in: false, last: false
+        e5 try 2: e3, stands in: true, last: true
+        e6 try 0: e2, stands in: false, last: false
+        e6 try 1: e1, stands in: false, last: false
+        e6 try 2: e3, stands in: true, last: true
+        e7 try 0: e1, stands in: false, last: false
+        e7 try 1: e2, stands in: false, last: false
+        e7 try 2: e3, stands in: true, last: true
+    "#]]
+    .assert_eq(&shown);
+}
+
+#[test]
+fn all_entries_of_a_small_zone_read() {
+    let now = Instant::now();
+    let peers = peers(&["e1", "e2", "e3", "e4", "e5"], now);
+    let expected = FeedSource::Store {
+        has_followers: false,
+    };
+    assert_eq!(feed_source(&peers, "e6", "z1", 0, now), expected);
+}
+
+#[test]
+fn entries_that_fell_silent_are_not_followed() {
+    let now = Instant::now();
+    let peers = peers(&["e1", "e2", "e3", "e5", "e6", "e7"], now);
+    let later = now + Duration::from_secs(5);
+    let source = feed_source(&peers, "e4", "z1", 0, later);
+    let expected = FeedSource::Store {
+        has_followers: false,
+    };
+    assert_eq!(source, expected);
+}
+
+/// The moment of an answer lay at its question, which the store had held, and copies seemed too old to be followed.
+#[test]
+fn the_stores_clock_tells_when_it_answered() {
+    let ms = Duration::from_millis;
+    let mut clock = StoreClock::default();
+    // The store's clock is 1,000 ms ahead, and the fastest answer takes 5 ms.
+    assert_eq!(clock.answered(1100, ms(96), ms(105)), ms(105));
+    // The store answered at 600, and the answer took 200 ms.
+    assert_eq!(clock.answered(1600, ms(106), ms(800)), ms(605));
+    // A clock that cannot be right does not leave the span of the call.
+    assert_eq!(clock.answered(9_000_000, ms(900), ms(950)), ms(950));
+    assert_eq!(clock.answered(1, ms(960), ms(990)), ms(960));
+}
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -176,6 +176,14 @@
         self.agents.push(agent);
     }
 
+    /// Adds an entry on a machine of its own.
+    pub fn add_entry(&mut self, host: u8, zone: &str) {
+        let index = self.machines.len();
+        let machine = SiteMachine::new(&format!("edge-{index}"), host, zone);
+        self.machines.push(machine);
+        self.start_entry(index);
+    }
+
     /// Starts an entry, again if it ran before.
     pub fn start_entry(&mut self, index: usize) {
         let machine = &self.machines[index];
--- a/crates/standin/src/site/site_store.rs
+++ b/crates/standin/src/site/site_store.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -135,7 +135,7 @@
             .filter(|((it, key), _)| it == table && key.as_str() >= from)
             .map(|((_, key), (value, ver))| json!({"table": table, "part": "", "key": key, "value": value, "ver": ver}))
             .collect();
-        json!({"rows": rows, "hasMore": false, "ver": self.version, "nowMs": 0})
+        json!({"rows": rows, "hasMore": false, "ver": self.version, "nowMs": now_ms()})
     }
 
     fn changes(&self, table: &str, since: u64) -> Option<Vec<Value>> {
@@ -210,7 +210,9 @@
             match state.changes(table, since) {
                 None => return status(StatusCode::GONE),
                 Some(rows) if !rows.is_empty() || tokio::time::Instant::now() >= deadline => {
-                    return document(&json!({"rows": rows, "ver": state.version, "nowMs": 0}));
+                    return document(
+                        &json!({"rows": rows, "ver": state.version, "nowMs": now_ms()}),
+                    );
                 }
                 Some(_) => {}
             }
@@ -237,7 +239,13 @@
     let version = state.version;
     drop(state);
     shared.changed.notify_waiters();
-    document(&json!({"ver": version, "nowMs": 0}))
+    document(&json!({"ver": version, "nowMs": now_ms()}))
+}
+
+/// Returns the time that answers state; only its differences count.
+fn now_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX))
 }
 
 fn document(body: &Value) -> Response<ReplyBody> {
