Agents switch before the deadline of the oldest version that they skip

Tests: a_skipped_version_keeps_its_deadline, an_older_version_is_finished_where_the_newest_would_come_too_late.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 mod route_table;
 mod store_clock;
 mod stream_cursor;
+mod switch_deadlines;
 mod version_table;
 
 pub use api_keys::{ApiTenant, KeyTable};
@@ -48,4 +49,5 @@
 pub use route_table::{IngressLimits, RouteTable};
 pub use store_clock::StoreClock;
 pub use stream_cursor::{EventPiece, StreamCursor, StreamFault};
+pub use switch_deadlines::SwitchDeadlines;
 pub use version_table::{NextSwitch, VersionDemand, VersionTable};
--- a/crates/fleet/tests/versions.rs
+++ b/crates/fleet/tests/versions.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use expect_test::{Expect, expect};
-use fleet::VersionTable;
+use fleet::{SwitchDeadlines, VersionTable};
 
 const SWITCH: Duration = Duration::from_secs(7);
 
@@ -108,3 +108,31 @@
     assert_eq!(told(8), [4, 3]);
     assert_eq!(told(12), Vec::<u64>::new());
 }
+
+/// A version that was skipped for a newer one kept its deadline at the entries, but agents spread their loads up to that of
+/// the newer one: most replicas were of no use in between.
+#[test]
+fn a_skipped_version_keeps_its_deadline() {
+    let start = Instant::now();
+    let second = |it: u64| start + Duration::from_secs(it);
+    let mut deadlines = SwitchDeadlines::new(SWITCH);
+    deadlines.declare(2, second(10));
+    deadlines.declare(3, second(13));
+    deadlines.declare(3, second(15));
+    assert_eq!(deadlines.deadline(1), Some(second(17)));
+    assert_eq!(deadlines.deadline(2), Some(second(20)));
+    assert_eq!(deadlines.deadline(3), None);
+}
+
+#[test]
+fn an_older_version_is_finished_where_the_newest_would_come_too_late() {
+    let start = Instant::now();
+    let second = |it: u64| start + Duration::from_secs(it);
+    let mut deadlines = SwitchDeadlines::new(SWITCH);
+    deadlines.declare(2, second(10));
+    assert!(deadlines.is_wanted(2, second(11)));
+    deadlines.declare(3, second(11));
+    assert!(!deadlines.is_wanted(2, second(13)));
+    assert!(deadlines.is_wanted(2, second(14)));
+    assert!(deadlines.is_wanted(3, second(14)));
+}
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use fleet::{FeedMirror, FeedTable, LoadedModel};
+use fleet::{FeedMirror, FeedTable, LoadedModel, SwitchDeadlines};
 use httpio::HttpClient;
 use platform::{NodeSettings, ReplicaApi, StoreClient};
 use slog::Logger;
@@ -21,8 +21,6 @@
 pub(crate) struct WeightTarget {
     pub(crate) model: String,
     pub(crate) version: u64,
-    /// When the version became known.
-    pub(crate) declared: Instant,
     /// Origins of the weights, in the order of the configuration.
     pub(crate) origins: Vec<SocketAddr>,
     /// Connections that an origin accepts from all agents together.
@@ -32,10 +30,12 @@
 }
 
 /// The state of one agent.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct AgentState {
     /// Weights that are wanted; `None` until the configuration was read.
     pub(crate) target: Option<WeightTarget>,
+    /// Until when the replica must serve declared versions of the target's model.
+    pub(crate) deadlines: SwitchDeadlines,
     /// Newest declared version of each model, as entries told.
     pub(crate) told: BTreeMap<String, u64>,
     /// When an entry last told of declared versions.
@@ -107,7 +107,17 @@
             uploads: Semaphore::new(MAX_UPLOADS),
             downloads: Semaphore::new(MAX_DOWNLOADS),
             origin_fetches: Semaphore::new(MAX_ORIGIN_FETCHES),
-            state: Mutex::default(),
+            state: Mutex::new(AgentState {
+                target: None,
+                deadlines: SwitchDeadlines::new(settings.bounds.version_switch),
+                told: BTreeMap::new(),
+                told_at: None,
+                entries: BTreeMap::new(),
+                feeds: BTreeMap::new(),
+                book: PieceBook::default(),
+                is_fetching: false,
+                serving: Vec::new(),
+            }),
             settings,
             log,
         })
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::{FeedTable, RouteTable, WeightOrigin};
+use fleet::{FeedTable, RouteTable, SwitchDeadlines, WeightOrigin};
 use platform::{CONFIG_KEY, VERSION_PREFIX};
 use slog::{info, warn};
 
@@ -103,10 +103,6 @@
         .get(&engine.model)
         .copied()
         .unwrap_or(FIRST_VERSION);
-    let known = shared.state().target.clone();
-    let declared = known
-        .filter(|it| it.model == engine.model && it.version == version)
-        .map_or_else(Instant::now, |it| it.declared);
     let origins: Vec<(&WeightOrigin, u32)> = table
         .services()
         .filter_map(|it| {
@@ -119,7 +115,6 @@
     let target = WeightTarget {
         model: engine.model.clone(),
         version,
-        declared,
         origins: origins.iter().map(|it| it.0.address).collect(),
         origin_connections: usize::try_from(connections).unwrap_or(usize::MAX),
         origin_region: origin_zone.and_then(|it| shared.settings.regions.get(it).cloned()),
@@ -128,6 +123,14 @@
     if state.target.as_ref() == Some(&target) {
         return;
     }
+    let is_other_model = state
+        .target
+        .as_ref()
+        .is_some_and(|it| it.model != target.model);
+    if is_other_model {
+        state.deadlines = SwitchDeadlines::new(shared.settings.bounds.version_switch);
+    }
+    state.deadlines.declare(target.version, Instant::now());
     info!(
         shared.log, "weights wanted";
         "model" => &target.model,
--- a/crates/stager/src/piece_source.rs
+++ b/crates/stager/src/piece_source.rs
@@ -70,14 +70,12 @@
     }
 }
 
-/// Says whether it is worth going on with `target`: it is the newest, or all but complete.
+/// Says whether it is worth going on with `target`.
 pub(crate) fn is_wanted(shared: &AgentShared, target: &WeightTarget) -> bool {
     let state = shared.state();
-    state.target.as_ref() == Some(target)
-        || state
-            .book
-            .manifest(&target.model, target.version)
-            .is_some_and(|it| state.book.missing().len() <= it.len() / NEARLY_COMPLETE)
+    let is_same = |it: &WeightTarget| it.model == target.model;
+    state.target.as_ref().is_some_and(is_same)
+        && state.deadlines.is_wanted(target.version, Instant::now())
 }
 
 /// Fetches the manifest from another agent.
@@ -179,6 +177,3 @@
 
 /// Largest piece or manifest.
 const MAX_PIECE_BYTES: usize = 4 * 1024 * 1024;
-
-/// One in this many pieces may be missing of a version that is completed although a newer one is declared.
-const NEARLY_COMPLETE: usize = 8;
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -133,14 +133,10 @@
     report: &ReplicaReport,
     turn: f64,
 ) {
-    let deadline = target.declared
-        + shared
-            .settings
-            .bounds
-            .version_switch
-            .saturating_sub(LOAD_RESERVE);
-    let window = deadline.saturating_duration_since(Instant::now());
-    if !report.models.is_empty() {
+    let serving = report.models.iter().find(|it| it.name == target.model);
+    let deadline = serving.and_then(|it| shared.state().deadlines.deadline(it.version));
+    let window = deadline.map(|it| it.saturating_duration_since(Instant::now() + LOAD_RESERVE));
+    if let Some(window) = window {
         tokio::time::sleep(window.mul_f64(turn)).await;
     }
 }
@@ -283,9 +279,9 @@
 /// that fail together do not come back together.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time that is kept before the bound on a switch: the wait of a request that entries allow for (0.9 s), and part of the
-/// streams that the last replica ends before it loads.
-const LOAD_RESERVE: Duration = Duration::from_millis(1500);
+/// Time that is kept before the bound on a switch: entries stop sending to old weights 0.6 s before it, and what waits at a
+/// replica must have begun.
+const LOAD_RESERVE: Duration = Duration::from_millis(800);
 
 /// Time for entries to stop sending before a load begins; a few times the way between regions.
 const NOTICE_TIME: Duration = Duration::from_millis(15);
