--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -29,7 +29,13 @@
             let _ = tokio::time::timeout(TOLD_LIFETIME, shared.told.notified()).await;
             continue;
         }
-        match feed_reader::refresh(&shared, FeedTable::Operator, FEED_WAIT).await {
+        let reading = feed_reader::refresh(&shared, FeedTable::Operator, FEED_WAIT);
+        let result = tokio::select! {
+            result = reading => result,
+            // Entries are heard again, and the store may be silent for long.
+            () = shared.told.notified(), if table.is_some() => continue,
+        };
+        match result {
             Ok(changes) => {
                 if failures > 0 {
                     info!(shared.log, "operator's rows regained"; "failures" => failures);
