Entries keep the times of declarations in the store and tell them to agents

One entry of each zone writes a row for each declaration unless there is one, with the time by the store's clock; entries that start read the rows. Entries tell agents all versions with their ages. The earliest time that any entry knows counts.

--- a/crates/fleet/src/fleet_message.rs
+++ b/crates/fleet/src/fleet_message.rs
@@ -15,17 +15,19 @@
     Entry(EntryNotice),
     /// From an agent to entries.
     Agent(AgentNotice),
-    /// From an entry to the agents of its zone: the newest declared version of each model.
+    /// From an entry to the agents of its zone: the declared versions that matter now.
     Weights(Vec<DeclaredWeights>),
 }
 
-/// The newest declared version of a model.
+/// A declared version of a model.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeclaredWeights {
     /// Model.
     pub model: String,
     /// Declared version.
     pub version: u64,
+    /// Time since the declaration became known, in milliseconds; `None` where it may be old.
+    pub age_ms: Option<u32>,
 }
 
 /// An entry tells that it lives, and what it has in progress.
--- a/crates/fleet/src/store_clock.rs
+++ b/crates/fleet/src/store_clock.rs
@@ -13,6 +13,12 @@
 }
 
 impl StoreClock {
+    /// Returns the store's time at `moment`, or `None` before its first answer.
+    pub fn store_ms(&self, moment: Duration) -> Option<u64> {
+        let moment_ms = i64::try_from(moment.as_millis()).ok()?;
+        u64::try_from(moment_ms.saturating_sub(self.offset_ms?)).ok()
+    }
+
     /// Returns the moment at which the store gave an answer with its time `store_ms`, to a question of moment `sent`; the
     /// answer was received at `received`. All moments are counted from the start of this machine.
     ///
--- a/crates/fleet/src/switch_deadlines.rs
+++ b/crates/fleet/src/switch_deadlines.rs
@@ -19,14 +19,20 @@
         }
     }
 
-    /// Notes that `version` is known to be declared.
-    pub fn declare(&mut self, version: u64, now: Instant) {
-        self.declared.entry(version).or_insert(now);
+    /// Notes that `version` is known to be declared since `known`.
+    pub fn declare(&mut self, version: u64, known: Instant) {
+        let time = self.declared.entry(version).or_insert(known);
+        *time = known.min(*time);
         while self.declared.len() > KEPT_VERSIONS {
             self.declared.pop_first();
         }
     }
 
+    /// Notes that `version` was declared at an unknown time, so that it may be in force already.
+    pub fn declare_old(&mut self, version: u64, now: Instant) {
+        self.declare(version, now.checked_sub(self.switch_time).unwrap_or(now));
+    }
+
     /// Returns the time from which a replica that serves `serving` is of no use: the first newer version is in force,
     /// also when it is skipped for one that is newer still.
     pub fn deadline(&self, serving: u64) -> Option<Instant> {
--- a/crates/fleet/src/version_table.rs
+++ b/crates/fleet/src/version_table.rs
@@ -58,16 +58,22 @@
 
     /// Notes that another process has known a version since `known`.
     ///
-    /// That tells the time of a version whose time is not known here, and of versions that newer ones hid from a process
-    /// that started late.
+    /// That tells the time of a version whose time is not known here or became known later, and of versions that newer
+    /// ones hid from a process that started late.
     pub fn learn_time(&mut self, model: &str, version: u64, known: Instant) {
         let Some(versions) = self.models.get_mut(model) else {
             return;
         };
         let time = versions.entry(version).or_insert(Some(known));
-        if time.is_none() {
-            *time = Some(known);
-        }
+        *time = Some(time.map_or(known, |it| it.min(known)));
+    }
+
+    /// Returns all versions that are remembered, with the time at which each became known.
+    pub fn all(&self) -> impl Iterator<Item = (&str, u64, Option<Instant>)> {
+        self.models.iter().flat_map(|(model, versions)| {
+            let versions = versions.iter();
+            versions.map(|(version, known)| (model.as_str(), *version, *known))
+        })
     }
 
     /// Returns the newest version of each model that is in force and those that are not yet, with their age; nothing of
--- a/crates/ingress/src/agent_loop.rs
+++ b/crates/ingress/src/agent_loop.rs
@@ -1,4 +1,4 @@
-//! Tells the agents of the zone which weights are declared, so that they need not follow the operator's rows.
+//! Tells the agents of the zone which weights are declared, and since when, so that they need not follow the operator's rows.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -41,6 +41,11 @@
     if !state.freshness.is_trusted(crate::boot_clock::now()) {
         return None;
     }
+    // Agents load at once what may be long in force.
+    let is_undated = state.versions.all().any(|it| it.2.is_none());
+    if is_undated && !state.times_read {
+        return None;
+    }
     let before = state
         .peers
         .alive(now)
@@ -49,10 +54,13 @@
     if before >= TELLERS {
         return None;
     }
-    let newest = state.versions.newest();
-    let weights = newest.map(|(model, version)| DeclaredWeights {
-        model: model.to_owned(),
-        version,
+    let weights = state.versions.all().map(|(model, version, known)| {
+        let age = known.map(|it| now.saturating_duration_since(it).as_millis());
+        DeclaredWeights {
+            model: model.to_owned(),
+            version,
+            age_ms: age.map(|it| u32::try_from(it).unwrap_or(u32::MAX)),
+        }
     });
     let bytes = postcard::to_allocvec(&FleetMessage::Weights(weights.collect()))
         .expect("names and numbers are always encodable");
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -33,6 +33,8 @@
     pub(crate) catalog_read: bool,
     /// Declared weights.
     pub(crate) versions: VersionTable,
+    /// Whether the kept times of declarations were read, or could not be.
+    pub(crate) times_read: bool,
     /// Load on the replicas.
     pub(crate) board: LoadBoard,
     /// Health of the replicas as traffic shows it.
@@ -58,6 +60,8 @@
     pub(crate) news: Notify,
     /// Wakes the task that tells agents of declared weights.
     pub(crate) declared: Notify,
+    /// Wakes the task that keeps the times of declarations.
+    pub(crate) versions_changed: Notify,
     /// Wakes questions of other entries when a table that they follow has changed.
     pub(crate) feed_changed: Notify,
     /// Wakes the first task when this entry's load on a replica has changed.
@@ -96,6 +100,7 @@
             store,
             replicas,
             news: Notify::new(),
+            versions_changed: Notify::new(),
             feed_changed: Notify::new(),
             load_changed: Notify::new(),
             declared: Notify::new(),
@@ -108,6 +113,7 @@
                 catalog: ReplicaCatalog::default(),
                 catalog_read: false,
                 versions: VersionTable::new(switch),
+                times_read: false,
                 board: LoadBoard::default(),
                 health: HealthTable::default(),
                 budgets: BTreeMap::new(),
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -7,6 +7,7 @@
 mod agent_loop;
 mod boot_clock;
 mod client_call;
+mod declaration_log;
 mod directory;
 mod entry_metrics;
 mod entry_shared;
@@ -106,6 +107,7 @@
         tokio::spawn(feed_loop::run(shared.clone(), table));
     }
     tokio::spawn(agent_loop::run(shared.clone()));
+    tokio::spawn(declaration_log::run(shared.clone()));
     peer_loop::start(&shared).await?;
     info!(log, "started"; "front" => front.address().to_string(), "pid" => std::process::id());
 
--- a/crates/ingress/src/operator_rows.rs
+++ b/crates/ingress/src/operator_rows.rs
@@ -55,6 +55,7 @@
     };
     if shared.state().versions.declare(&model, version, known) {
         shared.declared.notify_one();
+        shared.versions_changed.notify_one();
         info!(shared.log, "weights declared"; "model" => model, "version" => version, "time_known" => known.is_some());
     }
 }
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -36,8 +36,9 @@
     pub(crate) target: Option<WeightTarget>,
     /// Until when the replica must serve declared versions of the target's model.
     pub(crate) deadlines: SwitchDeadlines,
-    /// Newest declared version of each model, as entries told.
-    pub(crate) told: BTreeMap<String, u64>,
+    /// Declared versions of each model with the time at which each became known, as entries told; without a time it may
+    /// be long in force.
+    pub(crate) told: BTreeMap<String, BTreeMap<u64, Option<Instant>>>,
     /// When an entry last told of declared versions.
     pub(crate) told_at: Option<Instant>,
     /// Entries of the zone that were heard, with the time of the last message.
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -8,7 +8,7 @@
 use platform::{CONFIG_KEY, VERSION_PREFIX};
 use slog::{info, warn};
 
-use crate::agent_shared::{AgentShared, WeightTarget};
+use crate::agent_shared::{AgentShared, AgentState, WeightTarget};
 use crate::feed_reader;
 
 /// Follows the rows for as long as the process lives.
@@ -20,9 +20,9 @@
     let mut versions: BTreeMap<String, u64> = BTreeMap::new();
     loop {
         if table.is_some() && is_told(&shared) {
-            for (model, version) in &shared.state().told {
+            for (model, told) in &shared.state().told {
                 let known = versions.entry(model.clone()).or_default();
-                *known = (*version).max(*known);
+                *known = told.keys().copied().max().unwrap_or(0).max(*known);
             }
             aim(&shared, table.as_ref(), &versions);
             // A message and its absence lead to the same look.
@@ -126,17 +126,10 @@
         origin_region: origin_zone.and_then(|it| shared.settings.regions.get(it).cloned()),
     };
     let mut state = shared.state();
+    note_times(&mut state, &target, shared.settings.bounds.version_switch);
     if state.target.as_ref() == Some(&target) {
         return;
     }
-    let is_other_model = state
-        .target
-        .as_ref()
-        .is_some_and(|it| it.model != target.model);
-    if is_other_model {
-        state.deadlines = SwitchDeadlines::new(shared.settings.bounds.version_switch);
-    }
-    state.deadlines.declare(target.version, Instant::now());
     info!(
         shared.log, "weights wanted";
         "model" => &target.model,
@@ -148,6 +141,23 @@
     shared.wanted.notify_one();
 }
 
+/// Brings the deadlines of the target's model up to date.
+fn note_times(state: &mut AgentState, target: &WeightTarget, switch_time: Duration) {
+    let now = Instant::now();
+    let is_other_model = |it: &WeightTarget| it.model != target.model;
+    if state.target.as_ref().is_some_and(is_other_model) {
+        state.deadlines = SwitchDeadlines::new(switch_time);
+    }
+    let told = state.told.get(&target.model);
+    for (version, known) in told.into_iter().flatten() {
+        match known {
+            Some(known) => state.deadlines.declare(*version, *known),
+            None => state.deadlines.declare_old(*version, now),
+        }
+    }
+    state.deadlines.declare(target.version, now);
+}
+
 /// Connections of an origin that states no bound; that of the deployments that were described.
 const DEFAULT_CONNECTIONS: u32 = 48;
 
--- a/crates/stager/src/declared_loop.rs
+++ b/crates/stager/src/declared_loop.rs
@@ -1,7 +1,7 @@
 //! Hears from entries of the zone which weights are declared.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use fleet::FleetMessage;
 use slog::warn;
@@ -32,8 +32,10 @@
                 let inner = (from.ip(), shared.settings.first_port).into();
                 state.entries.insert(inner, now);
                 for declared in weights {
-                    let known = state.told.entry(declared.model).or_default();
-                    *known = declared.version.max(*known);
+                    let age = declared.age_ms.map(|it| Duration::from_millis(it.into()));
+                    let known = age.and_then(|it| now.checked_sub(it));
+                    let versions = state.told.entry(declared.model).or_default();
+                    versions.insert(declared.version, known);
                 }
                 drop(state);
                 shared.told.notify_one();
