Restarted entries tell what is gone; the origin's silence is noticed sooner

An entry answers with all rows where its copy does not reach back, and what is missing is gone (test a_restarted_reader_tells_what_is_gone, which fails on the earlier mirror). What one plan did not bring is looked for by the next agent in rank in the next plan, and the origin has 1.5 s to answer.

--- a/crates/fleet/src/feed_mirror.rs
+++ b/crates/fleet/src/feed_mirror.rs
@@ -46,7 +46,9 @@
     pub version: u64,
     /// Time since the store confirmed that, in milliseconds.
     pub age_ms: u32,
-    /// Changes after the version that was asked for.
+    /// Whether these are all rows, so that those that are missing are gone.
+    pub is_whole: bool,
+    /// Changes after the version that was asked for, or all rows.
     pub rows: Vec<FeedRow>,
 }
 
@@ -54,6 +56,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct FeedMirror {
     version: Option<u64>,
+    /// Version since which removals are known: that of the first reading.
+    removals_since: Option<u64>,
     confirmed: Option<Duration>,
     rows: BTreeMap<String, MirrorRow>,
 }
@@ -68,7 +72,7 @@
 
 impl FeedRow {
     /// Returns the change as it is known here at `now`.
-    pub fn into_change(self, now: Instant) -> FeedChange {
+    fn into_change(self, now: Instant) -> FeedChange {
         let age = self.known_age_ms.map(|it| Duration::from_millis(it.into()));
         FeedChange {
             key: self.key,
@@ -141,6 +145,7 @@
         all.extend(removed.iter().cloned());
         self.change(listed, version);
         self.change(removed, version);
+        self.removals_since.get_or_insert(version);
         all
     }
 
@@ -150,21 +155,41 @@
         rows.filter_map(|(key, row)| Some((key.as_str(), row.value.as_deref()?)))
     }
 
-    /// Returns the changes after `version`, or all rows.
-    pub fn since(&self, version: Option<u64>, now: Instant) -> Vec<FeedRow> {
-        let is_later = |row: &MirrorRow| version.is_none_or(|it| row.version > it);
-        let later = self.rows.iter().filter(|it| is_later(it.1));
-        later
-            .map(|(key, row)| FeedRow {
-                key: key.clone(),
-                version: row.version,
-                value: row.value.clone(),
-                known_age_ms: row.known.map(|it| {
-                    let age = now.saturating_duration_since(it).as_millis();
-                    u32::try_from(age).unwrap_or(u32::MAX)
-                }),
-                after_outage: row.after_outage,
-            })
-            .collect()
+    /// Returns what an entry that has followed the table up to `since` needs at `now`, or `None` before the first reading;
+    /// `moment` is `now` counted from the start of the machine.
+    ///
+    /// All rows are returned where this copy does not reach back that far, since it does not know what was removed before.
+    pub fn answer(&self, since: Option<u64>, now: Instant, moment: Duration) -> Option<FeedAnswer> {
+        let age = moment.saturating_sub(self.confirmed?).as_millis();
+        let since = since.filter(|it| Some(*it) >= self.removals_since);
+        let is_wanted = |row: &MirrorRow| since.map_or(row.value.is_some(), |it| row.version > it);
+        let rows = self.rows.iter().filter(|it| is_wanted(it.1));
+        let rows = rows.map(|(key, row)| FeedRow {
+            key: key.clone(),
+            version: row.version,
+            value: row.value.clone(),
+            known_age_ms: row.known.map(|it| {
+                let age = now.saturating_duration_since(it).as_millis();
+                u32::try_from(age).unwrap_or(u32::MAX)
+            }),
+            after_outage: row.after_outage,
+        });
+        Some(FeedAnswer {
+            version: self.version?,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            is_whole: since.is_none(),
+            rows: rows.collect(),
+        })
+    }
+
+    /// Takes in the answer of another entry; returns what is news, or all rows where the answer has all.
+    pub fn take(&mut self, answer: FeedAnswer, now: Instant) -> Vec<FeedChange> {
+        let changes = answer.rows.into_iter().map(|it| it.into_change(now));
+        let changes = changes.collect();
+        if answer.is_whole {
+            self.replace(changes, answer.version, false)
+        } else {
+            self.change(changes, answer.version)
+        }
     }
 }
--- a/crates/fleet/tests/feeds.rs
+++ b/crates/fleet/tests/feeds.rs
@@ -30,20 +30,26 @@
 }
 
 fn follow(from: &FeedMirror, to: &mut FeedMirror, now: Instant) -> Vec<FeedChange> {
-    let rows = from.since(to.version(), now);
-    let rows = rows.into_iter().map(|it| it.into_change(now)).collect();
-    to.change(rows, from.version().unwrap())
+    let answer = from.answer(to.version(), now, Duration::ZERO).unwrap();
+    to.take(answer, now)
+}
+
+/// Reads the whole table, as an entry does at its start.
+fn started(rows: Vec<FeedChange>, version: u64) -> FeedMirror {
+    let mut mirror = FeedMirror::default();
+    mirror.replace(rows, version, false);
+    mirror.confirm(Duration::ZERO);
+    mirror
 }
 
 #[test]
 fn a_follower_has_what_its_reader_has() {
     let now = Instant::now();
-    let mut reader = FeedMirror::default();
-    let mut follower = FeedMirror::default();
-    reader.change(
+    let mut reader = started(
         vec![change("a", 3, Some("1")), change("b", 4, Some("1"))],
         7,
     );
+    let mut follower = FeedMirror::default();
     let news = follow(&reader, &mut follower, now);
     expect!["a@3=1 b@4=1"].assert_eq(&shown(&news));
 
@@ -56,12 +62,11 @@
 #[test]
 fn a_whole_reading_removes_what_it_lacks() {
     let now = Instant::now();
-    let mut reader = FeedMirror::default();
-    let mut follower = FeedMirror::default();
-    reader.change(
+    let mut reader = started(
         vec![change("a", 3, Some("1")), change("b", 4, Some("1"))],
         7,
     );
+    let mut follower = FeedMirror::default();
     follow(&reader, &mut follower, now);
 
     let all = reader.replace(vec![change("a", 3, Some("1"))], 20, true);
@@ -78,28 +83,46 @@
 #[test]
 fn older_rows_are_no_news() {
     let now = Instant::now();
-    let mut reader = FeedMirror::default();
-    reader.change(vec![change("a", 3, Some("old"))], 7);
-    let mut follower = FeedMirror::default();
-    follower.change(vec![change("a", 9, Some("new"))], 9);
+    let reader = started(vec![change("a", 3, Some("old"))], 7);
+    let mut follower = started(vec![change("a", 9, Some("new"))], 9);
     follow(&reader, &mut follower, now);
     let rows: Vec<_> = follower.rows().collect();
     assert_eq!(rows, [("a", "new".as_bytes())]);
     assert_eq!(follower.version(), Some(9));
 }
 
+/// An entry that was restarted knew no removals from before its start, and those who followed it went on with replicas
+/// that were gone.
+#[test]
+fn a_restarted_reader_tells_what_is_gone() {
+    let now = Instant::now();
+    let reader = started(
+        vec![change("a", 3, Some("1")), change("b", 4, Some("1"))],
+        7,
+    );
+    let mut follower = FeedMirror::default();
+    follow(&reader, &mut follower, now);
+    let restarted = started(vec![change("a", 3, Some("1"))], 30);
+    let news = follow(&restarted, &mut follower, now);
+    expect!["a@3=1 b@30=-"].assert_eq(&shown(&news));
+    expect![""].assert_eq(&shown(&follow(&restarted, &mut follower, now)));
+}
+
 #[test]
 fn the_age_of_a_declaration_survives_the_way() {
     let start = Instant::now();
-    let mut reader = FeedMirror::default();
+    let mut reader = started(Vec::new(), 1);
     let declared = FeedChange {
         known: Some(start),
         ..change("a", 3, Some("1"))
     };
     reader.change(vec![declared], 3);
-    let later = start + Duration::from_millis(700);
-    let told = reader.since(None, later).remove(0).into_change(later);
-    assert_eq!(told.known, Some(start));
+    let told = follow(
+        &reader,
+        &mut FeedMirror::default(),
+        start + Duration::from_millis(700),
+    );
+    assert_eq!(told[0].known, Some(start));
 }
 
 fn peers(names: &[&str], now: Instant) -> PeerTable {
--- a/crates/ingress/src/feed_loop.rs
+++ b/crates/ingress/src/feed_loop.rs
@@ -151,13 +151,10 @@
     };
     let sent = boot_clock::now();
     let answer = relay::ask(&shared.replicas, address, question, stale_age(table)).await?;
-    let now = Instant::now();
     let age = Duration::from_millis(answer.age_ms.into());
-    let changes = answer.rows.into_iter().map(|it| it.into_change(now));
-    let mut state = shared.state();
-    let news = state.feed(table).change(changes.collect(), answer.version);
+    let changes = shared.state().feed(table).take(answer, Instant::now());
     Ok(Some(FeedUpdate {
-        changes: news,
+        changes,
         // The answer was given at some moment since the question.
         confirmed: sent.saturating_sub(age),
     }))
--- a/crates/ingress/src/feed_relay.rs
+++ b/crates/ingress/src/feed_relay.rs
@@ -57,12 +57,7 @@
 fn current(shared: &EntryShared, question: RelayQuestion) -> Option<FeedAnswer> {
     let mut state = shared.state();
     let feed = state.feed(question.table);
-    let age = boot_clock::now().saturating_sub(feed.confirmed()?);
-    Some(FeedAnswer {
-        version: feed.version()?,
-        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-        rows: feed.since(question.since, Instant::now()),
-    })
+    feed.answer(question.since, Instant::now(), boot_clock::now())
 }
 
 /// Returns the age of a reader's copy beyond which it is not followed.
--- a/crates/stager/src/feed_reader.rs
+++ b/crates/stager/src/feed_reader.rs
@@ -30,11 +30,9 @@
         };
         match relay::ask(&shared.sources, entry, question, MAX_COPY_AGE).await {
             Ok(answer) => {
-                let now = Instant::now();
-                let rows = answer.rows.into_iter().map(|it| it.into_change(now));
                 let mut state = shared.state();
                 let feed = state.feeds.entry(table).or_default();
-                return Ok(feed.change(rows.collect(), answer.version));
+                return Ok(feed.take(answer, Instant::now()));
             }
             Err(why) => {
                 info!(shared.log, "entry not followed"; "entry" => entry.to_string(), "error" => why);
--- a/crates/stager/src/piece_book.rs
+++ b/crates/stager/src/piece_book.rs
@@ -10,15 +10,23 @@
 pub(crate) struct PieceBook {
     manifest: Option<Arc<PieceManifest>>,
     sound: Vec<Option<Instant>>,
+    plans: usize,
 }
 
 impl PieceBook {
     /// Starts over for another version.
     pub(crate) fn aim(&mut self, manifest: Arc<PieceManifest>) {
         self.sound = vec![None; manifest.len()];
+        self.plans = 0;
         self.manifest = Some(manifest);
     }
 
+    /// Counts one more plan for the version; returns how many there were before.
+    pub(crate) fn next_plan(&mut self) -> usize {
+        self.plans += 1;
+        self.plans - 1
+    }
+
     /// Returns the manifest of `version` of `model`, if the book is about it.
     pub(crate) fn manifest(&self, model: &str, version: u64) -> Option<&Arc<PieceManifest>> {
         self.manifest
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -101,6 +101,8 @@
 ) -> bool {
     let plan_ends = Instant::now() + PLAN_LIFETIME;
     let mut missing = shared.state().book.missing();
+    // What an earlier plan did not bring in time is looked for elsewhere.
+    let first_round = shared.state().book.next_plan();
     // Pieces that others wait for go first: those that this agent takes from the origin or brings into its region.
     missing.sort_by_key(|it| match plan.sources(*it, 0).first() {
         Some(PieceSource::Origin) => 0,
@@ -108,7 +110,10 @@
         _ => 2,
     });
     let results = futures::stream::iter(missing)
-        .map(|index| piece(shared, target, manifest, plan, index, pauses, plan_ends))
+        .map(|index| {
+            let plan = (plan, first_round);
+            piece(shared, target, manifest, plan, index, pauses, plan_ends)
+        })
         .buffer_unordered(PARALLEL_PIECES);
     results
         .fold(true, |all, it| std::future::ready(all && it))
@@ -123,12 +128,12 @@
     shared: &AgentShared,
     target: &WeightTarget,
     manifest: &PieceManifest,
-    plan: &FetchPlan,
+    (plan, first_round): (&FetchPlan, usize),
     index: usize,
     pauses: &SourcePause,
     plan_ends: Instant,
 ) -> bool {
-    for round in 0.. {
+    for round in first_round.. {
         for source in plan.sources(index, round) {
             if !piece_source::is_wanted(shared, target) || Instant::now() > plan_ends {
                 return false;
@@ -174,7 +179,7 @@
                 manifest,
                 address,
                 index,
-                Some(plan_ends),
+                Some(plan_ends.min(Instant::now() + FETCHER_PATIENCE)),
             )
             .await,
         ),
@@ -247,6 +252,9 @@
 /// store, may wait for each other that long.
 const PLAN_LIFETIME: Duration = Duration::from_millis(2500);
 
+/// Time for which a source that is still fetching a piece is waited for before the next one is asked.
+const FETCHER_PATIENCE: Duration = Duration::from_millis(1200);
+
 /// Connections of the origin for each agent that fetches from it in turn; the rest is for those that stand in for lost ones.
 const CONNECTIONS_PER_ORIGIN_CLIENT: usize = 3;
 
--- a/crates/stager/src/piece_source.rs
+++ b/crates/stager/src/piece_source.rs
@@ -133,7 +133,7 @@
     };
     let mut last = FetchError::Absent;
     for origin in &target.origins {
-        let api = WeightApi::new(shared.origin.clone(), *origin, PIECE_TIMEOUT);
+        let api = WeightApi::new(shared.origin.clone(), *origin, ORIGIN_TIMEOUT);
         match api.piece(&target.model, target.version, index).await {
             Ok(bytes) => return Ok(bytes),
             Err(platform::CallError::Status(status)) if status == StatusCode::GONE => {
@@ -152,7 +152,7 @@
 ) -> Result<PieceManifest, FetchError> {
     let mut last = FetchError::Absent;
     for origin in &target.origins {
-        let api = WeightApi::new(shared.origin.clone(), *origin, PIECE_TIMEOUT);
+        let api = WeightApi::new(shared.origin.clone(), *origin, ORIGIN_TIMEOUT);
         match api.manifest(&target.model, target.version).await {
             Ok(manifest) if manifest.version == target.version => return Ok(manifest),
             Ok(manifest) => {
@@ -172,8 +172,9 @@
 /// agent behind such a link must not hold up all others, which find the piece elsewhere.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// Time for one piece from one source; a link that was squeezed to 0.9 Mbit/s takes 0.2 s for each.
-const PIECE_TIMEOUT: Duration = Duration::from_millis(6000);
+/// Time for an answer of the origin to begin. A connection to it may stay silent, and all others wait for what this agent
+/// fetches; sixteen pieces at once over 4.38 Mbit/s take half of it.
+const ORIGIN_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Largest piece or manifest.
 const MAX_PIECE_BYTES: usize = 4 * 1024 * 1024;
