Entries use the newest incarnation at an address; agents tell of empty replicas

Each of 32 entries sent a request to each of 68 old ids, which were refused (421), and to replicas whose rows still told of weights: 2,800 refused sends in 4 s.

A replica with a newer start at the same address and service replaces the older one, one that refuses the version that it was listed with has none until it is known to, and agents tell what their replica has at their start, four times over 3 s. Tests: the_newest_incarnation_at_an_address_counts, a_replica_that_lacks_its_version_is_asked_again_when_it_has_one.

--- a/crates/fleet/src/replica_catalog.rs
+++ b/crates/fleet/src/replica_catalog.rs
@@ -43,7 +43,22 @@
     }
 
     /// Adds a replica or replaces what is known of it.
+    ///
+    /// A replica that was started again at its address with a new id leaves its old entry behind until that lapses; the
+    /// newest incarnation counts.
     pub fn put(&mut self, replica: Replica) -> Option<CatalogChange> {
+        let is_same_place = |it: &Replica| {
+            it.address == replica.address && it.service == replica.service && it.id != replica.id
+        };
+        let mut others = self.replicas.values().filter(|it| is_same_place(it));
+        if others.any(|it| it.born_ms > replica.born_ms) {
+            return self
+                .replicas
+                .remove(&replica.id)
+                .map(|it| CatalogChange::Gone(it.id));
+        }
+        self.replicas
+            .retain(|_, it| !is_same_place(it) || it.born_ms >= replica.born_ms);
         self.lapsed.remove(&replica.id);
         let id = replica.id.clone();
         let before = self.replicas.insert(id.clone(), replica);
@@ -110,6 +125,19 @@
         self.replicas.remove(id);
     }
 
+    /// Notes that a replica refused a request because it does not have `version` of `model`: what the store lists is out of
+    /// date, and the replica has no weights until it is known to have some; returns whether that is news.
+    pub fn lacks_version(&mut self, id: &str, model: &str, version: u64) -> bool {
+        let Some(replica) = self.replicas.get_mut(id) else {
+            return false;
+        };
+        if replica.version_of(model) != Some(version) {
+            return false;
+        }
+        replica.models.retain(|it| it.name != model);
+        true
+    }
+
     /// Notes the weights that the agent beside the replica at `address` saw loaded; returns whether that is news.
     pub fn note_weights(&mut self, address: SocketAddr, models: &[LoadedModel]) -> bool {
         let Some(replica) = self.replicas.values_mut().find(|it| it.address == address) else {
--- a/crates/fleet/tests/catalog.rs
+++ b/crates/fleet/tests/catalog.rs
@@ -150,3 +150,52 @@
         0
     );
 }
+
+/// After all machines lost power, entries sent every request to replicas whose rows still told of weights, and each was
+/// refused.
+#[test]
+fn a_replica_that_lacks_its_version_is_asked_again_when_it_has_one() {
+    let mut catalog = ReplicaCatalog::default();
+    catalog.put(replica("r", ReplicaState::Ready, 1));
+    let version = |catalog: &ReplicaCatalog| catalog.get("r").unwrap().version_of("m");
+
+    assert!(
+        !catalog.lacks_version("r", "m", 2),
+        "the list says something newer"
+    );
+    assert_eq!(version(&catalog), Some(1));
+    assert!(catalog.lacks_version("r", "m", 1));
+    assert_eq!(version(&catalog), None);
+
+    let loaded = LoadedModel {
+        name: "m".to_owned(),
+        version: 1,
+    };
+    assert!(catalog.note_weights("127.0.0.1:80".parse().unwrap(), &[loaded]));
+    assert_eq!(version(&catalog), Some(1));
+}
+
+/// After all machines lost power, each entry tried the old ids of all replicas before it used the new ones.
+#[test]
+fn the_newest_incarnation_at_an_address_counts() {
+    let ready = |catalog: &ReplicaCatalog| {
+        let ids = catalog
+            .ready("pool", Instant::now())
+            .map(|it| it.id.clone());
+        ids.collect::<Vec<_>>()
+    };
+    let mut catalog = ReplicaCatalog::default();
+    catalog.put(replica("old", ReplicaState::Ready, 1));
+    catalog.put(replica("new", ReplicaState::Ready, 2));
+    assert_eq!(ready(&catalog), ["new"]);
+    // A list that was read whole may name them in any order.
+    catalog.put(replica("old", ReplicaState::Ready, 1));
+    assert_eq!(ready(&catalog), ["new"]);
+    // An entry for another service says nothing of this one.
+    let foreign = Replica {
+        service: "other".to_owned(),
+        ..replica("foreign", ReplicaState::Ready, 9)
+    };
+    catalog.put(foreign);
+    assert_eq!(ready(&catalog), ["new"]);
+}
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{CallKind, ChosenReplica, LineKind, ReplicaOutcome};
+use fleet::{CallKind, ChosenReplica, LineKind, ReplicaCatalog, ReplicaOutcome};
 use httpio::{ClientError, HttpReply, ReplyBody, Request, StatusCode};
 use hyper::client::conn::http1::SendRequest;
 use platform::{ReplicaAnswer, SendFacts};
@@ -148,9 +148,8 @@
     };
     let mut state = shared.state();
     let out = state.health.note(id, outcome, now);
-    if matches!(end, SendEnd::NotRun(NotRunReason::Misdirected)) && chosen.expect_version.is_none()
-    {
-        state.catalog.misdirected(id);
+    if matches!(end, SendEnd::NotRun(NotRunReason::Misdirected)) {
+        note_misdirected(&mut state.catalog, call, chosen);
     }
     drop(state);
     if !matches!(end, SendEnd::Answered(..)) {
@@ -174,5 +173,18 @@
         .inc();
 }
 
+/// A replica that refuses the version that it was listed with has restarted without weights or is loading others.
+fn note_misdirected(catalog: &mut ReplicaCatalog, call: &ClientCall, chosen: &ChosenReplica) {
+    let id = &chosen.replica.id;
+    let service = call.table.service(&call.service);
+    let engine = service.and_then(|it| it.engine.as_ref());
+    match (chosen.expect_version, engine) {
+        (Some(version), Some(engine)) => {
+            catalog.lacks_version(id, &engine.model, version);
+        }
+        _ => catalog.misdirected(id),
+    }
+}
+
 /// Share of a replica's idle time that a connection is kept, so that it is not used as it is being closed.
 const IDLE_SHARE: f64 = 0.6;
--- a/crates/stager/src/agent_metrics.rs
+++ b/crates/stager/src/agent_metrics.rs
@@ -51,7 +51,9 @@
 
 /// Answers a collector.
 pub(crate) async fn answer(shared: Arc<AgentShared>) -> Response<ReplyBody> {
-    let version = shared.state().serving.first().map_or(0, |it| it.version);
+    let state = shared.state();
+    let serving = state.serving.as_ref().and_then(|it| it.first());
+    let version = serving.map_or(0, |it| it.version);
     shared
         .metrics
         .version
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -49,8 +49,8 @@
     pub(crate) book: PieceBook,
     /// Whether missing pieces are being fetched, so that others may wait for them.
     pub(crate) is_fetching: bool,
-    /// Weights that serve, as entries are told.
-    pub(crate) serving: Vec<LoadedModel>,
+    /// Weights that serve, as entries are told; `None` until the replica was looked at.
+    pub(crate) serving: Option<Vec<LoadedModel>>,
 }
 
 /// Shared by all tasks of an agent.
@@ -117,7 +117,7 @@
                 feeds: BTreeMap::new(),
                 book: PieceBook::default(),
                 is_fetching: false,
-                serving: Vec::new(),
+                serving: None,
             }),
             settings,
             log,
--- a/crates/stager/src/notice_loop.rs
+++ b/crates/stager/src/notice_loop.rs
@@ -35,30 +35,46 @@
                 }
             }
         }
-        for _ in 0..REPEATS {
-            let notice = AgentNotice {
-                replica: shared.replica_address,
-                models: shared.state().serving.clone(),
-            };
-            let bytes = postcard::to_allocvec(&FleetMessage::Agent(notice))
-                .expect("a notice is always encodable");
-            for entry in &entries.1 {
-                // A lost datagram is made good by the next one, and in the end by the replica's entry in the store.
-                let _ = socket.try_send_to(&bytes, *entry);
+        for pause in REPEAT_PAUSES {
+            send(&shared, &socket, &entries.1);
+            // A change meanwhile is told at once.
+            if tokio::time::timeout(pause, shared.served.notified())
+                .await
+                .is_ok()
+            {
+                shared.served.notify_one();
+                break;
             }
-            tokio::time::sleep(REPEAT_PAUSE).await;
         }
     }
 }
 
+fn send(shared: &AgentShared, socket: &UdpSocket, entries: &[SocketAddr]) {
+    let Some(models) = shared.state().serving.clone() else {
+        return;
+    };
+    let notice = AgentNotice {
+        replica: shared.replica_address,
+        models,
+    };
+    let bytes =
+        postcard::to_allocvec(&FleetMessage::Agent(notice)).expect("a notice is always encodable");
+    for entry in entries {
+        // A lost datagram is made good by the next one, and in the end by the replica's entry in the store.
+        let _ = socket.try_send_to(&bytes, *entry);
+    }
+}
+
 /// Table of the store in which entries list themselves.
 const ENTRY_TABLE: &str = "entries";
 
 /// Time for which the list of entries is used.
 const LIST_LIFETIME: Duration = Duration::from_secs(8);
 
-/// Datagrams for one change.
-const REPEATS: usize = 2;
-
-/// Pause between them.
-const REPEAT_PAUSE: Duration = Duration::from_millis(60);
+/// Pauses after the datagrams for one change: one may be lost, and entries may be starting when all machines do.
+const REPEAT_PAUSES: [Duration; 4] = [
+    Duration::from_millis(60),
+    Duration::from_millis(500),
+    Duration::from_millis(1000),
+    Duration::from_millis(1500),
+];
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -258,16 +258,16 @@
 /// Tells entries when what serves has changed.
 fn tell(shared: &AgentShared, models: &[LoadedModel], error: Option<&CallError>) {
     let mut state = shared.state();
-    if state.serving == models {
+    if state.serving.as_deref() == Some(models) {
         return;
     }
     info!(
         shared.log, "weights serving";
         "version" => models.first().map(|it| it.version),
-        "before" => state.serving.first().map(|it| it.version),
+        "before" => state.serving.as_ref().and_then(|it| it.first()).map(|it| it.version),
         "error" => error.map(ToString::to_string),
     );
-    state.serving = models.to_vec();
+    state.serving = Some(models.to_vec());
     drop(state);
     shared.served.notify_one();
 }
