Waits of readers follow the site's bounds; metrics of replicas, repeats and weights

A reader that others follow asked the store every 0.55 s, which bounds of 2 s need; the grown sites allow 3 s. The wait follows configMs and drainMs.

--- a/crates/fleet/src/repeat_budget.rs
+++ b/crates/fleet/src/repeat_budget.rs
@@ -44,8 +44,13 @@
         true
     }
 
-    /// Returns the repeats that are left.
-    pub fn left(&self) -> f64 {
+    /// Returns the repeats that are left at `now`.
+    pub fn left_at(&mut self, now: Instant) -> f64 {
+        self.expire(now);
+        self.left()
+    }
+
+    fn left(&self) -> f64 {
         self.firsts.len() as f64 * self.ratio + self.allowance - self.repeats.len() as f64
     }
 
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -1,12 +1,17 @@
 //! Counters and histograms of an entry, as text for collectors.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use fleet::{FeedTable, ReplicaState};
 use httpio::{ReplyBody, Response};
 use prometheus::{
-    Encoder, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Gauge, GaugeVec, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
+use crate::boot_clock;
 use crate::entry_shared::EntryShared;
 
 /// Everything that an entry counts. Label values come from fixed sets.
@@ -20,7 +25,13 @@
     pub(crate) first_event: Histogram,
     pub(crate) prediction_ratio: Histogram,
     pub(crate) pause: Histogram,
-    pub(crate) replicas_ready: IntGauge,
+    pub(crate) predicted: Histogram,
+    pub(crate) in_progress: IntGauge,
+    pub(crate) replicas: IntGaugeVec,
+    pub(crate) catalog_age: Gauge,
+    pub(crate) repeats_left: GaugeVec,
+    pub(crate) weights_version: IntGaugeVec,
+    pub(crate) weights_age: GaugeVec,
     pub(crate) config_version: IntGauge,
     pub(crate) config_age: Gauge,
     pub(crate) lines_dropped: IntGauge,
@@ -45,11 +56,21 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
-        let config_age = Gauge::new(
-            "fulmarline_config_age_seconds",
-            "Time since the configuration was confirmed to be the newest.",
-        )?;
-        registry.register(Box::new(config_age.clone()))?;
+        let seconds = |name: &str, help: &str| -> anyhow::Result<Gauge> {
+            let gauge = Gauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let int_gauges = |name: &str, help: &str, label: &str| -> anyhow::Result<IntGaugeVec> {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok(gauges)
+        };
+        let gauges = |name: &str, help: &str, label: &str| -> anyhow::Result<GaugeVec> {
+            let gauges = GaugeVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok(gauges)
+        };
         Ok(Self {
             requests: counters(
                 "fulmarline_requests_total",
@@ -86,9 +107,38 @@
                 "Longest pause between two events of a stream.",
                 &FIRST_EVENT_BUCKETS,
             )?,
-            replicas_ready: gauge(
-                "fulmarline_replicas_ready",
-                "Replicas that take new requests.",
+            predicted: histogram(
+                "fulmarline_predicted_first_event_seconds",
+                "Predicted time from a send to the first event, which includes the wait at the replica.",
+                &FIRST_EVENT_BUCKETS,
+            )?,
+            in_progress: gauge(
+                "fulmarline_requests_in_progress",
+                "Requests of this entry at replicas.",
+            )?,
+            replicas: int_gauges(
+                "fulmarline_replicas",
+                "Replicas by state: ready, draining, or out of use after failures.",
+                "state",
+            )?,
+            catalog_age: seconds(
+                "fulmarline_catalog_age_seconds",
+                "Time since the list of replicas was confirmed to be the newest.",
+            )?,
+            repeats_left: gauges(
+                "fulmarline_repeats_left",
+                "Repeats that this entry may still send, by service.",
+                "service",
+            )?,
+            weights_version: int_gauges(
+                "fulmarline_weights_version",
+                "Newest declared version, by model.",
+                "model",
+            )?,
+            weights_age: gauges(
+                "fulmarline_weights_age_seconds",
+                "Time since the newest version became known, by model; -1 where it is not known.",
+                "model",
             )?,
             config_version: gauge(
                 "fulmarline_config_version",
@@ -98,7 +148,10 @@
                 "fulmarline_log_lines_dropped",
                 "Log lines that were left out.",
             )?,
-            config_age,
+            config_age: seconds(
+                "fulmarline_config_age_seconds",
+                "Time since the configuration was confirmed to be the newest.",
+            )?,
             registry,
         })
     }
@@ -116,28 +169,55 @@
 }
 
 fn refresh(shared: &EntryShared) {
-    let state = shared.state();
-    let ready = state
-        .catalog
-        .all()
-        .filter(|it| it.state == fleet::ReplicaState::Ready)
-        .count();
-    let version = state.routes.as_ref().map_or(0, |it| it.version());
-    let age = state.freshness.age(crate::boot_clock::now());
+    let now = Instant::now();
+    let moment = boot_clock::now();
     let metrics = &shared.metrics;
-    metrics
-        .replicas_ready
-        .set(i64::try_from(ready).unwrap_or(i64::MAX));
-    metrics
-        .config_version
-        .set(i64::try_from(version).unwrap_or(i64::MAX));
-    let suppressed = shared.lines().suppressed_total();
+    let mut state = shared.state();
+    let mut counts = BTreeMap::from([("ready", 0), ("draining", 0), ("out", 0)]);
+    for replica in state.catalog.all() {
+        let label = match replica.state {
+            ReplicaState::Draining => "draining",
+            ReplicaState::Ready if state.health.is_usable(&replica.id, now) => "ready",
+            ReplicaState::Ready => "out",
+        };
+        *counts.entry(label).or_insert(0) += 1;
+    }
+    for (label, count) in counts {
+        metrics.replicas.with_label_values(&[label]).set(count);
+    }
+    let in_progress = state.board.own_samples();
+    let in_progress: u32 = in_progress.values().map(|it| it.running).sum();
+    metrics.in_progress.set(i64::from(in_progress));
+    let version = state.routes.as_ref().map_or(0, |it| it.version());
+    metrics.config_version.set(count_of(version));
+    // An age of -1 says that nothing was read yet.
+    let age = |it: Option<Duration>| it.map_or(-1.0, |it| it.as_secs_f64());
+    metrics.config_age.set(age(state.freshness.age(moment)));
+    let confirmed = state.feed(FeedTable::Replicas).confirmed();
+    let catalog_age = confirmed.map(|it| moment.saturating_sub(it));
+    metrics.catalog_age.set(age(catalog_age));
+    for (service, budget) in &mut state.budgets {
+        let left = metrics.repeats_left.with_label_values(&[service.as_str()]);
+        left.set(budget.left_at(now));
+    }
+    for (model, version, known) in state.versions.all() {
+        // Versions come in order, so the newest one stays.
+        let gauge = metrics.weights_version.with_label_values(&[model]);
+        gauge.set(count_of(version));
+        let known = known.map(|it| now.saturating_duration_since(it));
+        metrics
+            .weights_age
+            .with_label_values(&[model])
+            .set(age(known));
+    }
+    drop(state);
     metrics
         .lines_dropped
-        .set(i64::try_from(suppressed).unwrap_or(i64::MAX));
-    metrics
-        .config_age
-        .set(age.map_or(-1.0, |it| it.as_secs_f64()));
+        .set(count_of(shared.lines().suppressed_total()));
+}
+
+fn count_of(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
 }
 
 /// Bounds in seconds around the objectives of 0.1 s to 0.5 s.
--- a/crates/ingress/src/feed_loop.rs
+++ b/crates/ingress/src/feed_loop.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use fleet::{FeedChange, FeedSource, FeedTable};
-use platform::{CallError, OPERATOR_TABLE, REPLICA_TABLE, RowChange, RowPage};
+use platform::{CallError, NodeBounds, OPERATOR_TABLE, REPLICA_TABLE, RowChange, RowPage};
 use relay::RelayQuestion;
 use slog::{info, warn};
 
@@ -110,13 +110,18 @@
 /// Returns the time for which the store holds a reader's question.
 ///
 /// A key that was taken away and a replica that leaves must be noticed in time although the connection went silent; each
-/// call has a price. Where others follow, less is left of that time.
-pub(crate) fn feed_wait(table: FeedTable, has_followers: bool) -> Duration {
-    match table {
-        _ if has_followers => FOLLOWED_WAIT,
-        FeedTable::Operator => OPERATOR_WAIT,
-        FeedTable::Replicas => REPLICAS_WAIT,
+/// call has a price. Where others follow, they must have noticed a reader that is cut off, and have read the store
+/// themselves, within the bound on changes.
+pub(crate) fn feed_wait(bounds: &NodeBounds, table: FeedTable, has_followers: bool) -> Duration {
+    let (longest, bound) = match table {
+        FeedTable::Operator => (OPERATOR_WAIT, bounds.config_switch),
+        FeedTable::Replicas => (REPLICAS_WAIT, bounds.drain),
+    };
+    if !has_followers {
+        return longest;
     }
+    let left = bound.saturating_sub(FALLBACK_TIME + gather_time(table));
+    left.clamp(SHORTEST_WAIT, longest)
 }
 
 /// Returns the pause that gathers changes which come together into one call to the store.
@@ -150,7 +155,13 @@
         holds: true,
     };
     let sent = boot_clock::now();
-    let answer = relay::ask(&shared.replicas, address, question, stale_age(table)).await?;
+    let answer = relay::ask(
+        &shared.replicas,
+        address,
+        question,
+        stale_age(&shared.settings.bounds, table),
+    )
+    .await?;
     let age = Duration::from_millis(answer.age_ms.into());
     let changes = shared.state().feed(table).take(answer, Instant::now());
     Ok(Some(FeedUpdate {
@@ -173,7 +184,7 @@
     let (page, is_whole) = match since.filter(|_| !is_deaf) {
         None => (shared.store.read_table(name(table)).await?, true),
         Some(version) => {
-            let wait = feed_wait(table, has_followers);
+            let wait = feed_wait(&shared.settings.bounds, table, has_followers);
             match shared.store.follow(name(table), version, wait).await? {
                 RowChange::Changed(page) => (page, false),
                 RowChange::HistoryGone => return Ok(None),
@@ -262,9 +273,12 @@
 /// excused (3 s), so it and the time-out of the call stay below 5 s together.
 const REPLICAS_WAIT: Duration = Duration::from_millis(2500);
 
-/// Wait of a reader that others follow. They notice a reader that was cut off by the age of its copy, and must have read
-/// the store themselves within the shortest bound, on configurations and on draining (2 s).
-const FOLLOWED_WAIT: Duration = Duration::from_millis(550);
+/// Time that followers need when a reader is cut off: its copy is taken as too old 0.65 s after the wait, the entry that
+/// stands in has 0.25 s, and the store must be read.
+const FALLBACK_TIME: Duration = Duration::from_millis(1450);
+
+/// Shortest wait, where bounds leave no more; each call has a price.
+const SHORTEST_WAIT: Duration = Duration::from_millis(300);
 
 /// Pause after an answer about replicas; well below the bound on draining (2 s).
 const GATHER_TIME: Duration = Duration::from_millis(300);
--- a/crates/ingress/src/feed_relay.rs
+++ b/crates/ingress/src/feed_relay.rs
@@ -5,6 +5,7 @@
 
 use fleet::{FeedAnswer, FeedTable};
 use httpio::{Incoming, ReplyBody, Request, Response, StatusCode};
+use platform::NodeBounds;
 use relay::RelayQuestion;
 
 use crate::boot_clock;
@@ -45,7 +46,8 @@
         let answer = current(shared, question)?;
         let left = deadline.saturating_duration_since(Instant::now());
         let age = Duration::from_millis(answer.age_ms.into());
-        let until_stale = stale_age(question.table).saturating_sub(age);
+        let stale_age = stale_age(&shared.settings.bounds, question.table);
+        let until_stale = stale_age.saturating_sub(age);
         if !answer.rows.is_empty() || left.is_zero() || until_stale.is_zero() {
             return Some(answer);
         }
@@ -61,6 +63,6 @@
 }
 
 /// Returns the age of a reader's copy beyond which it is not followed.
-pub(crate) fn stale_age(table: FeedTable) -> Duration {
-    fleet::stale_age(feed_wait(table, true), gather_time(table))
+pub(crate) fn stale_age(bounds: &NodeBounds, table: FeedTable) -> Duration {
+    fleet::stale_age(feed_wait(bounds, table, true), gather_time(table))
 }
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -87,6 +87,8 @@
             Err(why) => return Err(refuse(shared, &call, why, &tried, unknown)),
         };
         call.note_send();
+        let predicted = chosen.predicted_ms / 1000.0;
+        shared.metrics.predicted.observe(predicted);
         tried.push(chosen.replica.id.clone());
         let end = if call.route.kind == CallKind::Stream {
             stream_relay::start(shared, &call, &chosen).await
