Connections to replicas end with a reset (GONE)

Cause: a request that was sent to a replica on a frozen machine stayed on its way when the client had left, because hyper ends a cancelled connection in order and the system sends the rest again until it arrives; the replica read the request when it woke, 1.2 s after the client's deadline.

Connections to replicas skip the orderly end and are reset.

--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt;
 
 use crate::body::ReplyBody;
+use crate::closing_stream::ClosingStream;
 
 /// Keeps idle connections per address and opens new ones when none is idle.
 ///
@@ -22,6 +23,7 @@
     connect_timeout: time::Duration,
     /// Time after which a connection whose bytes are not acknowledged is given up by the operating system.
     silence_timeout: Option<time::Duration>,
+    resets: bool,
     max_idle: time::Duration,
     idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
 }
@@ -75,6 +77,7 @@
             local,
             connect_timeout,
             silence_timeout: None,
+            resets: false,
             max_idle: MAX_IDLE,
             idle: Arc::default(),
         }
@@ -89,6 +92,13 @@
         self
     }
 
+    /// Ends connections with a reset, so that what the other side has not read of a cancelled request is dropped on the way.
+    #[must_use]
+    pub fn with_resets(mut self) -> Self {
+        self.resets = true;
+        self
+    }
+
     /// Closes every connection after its answer, for a server that accepts few of them.
     #[must_use]
     pub fn without_idle_connections(mut self) -> Self {
@@ -234,6 +244,7 @@
         if let Some(timeout) = self.silence_timeout {
             socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(timeout))?;
         }
+        let stream = ClosingStream::new(stream, self.resets)?;
         let (sender, connection) = hyper::client::conn::http1::handshake(rt::TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -6,6 +6,7 @@
 //! models, routing or any decision.
 
 mod body;
+mod closing_stream;
 mod guarded_socket;
 mod head_fault;
 mod http_client;
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -81,6 +81,8 @@
         let store = StoreClient::new(store_client, settings.store.address, STORE_TIMEOUT);
         let replicas =
             HttpClient::new(None, REPLICA_CONNECT_TIMEOUT).with_silence_timeout(SILENCE_TIMEOUT);
+        // A replica whose machine is frozen must not find requests of clients that have left when it wakes.
+        let replicas = replicas.with_resets();
         let max_age = settings
             .bounds
             .revocation
