--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,7 +40,7 @@
 pub use peer_table::{PeerRecord, PeerTable};
 pub use piece_manifest::PieceManifest;
 pub use repeat_budget::RepeatBudget;
-pub use replica::{LoadedModel, Replica, ReplicaState};
+pub use replica::{LoadedModel, Replica, ReplicaState, staying_replicas};
 pub use replica_catalog::{CatalogChange, ReplicaCatalog};
 pub use replica_choice::{ChoiceRequest, ChosenReplica, NoReplica, choose_replica};
 pub use replica_health::{HealthTable, ReplicaOutcome};
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -1,5 +1,6 @@
 //! One replica as it describes itself.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -43,6 +44,20 @@
     pub born_ms: Option<u64>,
 }
 
+/// Returns the replicas of `service` that stay, in the order of their addresses: the newest incarnation at each, since one
+/// that was started again may be listed twice until its old entry lapses, and none that is leaving.
+pub fn staying_replicas(replicas: impl Iterator<Item = Replica>, service: &str) -> Vec<Replica> {
+    let mut by_address: BTreeMap<SocketAddr, Replica> = BTreeMap::new();
+    for replica in replicas.filter(|it| it.service == service) {
+        let known = by_address.get(&replica.address);
+        if known.is_none_or(|it| it.born_ms < replica.born_ms) {
+            by_address.insert(replica.address, replica);
+        }
+    }
+    by_address.retain(|_, it| it.state == ReplicaState::Ready);
+    by_address.into_values().collect()
+}
+
 impl Replica {
     /// Returns the version of `model` that is loaded.
     pub fn version_of(&self, model: &str) -> Option<u64> {
--- a/crates/fleet/tests/catalog.rs
+++ b/crates/fleet/tests/catalog.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use expect_test::{Expect, expect};
-use fleet::{LoadedModel, Replica, ReplicaCatalog, ReplicaState};
+use fleet::{LoadedModel, Replica, ReplicaCatalog, ReplicaState, staying_replicas};
 
 fn replica(id: &str, state: ReplicaState, born_ms: u64) -> Replica {
     Replica {
@@ -199,3 +199,23 @@
     catalog.put(foreign);
     assert_eq!(ready(&catalog), ["new"]);
 }
+
+/// Agents planned to fetch pieces through those of leaving replicas, which had stopped already.
+#[test]
+fn leaving_replicas_do_not_stay() {
+    let at = |port: u16, replica: Replica| Replica {
+        address: ([127, 0, 0, 1], port).into(),
+        ..replica
+    };
+    let listed = [
+        at(1, replica("ready", ReplicaState::Ready, 1)),
+        at(2, replica("leaving", ReplicaState::Draining, 1)),
+        at(3, replica("old", ReplicaState::Ready, 1)),
+        at(3, replica("new", ReplicaState::Ready, 2)),
+        at(4, replica("was-ready", ReplicaState::Ready, 1)),
+        at(4, replica("leaving-now", ReplicaState::Draining, 2)),
+    ];
+    let staying = staying_replicas(listed.into_iter(), "pool");
+    let ids: Vec<&str> = staying.iter().map(|it| it.id.as_str()).collect();
+    assert_eq!(ids, ["ready", "new"]);
+}
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -1,11 +1,11 @@
 //! Fetches manifests and pieces from the sources that the plan names.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::{FeedTable, FetchPlan, OriginAccess, PieceHolder, PieceManifest, PieceSource, Replica};
+use fleet::{
+    FeedTable, FetchPlan, OriginAccess, PieceHolder, PieceManifest, PieceSource, staying_replicas,
+};
 use futures::StreamExt;
 use slog::{info, warn};
 
@@ -26,29 +26,22 @@
     // Entries of other writers are told of by the entries, which follow the table.
     let replicas = feed.rows();
     let replicas = replicas.filter_map(|it| platform::decode_replica(it.0, it.1).ok());
-    // A replica that was restarted may be listed twice for a while; the newest incarnation counts.
-    let mut by_address: BTreeMap<SocketAddr, Replica> = BTreeMap::new();
-    for replica in replicas.filter(|it| it.service == service) {
-        let known = by_address.get(&replica.address);
-        if known.is_none_or(|it| it.born_ms < replica.born_ms) {
-            by_address.insert(replica.address, replica);
-        }
-    }
-    let holders = by_address
-        .into_values()
-        .map(|it| PieceHolder {
-            address: (it.address.ip(), shared.settings.first_port).into(),
-            region: shared
-                .settings
-                .regions
-                .get(&it.zone)
-                .cloned()
-                .unwrap_or_default(),
-            complete: it.version_of(&target.model) == Some(target.version),
-        })
-        .collect();
+    let own_address = shared.own_address();
+    // The machines of leaving replicas go soon, and their agents stop sooner.
+    let holders = staying_replicas(replicas, service);
+    let holders = holders.into_iter().map(|it| PieceHolder {
+        address: (it.address.ip(), own_address.port()).into(),
+        region: shared
+            .settings
+            .regions
+            .get(&it.zone)
+            .cloned()
+            .unwrap_or_default(),
+        complete: it.version_of(&target.model) == Some(target.version),
+    });
+    let holders = holders.collect();
     Ok(FetchPlan::new(
-        shared.own_address(),
+        own_address,
         &shared.settings.region,
         holders,
         OriginAccess {
