One copy of table names and of changes from pages; unused functions removed

platform::table_name and RowPage::into_changes replace twins in ingress and stager. VersionTable::newest and ReplicaCatalog::replace had no callers left.

--- a/crates/fleet/src/replica_catalog.rs
+++ b/crates/fleet/src/replica_catalog.rs
@@ -90,19 +90,6 @@
         Some(CatalogChange::Gone(id.to_owned()))
     }
 
-    /// Replaces the whole list, after a read of all entries.
-    pub fn replace(&mut self, listed: Vec<Replica>, now: Instant) -> Vec<CatalogChange> {
-        let missing: Vec<String> = self
-            .replicas
-            .keys()
-            .filter(|id| !listed.iter().any(|it| it.id == **id))
-            .cloned()
-            .collect();
-        let mut changes: Vec<_> = listed.into_iter().filter_map(|it| self.put(it)).collect();
-        changes.extend(missing.iter().filter_map(|it| self.remove(it, now)));
-        changes
-    }
-
     /// Drops lapsed replicas whose grace is over.
     pub fn expire(&mut self, now: Instant) -> Vec<CatalogChange> {
         let over: Vec<String> = self
--- a/crates/fleet/src/version_table.rs
+++ b/crates/fleet/src/version_table.rs
@@ -97,15 +97,6 @@
         recent
     }
 
-    /// Returns the newest declared version of each model.
-    pub fn newest(&self) -> impl Iterator<Item = (&str, u64)> {
-        let newest =
-            |versions: &BTreeMap<u64, Option<Instant>>| versions.keys().next_back().copied();
-        self.models
-            .iter()
-            .filter_map(move |(model, versions)| Some((model.as_str(), newest(versions)?)))
-    }
-
     /// Returns what a request for `model` may begin on at `now`, or `None` when no version was ever declared.
     pub fn demand(&self, model: &str, now: Instant) -> Option<VersionDemand> {
         let versions = self.models.get(model)?;
--- a/crates/ingress/src/feed_loop.rs
+++ b/crates/ingress/src/feed_loop.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use fleet::{FeedChange, FeedSource, FeedTable};
-use platform::{CallError, NodeBounds, OPERATOR_TABLE, REPLICA_TABLE, RowChange, RowPage};
+use platform::{CallError, NodeBounds, RowChange, table_name};
 use relay::RelayQuestion;
 use slog::{info, warn};
 
@@ -55,12 +55,12 @@
         match result {
             Ok(Some(update)) => {
                 if failures > 0 {
-                    info!(shared.log, "store regained"; "table" => name(table), "failures" => failures);
+                    info!(shared.log, "store regained"; "table" => table_name(table), "failures" => failures);
                 }
                 if followed != reader {
                     info!(
                         shared.log, "source of changes";
-                        "table" => name(table),
+                        "table" => table_name(table),
                         "entry" => reader.map(|it| it.to_string()),
                     );
                     followed = reader;
@@ -74,13 +74,13 @@
                 }
             }
             Ok(None) => {
-                info!(shared.log, "history of the store is gone, reading all"; "table" => name(table));
+                info!(shared.log, "history of the store is gone, reading all"; "table" => table_name(table));
                 is_deaf = true;
             }
             Err(why) if reader.is_some() => {
                 info!(
                     shared.log, "entry not followed";
-                    "table" => name(table),
+                    "table" => table_name(table),
                     "entry" => reader.map(|it| it.to_string()),
                     "error" => why,
                 );
@@ -92,7 +92,7 @@
             }
             Err(why) => {
                 if failures == 0 {
-                    warn!(shared.log, "store lost"; "table" => name(table), "error" => why);
+                    warn!(shared.log, "store lost"; "table" => table_name(table), "error" => why);
                 }
                 failures += 1;
                 if table == FeedTable::Replicas {
@@ -182,10 +182,14 @@
     let since = shared.state().feed(table).version();
     let sent = boot_clock::now();
     let (page, is_whole) = match since.filter(|_| !is_deaf) {
-        None => (shared.store.read_table(name(table)).await?, true),
+        None => (shared.store.read_table(table_name(table)).await?, true),
         Some(version) => {
             let wait = feed_wait(&shared.settings.bounds, table, has_followers);
-            match shared.store.follow(name(table), version, wait).await? {
+            match shared
+                .store
+                .follow(table_name(table), version, wait)
+                .await?
+            {
                 RowChange::Changed(page) => (page, false),
                 RowChange::HistoryGone => return Ok(None),
             }
@@ -200,7 +204,7 @@
     let received = boot_clock::now();
     let version = page.version;
     let store_ms = page.store_ms;
-    let changes = changes(page, known, after_outage);
+    let changes = page.into_changes(known, after_outage);
     let mut state = shared.state();
     let confirmed = state.store_clock.answered(store_ms, sent, received);
     let feed = state.feed(table);
@@ -212,18 +216,6 @@
     Ok(Some(FeedUpdate { changes, confirmed }))
 }
 
-fn changes(page: RowPage, known: Option<Instant>, after_outage: bool) -> Vec<FeedChange> {
-    let rows = page.rows.into_iter();
-    rows.map(|it| FeedChange {
-        key: it.key,
-        version: it.version,
-        value: it.value,
-        known,
-        after_outage,
-    })
-    .collect()
-}
-
 fn take_in(shared: &EntryShared, table: FeedTable, update: FeedUpdate) {
     match table {
         FeedTable::Operator => operator_rows::apply(shared, &update.changes),
@@ -240,13 +232,6 @@
     }
 }
 
-fn name(table: FeedTable) -> &'static str {
-    match table {
-        FeedTable::Operator => OPERATOR_TABLE,
-        FeedTable::Replicas => REPLICA_TABLE,
-    }
-}
-
 fn count(
     shared: &EntryShared,
     table: FeedTable,
@@ -263,7 +248,9 @@
     } else {
         &shared.metrics.store_calls
     };
-    counter.with_label_values(&[name(table), outcome]).inc();
+    counter
+        .with_label_values(&[table_name(table), outcome])
+        .inc();
 }
 
 /// Wait for the operator's rows; with the time-out of the call well below the bound on revocation (5 s).
--- a/crates/stager/src/feed_reader.rs
+++ b/crates/stager/src/feed_reader.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fleet::{FeedChange, FeedTable};
-use platform::{OPERATOR_TABLE, REPLICA_TABLE, RowChange, RowPage};
+use platform::{RowChange, table_name};
 use rand::seq::IteratorRandom;
 use relay::RelayQuestion;
 use slog::info;
@@ -41,7 +41,7 @@
         }
     }
     let page = match since {
-        Some(since) => match shared.store.follow(name(table), since, wait).await {
+        Some(since) => match shared.store.follow(table_name(table), since, wait).await {
             Ok(RowChange::Changed(page)) => Some(page),
             Ok(RowChange::HistoryGone) => None,
             Err(err) => return Err(err.to_string()),
@@ -50,15 +50,15 @@
     };
     if let Some(page) = page {
         let version = page.version;
-        let changes = changes(page);
+        let changes = page.into_changes(None, false);
         let mut state = shared.state();
         let feed = state.feeds.entry(table).or_default();
         return Ok(feed.change(changes, version));
     }
-    let page = shared.store.read_table(name(table)).await;
+    let page = shared.store.read_table(table_name(table)).await;
     let page = page.map_err(|it| it.to_string())?;
     let version = page.version;
-    let changes = changes(page);
+    let changes = page.into_changes(None, false);
     let mut state = shared.state();
     let feed = state.feeds.entry(table).or_default();
     Ok(feed.replace(changes, version, false))
@@ -75,25 +75,6 @@
     heard.map(|it| *it.0).sample(&mut rand::rng(), MAX_ENTRIES)
 }
 
-fn changes(page: RowPage) -> Vec<FeedChange> {
-    let rows = page.rows.into_iter();
-    rows.map(|it| FeedChange {
-        key: it.key,
-        version: it.version,
-        value: it.value,
-        known: None,
-        after_outage: false,
-    })
-    .collect()
-}
-
-fn name(table: FeedTable) -> &'static str {
-    match table {
-        FeedTable::Operator => OPERATOR_TABLE,
-        FeedTable::Replicas => REPLICA_TABLE,
-    }
-}
-
 /// Age of an entry's copy up to which an agent uses it; agents promise no client anything about its age.
 const MAX_COPY_AGE: Duration = Duration::from_millis(3000);
 
