Logs and metrics show how the segments of a stream end

Changes, none of them to what is relayed: 'stream broke off' and the metric fulmarline_stream_segments_total have the framing of the response (length, chunked, connection), the line also the bytes after the last event, and a segment that ends regularly inside an event has a line of its own, which is limited as a failure.

Found on the way: the stand-in replica never sent the half event after which it aborts a stream, because hyper discards what is unwritten when a body is aborted (partial_bytes=0 in the first run of explain_tells_why_requests_failed). It waits for one event interval now; the line shows partial_bytes=11, which the test requires.

--- a/crates/fleet/src/stream_cursor.rs
+++ b/crates/fleet/src/stream_cursor.rs
@@ -37,9 +37,9 @@
         self.last_id
     }
 
-    /// Returns whether bytes of an incomplete event are buffered.
-    pub fn has_partial(&self) -> bool {
-        !self.buffer.is_empty()
+    /// Returns the number of buffered bytes after the last complete event.
+    pub fn partial_len(&self) -> usize {
+        self.buffer.len()
     }
 
     /// Takes the bytes after the last complete event, at the end of a complete stream.
--- a/crates/fleet/tests/streams.rs
+++ b/crates/fleet/tests/streams.rs
@@ -59,7 +59,7 @@
 fn partial_events_are_dropped_before_a_resume() {
     let mut cursor = StreamCursor::new(None);
     cursor.push(b"id: 1\ndata: a\n\nid: 2\ndata: hal").unwrap();
-    assert!(cursor.has_partial());
+    assert_eq!(cursor.partial_len(), b"id: 2\ndata: hal".len());
     cursor.drop_partial();
     let batch = cursor.push(b"id: 2\ndata: whole\n\n").unwrap().unwrap();
     assert_eq!(batch.bytes, b"id: 2\ndata: whole\n\n");
--- a/crates/fulmarline/tests/platform_path.rs
+++ b/crates/fulmarline/tests/platform_path.rs
@@ -349,7 +349,9 @@
         "why-cut",
         &[
             "stream broke off",
+            "framing=chunked",
             "last_event=4",
+            "partial_bytes=11",
             "stream ended",
             "outcome=cut",
         ],
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -6,6 +6,7 @@
 //! routing or any decision logic.
 
 mod body;
+mod body_framing;
 mod client_stream;
 mod error_replacing_stream;
 mod head_error;
@@ -14,6 +15,7 @@
 mod server_limits;
 
 pub use body::{BodySender, HttpBody, empty, full, read_limited, stream};
+pub use body_framing::BodyFraming;
 pub use head_error::{HeadError, HeadErrorHandler};
 pub use http_client::{ClientError, HttpClient, PooledResponse};
 pub use http_server::{HttpServer, ServerHandle, StopSignal};
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -25,6 +25,7 @@
     pub(crate) first_event: Histogram,
     pub(crate) prediction_ratio: Histogram,
     pub(crate) longest_pause: Histogram,
+    pub(crate) stream_segments: IntCounterVec,
     pub(crate) predicted_first_event: Histogram,
     pub(crate) in_flight: IntGauge,
     pub(crate) replicas: IntGaugeVec,
@@ -107,6 +108,11 @@
                 "Longest pause between two events of a stream.",
                 &FIRST_EVENT_BUCKETS,
             )?,
+            stream_segments: counters(
+                "fulmarline_stream_segments_total",
+                "Segments of streams that replicas sent, by how the end of the body is marked and how the segment ended.",
+                &["framing", "end"],
+            )?,
             predicted_first_event: histogram(
                 "fulmarline_predicted_first_event_seconds",
                 "Predicted time from a send to the first event, which includes the wait at the replica.",
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -6,36 +6,17 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{ChosenReplica, LogKind, ReplicaOutcome, StreamCursor};
-use http_body_util::BodyExt;
-use httpio::{BodySender, Incoming, PooledResponse, Response};
-use platform::ResponseMetadata;
+use fleet::{ChosenReplica, LogKind, StreamCursor};
+use httpio::{BodySender, Response};
 use slog::info;
 
 use crate::client_call::ClientCall;
 use crate::entry_shared::EntryShared;
-use crate::in_flight_guard::InFlightGuard;
-use crate::replica_send::{SendOutcome, return_connection, send};
+use crate::replica_send::return_connection;
 use crate::request_handler::{RelayOutcome, choose_replica, may_retry};
-
-/// The segment of a stream that one replica sends.
-struct StreamSegment {
-    pooled_response: PooledResponse,
-    metadata: ResponseMetadata,
-    guard: InFlightGuard,
-    chosen: ChosenReplica,
-    sent_at: Instant,
-}
-
-/// Result of reading from a segment.
-enum SegmentRead {
-    /// Complete events.
-    Events(Bytes),
-    /// The stream has ended; contains any bytes after the last complete event.
-    Complete(Bytes),
-    /// The connection was lost, the replica stalled, or it sent an invalid event. Contains the reason for logs.
-    Interrupted(&'static str),
-}
+use crate::stream_segment::{
+    MIN_RESUME_TIME, SegmentRead, StreamSegment, first_event_timeout, millis,
+};
 
 /// Sends `call` to `chosen` and waits for the first event. Then returns the response, whose body is relayed by a
 /// separate task.
@@ -45,29 +26,33 @@
     chosen: &ChosenReplica,
 ) -> RelayOutcome {
     let mut cursor = StreamCursor::new(call.metadata.last_event_id);
-    let mut segment = match open_segment(shared, call, chosen, call.metadata.last_event_id).await {
-        Ok(segment) => segment,
-        Err(outcome) => return outcome,
-    };
+    let mut segment =
+        match StreamSegment::open(shared, call, chosen, call.metadata.last_event_id).await {
+            Ok(segment) => segment,
+            Err(outcome) => return outcome,
+        };
     if !segment.pooled_response.response.status().is_success() {
         return relay_error_response(shared, call, segment).await;
     }
-    let wait = first_event_timeout(chosen).saturating_sub(segment.sent_at.elapsed());
-    let first_events =
-        match read_events(&mut segment, &mut cursor, wait.min(call.time_remaining())).await {
-            SegmentRead::Events(bytes) => bytes,
-            SegmentRead::Complete(bytes) => {
-                let response = response_head(&segment);
-                return RelayOutcome::Response(response.map(|()| httpio::full(bytes)));
-            }
-            SegmentRead::Interrupted(reason) => {
-                record_interruption(shared, call, &segment, reason, &cursor);
-                return RelayOutcome::Unknown;
-            }
-        };
-    record_first_event(shared, call, &mut segment);
+    let wait = first_event_timeout(chosen).saturating_sub(segment.elapsed());
+    let first_events = match segment
+        .read_events(&mut cursor, wait.min(call.time_remaining()))
+        .await
+    {
+        SegmentRead::Events(bytes) => bytes,
+        SegmentRead::Complete(bytes) => {
+            segment.record_completion(shared, call, bytes.len(), &cursor);
+            let response = segment.response_head();
+            return RelayOutcome::Response(response.map(|()| httpio::full(bytes)));
+        }
+        SegmentRead::Interrupted(reason) => {
+            segment.record_interruption(shared, call, reason, &cursor);
+            return RelayOutcome::Unknown;
+        }
+    };
+    segment.record_first_event(shared, call);
     let (sender, body) = httpio::stream(BUFFERED_CHUNKS);
-    let response = response_head(&segment).map(|()| body);
+    let response = segment.response_head().map(|()| body);
     tokio::spawn(relay(
         shared.clone(),
         call.clone(),
@@ -79,27 +64,6 @@
     RelayOutcome::Response(response)
 }
 
-async fn open_segment(
-    shared: &Arc<EntryShared>,
-    call: &Arc<ClientCall>,
-    chosen: &ChosenReplica,
-    last_event_id: Option<u64>,
-) -> Result<StreamSegment, RelayOutcome> {
-    let guard = InFlightGuard::new(shared, &chosen.replica.id, call.metadata.size.prompt_tokens);
-    let sent_at = Instant::now();
-    let wait = first_event_timeout(chosen).min(call.time_remaining());
-    match send(shared, call, chosen, last_event_id, wait).await {
-        SendOutcome::Response(pooled_response, metadata) => Ok(StreamSegment {
-            pooled_response: *pooled_response,
-            metadata,
-            guard,
-            chosen: chosen.clone(),
-            sent_at,
-        }),
-        failed => Err(RelayOutcome::from_failed_send(&failed)),
-    }
-}
-
 /// Forwards an error response of a replica unchanged.
 async fn relay_error_response(
     shared: &EntryShared,
@@ -128,14 +92,6 @@
     }
 }
 
-fn response_head(segment: &StreamSegment) -> Response<()> {
-    let mut response = Response::new(());
-    *response.status_mut() = segment.pooled_response.response.status();
-    *response.headers_mut() =
-        platform::forwarded_response_headers(segment.pooled_response.response.headers());
-    response
-}
-
 /// Relays a stream to its end. Dropping the sender completes the response body; sending an error aborts it.
 async fn relay(
     shared: Arc<EntryShared>,
@@ -155,7 +111,7 @@
         }
         let wait = EVENT_TIMEOUT.min(call.time_remaining());
         let event = {
-            let reading = pin!(read_events(&mut segment, &mut cursor, wait));
+            let reading = pin!(segment.read_events(&mut cursor, wait));
             tokio::select! {
                 biased;
                 event = reading => event,
@@ -167,6 +123,7 @@
         events = match event {
             SegmentRead::Events(bytes) => bytes,
             SegmentRead::Complete(bytes) => {
+                segment.record_completion(&shared, &call, bytes.len(), &cursor);
                 if !bytes.is_empty() {
                     forward(&sender, bytes).await;
                 }
@@ -175,7 +132,7 @@
                 break "complete";
             }
             SegmentRead::Interrupted(reason) => {
-                record_interruption(&shared, &call, &segment, reason, &cursor);
+                segment.record_interruption(&shared, &call, reason, &cursor);
                 match resume(&shared, &call, &mut tried, &mut cursor).await {
                     Some((next_segment, bytes)) => {
                         segment = next_segment;
@@ -242,57 +199,28 @@
             "replica" => &chosen.replica.id,
             "after_event" => cursor.last_id(),
         );
-        let Ok(mut segment) = open_segment(shared, call, &chosen, cursor.last_id()).await else {
+        let Ok(mut segment) = StreamSegment::open(shared, call, &chosen, cursor.last_id()).await
+        else {
             continue;
         };
         if !segment.pooled_response.response.status().is_success() {
             continue;
         }
-        match read_events(
-            &mut segment,
-            cursor,
-            first_event_timeout(&chosen).min(call.time_remaining()),
-        )
-        .await
-        {
+        let wait = first_event_timeout(&chosen).min(call.time_remaining());
+        match segment.read_events(cursor, wait).await {
             SegmentRead::Events(bytes) => {
-                segment.guard.record_first_event();
+                segment.record_resumed();
                 return Some((segment, bytes));
             }
             SegmentRead::Complete(bytes) => return Some((segment, bytes)),
             SegmentRead::Interrupted(reason) => {
-                record_interruption(shared, call, &segment, reason, cursor);
+                segment.record_interruption(shared, call, reason, cursor);
                 cursor.drop_partial();
             }
         }
     }
 }
 
-async fn read_events(
-    segment: &mut StreamSegment,
-    cursor: &mut StreamCursor,
-    wait: Duration,
-) -> SegmentRead {
-    let deadline = tokio::time::Instant::now() + wait;
-    loop {
-        let body: &mut Incoming = segment.pooled_response.response.body_mut();
-        let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
-            Err(_) => return SegmentRead::Interrupted("stalled"),
-            Ok(None) => return SegmentRead::Complete(Bytes::from(cursor.take_partial())),
-            Ok(Some(Err(_))) => return SegmentRead::Interrupted("connection_lost"),
-            Ok(Some(Ok(frame))) => frame,
-        };
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        match cursor.push(&data) {
-            Ok(Some(events)) => return SegmentRead::Events(Bytes::from(events.bytes)),
-            Ok(None) => {}
-            Err(_) => return SegmentRead::Interrupted("bad_event"),
-        }
-    }
-}
-
 async fn forward(sender: &BodySender, bytes: Bytes) -> bool {
     sender
         .send(Ok(hyper::body::Frame::data(bytes)))
@@ -300,83 +228,6 @@
         .is_ok()
 }
 
-fn record_first_event(shared: &EntryShared, call: &ClientCall, segment: &mut StreamSegment) {
-    segment.guard.record_first_event();
-    let observed = segment.sent_at.elapsed().as_secs_f64();
-    let predicted = segment.chosen.predicted_ms;
-    shared
-        .metrics
-        .first_event
-        .observe(call.arrived.elapsed().as_secs_f64());
-    shared
-        .metrics
-        .prediction_ratio
-        .observe(observed * 1000.0 / predicted.max(1.0));
-    let now = Instant::now();
-    let id = &segment.chosen.replica.id;
-    shared
-        .state()
-        .health
-        .record_first_event(id, observed * 1000.0, predicted, now);
-    if shared.may_log(LogKind::Served) {
-        info!(
-            shared.log, "first event";
-            "request" => call.id(),
-            "replica" => id,
-            "replica_zone" => &segment.chosen.replica.zone,
-            "sent_ms" => (observed * 1000.0).round(),
-            "predicted_ms" => predicted.round(),
-            "ms" => millis(call.arrived.elapsed()),
-            "version" => segment.metadata.version,
-            "config" => call.table.version(),
-        );
-    }
-}
-
-fn record_interruption(
-    shared: &EntryShared,
-    call: &ClientCall,
-    segment: &StreamSegment,
-    reason: &str,
-    cursor: &StreamCursor,
-) {
-    let outcome = if call.time_remaining() < MIN_RESUME_TIME {
-        // The request's deadline has passed or is about to, which is not a fault of the replica.
-        None
-    } else if reason == "bad_event" {
-        Some(ReplicaOutcome::Failed)
-    } else {
-        Some(ReplicaOutcome::Unreachable)
-    };
-    if let Some(outcome) = outcome {
-        let id = &segment.chosen.replica.id;
-        shared
-            .state()
-            .health
-            .record_outcome(id, outcome, Instant::now());
-    }
-    if !shared.may_log(LogKind::Failed) {
-        return;
-    }
-    info!(
-        shared.log, "stream broke off";
-        "request" => call.id(),
-        "replica" => &segment.chosen.replica.id,
-        "why" => reason,
-        "last_event" => cursor.last_id(),
-        "left_ms" => millis(call.time_remaining()),
-    );
-}
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// Returns the time without a first event after which a replica is considered failed.
-fn first_event_timeout(chosen: &ChosenReplica) -> Duration {
-    FIRST_EVENT_MIN_TIMEOUT + Duration::from_secs_f64(chosen.predicted_ms.max(0.0) * 3.0 / 1000.0)
-}
-
 /// Capacity of the channel between reading from a replica and writing to a client.
 const BUFFERED_CHUNKS: usize = 4;
 
@@ -386,9 +237,3 @@
 /// Time without an event after which a replica is considered failed: three times the longest pause that is still on
 /// time (0.4 s).
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1200);
-
-/// Time that is added to three times the prediction in the timeout for a first event.
-const FIRST_EVENT_MIN_TIMEOUT: Duration = Duration::from_millis(700);
-
-/// Minimum remaining time for which a stream is still resumed.
-const MIN_RESUME_TIME: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/crates/ingress/src/stream_segment.rs
@@ -0,0 +1,233 @@
+//! The part of a stream that one replica sends.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use fleet::{ChosenReplica, LogKind, ReplicaOutcome, StreamCursor};
+use http_body_util::BodyExt;
+use httpio::{BodyFraming, Incoming, PooledResponse, Response};
+use platform::ResponseMetadata;
+use slog::info;
+
+use crate::client_call::ClientCall;
+use crate::entry_shared::EntryShared;
+use crate::in_flight_guard::InFlightGuard;
+use crate::replica_send::{SendOutcome, send};
+use crate::request_handler::RelayOutcome;
+
+/// The segment of a stream that one replica sends.
+pub(crate) struct StreamSegment {
+    pub(crate) pooled_response: PooledResponse,
+    pub(crate) metadata: ResponseMetadata,
+    pub(crate) chosen: ChosenReplica,
+    framing: BodyFraming,
+    guard: InFlightGuard,
+    sent_at: Instant,
+}
+
+/// Result of reading from a segment.
+pub(crate) enum SegmentRead {
+    /// Complete events.
+    Events(Bytes),
+    /// The stream has ended; contains any bytes after the last complete event.
+    Complete(Bytes),
+    /// The connection was lost, the replica stalled, or it sent an invalid event. Contains the reason for logs.
+    Interrupted(&'static str),
+}
+
+impl StreamSegment {
+    /// Sends `call` to `chosen` and returns once the head of the response has arrived.
+    pub(crate) async fn open(
+        shared: &Arc<EntryShared>,
+        call: &Arc<ClientCall>,
+        chosen: &ChosenReplica,
+        last_event_id: Option<u64>,
+    ) -> Result<Self, RelayOutcome> {
+        let guard =
+            InFlightGuard::new(shared, &chosen.replica.id, call.metadata.size.prompt_tokens);
+        let sent_at = Instant::now();
+        let wait = first_event_timeout(chosen).min(call.time_remaining());
+        match send(shared, call, chosen, last_event_id, wait).await {
+            SendOutcome::Response(pooled_response, metadata) => Ok(Self {
+                framing: BodyFraming::of(&pooled_response.response),
+                pooled_response: *pooled_response,
+                metadata,
+                chosen: chosen.clone(),
+                guard,
+                sent_at,
+            }),
+            failed => Err(RelayOutcome::from_failed_send(&failed)),
+        }
+    }
+
+    /// Returns the head of the response for the client.
+    pub(crate) fn response_head(&self) -> Response<()> {
+        let replica_response = &self.pooled_response.response;
+        let mut response = Response::new(());
+        *response.status_mut() = replica_response.status();
+        *response.headers_mut() = platform::forwarded_response_headers(replica_response.headers());
+        response
+    }
+
+    /// Reads until a complete event has arrived, the segment has ended, or `wait` has passed.
+    pub(crate) async fn read_events(
+        &mut self,
+        cursor: &mut StreamCursor,
+        wait: Duration,
+    ) -> SegmentRead {
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            let body: &mut Incoming = self.pooled_response.response.body_mut();
+            let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
+                Err(_) => return SegmentRead::Interrupted("stalled"),
+                Ok(None) => return SegmentRead::Complete(Bytes::from(cursor.take_partial())),
+                Ok(Some(Err(_))) => return SegmentRead::Interrupted("connection_lost"),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            match cursor.push(&data) {
+                Ok(Some(events)) => return SegmentRead::Events(Bytes::from(events.bytes)),
+                Ok(None) => {}
+                Err(_) => return SegmentRead::Interrupted("bad_event"),
+            }
+        }
+    }
+
+    /// Returns the time since the request was sent to the replica.
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.sent_at.elapsed()
+    }
+
+    /// Records the first event of a resumed stream, which says nothing about the time to the client's first event.
+    pub(crate) fn record_resumed(&mut self) {
+        self.guard.record_first_event();
+    }
+
+    /// Records the first event of a stream.
+    pub(crate) fn record_first_event(&mut self, shared: &EntryShared, call: &ClientCall) {
+        self.guard.record_first_event();
+        let observed = self.sent_at.elapsed().as_secs_f64();
+        let predicted = self.chosen.predicted_ms;
+        shared
+            .metrics
+            .first_event
+            .observe(call.arrived.elapsed().as_secs_f64());
+        shared
+            .metrics
+            .prediction_ratio
+            .observe(observed * 1000.0 / predicted.max(1.0));
+        let now = Instant::now();
+        let id = &self.chosen.replica.id;
+        shared
+            .state()
+            .health
+            .record_first_event(id, observed * 1000.0, predicted, now);
+        if shared.may_log(LogKind::Served) {
+            info!(
+                shared.log, "first event";
+                "request" => call.id(),
+                "replica" => id,
+                "replica_zone" => &self.chosen.replica.zone,
+                "sent_ms" => (observed * 1000.0).round(),
+                "predicted_ms" => predicted.round(),
+                "ms" => millis(call.arrived.elapsed()),
+                "version" => self.metadata.version,
+                "config" => call.table.version(),
+            );
+        }
+    }
+
+    /// Records that the segment has ended regularly with `partial_bytes` after its last complete event.
+    pub(crate) fn record_completion(
+        &self,
+        shared: &EntryShared,
+        call: &ClientCall,
+        partial_bytes: usize,
+        cursor: &StreamCursor,
+    ) {
+        if partial_bytes == 0 {
+            self.count_end(shared, "complete");
+        } else {
+            self.count_end(shared, "inside_event");
+            self.log_interruption(shared, call, "inside_event", partial_bytes, cursor);
+        }
+    }
+
+    /// Records that the segment was interrupted for `reason`.
+    pub(crate) fn record_interruption(
+        &self,
+        shared: &EntryShared,
+        call: &ClientCall,
+        reason: &str,
+        cursor: &StreamCursor,
+    ) {
+        let outcome = if call.time_remaining() < MIN_RESUME_TIME {
+            // The request's deadline has passed or is about to, which is not a fault of the replica.
+            None
+        } else if reason == "bad_event" {
+            Some(ReplicaOutcome::Failed)
+        } else {
+            Some(ReplicaOutcome::Unreachable)
+        };
+        if let Some(outcome) = outcome {
+            let id = &self.chosen.replica.id;
+            shared
+                .state()
+                .health
+                .record_outcome(id, outcome, Instant::now());
+        }
+        self.count_end(shared, reason);
+        self.log_interruption(shared, call, reason, cursor.partial_len(), cursor);
+    }
+
+    fn count_end(&self, shared: &EntryShared, end: &str) {
+        let labels = [self.framing.label(), end];
+        shared
+            .metrics
+            .stream_segments
+            .with_label_values(&labels)
+            .inc();
+    }
+
+    fn log_interruption(
+        &self,
+        shared: &EntryShared,
+        call: &ClientCall,
+        reason: &str,
+        partial_bytes: usize,
+        cursor: &StreamCursor,
+    ) {
+        if !shared.may_log(LogKind::Failed) {
+            return;
+        }
+        info!(
+            shared.log, "stream broke off";
+            "request" => call.id(),
+            "replica" => &self.chosen.replica.id,
+            "why" => reason,
+            "framing" => self.framing.label(),
+            "last_event" => cursor.last_id(),
+            "partial_bytes" => partial_bytes,
+            "left_ms" => millis(call.time_remaining()),
+        );
+    }
+}
+
+/// Returns `duration` in milliseconds.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the time without a first event after which a replica is considered failed.
+pub(crate) fn first_event_timeout(chosen: &ChosenReplica) -> Duration {
+    FIRST_EVENT_MIN_TIMEOUT + Duration::from_secs_f64(chosen.predicted_ms.max(0.0) * 3.0 / 1000.0)
+}
+
+/// Minimum remaining time for which a stream is still resumed.
+pub(crate) const MIN_RESUME_TIME: Duration = Duration::from_millis(100);
+
+/// Time that is added to three times the prediction in the timeout for a first event.
+const FIRST_EVENT_MIN_TIMEOUT: Duration = Duration::from_millis(700);
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -307,6 +307,8 @@
                 return;
             }
             if is_truncated {
+                // `hyper` discards what it has not written yet when a body is aborted.
+                tokio::time::sleep(shared.event_interval).await;
                 // The send fails if the client has disconnected, which needs no handling.
                 let _ = sender.send(Err(std::io::Error::other("cut"))).await;
                 return;
