A failing test: streams that end early reach the client as complete

The test plays every framing of a response (length, chunks, neither) with every place of its last byte and every end (marked as complete, closed in order, reset) through real entries, for streams that may be resumed and those that may not, and for whole responses of both kinds.

A stream that ends inside an event is passed on with its half event and a regular end, whatever the framing, and so is an empty stream with neither a length nor chunks.

--- /dev/null
+++ b/crates/fulmarline/tests/platform_framing.rs
@@ -0,0 +1,315 @@
+//! Responses of replicas that end early, for every way in which HTTP marks the end of a body.
+
+#[path = "support/raw_replica.rs"]
+mod raw_replica;
+#[path = "support/site.rs"]
+mod site;
+
+use httpio::{Method, StatusCode};
+use raw_replica::{RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts};
+use serde_json::json;
+use site::{SiteResponse, TestSite};
+
+/// Number of complete requests to each entry and service from which the retry budget of a test results.
+const FUNDING_REQUESTS: usize = 40;
+
+/// Number of events of a complete stream.
+const EVENT_COUNT: usize = 6;
+
+/// The last byte of a response that is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LastByte {
+    /// After the head.
+    BeforeBody,
+    /// In the middle of the first part.
+    InsideFirst,
+    /// After the third part.
+    Between,
+    /// In the middle of the last part.
+    InsideLast,
+    /// The last byte of the last part.
+    Complete,
+}
+
+/// What a client sees of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ClientView {
+    /// The whole response.
+    Whole,
+    /// A response that visibly broke off after complete events.
+    Broken,
+    /// An error of the entry's own.
+    Unknown,
+}
+
+/// How the first replica that receives a request responds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct FirstResponse {
+    framing: RawFraming,
+    last_byte: LastByte,
+    end: RawEnd,
+}
+
+const FRAMINGS: [RawFraming; 3] = [
+    RawFraming::Length,
+    RawFraming::Chunked,
+    RawFraming::Connection,
+];
+
+const LAST_BYTES: [LastByte; 4] = [
+    LastByte::BeforeBody,
+    LastByte::InsideFirst,
+    LastByte::Between,
+    LastByte::InsideLast,
+];
+
+impl FirstResponse {
+    /// Returns every response that ends early.
+    fn early() -> Vec<Self> {
+        let mut responses = Vec::new();
+        for framing in FRAMINGS {
+            for last_byte in LAST_BYTES {
+                for end in [RawEnd::Marked, RawEnd::Closed, RawEnd::Reset] {
+                    responses.push(Self {
+                        framing,
+                        last_byte,
+                        end,
+                    });
+                }
+            }
+        }
+        responses
+    }
+
+    /// Returns whether the replica states that the body is complete. Without a length or chunks, it does so by closing
+    /// the connection in order.
+    fn claims_completeness(self) -> bool {
+        self.end == RawEnd::Marked
+            || self.end == RawEnd::Closed && self.framing == RawFraming::Connection
+    }
+
+    /// Returns the streams that end early and can be distinguished from complete ones.
+    ///
+    /// No event is marked as the last one, so the framing alone tells whether a stream that ends between two events is
+    /// complete. A stream without events is complete only if it has a length or chunks.
+    fn broken_streams() -> Vec<Self> {
+        let mut responses = Self::early();
+        responses.retain(|it| match it.last_byte {
+            LastByte::BeforeBody if it.framing == RawFraming::Connection => true,
+            LastByte::BeforeBody | LastByte::Between => !it.claims_completeness(),
+            _ => true,
+        });
+        responses
+    }
+
+    /// Returns the whole responses that end early and can be distinguished from complete ones.
+    fn broken_whole_responses() -> Vec<Self> {
+        let mut responses = Self::early();
+        responses.retain(|it| !it.claims_completeness());
+        responses
+    }
+
+    /// Returns the path suffix that selects this response.
+    fn path(self) -> String {
+        format!("{:?}-{:?}-{:?}", self.framing, self.last_byte, self.end)
+    }
+
+    fn from_path(path: &str) -> Option<Self> {
+        let mut responses = Self::early().into_iter().chain(FRAMINGS.map(complete));
+        responses.find(|it| path.ends_with(&it.path()))
+    }
+
+    fn apply(self, parts: Vec<String>) -> RawResponse {
+        let sizes: Vec<usize> = parts.iter().map(String::len).collect();
+        let total: usize = sizes.iter().sum();
+        let sent_bytes = match self.last_byte {
+            LastByte::BeforeBody => 0,
+            LastByte::InsideFirst => sizes[0] / 2,
+            LastByte::Between => sizes[..3].iter().sum(),
+            LastByte::InsideLast => total - 1,
+            LastByte::Complete => total,
+        };
+        RawResponse {
+            sent_bytes,
+            end: self.end,
+            ..RawResponse::complete(self.framing, parts)
+        }
+    }
+}
+
+fn events(id: &str, after: usize) -> Vec<String> {
+    (after + 1..=EVENT_COUNT)
+        .map(|it| format!("id: {it}\ndata: {id}/{it}\n\n"))
+        .collect()
+}
+
+/// Responds as the path of the request demands, but in full to a repeated or resumed request.
+fn respond(request: &RawRequest) -> RawResponse {
+    let header = |name: &str| request.headers.get(name).map_or("", String::as_str);
+    let after = header("last-event-id").parse().unwrap_or(0);
+    let parts = if request.path.starts_with("/plain/") || request.path.starts_with("/keyed/") {
+        (0..4)
+            .map(|it| format!("part {it} of {}. ", header("request-id")))
+            .collect()
+    } else {
+        events(header("request-id"), after)
+    };
+    let first = FirstResponse::from_path(&request.path).expect("the path names a response");
+    if request.earlier_runs > 0 {
+        return RawResponse::complete(first.framing, parts);
+    }
+    first.apply(parts)
+}
+
+/// Starts a site whose model service and plain service consist of two replicas that respond with [`respond`].
+fn start_site(name: &str, first_index: u8) -> (TestSite, RunCounts) {
+    let mut site = TestSite::start(name, first_index, &[]);
+    let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
+        json!({
+            "name": prefix, "host": "shop.example", "prefix": prefix, "kind": kind, "timeoutMs": 6000,
+            "sloMs": 2000, "prio": 1, "service": service, "maxAttempts": 2, "public": false,
+            "resumable": resumable,
+        })
+    };
+    site.configure(&json!([
+        route("/once/", "stream", "pool", false),
+        route("/plain/", "idempotent", "plain", false),
+        route("/keyed/", "non_idempotent", "plain", false),
+    ]));
+    let runs = RunCounts::default();
+    for (index, zone) in ["a", "b"].into_iter().enumerate() {
+        for service in ["pool", "plain"] {
+            let id = format!("{service}-{index}");
+            let ip = [127, 0, 1, first_index + u8::try_from(index).unwrap()];
+            let replica = RawReplica::start(&id, ip, &runs, respond);
+            let row = replica.row(service, zone);
+            site.store.put("servers", replica.id(), &row);
+        }
+    }
+    for entry in 0..2 {
+        for path in ["/once/", "/plain/"] {
+            let path = format!("{path}{}", complete(RawFraming::Length).path());
+            site.wait("a served request", |it| {
+                let response = it.call(entry, Method::POST, &path, "warm", "key-1")?;
+                (response.status == StatusCode::OK).then_some(())
+            });
+            for _ in 0..FUNDING_REQUESTS {
+                site.call(entry, Method::POST, &path, "warm", "key-1");
+            }
+        }
+    }
+    (site, runs)
+}
+
+fn complete(framing: RawFraming) -> FirstResponse {
+    FirstResponse {
+        framing,
+        last_byte: LastByte::Complete,
+        end: RawEnd::Marked,
+    }
+}
+
+fn view(response: &SiteResponse, whole: &str) -> Result<ClientView, String> {
+    let ends_after_event = response.body.is_empty() || response.body.ends_with("\n\n");
+    if response.status == StatusCode::BAD_GATEWAY && response.complete {
+        Ok(ClientView::Unknown)
+    } else if response.status == StatusCode::OK && response.complete && response.body == whole {
+        Ok(ClientView::Whole)
+    } else if response.status == StatusCode::OK
+        && !response.complete
+        && ends_after_event
+        && whole.starts_with(&response.body)
+    {
+        Ok(ClientView::Broken)
+    } else {
+        Err(format!("{response:?}"))
+    }
+}
+
+/// Sends a request for each response and returns those whose outcome or number of runs differs from the expected ones.
+fn mismatches(
+    site: &TestSite,
+    runs: &RunCounts,
+    prefix: &str,
+    responses: &[FirstResponse],
+    expected: impl Fn(FirstResponse) -> (ClientView, u64),
+) -> Vec<String> {
+    let mut mismatches = Vec::new();
+    for (index, response) in responses.iter().enumerate() {
+        let path = format!("{prefix}{}", response.path());
+        let id = format!("{}-{index}", prefix.trim_matches('/'));
+        let whole: String = if prefix.starts_with("/plain/") || prefix.starts_with("/keyed/") {
+            (0..4).map(|it| format!("part {it} of {id}. ")).collect()
+        } else {
+            events(&id, 0).concat()
+        };
+        let client_response = site
+            .call(index % 2, Method::POST, &path, &id, "key-1")
+            .expect("a response");
+        let run_count = runs.lock().unwrap().get(&id).copied().unwrap_or(0);
+        let actual = view(&client_response, &whole).map(|it| (it, run_count));
+        if actual != Ok(expected(*response)) {
+            mismatches.push(format!("{path}: {actual:?}"));
+        }
+    }
+    mismatches
+}
+
+/// Guards against streams that reach the client with a regular end although the replica broke them off inside an event.
+#[test]
+fn streams_that_end_early_are_resumed_or_visibly_broken() {
+    let (site, runs) = start_site("platform-framing-streams", 81);
+    let broken = FirstResponse::broken_streams();
+    let complete = FRAMINGS.map(complete);
+    let mut all = Vec::new();
+    for prefix in ["/draft/", "/once/"] {
+        all.extend(mismatches(&site, &runs, prefix, &complete, |_| {
+            (ClientView::Whole, 1)
+        }));
+    }
+    all.extend(mismatches(&site, &runs, "/draft/early-", &broken, |_| {
+        (ClientView::Whole, 2)
+    }));
+    all.extend(mismatches(
+        &site,
+        &runs,
+        "/once/early-",
+        &broken,
+        |it| match it.last_byte {
+            LastByte::BeforeBody | LastByte::InsideFirst => (ClientView::Unknown, 1),
+            _ => (ClientView::Broken, 1),
+        },
+    ));
+    assert!(
+        all.is_empty(),
+        "streams that ended early: {} differ\n{}",
+        all.len(),
+        all.join("\n")
+    );
+}
+
+/// Guards against whole responses that reach the client in part because their end was not checked.
+#[test]
+fn whole_responses_that_end_early_are_repeated_or_refused() {
+    let (site, runs) = start_site("platform-framing-whole", 85);
+    let broken = FirstResponse::broken_whole_responses();
+    let complete = FRAMINGS.map(complete);
+    let mut all = Vec::new();
+    for prefix in ["/plain/", "/keyed/"] {
+        all.extend(mismatches(&site, &runs, prefix, &complete, |_| {
+            (ClientView::Whole, 1)
+        }));
+    }
+    all.extend(mismatches(&site, &runs, "/plain/early-", &broken, |_| {
+        (ClientView::Whole, 2)
+    }));
+    all.extend(mismatches(&site, &runs, "/keyed/early-", &broken, |_| {
+        (ClientView::Unknown, 1)
+    }));
+    assert!(
+        all.is_empty(),
+        "whole responses that ended early: {} differ\n{}",
+        all.len(),
+        all.join("\n")
+    );
+}
--- /dev/null
+++ b/crates/fulmarline/tests/support/raw_replica.rs
@@ -0,0 +1,211 @@
+//! A replica that writes its responses to the socket itself, with any framing and any end.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+/// Pause before the connection is closed, in which the receiver reads what was sent.
+const END_DELAY: Duration = Duration::from_millis(40);
+
+/// How the end of a response body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RawFraming {
+    Length,
+    Chunked,
+    Connection,
+}
+
+/// A response: the complete body as parts, of which only a prefix may be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RawResponse {
+    pub status: &'static str,
+    pub framing: RawFraming,
+    /// The parts of the complete body; each of them is sent as one chunk.
+    pub parts: Vec<String>,
+    /// Number of bytes of the body that are sent.
+    pub sent_bytes: usize,
+    /// What follows the sent bytes.
+    pub end: RawEnd,
+}
+
+/// What follows the last byte of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RawEnd {
+    /// The length or the last chunk marks the sent bytes as the complete body.
+    Marked,
+    /// The connection is closed in order. A length or chunks show that the body is incomplete.
+    Closed,
+    /// The connection is reset.
+    Reset,
+}
+
+/// The head of a received request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RawRequest {
+    pub path: String,
+    pub headers: BTreeMap<String, String>,
+    /// Number of earlier requests with the same id at all replicas that share the counter.
+    pub earlier_runs: u64,
+}
+
+/// Number of runs by request id, shared by the replicas of a service.
+pub type RunCounts = Arc<Mutex<BTreeMap<String, u64>>>;
+
+/// A replica on a loopback address, which runs until the test process ends.
+#[derive(Debug)]
+pub struct RawReplica {
+    id: String,
+    address: SocketAddr,
+}
+
+impl RawResponse {
+    /// Creates a complete response.
+    pub fn complete(framing: RawFraming, parts: Vec<String>) -> Self {
+        Self {
+            status: "200 OK",
+            framing,
+            sent_bytes: parts.iter().map(String::len).sum(),
+            parts,
+            end: RawEnd::Marked,
+        }
+    }
+
+    fn encode(&self, id: &str, replica: &str) -> Vec<u8> {
+        let framing = match self.framing {
+            RawFraming::Length => {
+                let total = self.parts.iter().map(String::len).sum();
+                let length = if self.end == RawEnd::Marked {
+                    self.sent_bytes
+                } else {
+                    total
+                };
+                format!("Content-Length: {length}\r\n")
+            }
+            RawFraming::Chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
+            RawFraming::Connection => String::new(),
+        };
+        let mut bytes = format!(
+            "HTTP/1.1 {}\r\nRequest-Id: {id}\r\nRoute-Stamp: stamp.{replica}\r\nConnection: close\r\n{framing}\r\n",
+            self.status
+        )
+        .into_bytes();
+        let mut remaining = self.sent_bytes;
+        for part in &self.parts {
+            let sent = &part[..part.len().min(remaining)];
+            remaining -= sent.len();
+            if sent.is_empty() {
+                break;
+            }
+            if self.framing == RawFraming::Chunked {
+                bytes.extend(format!("{:x}\r\n{sent}\r\n", sent.len()).into_bytes());
+            } else {
+                bytes.extend_from_slice(sent.as_bytes());
+            }
+        }
+        if self.framing == RawFraming::Chunked && self.end == RawEnd::Marked {
+            bytes.extend_from_slice(b"0\r\n\r\n");
+        }
+        bytes
+    }
+}
+
+impl RawReplica {
+    /// Starts a replica that responds to each request with the result of `respond`.
+    pub fn start(
+        id: &str,
+        ip: [u8; 4],
+        runs: &RunCounts,
+        respond: impl Fn(&RawRequest) -> RawResponse + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind(SocketAddr::from((ip, 0))).unwrap();
+        let address = listener.local_addr().unwrap();
+        let respond = Arc::new(respond);
+        let (replica, runs) = (id.to_owned(), runs.clone());
+        std::thread::spawn(move || {
+            for socket in listener.incoming() {
+                let (respond, replica, runs) = (respond.clone(), replica.clone(), runs.clone());
+                // The connection fails if the entry closes it first, which needs no handling.
+                std::thread::spawn(move || {
+                    let _ = serve(&socket?, &replica, &runs, &*respond);
+                    Ok::<_, std::io::Error>(())
+                });
+            }
+        });
+        Self {
+            id: id.to_owned(),
+            address,
+        }
+    }
+
+    /// Returns the id under which the replica registers.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Returns the row of a replica of `service` with version 1 of the model.
+    pub fn row(&self, service: &str, zone: &str) -> Value {
+        json!({
+            "service": service, "addr": self.address.to_string(), "zone": zone, "version": "v1", "slots": 16,
+            "state": "ready", "coldLeftMs": 0, "seq": 0, "born": 1,
+            "models": [{"name": "m", "version": 1, "adapters": []}],
+            "layers": {"from": 0, "to": 16, "version": 1},
+        })
+    }
+}
+
+fn serve(
+    socket: &TcpStream,
+    replica: &str,
+    runs: &RunCounts,
+    respond: &dyn Fn(&RawRequest) -> RawResponse,
+) -> std::io::Result<()> {
+    let mut request = read_request(socket)?;
+    let id = request
+        .headers
+        .get("request-id")
+        .cloned()
+        .unwrap_or_default();
+    {
+        let mut runs = runs.lock().unwrap();
+        let count = runs.entry(id.clone()).or_default();
+        request.earlier_runs = *count;
+        *count += 1;
+    }
+    let response = respond(&request);
+    let mut writer = socket;
+    writer.write_all(&response.encode(&id, replica))?;
+    std::thread::sleep(END_DELAY);
+    if response.end == RawEnd::Reset {
+        socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO))?;
+    }
+    Ok(())
+}
+
+fn read_request(socket: &TcpStream) -> std::io::Result<RawRequest> {
+    let mut reader = BufReader::new(socket);
+    let mut request = RawRequest::default();
+    let mut line = String::new();
+    reader.read_line(&mut line)?;
+    request.path = line.split(' ').nth(1).unwrap_or_default().to_owned();
+    loop {
+        line.clear();
+        reader.read_line(&mut line)?;
+        let Some((name, value)) = line.trim_end().split_once(": ") else {
+            break;
+        };
+        request
+            .headers
+            .insert(name.to_ascii_lowercase(), value.to_owned());
+    }
+    let length = request
+        .headers
+        .get("content-length")
+        .and_then(|it| it.parse::<usize>().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    reader.read_exact(&mut body)?;
+    Ok(request)
+}
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -244,6 +244,7 @@
             "services": [
                 {"name": "pool", "maxConns": 100, "engine": engine},
                 {"name": "orders", "maxConns": 100},
+                {"name": "plain", "maxConns": 100},
                 {"name": "weights", "origin": self.origin.address().to_string(), "maxConns": 100},
             ],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
