--- a/crates/ingress/src/stream_segment.rs
+++ b/crates/ingress/src/stream_segment.rs
@@ -135,6 +135,7 @@
                 "predicted_ms" => predicted.round(),
                 "ms" => millis(call.arrived.elapsed()),
                 "version" => self.metadata.version,
+                "framing" => self.framing.label(),
                 "config" => call.table.version(),
             );
         }
