A stream that ends inside an event is broken off, whatever marks its end

Cause: the relay took every end of a replica's body for the end of the stream. Where a length or chunks mark the end, the HTTP library reports an early end as an error; with neither, the end of the connection is all there is, and a replica that crashes closes its connection as well. The half event was even passed on as part of the complete stream, at three places: before the first event, in the relay, and after a resume.

Ruled out: an early end that the HTTP client does not report (all 40 marked early ends were reported as connection_lost).

Change: StreamCursor::finish decides whether a stream is complete: not inside an event, and not before the first event unless a length or chunks mark the end. Otherwise the segment is interrupted: the stream is resumed where that is allowed, or visibly broken off. Such a replica counts as failing, not as unreachable, since it responded. The relay loop handles the first read of a resumed segment like any other.

--- a/crates/fleet/src/stream_cursor.rs
+++ b/crates/fleet/src/stream_cursor.rs
@@ -14,6 +14,10 @@
     Order,
     /// An event is larger than [`MAX_EVENT_BYTES`].
     TooLarge,
+    /// The stream ended inside an event.
+    InsideEvent,
+    /// The stream ended without an event, and nothing marked its end.
+    NoEvent,
 }
 
 /// State of the stream of one client across all replicas that serve it.
@@ -21,14 +25,16 @@
 pub struct StreamCursor {
     buffer: Vec<u8>,
     last_id: Option<u64>,
+    /// Whether the current replica has sent a complete event.
+    segment_has_events: bool,
 }
 
 impl StreamCursor {
     /// Creates a cursor; `last_id` is the last event that the client has, if it resumes a stream.
     pub fn new(last_id: Option<u64>) -> Self {
         Self {
-            buffer: Vec::new(),
             last_id,
+            ..Self::default()
         }
     }
 
@@ -42,14 +48,29 @@
         self.buffer.len()
     }
 
-    /// Takes the bytes after the last complete event, at the end of a complete stream.
-    pub fn take_partial(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.buffer)
+    /// Prepares for the events of another replica. Discards what the last one sent of an incomplete event.
+    pub fn start_segment(&mut self) {
+        self.buffer.clear();
+        self.segment_has_events = false;
     }
 
-    /// Discards an incomplete event because the replica failed.
-    pub fn drop_partial(&mut self) {
-        self.buffer.clear();
+    /// Checks whether the stream is complete when the replica's response has ended, and returns the blank lines and
+    /// comments after its last event.
+    ///
+    /// `end_is_marked` states whether a length or chunks mark the end of the response. A response with neither ends with
+    /// its connection, which a replica that crashes closes as well; its end therefore counts only after an event.
+    ///
+    /// # Errors
+    ///
+    /// [`StreamError`] if the replica broke the stream off.
+    pub fn finish(&mut self, end_is_marked: bool) -> Result<Vec<u8>, StreamError> {
+        if is_inside_event(&self.buffer) {
+            return Err(StreamError::InsideEvent);
+        }
+        if !end_is_marked && !self.segment_has_events {
+            return Err(StreamError::NoEvent);
+        }
+        Ok(std::mem::take(&mut self.buffer))
     }
 
     /// Buffers bytes from a replica and returns all events that are complete.
@@ -73,6 +94,7 @@
             }
             self.last_id = Some(id);
         }
+        self.segment_has_events = true;
         Ok(Some(EventBatch { bytes: events }))
     }
 }
@@ -89,6 +111,16 @@
     lf_end.max(crlf_end)
 }
 
+/// Returns whether `rest`, which follows the last complete event, has begun another one. Blank lines and comments
+/// belong to no event.
+fn is_inside_event(rest: &[u8]) -> bool {
+    rest.split_inclusive(|it| *it == b'\n').any(|line| {
+        let is_blank = line.iter().all(|it| matches!(it, b'\r' | b'\n'));
+        let is_comment = line.starts_with(b":") && line.ends_with(b"\n");
+        !is_blank && !is_comment
+    })
+}
+
 fn event_ids(bytes: &[u8]) -> impl Iterator<Item = u64> {
     bytes
         .split(|it| *it == b'\n')
--- a/crates/fleet/tests/streams.rs
+++ b/crates/fleet/tests/streams.rs
@@ -60,11 +60,70 @@
     let mut cursor = StreamCursor::new(None);
     cursor.push(b"id: 1\ndata: a\n\nid: 2\ndata: hal").unwrap();
     assert_eq!(cursor.partial_len(), b"id: 2\ndata: hal".len());
-    cursor.drop_partial();
+    cursor.start_segment();
     let batch = cursor.push(b"id: 2\ndata: whole\n\n").unwrap().unwrap();
     assert_eq!(batch.bytes, b"id: 2\ndata: whole\n\n");
 }
 
+fn check_end(chunks: &[&str], end_is_marked: bool, expected: &Expect) {
+    let mut cursor = StreamCursor::new(None);
+    for chunk in chunks {
+        cursor.push(chunk.as_bytes()).unwrap();
+    }
+    let end = cursor
+        .finish(end_is_marked)
+        .map(|rest| String::from_utf8(rest).unwrap());
+    expected.assert_eq(&format!("{end:?}"));
+}
+
+/// Guards against streams that count as complete although their replica crashed in the middle of an event.
+#[test]
+fn a_stream_that_ends_inside_an_event_is_not_complete() {
+    let inside = expect!["Err(InsideEvent)"];
+    for end_is_marked in [false, true] {
+        for chunks in [
+            &["id: 1\ndata: a\n\n", "i"][..],
+            &["id: 1\ndata: a\n\nid: 2\nda"],
+            &["id: 1\ndata: a\n\nid: 2\ndata: b\n"],
+            &["id: 1\ndata: a\n\n:comm"],
+            &["id: 1\r\ndata: a\r\n\r"],
+            &["id: 1\nda"],
+        ] {
+            check_end(chunks, end_is_marked, &inside);
+        }
+    }
+}
+
+#[test]
+fn a_stream_that_ends_between_events_is_complete() {
+    for end_is_marked in [false, true] {
+        let check = |chunks, expected| check_end(chunks, end_is_marked, &expected);
+        check(&["id: 1\ndata: a\n\n"], expect![[r#"Ok("")"#]]);
+        check(&["id: 1\r\ndata: a\r\n\r\n"], expect![[r#"Ok("")"#]]);
+        check(&["id: 1\ndata: a\n\n", "\n"], expect![[r#"Ok("\n")"#]]);
+        check(
+            &["id: 1\ndata: a\n\n", ": end\n"],
+            expect![[r#"Ok(": end\n")"#]],
+        );
+    }
+}
+
+/// Guards against empty streams of replicas that crashed before their first event.
+#[test]
+fn an_empty_stream_is_complete_only_if_its_end_is_marked() {
+    check_end(&[], true, &expect![[r#"Ok("")"#]]);
+    check_end(&[], false, &expect!["Err(NoEvent)"]);
+    check_end(&[": ping\n"], false, &expect!["Err(NoEvent)"]);
+
+    let mut cursor = StreamCursor::new(None);
+    cursor.push(b"id: 1\ndata: a\n\n").unwrap();
+    cursor.start_segment();
+    assert!(
+        cursor.finish(false).is_err(),
+        "the second replica sent no event"
+    );
+}
+
 #[test]
 fn events_without_end_are_rejected() {
     let mut cursor = StreamCursor::new(None);
--- a/crates/fulmarline/tests/platform_framing.rs
+++ b/crates/fulmarline/tests/platform_framing.rs
@@ -11,7 +11,7 @@
 use site::{SiteResponse, TestSite};
 
 /// Number of complete requests to each entry and service from which the retry budget of a test results.
-const FUNDING_REQUESTS: usize = 40;
+const FUNDING_REQUESTS: usize = 120;
 
 /// Number of events of a complete stream.
 const EVENT_COUNT: usize = 6;
@@ -193,14 +193,28 @@
                 let response = it.call(entry, Method::POST, &path, "warm", "key-1")?;
                 (response.status == StatusCode::OK).then_some(())
             });
-            for _ in 0..FUNDING_REQUESTS {
-                site.call(entry, Method::POST, &path, "warm", "key-1");
-            }
         }
     }
+    fund_retries(&site);
     (site, runs)
 }
 
+/// Sends complete requests until the retry budget of both entries covers a retry of every response under test.
+fn fund_retries(site: &TestSite) {
+    std::thread::scope(|scope| {
+        for entry in 0..2 {
+            for path in ["/once/", "/plain/"] {
+                let path = format!("{path}{}", complete(RawFraming::Length).path());
+                scope.spawn(move || {
+                    for _ in 0..FUNDING_REQUESTS {
+                        site.call(entry, Method::POST, &path, "warm", "key-1");
+                    }
+                });
+            }
+        }
+    });
+}
+
 fn complete(framing: RawFraming) -> FirstResponse {
     FirstResponse {
         framing,
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -41,7 +41,7 @@
     {
         SegmentRead::Events(bytes) => bytes,
         SegmentRead::Complete(bytes) => {
-            segment.record_completion(shared, call, bytes.len(), &cursor);
+            segment.record_completion(shared);
             let response = segment.response_head();
             return RelayOutcome::Response(response.map(|()| httpio::full(bytes)));
         }
@@ -104,49 +104,44 @@
     let mut tried = vec![segment.chosen.replica.id.clone()];
     let mut longest_pause = Duration::ZERO;
     let mut last_read = Instant::now();
-    let mut events = first_events;
+    let mut read = SegmentRead::Events(first_events);
     let outcome = loop {
-        if !forward(&sender, events).await {
-            break "client_left";
-        }
-        let wait = EVENT_TIMEOUT.min(call.time_remaining());
-        let event = {
-            let reading = pin!(segment.read_events(&mut cursor, wait));
-            tokio::select! {
-                biased;
-                event = reading => event,
-                () = sender.closed() => break "client_left",
+        match read {
+            SegmentRead::Events(bytes) => {
+                if !forward(&sender, bytes).await {
+                    break "client_left";
+                }
             }
-        };
-        longest_pause = longest_pause.max(last_read.elapsed());
-        last_read = Instant::now();
-        events = match event {
-            SegmentRead::Events(bytes) => bytes,
-            SegmentRead::Complete(bytes) => {
-                segment.record_completion(&shared, &call, bytes.len(), &cursor);
-                if !bytes.is_empty() {
-                    forward(&sender, bytes).await;
+            SegmentRead::Complete(rest) => {
+                segment.record_completion(&shared);
+                if !rest.is_empty() && !forward(&sender, rest).await {
+                    break "client_left";
                 }
                 let (_, connection, address) = segment.pooled_response.into_parts();
                 return_connection(&shared, connection, address, &segment.metadata);
                 break "complete";
             }
-            SegmentRead::Interrupted(reason) => {
-                segment.record_interruption(&shared, &call, reason, &cursor);
-                match resume(&shared, &call, &mut tried, &mut cursor).await {
-                    Some((next_segment, bytes)) => {
-                        segment = next_segment;
-                        bytes
-                    }
-                    None => {
-                        let interruption = std::io::Error::other("the stream was interrupted");
-                        // A send error means that the client has disconnected as well.
-                        let _ = sender.send(Err(interruption)).await;
-                        break "cut";
-                    }
-                }
+            SegmentRead::Interrupted(interruption) => {
+                segment.record_interruption(&shared, &call, interruption, &cursor);
+                let Some(resumed) = resume(&shared, &call, &mut tried, &mut cursor).await else {
+                    let error = std::io::Error::other("the stream was interrupted");
+                    // A send error means that the client has disconnected as well.
+                    let _ = sender.send(Err(error)).await;
+                    break "cut";
+                };
+                (segment, read) = resumed;
+                continue;
             }
+        }
+        let wait = EVENT_TIMEOUT.min(call.time_remaining());
+        let reading = pin!(segment.read_events(&mut cursor, wait));
+        read = tokio::select! {
+            biased;
+            read = reading => read,
+            () = sender.closed() => break "client_left",
         };
+        longest_pause = longest_pause.max(last_read.elapsed());
+        last_read = Instant::now();
     };
     shared
         .metrics
@@ -175,14 +170,13 @@
     }
 }
 
-/// Resumes the stream at another replica after the last forwarded event; returns the new segment and its first events.
+/// Resumes the stream at another replica after the last forwarded event; returns the new segment and what was read first.
 async fn resume(
     shared: &Arc<EntryShared>,
     call: &Arc<ClientCall>,
     tried: &mut Vec<String>,
     cursor: &mut StreamCursor,
-) -> Option<(StreamSegment, Bytes)> {
-    cursor.drop_partial();
+) -> Option<(StreamSegment, SegmentRead)> {
     if !call.route.is_retryable() {
         return None;
     }
@@ -199,6 +193,7 @@
             "replica" => &chosen.replica.id,
             "after_event" => cursor.last_id(),
         );
+        cursor.start_segment();
         let Ok(mut segment) = StreamSegment::open(shared, call, &chosen, cursor.last_id()).await
         else {
             continue;
@@ -208,14 +203,12 @@
         }
         let wait = first_event_timeout(&chosen).min(call.time_remaining());
         match segment.read_events(cursor, wait).await {
-            SegmentRead::Events(bytes) => {
-                segment.record_resumed();
-                return Some((segment, bytes));
+            SegmentRead::Interrupted(interruption) => {
+                segment.record_interruption(shared, call, interruption, cursor);
             }
-            SegmentRead::Complete(bytes) => return Some((segment, bytes)),
-            SegmentRead::Interrupted(reason) => {
-                segment.record_interruption(shared, call, reason, cursor);
-                cursor.drop_partial();
+            read => {
+                segment.record_resumed();
+                return Some((segment, read));
             }
         }
     }
--- a/crates/ingress/src/stream_segment.rs
+++ b/crates/ingress/src/stream_segment.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{ChosenReplica, LogKind, ReplicaOutcome, StreamCursor};
+use fleet::{ChosenReplica, LogKind, ReplicaOutcome, StreamCursor, StreamError};
 use http_body_util::BodyExt;
 use httpio::{BodyFraming, Incoming, PooledResponse, Response};
 use platform::ResponseMetadata;
@@ -30,10 +30,41 @@
 pub(crate) enum SegmentRead {
     /// Complete events.
     Events(Bytes),
-    /// The stream has ended; contains any bytes after the last complete event.
+    /// The stream is complete; contains the blank lines and comments after its last event.
     Complete(Bytes),
-    /// The connection was lost, the replica stalled, or it sent an invalid event. Contains the reason for logs.
-    Interrupted(&'static str),
+    /// The stream broke off.
+    Interrupted(Interruption),
+}
+
+/// Reason why a segment broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Interruption {
+    /// The connection was lost, or the response ended before the end that its length or chunks announce.
+    ConnectionLost,
+    /// No event arrived in time.
+    Stalled,
+    /// The response ended although the stream is not complete, or an event is missing, duplicated or too large.
+    Stream(StreamError),
+}
+
+impl Interruption {
+    /// Returns the name of the reason in logs and metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Self::ConnectionLost => "connection_lost",
+            Self::Stalled => "stalled",
+            Self::Stream(StreamError::Order | StreamError::TooLarge) => "bad_event",
+            Self::Stream(StreamError::InsideEvent) => "inside_event",
+            Self::Stream(StreamError::NoEvent) => "no_event",
+        }
+    }
+
+    fn replica_outcome(self) -> ReplicaOutcome {
+        match self {
+            Self::ConnectionLost | Self::Stalled => ReplicaOutcome::Unreachable,
+            Self::Stream(_) => ReplicaOutcome::Failed,
+        }
+    }
 }
 
 impl StreamSegment {
@@ -80,9 +111,9 @@
         loop {
             let body: &mut Incoming = self.pooled_response.response.body_mut();
             let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
-                Err(_) => return SegmentRead::Interrupted("stalled"),
-                Ok(None) => return SegmentRead::Complete(Bytes::from(cursor.take_partial())),
-                Ok(Some(Err(_))) => return SegmentRead::Interrupted("connection_lost"),
+                Err(_) => return SegmentRead::Interrupted(Interruption::Stalled),
+                Ok(None) => return self.finish(cursor),
+                Ok(Some(Err(_))) => return SegmentRead::Interrupted(Interruption::ConnectionLost),
                 Ok(Some(Ok(frame))) => frame,
             };
             let Ok(data) = frame.into_data() else {
@@ -91,11 +122,18 @@
             match cursor.push(&data) {
                 Ok(Some(events)) => return SegmentRead::Events(Bytes::from(events.bytes)),
                 Ok(None) => {}
-                Err(_) => return SegmentRead::Interrupted("bad_event"),
+                Err(err) => return SegmentRead::Interrupted(Interruption::Stream(err)),
             }
         }
     }
 
+    fn finish(&self, cursor: &mut StreamCursor) -> SegmentRead {
+        match cursor.finish(self.framing != BodyFraming::Connection) {
+            Ok(rest) => SegmentRead::Complete(Bytes::from(rest)),
+            Err(err) => SegmentRead::Interrupted(Interruption::Stream(err)),
+        }
+    }
+
     /// Returns the time since the request was sent to the replica.
     pub(crate) fn elapsed(&self) -> Duration {
         self.sent_at.elapsed()
@@ -141,66 +179,28 @@
         }
     }
 
-    /// Records that the segment has ended regularly with `partial_bytes` after its last complete event.
-    pub(crate) fn record_completion(
-        &self,
-        shared: &EntryShared,
-        call: &ClientCall,
-        partial_bytes: usize,
-        cursor: &StreamCursor,
-    ) {
-        if partial_bytes == 0 {
-            self.count_end(shared, "complete");
-        } else {
-            self.count_end(shared, "inside_event");
-            self.log_interruption(shared, call, "inside_event", partial_bytes, cursor);
-        }
+    /// Records that the segment has completed the stream.
+    pub(crate) fn record_completion(&self, shared: &EntryShared) {
+        self.count_end(shared, "complete");
     }
 
-    /// Records that the segment was interrupted for `reason`.
+    /// Records that the segment broke off.
     pub(crate) fn record_interruption(
         &self,
         shared: &EntryShared,
         call: &ClientCall,
-        reason: &str,
+        interruption: Interruption,
         cursor: &StreamCursor,
     ) {
-        let outcome = if call.time_remaining() < MIN_RESUME_TIME {
-            // The request's deadline has passed or is about to, which is not a fault of the replica.
-            None
-        } else if reason == "bad_event" {
-            Some(ReplicaOutcome::Failed)
-        } else {
-            Some(ReplicaOutcome::Unreachable)
-        };
-        if let Some(outcome) = outcome {
-            let id = &self.chosen.replica.id;
-            shared
-                .state()
-                .health
-                .record_outcome(id, outcome, Instant::now());
+        // If the request's deadline has passed or is about to, that is not a fault of the replica.
+        if call.time_remaining() >= MIN_RESUME_TIME {
+            shared.state().health.record_outcome(
+                &self.chosen.replica.id,
+                interruption.replica_outcome(),
+                Instant::now(),
+            );
         }
-        self.count_end(shared, reason);
-        self.log_interruption(shared, call, reason, cursor.partial_len(), cursor);
-    }
-
-    fn count_end(&self, shared: &EntryShared, end: &str) {
-        let labels = [self.framing.label(), end];
-        shared
-            .metrics
-            .stream_segments
-            .with_label_values(&labels)
-            .inc();
-    }
-
-    fn log_interruption(
-        &self,
-        shared: &EntryShared,
-        call: &ClientCall,
-        reason: &str,
-        partial_bytes: usize,
-        cursor: &StreamCursor,
-    ) {
+        self.count_end(shared, interruption.label());
         if !shared.may_log(LogKind::Failed) {
             return;
         }
@@ -208,13 +208,22 @@
             shared.log, "stream broke off";
             "request" => call.id(),
             "replica" => &self.chosen.replica.id,
-            "why" => reason,
+            "why" => interruption.label(),
             "framing" => self.framing.label(),
             "last_event" => cursor.last_id(),
-            "partial_bytes" => partial_bytes,
+            "partial_bytes" => cursor.partial_len(),
             "left_ms" => millis(call.time_remaining()),
         );
     }
+
+    fn count_end(&self, shared: &EntryShared, end: &str) {
+        let labels = [self.framing.label(), end];
+        shared
+            .metrics
+            .stream_segments
+            .with_label_values(&labels)
+            .inc();
+    }
 }
 
 /// Returns `duration` in milliseconds.
