A streamed body is complete only if its sender finishes it

What callers would see: a short response with a regular end, if the task that relays it panics or returns early.

Cause: dropping the sender of a body completed it, and only an explicit error aborted it, so every way out that nobody thought of looked like success. The agent's relay of orders, whose outcome entries record and repeat, depended on it too.

Evidence: a_body_is_aborted_if_its_task_fails failed on the old code: a client of a panicking task read the last chunk ('5 event 0').

Change: BodySender is a type of its own with send, closed and finish; dropping it aborts the body. The gate, the chunk server, both stream relays and the stand-ins finish their bodies explicitly. The stand-in replica that loses responses sends its head first, as before; with an immediate drop, hyper would send nothing, and the first run of explain_tells_why_requests_failed was red for that.

--- a/crates/agent/src/gate/response_relay.rs
+++ b/crates/agent/src/gate/response_relay.rs
@@ -27,11 +27,17 @@
             it = body.frame() => it,
             () = sender.closed() => break,
         };
-        let Some(frame) = frame else { return };
-        let failed = frame.is_err();
+        let Some(frame) = frame else {
+            sender.finish();
+            return;
+        };
         admitted.on_frame();
-        let sent = sender.send(frame.map_err(std::io::Error::other)).await;
-        if sent.is_err() || failed {
+        // Dropping the sender aborts the response if the back end broke off its own.
+        let Ok(frame) = frame else { break };
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        if sender.send(bytes).await.is_err() {
             break;
         }
     }
--- a/crates/agent/src/transfer/chunk_server.rs
+++ b/crates/agent/src/transfer/chunk_server.rs
@@ -5,7 +5,6 @@
 use anyhow::Context;
 use bytes::{Bytes, BytesMut};
 use httpio::{HttpBody, HttpServer, Incoming, Request, Response, StatusCode};
-use hyper::body::Frame;
 use model::VersionDigest;
 use settings::AgentSettings;
 use tokio::sync::Semaphore;
@@ -79,6 +78,7 @@
     let context = context.clone();
     tokio::spawn(async move {
         if send_paced(&context.pacer, &sender, range).await {
+            sender.finish();
             context.store.record_sent(idx);
         }
         drop(permit);
@@ -92,7 +92,7 @@
     while !bytes.is_empty() {
         let block = bytes.split_to(bytes.len().min(pacer.max_write_bytes()));
         pacer.acquire(block.len() as u64).await;
-        if sender.send(Ok(Frame::data(block))).await.is_err() {
+        if sender.send(block).await.is_err() {
             return false;
         }
     }
--- a/crates/entry/src/calls/stream_relay.rs
+++ b/crates/entry/src/calls/stream_relay.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use httpio::BodySender;
-use hyper::body::Frame;
 use model::{AttemptId, ResultCode, VersionDigest};
 use routing::{RecoveryAction, ResumableStream, TokenAction};
 use slog::{Logger, info};
@@ -47,7 +46,11 @@
             let attempt = new_attempt_id();
             stream.on_attempt_started(attempt);
             match self.relay_attempt(response, attempt, &mut stream).await {
-                RelayEnd::Completed | RelayEnd::CallerDisconnected => return,
+                RelayEnd::Completed => {
+                    self.sender.finish();
+                    return;
+                }
+                RelayEnd::CallerDisconnected => return,
                 RelayEnd::ReplicaLost => {}
             }
             self.plan.mark_tried(&host);
@@ -69,6 +72,7 @@
                 }
                 RecoveryAction::Finish => {
                     let _ = self.send(DONE_EVENT.into()).await;
+                    self.sender.finish();
                     return;
                 }
                 RecoveryAction::Restart => ResultCode::StreamCut,
@@ -79,6 +83,7 @@
                 "no replica of the same version could continue the response",
             );
             let _ = self.send(event).await;
+            self.sender.finish();
             return;
         }
     }
@@ -134,7 +139,7 @@
     }
 
     async fn send(&self, bytes: Bytes) -> Option<()> {
-        self.sender.send(Ok(Frame::data(bytes))).await.ok()
+        self.sender.send(bytes).await.ok()
     }
 }
 
--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -1,21 +1,14 @@
-//! Request and response bodies: empty, buffered, or streamed through a channel.
+//! Request and response bodies that are empty or buffered, and how bodies are read.
 
 use std::{convert, time};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Full, StreamBody, combinators};
-use hyper::body::{self, Frame};
-use tokio::sync::mpsc;
+use http_body_util::{BodyExt, Empty, Full, combinators};
+use hyper::body;
 
 /// The body type of responses and of outgoing requests.
 pub type HttpBody = combinators::BoxBody<Bytes, std::io::Error>;
 
-/// The sending half of a streamed body. A send fails if the peer has closed the connection.
-///
-/// Dropping the sender completes the body. Sending an `Err` aborts the connection instead, so that the peer can
-/// distinguish an incomplete body from a complete one.
-pub type BodySender = mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>;
-
 /// Returns an empty body.
 pub fn empty() -> HttpBody {
     Empty::new().map_err(unreachable_error).boxed()
@@ -26,14 +19,6 @@
     Full::new(bytes.into()).map_err(unreachable_error).boxed()
 }
 
-/// Returns a streamed body and its sender. The channel between them holds up to `capacity` frames; each frame
-/// is flushed immediately.
-pub fn stream(capacity: usize) -> (BodySender, HttpBody) {
-    let (sender, mut receiver) = mpsc::channel(capacity);
-    let frames = futures::stream::poll_fn(move |cx| receiver.poll_recv(cx));
-    (sender, BodyExt::boxed(StreamBody::new(frames)))
-}
-
 /// Reads a complete body of at most `max_bytes` within `timeout`.
 ///
 /// # Errors
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod body;
 mod body_framing;
+mod body_sender;
 mod client_stream;
 mod error_replacing_stream;
 mod head_error;
@@ -14,8 +15,9 @@
 mod http_server;
 mod server_limits;
 
-pub use body::{BodySender, HttpBody, empty, full, read_limited, stream};
+pub use body::{HttpBody, empty, full, read_limited};
 pub use body_framing::BodyFraming;
+pub use body_sender::{BodySender, PeerDisconnected, stream};
 pub use head_error::{HeadError, HeadErrorHandler};
 pub use http_client::{ClientError, HttpClient, PooledResponse};
 pub use http_server::{HttpServer, ServerHandle, StopSignal};
--- /dev/null
+++ b/crates/httpio/tests/framing.rs
@@ -0,0 +1,75 @@
+//! Tests that a response which breaks off never looks complete, on either side of a connection.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use bytes::Bytes;
+use httpio::{BodySender, HttpServer, Response, ServerLimits};
+
+/// Timeout of every read, well above what a loaded machine needs.
+const READ_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Returns what a raw client reads of a response that `respond` writes, and whether the connection ended in order.
+fn read_response<F, R>(version: &str, respond: F) -> (String, Option<ErrorKind>)
+where
+    F: Fn(BodySender) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = ()> + Send + 'static,
+{
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let server = HttpServer::bind(([127, 0, 0, 1], 0).into(), ServerLimits::default()).unwrap();
+    let address = server.address();
+    let _handle = runtime.block_on(async {
+        server
+            .serve(move |_, _| {
+                let respond = respond.clone();
+                async move {
+                    let (sender, body) = httpio::stream(1);
+                    tokio::spawn(respond(sender));
+                    Response::new(body)
+                }
+            })
+            .unwrap()
+    });
+    let mut socket = TcpStream::connect(address).unwrap();
+    socket.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    let request = format!("GET / HTTP/{version}\r\nHost: server\r\nConnection: close\r\n\r\n");
+    socket.write_all(request.as_bytes()).unwrap();
+    let mut received = Vec::new();
+    let result = socket.read_to_end(&mut received);
+    let text = String::from_utf8(received).unwrap();
+    let (_, body) = text.split_once("\r\n\r\n").unwrap_or_default();
+    (body.to_owned(), result.err().map(|it| it.kind()))
+}
+
+async fn send_event(sender: &BodySender) {
+    sender.send(Bytes::from_static(b"event")).await.unwrap();
+    // `hyper` discards what it has not written yet when a body is aborted.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+}
+
+#[test]
+fn a_finished_body_is_complete() {
+    let finish = |sender: BodySender| async move {
+        send_event(&sender).await;
+        sender.finish();
+    };
+    assert_eq!(read_response("1.1", finish).0, "5\r\nevent\r\n0\r\n\r\n");
+    assert_eq!(read_response("1.0", finish), ("event".to_owned(), None));
+}
+
+/// Guards against a response that looks complete because the task that wrote it ended early.
+#[test]
+fn a_body_is_aborted_if_its_task_fails() {
+    let panic = |sender: BodySender| async move {
+        send_event(&sender).await;
+        panic!("the relay failed");
+    };
+    assert_eq!(read_response("1.1", panic).0, "5\r\nevent\r\n");
+    let early_return = |sender: BodySender| async move { send_event(&sender).await };
+    assert_eq!(read_response("1.1", early_return).0, "5\r\nevent\r\n");
+}
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -92,7 +92,7 @@
     }
 }
 
-/// Relays a stream to its end. Dropping the sender completes the response body; sending an error aborts it.
+/// Relays a stream to its end. Returning without finishing the sender breaks off the response to the client.
 async fn relay(
     shared: Arc<EntryShared>,
     call: Arc<ClientCall>,
@@ -108,15 +108,16 @@
     let outcome = loop {
         match read {
             SegmentRead::Events(bytes) => {
-                if !forward(&sender, bytes).await {
+                if sender.send(bytes).await.is_err() {
                     break "client_left";
                 }
             }
             SegmentRead::Complete(rest) => {
                 segment.record_completion(&shared);
-                if !rest.is_empty() && !forward(&sender, rest).await {
+                if !rest.is_empty() && sender.send(rest).await.is_err() {
                     break "client_left";
                 }
+                sender.finish();
                 let (_, connection, address) = segment.pooled_response.into_parts();
                 return_connection(&shared, connection, address, &segment.metadata);
                 break "complete";
@@ -124,9 +125,6 @@
             SegmentRead::Interrupted(interruption) => {
                 segment.record_interruption(&shared, &call, interruption, &cursor);
                 let Some(resumed) = resume(&shared, &call, &mut tried, &mut cursor).await else {
-                    let error = std::io::Error::other("the stream was interrupted");
-                    // A send error means that the client has disconnected as well.
-                    let _ = sender.send(Err(error)).await;
                     break "cut";
                 };
                 (segment, read) = resumed;
@@ -214,13 +212,6 @@
     }
 }
 
-async fn forward(sender: &BodySender, bytes: Bytes) -> bool {
-    sender
-        .send(Ok(hyper::body::Frame::data(bytes)))
-        .await
-        .is_ok()
-}
-
 /// Capacity of the channel between reading from a replica and writing to a client.
 const BUFFERED_CHUNKS: usize = 4;
 
--- a/crates/standin/src/engine/token_stream.rs
+++ b/crates/standin/src/engine/token_stream.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use httpio::BodySender;
-use hyper::body::Frame;
 use model::VersionDigest;
 use tokio::sync::watch;
 
@@ -135,18 +134,15 @@
             .generate(|index, text, last| {
                 let event = engine_responses::token_event(&request, version, index, &text, last);
                 let sender = &sender;
-                async move { sender.send(Ok(Frame::data(event))).await.is_ok() }
+                async move { sender.send(event).await.is_ok() }
             })
             .await;
         drop(slot);
         if end == CompletionEnd::Complete {
-            let done = Frame::data(engine_responses::DONE_EVENT.into());
             self.finish();
-            let _ = sender.send(Ok(done)).await;
-            return;
+            let _ = sender.send(engine_responses::DONE_EVENT.into()).await;
+            sender.finish();
         }
-        let error = std::io::Error::other("the stream was aborted");
-        let _ = sender.try_send(Err(error));
     }
 
     /// Updates the prefix cache and consumes one `cut_next` fault, if there is one. Returns the time to prefill and
--- a/crates/standin/src/http_util.rs
+++ b/crates/standin/src/http_util.rs
@@ -40,11 +40,7 @@
 
 /// Creates a response that closes the connection before the first byte of the body is sent.
 pub(crate) fn aborted() -> Response<HttpBody> {
-    let (sender, body) = httpio::stream(1);
-    let error = std::io::Error::other("response dropped by fault injection");
-    sender
-        .try_send(Err(error))
-        .expect("a new channel has capacity");
+    let (_sender, body) = httpio::stream(1);
     Response::new(body)
 }
 
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -261,8 +261,7 @@
         }
         *state.runs.entry(id.clone()).or_default() += 1;
         if state.faults.drop_responses {
-            // An error before the first byte of the body closes the connection.
-            return aborted_response();
+            return response_without_body(shared.event_interval);
         }
         state.faults.truncate_next_after.take()
     };
@@ -302,27 +301,26 @@
             } else {
                 event
             };
-            let frame = hyper::body::Frame::data(bytes::Bytes::from(bytes));
-            if sender.send(Ok(frame)).await.is_err() {
+            if sender.send(bytes.into()).await.is_err() {
                 return;
             }
             if is_truncated {
                 // `hyper` discards what it has not written yet when a body is aborted.
                 tokio::time::sleep(shared.event_interval).await;
-                // The send fails if the client has disconnected, which needs no handling.
-                let _ = sender.send(Err(std::io::Error::other("cut"))).await;
                 return;
             }
         }
+        sender.finish();
     });
     Response::new(body)
 }
 
-fn aborted_response() -> Response<HttpBody> {
+/// Returns a response that breaks off after its head, which is sent within `delay`.
+fn response_without_body(delay: Duration) -> Response<HttpBody> {
     let (sender, body) = httpio::stream(1);
     tokio::spawn(async move {
-        // The send fails if the client has disconnected, which needs no handling.
-        let _ = sender.send(Err(std::io::Error::other("lost"))).await;
+        tokio::time::sleep(delay).await;
+        drop(sender);
     });
     Response::new(body)
 }
--- a/crates/standin/src/weights/weight_source.rs
+++ b/crates/standin/src/weights/weight_source.rs
@@ -9,7 +9,6 @@
 use httpio::{
     BodySender, HttpBody, Incoming, Method, Request, Response, ServerHandle, StatusCode, header,
 };
-use hyper::body::Frame;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde::Serialize;
 use serde_json::json;
@@ -268,8 +267,6 @@
             end = end.min(truncate_at as usize);
         }
         if end == sent {
-            let error = std::io::Error::other("aborted by an injected fault");
-            let _ = sender.send(Err(error)).await;
             return;
         }
         let frame = corrupt_frame(content.slice(sent..end), sent, response_faults.corrupt_at);
@@ -279,13 +276,14 @@
         let ready = shared.bytes.reserve(frame.len() as u64, Instant::now());
         tokio::time::sleep_until(ready.into()).await;
         let len = frame.len();
-        if sender.send(Ok(Frame::data(frame))).await.is_err() {
+        if sender.send(frame).await.is_err() {
             return;
         }
         let mut inner = shared.inner();
         inner.served.entry(version_key.clone()).or_default().bytes += len as u64;
         sent = end;
     }
+    sender.finish();
 }
 
 /// Flips a bit of the byte at `corrupt_at` if `frame`, which begins at offset `start`, contains it.
