An aborted response resets the connection of an HTTP/1.0 client

What callers would see: an HTTP/1.0 client, also a host of ours that relays an HTTP/1.0 response, reads a short response with a regular end.

Cause: to such a client hyper sends a body of unknown length without chunks, and the server closed every connection in order, which marks the end of such a body.

Evidence: the test's client read 'event' and an orderly end after an aborted body on the code before (first run of framing.rs, left: ("event", None)). HTTP/1.1 clients were not affected: they miss the last chunk.

Change: a connection that fails while its response ends with the connection is reset. Other connections close as before, so that a client reads what has already been sent.

--- a/crates/httpio/src/error_replacing_stream.rs
+++ b/crates/httpio/src/error_replacing_stream.rs
@@ -44,6 +44,12 @@
         let _ = self.socket.write_all(&bytes).await;
     }
 
+    /// Closes the connection with a TCP reset, which discards data that the client has not received.
+    pub(crate) fn reset(self) {
+        // The option fails only if the connection is closed already.
+        let _ = socket2::SockRef::from(&self.socket).set_linger(Some(Duration::ZERO));
+    }
+
     /// Closes the connection after the client has had time to read the last response.
     ///
     /// Closing a socket with unread data resets the connection, which can discard a response that is still in
--- a/crates/httpio/src/http_server.rs
+++ b/crates/httpio/src/http_server.rs
@@ -2,13 +2,13 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::{convert, future};
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version, header};
 use hyper_util::rt;
 use tokio::sync::watch;
 
@@ -156,9 +156,17 @@
     F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<HttpBody>> + Send + 'static,
 {
-    let service = service::service_fn(move |request| {
+    let ends_with_connection = Arc::new(AtomicBool::new(false));
+    let current_response = ends_with_connection.clone();
+    let service = service::service_fn(move |request: Request<Incoming>| {
+        let version = request.version();
         let response = handler(request, peer);
-        async move { Ok::<_, convert::Infallible>(response.await) }
+        let current_response = current_response.clone();
+        async move {
+            let response = response.await;
+            current_response.store(is_close_delimited(version, &response), Ordering::Relaxed);
+            Ok::<_, convert::Infallible>(response)
+        }
     });
     let mut socket = ErrorReplacingStream::new(socket, limits.head_error_handler);
     let connection = http1::Builder::new()
@@ -168,12 +176,26 @@
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(rt::TokioIo::new(&mut socket), service);
     let result = run_connection(connection, &mut stop).await;
+    if result.is_err() && ends_with_connection.load(Ordering::Relaxed) {
+        // An orderly end of the connection would mark the aborted body as complete.
+        socket.reset();
+        return;
+    }
     if result.is_err_and(|it| it.is_timeout()) {
         socket.write_timeout_response().await;
     }
     socket.close().await;
 }
 
+/// Returns whether the end of the connection marks the end of a response to a request of `version`. `hyper` sends a body
+/// of unknown length in chunks to all but HTTP/1.0 clients.
+fn is_close_delimited(version: Version, response: &Response<HttpBody>) -> bool {
+    let is_old = version == Version::HTTP_10 || response.version() == Version::HTTP_10;
+    is_old
+        && response.body().size_hint().exact().is_none()
+        && !response.headers().contains_key(header::CONTENT_LENGTH)
+}
+
 /// Serves a connection until it is closed. After a stop, it is closed when its current request is complete.
 async fn run_connection<I, S>(
     connection: http1::Connection<I, S>,
--- a/crates/httpio/tests/framing.rs
+++ b/crates/httpio/tests/framing.rs
@@ -73,3 +73,12 @@
     let early_return = |sender: BodySender| async move { send_event(&sender).await };
     assert_eq!(read_response("1.1", early_return).0, "5\r\nevent\r\n");
 }
+
+/// Guards against a response that looks complete to an HTTP/1.0 client, for which only the end of the connection marks the
+/// end of a body.
+#[test]
+fn an_aborted_body_resets_the_connection_of_an_http_1_0_client() {
+    let early_return = |sender: BodySender| async move { send_event(&sender).await };
+    let expected = ("event".to_owned(), Some(ErrorKind::ConnectionReset));
+    assert_eq!(read_response("1.0", early_return), expected);
+}
