A completion that is not complete JSON is broken off

What callers saw in a test: half a completion with the status 200, from an engine that crashed while it sent a response with neither a length nor chunks.

Cause: the entry took the orderly end of such a response for its completeness. Streams of the own interface were not affected, since their end-of-stream marker is required.

Change: a successful response to a request without streaming must be complete JSON; otherwise the target is lost and the request is repeated within the budget, as after any other broken connection. Bodies of plain services are opaque, so the end of the connection stays all there is for them. The stand-ins of engines and services can break off responses in each framing.

--- a/crates/entry/src/calls/model_call.rs
+++ b/crates/entry/src/calls/model_call.rs
@@ -2,9 +2,11 @@
 
 use std::time::Instant;
 
+use bytes::Bytes;
 use httpio::{HttpBody, Method, Response};
 use model::{ResultCode, TargetKind, VersionDigest};
 use routing::CallKind;
+use serde::de::IgnoredAny;
 use slog::Logger;
 
 use crate::calls::attempt_plan::AttemptPlan;
@@ -88,7 +90,7 @@
     loop {
         let response = dispatcher.dispatch(call, plan).await?;
         let host = response.slot.row.host.clone();
-        let result = read_response(response, call).await;
+        let result = read_completion(response, call).await;
         let in_time = Instant::now() < call.deadline;
         if result.is_ok() || !in_time || !dispatcher.scheduler.try_acquire_retry() {
             return result;
@@ -98,24 +100,48 @@
     }
 }
 
+/// Reads the complete response to a request without streaming.
+///
+/// Without a length or chunks, a response whose engine crashed can end like a complete one, so a success must also be
+/// complete JSON.
+async fn read_completion(
+    response: TargetResponse,
+    call: &CallContext,
+) -> Result<Response<HttpBody>, CallError> {
+    let response = read_bytes(response, call).await?;
+    let is_complete = serde_json::from_slice::<IgnoredAny>(response.body()).is_ok();
+    if response.status().is_success() && !is_complete {
+        let message = "the engine's response ended before its JSON was complete";
+        return Err(CallError::new(ResultCode::TargetLost, message));
+    }
+    Ok(caller_response(&response))
+}
+
 /// Reads the complete body of a response, and copies the headers that are passed on to callers.
 pub(crate) async fn read_response(
     response: TargetResponse,
     call: &CallContext,
 ) -> Result<Response<HttpBody>, CallError> {
+    Ok(caller_response(&read_bytes(response, call).await?))
+}
+
+async fn read_bytes(
+    response: TargetResponse,
+    call: &CallContext,
+) -> Result<Response<Bytes>, CallError> {
     let deadline = call.deadline.into();
-    let response = response
-        .read(MAX_RESPONSE_BYTES, deadline)
-        .await
-        .map_err(|err| {
-            let code = match err.kind() {
-                std::io::ErrorKind::TimedOut => ResultCode::DeadlineUnknown,
-                _ => ResultCode::TargetLost,
-            };
-            CallError::new(code, err.to_string())
-        })?;
-    let body = httpio::full(response.body().clone());
-    Ok(copy_head(&response, body))
+    let response = response.read(MAX_RESPONSE_BYTES, deadline).await;
+    response.map_err(|err| {
+        let code = match err.kind() {
+            std::io::ErrorKind::TimedOut => ResultCode::DeadlineUnknown,
+            _ => ResultCode::TargetLost,
+        };
+        CallError::new(code, err.to_string())
+    })
+}
+
+fn caller_response(response: &Response<Bytes>) -> Response<HttpBody> {
+    copy_head(response, httpio::full(response.body().clone()))
 }
 
 fn copy_head<B>(head: &Response<B>, body: HttpBody) -> Response<HttpBody> {
--- a/crates/standin/src/engine/engine_faults.rs
+++ b/crates/standin/src/engine/engine_faults.rs
@@ -16,6 +16,8 @@
     pub refuse_next: u32,
     /// Number of following responses that are truncated after their third token.
     pub cut_next: u32,
+    /// Whether responses have neither a length nor chunks, so that a truncated one ends like a complete one.
+    pub unframed: bool,
 }
 
 impl Default for EngineFaults {
@@ -26,6 +28,7 @@
             fail_loads: false,
             refuse_next: 0,
             cut_next: 0,
+            unframed: false,
         }
     }
 }
--- a/crates/standin/src/engine/engine_shared.rs
+++ b/crates/standin/src/engine/engine_shared.rs
@@ -18,7 +18,7 @@
 use crate::engine::engine_responses;
 use crate::engine::load_history::EngineLoadReport;
 use crate::engine::token_stream::{AdmittedRequest, CompletionEnd};
-use crate::http_util;
+use crate::http_util::{self, PartEnd};
 use crate::standin_runtime::{self};
 
 /// The state that all requests of an engine share.
@@ -162,7 +162,12 @@
         if admitted.request.stream {
             let (sender, body) = httpio::stream(STREAM_BUFFER_EVENTS);
             tokio::spawn(admitted.stream(slot, sender));
-            return completion_response(body, "text/event-stream", version);
+            let mut response = completion_response(body, "text/event-stream", version);
+            if self.inner().faults.unframed {
+                // `hyper` sends a body of unknown length without chunks only in HTTP/1.0 responses.
+                *response.version_mut() = hyper::Version::HTTP_10;
+            }
+            return response;
         }
         let mut full_text = String::new();
         let end = admitted
@@ -172,12 +177,22 @@
             })
             .await;
         drop(slot);
-        if end != CompletionEnd::Complete {
+        let unframed = self.inner().faults.unframed;
+        let is_truncated = end == CompletionEnd::Truncated && unframed;
+        if end != CompletionEnd::Complete && !is_truncated {
             return http_util::aborted();
         }
-        let body = engine_responses::completion_body(&admitted.request, version, &full_text);
-        admitted.finish();
-        completion_response(httpio::full(body), "application/json", version)
+        let mut body = engine_responses::completion_body(&admitted.request, version, &full_text);
+        if is_truncated {
+            body.truncate(body.len() / 2);
+        } else {
+            admitted.finish();
+        }
+        let response = completion_response(httpio::full(body.clone()), "application/json", version);
+        if unframed {
+            return http_util::with_part_of_body(response, body, PartEnd::UnframedClose);
+        }
+        response
     }
 
     fn admit(
--- a/crates/standin/src/engine/token_stream.rs
+++ b/crates/standin/src/engine/token_stream.rs
@@ -142,6 +142,8 @@
             self.finish();
             let _ = sender.send(engine_responses::DONE_EVENT.into()).await;
             sender.finish();
+        } else if end == CompletionEnd::Truncated && self.shared.inner().faults.unframed {
+            sender.finish();
         }
     }
 
--- a/crates/standin/src/http_util.rs
+++ b/crates/standin/src/http_util.rs
@@ -13,6 +13,9 @@
 /// Timeout for reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time in which a part of a body is written to its connection.
+const FLUSH_DELAY: Duration = Duration::from_millis(20);
+
 /// Path at which stand-ins accept fault settings.
 pub(crate) const FAULTS_PATH: &str = "/standin/faults";
 
@@ -44,6 +47,40 @@
     Response::new(body)
 }
 
+/// How a response ends that [`with_part_of_body`] sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PartEnd {
+    /// A chunked response whose last chunk is missing.
+    ChunkMissing,
+    /// A response with neither a length nor chunks, whose connection is closed in order.
+    UnframedClose,
+    /// A response with neither a length nor chunks, whose connection is reset.
+    UnframedReset,
+}
+
+/// Replaces the body of a response by a part of it.
+pub(crate) fn with_part_of_body(
+    mut response: Response<HttpBody>,
+    part: Bytes,
+    end: PartEnd,
+) -> Response<HttpBody> {
+    let (sender, body) = httpio::stream(1);
+    tokio::spawn(async move {
+        let is_sent = sender.send(part).await.is_ok();
+        // `hyper` discards what it has not written yet when a body is aborted.
+        tokio::time::sleep(FLUSH_DELAY).await;
+        if is_sent && end == PartEnd::UnframedClose {
+            sender.finish();
+        }
+    });
+    *response.body_mut() = body;
+    if end != PartEnd::ChunkMissing {
+        // `hyper` sends a body of unknown length without chunks only in HTTP/1.0 responses.
+        *response.version_mut() = hyper::Version::HTTP_10;
+    }
+    response
+}
+
 /// Reads the body of `request`.
 pub(crate) async fn read_body(request: Request<Incoming>) -> std::io::Result<Bytes> {
     httpio::read_limited(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await
--- a/crates/standin/src/plain_service.rs
+++ b/crates/standin/src/plain_service.rs
@@ -4,11 +4,12 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use httpio::{HttpBody, Incoming, Method, Request, Response, ServerHandle, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::http_util;
+use crate::http_util::{self, PartEnd};
 use crate::run_counters::{RunCount, RunCounters};
 use crate::standin_runtime::{self, StandinRuntime};
 
@@ -31,6 +32,10 @@
     pub lose_next: u32,
     /// Whether `lose_next` applies only to calls with an idempotency key.
     pub lose_keyed_only: bool,
+    /// Number of following runs whose responses break off in the middle of their body.
+    pub truncate_next: u32,
+    /// Whether responses have neither a length nor chunks.
+    pub unframed: bool,
     /// Whether every call is rejected with status 503 before it runs.
     pub refuse: bool,
 }
@@ -59,6 +64,14 @@
     pub body_bytes: usize,
 }
 
+/// The response of a run, and the faults that apply to it.
+#[derive(Clone, Debug)]
+struct RunResult {
+    response: ServiceResponse,
+    is_truncated: bool,
+    unframed: bool,
+}
+
 /// The keys under which a call is counted.
 #[derive(Clone, Debug)]
 struct CounterKeys {
@@ -165,7 +178,7 @@
     };
     // A separate task, because a run must complete even if the caller disconnects, as in a real service.
     match tokio::spawn(run_call(shared, keys, body_bytes)).await {
-        Ok(Some(response)) => http_util::json(StatusCode::OK, &response),
+        Ok(Some(response)) => encode_result(&response),
         Ok(None) | Err(_) => http_util::aborted(),
     }
 }
@@ -175,7 +188,7 @@
     shared: Arc<Mutex<ServiceInner>>,
     keys: CounterKeys,
     body_bytes: usize,
-) -> Option<ServiceResponse> {
+) -> Option<RunResult> {
     let (delay, run) = {
         let mut inner = lock(&shared);
         let run = inner.start(&keys, Instant::now());
@@ -188,15 +201,36 @@
         inner.faults.lose_next -= 1;
         return None;
     }
-    Some(ServiceResponse {
+    let is_truncated = inner.faults.truncate_next > 0;
+    inner.faults.truncate_next = inner.faults.truncate_next.saturating_sub(1);
+    let response = ServiceResponse {
         service: inner.name.clone(),
         key: keys.key,
         run,
         path: keys.path,
         body_bytes,
+    };
+    Some(RunResult {
+        response,
+        is_truncated,
+        unframed: inner.faults.unframed,
     })
 }
 
+fn encode_result(result: &RunResult) -> Response<HttpBody> {
+    let response = http_util::json(StatusCode::OK, &result.response);
+    if !result.is_truncated && !result.unframed {
+        return response;
+    }
+    let body = serde_json::to_vec(&result.response).expect("a response is always serializable");
+    let (sent, end) = match (result.is_truncated, result.unframed) {
+        (false, _) => (body.len(), PartEnd::UnframedClose),
+        (true, true) => (body.len() / 2, PartEnd::UnframedReset),
+        (true, false) => (body.len() / 2, PartEnd::ChunkMissing),
+    };
+    http_util::with_part_of_body(response, Bytes::from(body).slice(..sent), end)
+}
+
 impl ServiceInner {
     fn start(&mut self, keys: &CounterKeys, now: Instant) -> u32 {
         let by_path = self.by_path.start(&keys.path, now);
