The soak plays streams without a length, and the gate relays HTTP/1.0 responses in chunks

The stand-in replica can now send such streams and truncate them with an orderly end; the soak draws it for half of its truncated streams.

The gate passed the version of an HTTP/1.0 response of its back end on to the entry, which then had to rely on the reset of the connection. It now always sends chunks.

--- a/crates/agent/src/gate/response_relay.rs
+++ b/crates/agent/src/gate/response_relay.rs
@@ -2,6 +2,7 @@
 
 use http_body_util::BodyExt;
 use httpio::{BodySender, HttpBody, Incoming, Response};
+use hyper::Version;
 use model::ResultCode;
 use routing::CallKind;
 
@@ -12,6 +13,8 @@
     let (mut parts, body) = response.into_parts();
     let (sender, relayed_body) = httpio::stream(MAX_BUFFERED_FRAMES);
     tokio::spawn(forward_body(body, sender, admitted));
+    // As an HTTP/1.0 response, it would reach the entry without chunks, which show whether it was aborted.
+    parts.version = Version::HTTP_11;
     parts.headers.remove(httpio::header::TRANSFER_ENCODING);
     parts.headers.remove(httpio::header::CONNECTION);
     if let Ok(value) = ResultCode::Ok.to_string().parse() {
--- a/crates/fulmarline/tests/platform_soak.rs
+++ b/crates/fulmarline/tests/platform_soak.rs
@@ -135,6 +135,7 @@
             let index = rng.random_range(0..site.models.len());
             site.models[index].set_faults(ReplicaFaults {
                 truncate_next_after,
+                unframed: rng.random(),
                 ..ReplicaFaults::default()
             });
         }
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -28,6 +28,8 @@
 pub struct ReplicaFaults {
     /// Aborts the next stream after this number of events, in the middle of the following event.
     pub truncate_next_after: Option<u64>,
+    /// Whether streams have neither a length nor chunks, so that a truncated one ends like a complete one.
+    pub unframed: bool,
     /// Runs requests but closes the connection without a response.
     pub drop_responses: bool,
     /// Rejects requests as if there were no capacity.
@@ -238,7 +240,7 @@
         .and_then(|it| it.parse::<u64>().ok())
         .unwrap_or(0)
         + 1;
-    let truncate_after = {
+    let (truncate_after, unframed) = {
         let mut state = shared.lock();
         let version = state.version.to_string();
         let is_misdirected = header("expect-replica").is_some_and(|it| it != shared.id)
@@ -263,11 +265,16 @@
         if state.faults.drop_responses {
             return response_without_body(shared.event_interval);
         }
-        state.faults.truncate_next_after.take()
+        (
+            state.faults.truncate_next_after.take(),
+            state.faults.unframed,
+        )
     };
     let mut response = match shared.kind {
         ReplicaKind::Plain => Response::new(httpio::full(format!("done {id}"))),
-        ReplicaKind::Model { .. } => stream_events(shared, &id, first_event, truncate_after),
+        ReplicaKind::Model { .. } => {
+            stream_events(shared, &id, first_event, truncate_after, unframed)
+        }
     };
     let route_stamp = format!("stamp.{}", shared.id);
     for (name, value) in [
@@ -282,12 +289,14 @@
 }
 
 /// Streams events starting with number `first_event`. With `truncate_after`, aborts after that many events, in the
-/// middle of the next one.
+/// middle of the next one. With `unframed`, the stream has neither a length nor chunks, and its connection is closed in
+/// order even if it is truncated.
 fn stream_events(
     shared: &Arc<ReplicaShared>,
     id: &str,
     first_event: u64,
     truncate_after: Option<u64>,
+    unframed: bool,
 ) -> Response<HttpBody> {
     let (sender, body) = httpio::stream(4);
     let (shared, id) = (shared.clone(), id.to_owned());
@@ -307,12 +316,20 @@
             if is_truncated {
                 // `hyper` discards what it has not written yet when a body is aborted.
                 tokio::time::sleep(shared.event_interval).await;
+                if unframed {
+                    sender.finish();
+                }
                 return;
             }
         }
         sender.finish();
     });
-    Response::new(body)
+    let mut response = Response::new(body);
+    if unframed {
+        // `hyper` sends a body of unknown length without chunks only in HTTP/1.0 responses.
+        *response.version_mut() = hyper::Version::HTTP_10;
+    }
+    response
 }
 
 /// Returns a response that breaks off after its head, which is sent within `delay`.
