--- a/crates/agent/src/gate/gate_server.rs
+++ b/crates/agent/src/gate/gate_server.rs
@@ -167,7 +167,7 @@
         if admitted.kind() != CallKind::Completion {
             admitted.on_frame();
         }
-        response_relay::relay(response, admitted)
+        response_relay::relay(response, admitted, self.log.clone())
     }
 }
 
--- a/crates/agent/src/gate/response_relay.rs
+++ b/crates/agent/src/gate/response_relay.rs
@@ -5,14 +5,22 @@
 use hyper::Version;
 use model::ResultCode;
 use routing::CallKind;
+use slog::{Logger, warn};
 
 use crate::gate::admitted_attempt::AdmittedAttempt;
 
 /// Returns a response whose body is relayed frame by frame by a separate task, which drops `admitted` when it ends.
-pub(crate) fn relay(response: Response<Incoming>, admitted: AdmittedAttempt) -> Response<HttpBody> {
+///
+/// The response is aborted if the back end breaks off its own (see `docs/ARCHITECTURE.md`, "When a response is
+/// complete").
+pub(crate) fn relay(
+    response: Response<Incoming>,
+    admitted: AdmittedAttempt,
+    log: Logger,
+) -> Response<HttpBody> {
     let (mut parts, body) = response.into_parts();
     let (sender, relayed_body) = httpio::stream(MAX_BUFFERED_FRAMES);
-    tokio::spawn(forward_body(body, sender, admitted));
+    tokio::spawn(forward_body(body, sender, admitted, log));
     // As an HTTP/1.0 response, it would reach the entry without chunks, which show whether it was aborted.
     parts.version = Version::HTTP_11;
     parts.headers.remove(httpio::header::TRANSFER_ENCODING);
@@ -23,7 +31,12 @@
     Response::from_parts(parts, relayed_body)
 }
 
-async fn forward_body(mut body: Incoming, sender: BodySender, mut admitted: AdmittedAttempt) {
+async fn forward_body(
+    mut body: Incoming,
+    sender: BodySender,
+    mut admitted: AdmittedAttempt,
+    log: Logger,
+) {
     loop {
         // The entry may disconnect while the engine sends nothing; the engine's work must then be cancelled.
         let frame = tokio::select! {
@@ -35,8 +48,13 @@
             return;
         };
         admitted.on_frame();
-        // Dropping the sender aborts the response if the back end broke off its own.
-        let Ok(frame) = frame else { break };
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(err) => {
+                warn!(log, "back end broke off its response"; "reason" => %err);
+                break;
+            }
+        };
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
--- a/crates/httpio/src/body_sender.rs
+++ b/crates/httpio/src/body_sender.rs
@@ -54,7 +54,7 @@
     }
 }
 
-/// Returns a streamed body and its sender. The channel between them holds up to `capacity` parts.
+/// Returns a streamed body and its sender; the channel between them holds up to `capacity` parts.
 pub fn stream(capacity: usize) -> (BodySender, HttpBody) {
     let (sender, mut receiver) = mpsc::channel(capacity);
     let is_finished = Arc::new(AtomicBool::new(false));
--- a/crates/httpio/src/http_server.rs
+++ b/crates/httpio/src/http_server.rs
@@ -157,14 +157,14 @@
     R: Future<Output = Response<HttpBody>> + Send + 'static,
 {
     let ends_with_connection = Arc::new(AtomicBool::new(false));
-    let current_response = ends_with_connection.clone();
+    let last_response_flag = ends_with_connection.clone();
     let service = service::service_fn(move |request: Request<Incoming>| {
         let version = request.version();
         let response = handler(request, peer);
-        let current_response = current_response.clone();
+        let flag = last_response_flag.clone();
         async move {
             let response = response.await;
-            current_response.store(is_close_delimited(version, &response), Ordering::Relaxed);
+            flag.store(is_close_delimited(version, &response), Ordering::Relaxed);
             Ok::<_, convert::Infallible>(response)
         }
     });
@@ -187,8 +187,9 @@
     socket.close().await;
 }
 
-/// Returns whether the end of the connection marks the end of a response to a request of `version`. `hyper` sends a body
-/// of unknown length in chunks to all but HTTP/1.0 clients.
+/// Returns whether the end of the connection marks the end of a response to a request of `version`.
+///
+/// `hyper` sends a body of unknown length in chunks, unless the request or the response is HTTP/1.0.
 fn is_close_delimited(version: Version, response: &Response<HttpBody>) -> bool {
     let is_old = version == Version::HTTP_10 || response.version() == Version::HTTP_10;
     is_old
