--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -45,8 +45,8 @@
             let response = segment.response_head();
             return RelayOutcome::Response(response.map(|()| httpio::full(bytes)));
         }
-        SegmentRead::Interrupted(reason) => {
-            segment.record_interruption(shared, call, reason, &cursor);
+        SegmentRead::Interrupted(interruption) => {
+            segment.record_interruption(shared, call, interruption, &cursor);
             return RelayOutcome::Unknown;
         }
     };
