--- a/crates/fulmarline/tests/platform_framing.rs
+++ b/crates/fulmarline/tests/platform_framing.rs
@@ -1,14 +1,12 @@
 //! Responses of replicas that end early, for every way in which HTTP marks the end of a body.
 
-#[path = "support/raw_replica.rs"]
-mod raw_replica;
 #[path = "support/site.rs"]
 mod site;
 
 use httpio::{Method, StatusCode};
-use raw_replica::{RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts};
 use serde_json::json;
 use site::{SiteResponse, TestSite};
+use standin::{RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts};
 
 /// Number of complete requests to each entry and service from which the retry budget of a test results.
 const FUNDING_REQUESTS: usize = 120;
@@ -181,7 +179,7 @@
         for service in ["pool", "plain"] {
             let id = format!("{service}-{index}");
             let ip = [127, 0, 1, first_index + u8::try_from(index).unwrap()];
-            let replica = RawReplica::start(&id, ip, &runs, respond);
+            let replica = RawReplica::start(&id, ip, &runs, respond).unwrap();
             let row = replica.row(service, zone);
             site.store.put("servers", replica.id(), &row);
         }
@@ -260,7 +258,7 @@
         let client_response = site
             .call(index % 2, Method::POST, &path, &id, "key-1")
             .expect("a response");
-        let run_count = runs.lock().unwrap().get(&id).copied().unwrap_or(0);
+        let run_count = runs.get(&id);
         let actual = view(&client_response, &whole).map(|it| (it, run_count));
         if actual != Ok(expected(*response)) {
             mismatches.push(format!("{path}: {actual:?}"));
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -1,11 +1,13 @@
 //! A simulated site of the users' platform with its published protocol: the store, replicas and the origin of weights.
 
+mod raw_replica;
 mod site_origin;
 mod site_replica;
 mod site_settings;
 mod site_store;
 mod site_weights;
 
+pub use raw_replica::{RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts};
 pub use site_origin::SiteOrigin;
 pub use site_replica::{ReplicaFaults, ReplicaKind, SiteReplica};
 pub use site_settings::{SiteHost, SitePorts};
--- a/crates/fulmarline/tests/support/raw_replica.rs
+++ b/crates/standin/src/site/raw_replica.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use serde_json::{Value, json};
+use serde_json::Value;
+
+use crate::site::site_replica::replica_row;
 
 /// Pause before the connection is closed, in which the receiver reads what was sent.
 const END_DELAY: Duration = Duration::from_millis(40);
@@ -14,15 +16,18 @@
 /// How the end of a response body is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RawFraming {
+    /// By a length.
     Length,
+    /// By the last chunk.
     Chunked,
+    /// By the end of the connection.
     Connection,
 }
 
 /// A response: the complete body as parts, of which only a prefix may be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RawResponse {
-    pub status: &'static str,
+    /// How the end of the body is marked.
     pub framing: RawFraming,
     /// The parts of the complete body; each of them is sent as one chunk.
     pub parts: Vec<String>,
@@ -46,14 +51,17 @@
 /// The head of a received request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RawRequest {
+    /// The path and the query.
     pub path: String,
+    /// The headers by lower-case name.
     pub headers: BTreeMap<String, String>,
     /// Number of earlier requests with the same id at all replicas that share the counter.
     pub earlier_runs: u64,
 }
 
 /// Number of runs by request id, shared by the replicas of a service.
-pub type RunCounts = Arc<Mutex<BTreeMap<String, u64>>>;
+#[derive(Clone, Debug, Default)]
+pub struct RunCounts(Arc<Mutex<BTreeMap<String, u64>>>);
 
 /// A replica on a loopback address, which runs until the test process ends.
 #[derive(Debug)]
@@ -62,11 +70,31 @@
     address: SocketAddr,
 }
 
+impl RunCounts {
+    /// Returns the number of runs of the request with the id `id`.
+    pub fn get(&self, id: &str) -> u64 {
+        self.lock().get(id).copied().unwrap_or(0)
+    }
+
+    /// Counts a run and returns the number of earlier ones.
+    fn record(&self, id: &str) -> u64 {
+        let mut counts = self.lock();
+        let count = counts.entry(id.to_owned()).or_default();
+        *count += 1;
+        *count - 1
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, u64>> {
+        self.0
+            .lock()
+            .expect("no thread panics while it holds the lock of the counts")
+    }
+}
+
 impl RawResponse {
     /// Creates a complete response.
     pub fn complete(framing: RawFraming, parts: Vec<String>) -> Self {
         Self {
-            status: "200 OK",
             framing,
             sent_bytes: parts.iter().map(String::len).sum(),
             parts,
@@ -89,8 +117,7 @@
             RawFraming::Connection => String::new(),
         };
         let mut bytes = format!(
-            "HTTP/1.1 {}\r\nRequest-Id: {id}\r\nRoute-Stamp: stamp.{replica}\r\nConnection: close\r\n{framing}\r\n",
-            self.status
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nRoute-Stamp: stamp.{replica}\r\nConnection: close\r\n{framing}\r\n"
         )
         .into_bytes();
         let mut remaining = self.sent_bytes;
@@ -115,14 +142,18 @@
 
 impl RawReplica {
     /// Starts a replica that responds to each request with the result of `respond`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the I/O error if the address cannot be bound.
     pub fn start(
         id: &str,
         ip: [u8; 4],
         runs: &RunCounts,
         respond: impl Fn(&RawRequest) -> RawResponse + Send + Sync + 'static,
-    ) -> Self {
-        let listener = TcpListener::bind(SocketAddr::from((ip, 0))).unwrap();
-        let address = listener.local_addr().unwrap();
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(SocketAddr::from((ip, 0)))?;
+        let address = listener.local_addr()?;
         let respond = Arc::new(respond);
         let (replica, runs) = (id.to_owned(), runs.clone());
         std::thread::spawn(move || {
@@ -135,10 +166,10 @@
                 });
             }
         });
-        Self {
+        Ok(Self {
             id: id.to_owned(),
             address,
-        }
+        })
     }
 
     /// Returns the id under which the replica registers.
@@ -148,12 +179,7 @@
 
     /// Returns the row of a replica of `service` with version 1 of the model.
     pub fn row(&self, service: &str, zone: &str) -> Value {
-        json!({
-            "service": service, "addr": self.address.to_string(), "zone": zone, "version": "v1", "slots": 16,
-            "state": "ready", "coldLeftMs": 0, "seq": 0, "born": 1,
-            "models": [{"name": "m", "version": 1, "adapters": []}],
-            "layers": {"from": 0, "to": 16, "version": 1},
-        })
+        replica_row(self.address, service, zone, "ready", 1)
     }
 }
 
@@ -169,12 +195,7 @@
         .get("request-id")
         .cloned()
         .unwrap_or_default();
-    {
-        let mut runs = runs.lock().unwrap();
-        let count = runs.entry(id.clone()).or_default();
-        request.earlier_runs = *count;
-        *count += 1;
-    }
+    request.earlier_runs = runs.record(&id);
     let response = respond(&request);
     let mut writer = socket;
     writer.write_all(&response.encode(&id, replica))?;
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -113,15 +113,7 @@
     /// Returns the row that the replica writes to the store.
     pub fn row(&self, service: &str, zone: &str, state: &str) -> Value {
         let version = self.shared.lock().version;
-        let mut row = json!({
-            "service": service, "addr": self.address().to_string(), "zone": zone, "version": "v1", "slots": 16,
-            "state": state, "coldLeftMs": 0, "seq": 0, "born": 1,
-        });
-        if version > 0 {
-            row["models"] = json!([{"name": "m", "version": version, "adapters": []}]);
-            row["layers"] = json!({"from": 0, "to": 16, "version": version});
-        }
-        row
+        replica_row(self.address(), service, zone, state, version)
     }
 
     /// Replaces all faults.
@@ -163,6 +155,25 @@
     }
 }
 
+/// Returns the row that a replica at `address` with `version` of the model writes to the store; version 0 is none.
+pub(crate) fn replica_row(
+    address: SocketAddr,
+    service: &str,
+    zone: &str,
+    state: &str,
+    version: u64,
+) -> Value {
+    let mut row = json!({
+        "service": service, "addr": address.to_string(), "zone": zone, "version": "v1", "slots": 16,
+        "state": state, "coldLeftMs": 0, "seq": 0, "born": 1,
+    });
+    if version > 0 {
+        row["models"] = json!([{"name": "m", "version": version, "adapters": []}]);
+        row["layers"] = json!({"from": 0, "to": 16, "version": version});
+    }
+    row
+}
+
 impl ReplicaShared {
     fn lock(&self) -> MutexGuard<'_, ReplicaState> {
         self.state
