The test of early ends no longer depends on the speed of the machine

Its complete responses were delayed by 40 ms each, so that on a machine three times slower the requests that fund the retry budget would have left the 10 s window before the retries that they fund (computed, not seen). Only resets are delayed now, since only they can discard what was sent.

--- a/crates/fulmarline/tests/platform_framing.rs
+++ b/crates/fulmarline/tests/platform_framing.rs
@@ -9,7 +9,7 @@
 use standin::{RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts};
 
 /// Number of complete requests to each entry and service from which the retry budget of a test results.
-const FUNDING_REQUESTS: usize = 120;
+const FUNDING_REQUESTS: usize = 200;
 
 /// Number of events of a complete stream.
 const EVENT_COUNT: usize = 6;
--- a/crates/standin/src/site/raw_replica.rs
+++ b/crates/standin/src/site/raw_replica.rs
@@ -10,8 +10,8 @@
 
 use crate::site::site_replica::replica_row;
 
-/// Pause before the connection is closed, in which the receiver reads what was sent.
-const END_DELAY: Duration = Duration::from_millis(40);
+/// Delay of a reset, in which the receiver reads what was sent before; a reset discards the rest.
+const RESET_DELAY: Duration = Duration::from_millis(40);
 
 /// How the end of a response body is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -199,8 +199,8 @@
     let response = respond(&request);
     let mut writer = socket;
     writer.write_all(&response.encode(&id, replica))?;
-    std::thread::sleep(END_DELAY);
     if response.end == RawEnd::Reset {
+        std::thread::sleep(RESET_DELAY);
         socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO))?;
     }
     Ok(())
