Tests for error responses that end early and for resumed streams that break off again

No fault: both ways were right. Their first versions were red for mistakes of the tests: 'after the third part' is the end of a stream that is resumed after three of six events, and a lookup whose error response broke off is repeated and gets the whole one. They now expect that.

Evidence that they hold: with an error response passed on after an early end, and with an interrupted resumed segment taken as complete, exactly the new test of each fails. Measured: platform_framing, 4 tests, passes in three runs.

--- a/crates/fulmarline/tests/platform_framing.rs
+++ b/crates/fulmarline/tests/platform_framing.rs
@@ -9,7 +9,7 @@
 use standin::{RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts};
 
 /// Number of complete requests to each entry and service from which the retry budget of a test results.
-const FUNDING_REQUESTS: usize = 200;
+const FUNDING_REQUESTS: usize = 300;
 
 /// Number of events of a complete stream.
 const EVENT_COUNT: usize = 6;
@@ -21,7 +21,7 @@
     BeforeBody,
     /// In the middle of the first part.
     InsideFirst,
-    /// After the third part.
+    /// After half of the parts.
     Between,
     /// In the middle of the last part.
     InsideLast,
@@ -48,6 +48,12 @@
     end: RawEnd,
 }
 
+/// Part of the path of a request that every replica responds to in the same way.
+const TWICE: &str = "twice-";
+
+/// Part of the path of a request to which replicas respond with an error.
+const FAILING: &str = "failing-";
+
 const FRAMINGS: [RawFraming; 3] = [
     RawFraming::Length,
     RawFraming::Chunked,
@@ -123,7 +129,7 @@
         let sent_bytes = match self.last_byte {
             LastByte::BeforeBody => 0,
             LastByte::InsideFirst => sizes[0] / 2,
-            LastByte::Between => sizes[..3].iter().sum(),
+            LastByte::Between => sizes[..sizes.len() / 2].iter().sum(),
             LastByte::InsideLast => total - 1,
             LastByte::Complete => total,
         };
@@ -141,22 +147,30 @@
         .collect()
 }
 
-/// Responds as the path of the request demands, but in full to a repeated or resumed request.
+fn plain_parts(id: &str) -> Vec<String> {
+    (0..4).map(|it| format!("part {it} of {id}. ")).collect()
+}
+
+/// Responds as the path of the request demands, but in full to a repeated or resumed request, unless the path contains
+/// [`TWICE`]. The status is an error if the path contains [`FAILING`].
 fn respond(request: &RawRequest) -> RawResponse {
     let header = |name: &str| request.headers.get(name).map_or("", String::as_str);
     let after = header("last-event-id").parse().unwrap_or(0);
     let parts = if request.path.starts_with("/plain/") || request.path.starts_with("/keyed/") {
-        (0..4)
-            .map(|it| format!("part {it} of {}. ", header("request-id")))
-            .collect()
+        plain_parts(header("request-id"))
     } else {
         events(header("request-id"), after)
     };
     let first = FirstResponse::from_path(&request.path).expect("the path names a response");
-    if request.earlier_runs > 0 {
-        return RawResponse::complete(first.framing, parts);
+    let mut response = if request.earlier_runs > 0 && !request.path.contains(TWICE) {
+        RawResponse::complete(first.framing, parts)
+    } else {
+        first.apply(parts)
+    };
+    if request.path.contains(FAILING) {
+        response.status = "409 Conflict";
     }
-    first.apply(parts)
+    response
 }
 
 /// Starts a site whose model service and plain service consist of two replicas that respond with [`respond`].
@@ -251,7 +265,7 @@
         let path = format!("{prefix}{}", response.path());
         let id = format!("{}-{index}", prefix.trim_matches('/'));
         let whole: String = if prefix.starts_with("/plain/") || prefix.starts_with("/keyed/") {
-            (0..4).map(|it| format!("part {it} of {id}. ")).collect()
+            plain_parts(&id).concat()
         } else {
             events(&id, 0).concat()
         };
@@ -300,6 +314,62 @@
     );
 }
 
+/// Guards against a resumed stream that looks complete although its second replica broke it off as well.
+#[test]
+fn resumed_streams_that_end_early_are_visibly_broken() {
+    let (site, runs) = start_site("platform-framing-resumed", 89);
+    let broken = FirstResponse::broken_streams();
+    let all = mismatches(&site, &runs, "/draft/twice-", &broken, |it| {
+        match it.last_byte {
+            LastByte::BeforeBody | LastByte::InsideFirst => (ClientView::Unknown, 2),
+            _ => (ClientView::Broken, 2),
+        }
+    });
+    assert!(
+        all.is_empty(),
+        "resumed streams that ended early: {} differ\n{}",
+        all.len(),
+        all.join("\n")
+    );
+}
+
+/// Guards against half an error response that reaches the client with the replica's status and a regular end.
+#[test]
+fn error_responses_that_end_early_are_not_complete() {
+    let (site, _) = start_site("platform-framing-errors", 93);
+    for prefix in ["/once/failing-", "/plain/failing-", "/keyed/failing-"] {
+        let id_of = |response: FirstResponse| format!("{}{}", &prefix[1..], response.path());
+        let send = |response: FirstResponse| {
+            let id = id_of(response);
+            site.call(0, Method::POST, &format!("/{id}"), &id, "key-1")
+                .expect("a response")
+        };
+        for framing in FRAMINGS {
+            let response = send(complete(framing));
+            assert_eq!(response.status, StatusCode::CONFLICT, "{response:?}");
+            assert!(
+                response.complete && !response.body.is_empty(),
+                "{response:?}"
+            );
+        }
+        // An idempotent request is repeated and gets the whole error response of the second replica.
+        let is_repeated = prefix.starts_with("/plain/");
+        for broken in FirstResponse::broken_whole_responses() {
+            let response = send(broken);
+            let expected = if is_repeated {
+                StatusCode::CONFLICT
+            } else {
+                StatusCode::BAD_GATEWAY
+            };
+            assert_eq!(response.status, expected, "{prefix}{broken:?}");
+            assert!(response.complete, "{response:?}");
+            if is_repeated {
+                assert_eq!(response.body, plain_parts(&id_of(broken)).concat());
+            }
+        }
+    }
+}
+
 /// Guards against whole responses that reach the client in part because their end was not checked.
 #[test]
 fn whole_responses_that_end_early_are_repeated_or_refused() {
--- a/crates/standin/src/site/raw_replica.rs
+++ b/crates/standin/src/site/raw_replica.rs
@@ -27,6 +27,8 @@
 /// A response: the complete body as parts, of which only a prefix may be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RawResponse {
+    /// The status code and the reason phrase.
+    pub status: &'static str,
     /// How the end of the body is marked.
     pub framing: RawFraming,
     /// The parts of the complete body; each of them is sent as one chunk.
@@ -95,6 +97,7 @@
     /// Creates a complete response.
     pub fn complete(framing: RawFraming, parts: Vec<String>) -> Self {
         Self {
+            status: "200 OK",
             framing,
             sent_bytes: parts.iter().map(String::len).sum(),
             parts,
@@ -117,7 +120,8 @@
             RawFraming::Connection => String::new(),
         };
         let mut bytes = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nRoute-Stamp: stamp.{replica}\r\nConnection: close\r\n{framing}\r\n"
+            "HTTP/1.1 {}\r\nRequest-Id: {id}\r\nRoute-Stamp: stamp.{replica}\r\nConnection: close\r\n{framing}\r\n",
+            self.status
         )
         .into_bytes();
         let mut remaining = self.sent_bytes;
