One entry of each zone exchanges load and weights with other zones

Cause: every entry sent its load to all others each 150 ms, and every agent sent each change of its replica's weights five times to all entries, after reading their list from the store. Both grow with a product of processes.

An agent tells one entry that it hears; that entry passes the status on. The load table keeps sums, so that a choice no longer looks through all entries for each replica.

--- a/crates/fleet/src/fleet_message.rs
+++ b/crates/fleet/src/fleet_message.rs
@@ -12,12 +12,14 @@
 /// one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetMessage {
-    /// From an entry to other entries.
+    /// From an entry to the entries of its zone.
     Entry(EntryHeartbeat),
-    /// From an agent to entries.
+    /// From an agent to entries of its zone, which pass it on.
     Agent(AgentStatus),
     /// From an entry to the agents of its zone: the declared versions that are relevant now.
     Weights(Vec<DeclaredWeights>),
+    /// From the reporter of a zone to other zones; see [`crate::is_zone_reporter`].
+    Zone(ZoneReport),
 }
 
 /// A declared version of the weights of a model.
@@ -44,6 +46,25 @@
     pub weights: Vec<DeclarationAge>,
 }
 
+/// State of all entries of a zone, as one of them sends it to the other zones.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneReport {
+    /// The availability zone.
+    pub zone: String,
+    /// Name of the entry that sends the report.
+    pub reporter: String,
+    /// Incarnation of that entry.
+    pub incarnation: u64,
+    /// Sequence number within the incarnation; reports that arrive out of order are dropped.
+    pub sequence: u64,
+    /// Load that all entries of the zone together put on each replica, by the hash of the replica's id.
+    pub loads: Vec<(u64, LoadSample)>,
+    /// Declared versions of weights, as in [`EntryHeartbeat::weights`].
+    pub weights: Vec<DeclarationAge>,
+    /// The live entries of the zone. Not every report contains them, since they change rarely.
+    pub entries: Vec<PeerRecord>,
+}
+
 /// Age of a declared version of weights, for entries that have just started.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeclarationAge {
@@ -55,6 +76,18 @@
     pub age_ms: u32,
 }
 
+/// Which entries the receiver of a message passes it on to. An agent would otherwise have to know all entries and send
+/// the message to each of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelayScope {
+    /// To the entries of its zone and to one entry of each other zone.
+    AllZones,
+    /// To the entries of its zone.
+    OwnZone,
+    /// To none.
+    None,
+}
+
 /// Weights that the replica on the host of an agent has loaded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentStatus {
@@ -62,4 +95,6 @@
     pub replica: SocketAddr,
     /// Weights that the replica serves; empty while it loads others.
     pub models: Vec<LoadedModel>,
+    /// Whom the receiver passes the message on to.
+    pub relay: RelayScope,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 mod stream_cursor;
 mod switch_deadlines;
 mod version_table;
+mod zone_exchange;
 
 pub use api_keys::{ApiTenant, KeyTable};
 pub use engine_profile::{BatchLoad, EngineProfile, RequestSize};
@@ -34,7 +35,8 @@
 pub use feed_readers::{FeedSource, feed_source, max_reader_age};
 pub use fetch_plan::{FetchPlan, OriginAccess, PiecePeer, PieceSource};
 pub use fleet_message::{
-    AgentStatus, DeclarationAge, DeclaredWeights, EntryHeartbeat, FleetMessage,
+    AgentStatus, DeclarationAge, DeclaredWeights, EntryHeartbeat, FleetMessage, RelayScope,
+    ZoneReport,
 };
 pub use freshness::ConfigFreshness;
 pub use load_table::{LoadSample, LoadTable, ReplicaLoad};
@@ -53,3 +55,4 @@
 pub use stream_cursor::{EventBatch, StreamCursor, StreamError};
 pub use switch_deadlines::SwitchDeadlines;
 pub use version_table::{NextSwitch, VersionRequirement, VersionTable};
+pub use zone_exchange::{is_zone_reporter, report_targets};
--- a/crates/fleet/src/load_table.rs
+++ b/crates/fleet/src/load_table.rs
@@ -1,4 +1,4 @@
-//! Requests in flight on each replica: those of this process and those that other entries report.
+//! Requests in flight on each replica: those of this process and those that other entries and zones report.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -7,7 +7,7 @@
 
 use crate::engine_profile::BatchLoad;
 
-/// Load that one entry puts on one replica, as sent to other entries.
+/// Load that one entry or one zone puts on one replica, as sent to other entries.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadSample {
     /// Requests in flight.
@@ -21,7 +21,7 @@
 pub struct ReplicaLoad {
     /// Requests of this process.
     pub own: LoadSample,
-    /// Requests of all other entries that reported recently.
+    /// Requests of all other entries and zones that reported recently.
     pub others: LoadSample,
 }
 
@@ -29,7 +29,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadTable {
     own: BTreeMap<String, LoadSample>,
-    others: BTreeMap<String, PeerLoad>,
+    /// Loads of the other entries of the zone by name, and of other zones.
+    others: BTreeMap<LoadSource, PeerLoad>,
+    /// Sum of `others`, since a selection looks up every replica.
+    totals: BTreeMap<u64, LoadSample>,
+}
+
+/// Who reported a load.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum LoadSource {
+    Entry(String),
+    Zone(String),
 }
 
 #[derive(Clone, Debug)]
@@ -80,32 +90,43 @@
         }
     }
 
-    /// Replaces the loads that the entry `peer` reports, keyed by [`replica_hash`].
+    /// Replaces the loads that the entry `peer` of the own zone reports, keyed by the hash of the replica's id.
     pub fn update_peer(&mut self, peer: &str, samples: BTreeMap<u64, LoadSample>, now: Instant) {
-        let load = PeerLoad {
-            received_at: now,
-            samples,
-        };
-        self.others.insert(peer.to_owned(), load);
+        self.update(LoadSource::Entry(peer.to_owned()), samples, now);
+    }
+
+    /// Replaces the loads that the entries of another zone together have reported.
+    pub fn update_zone(&mut self, zone: &str, samples: BTreeMap<u64, LoadSample>, now: Instant) {
+        self.update(LoadSource::Zone(zone.to_owned()), samples, now);
     }
 
-    /// Removes the loads of entries that have not reported for [`PEER_LOAD_LIFETIME`].
+    /// Removes the loads of entries and zones that have not reported for [`PEER_LOAD_LIFETIME`].
     pub fn expire(&mut self, now: Instant) {
-        self.others
-            .retain(|_, it| now.saturating_duration_since(it.received_at) < PEER_LOAD_LIFETIME);
+        let is_expired =
+            |it: &PeerLoad| now.saturating_duration_since(it.received_at) >= PEER_LOAD_LIFETIME;
+        let expired = self.others.extract_if(.., |_, it| is_expired(it));
+        for (_, load) in expired {
+            subtract(&mut self.totals, &load.samples);
+        }
     }
 
     /// Returns the load of one replica.
     pub fn load(&self, replica: &str) -> ReplicaLoad {
-        let hash = replica_hash(replica);
-        let mut others = LoadSample::default();
-        for sample in self.others.values().filter_map(|it| it.samples.get(&hash)) {
-            others.running += sample.running;
-            others.pending_prefill_tokens += sample.pending_prefill_tokens;
-        }
+        let others = self.totals.get(&replica_hash(replica));
         ReplicaLoad {
             own: self.own.get(replica).copied().unwrap_or_default(),
-            others,
+            others: others.copied().unwrap_or_default(),
+        }
+    }
+
+    fn update(&mut self, source: LoadSource, samples: BTreeMap<u64, LoadSample>, now: Instant) {
+        add(&mut self.totals, &samples);
+        let load = PeerLoad {
+            received_at: now,
+            samples,
+        };
+        if let Some(previous) = self.others.insert(source, load) {
+            subtract(&mut self.totals, &previous.samples);
         }
     }
 
@@ -116,6 +137,39 @@
             .map(|(id, sample)| (replica_hash(id), *sample))
             .collect()
     }
+
+    /// Returns the loads of this process and of the other entries of its zone together, for other zones.
+    pub fn zone_samples(&self) -> BTreeMap<u64, LoadSample> {
+        let mut samples = self.own_samples();
+        for (source, load) in &self.others {
+            if matches!(source, LoadSource::Entry(_)) {
+                add(&mut samples, &load.samples);
+            }
+        }
+        samples
+    }
+}
+
+fn add(totals: &mut BTreeMap<u64, LoadSample>, samples: &BTreeMap<u64, LoadSample>) {
+    for (replica, sample) in samples {
+        let total = totals.entry(*replica).or_default();
+        total.running += sample.running;
+        total.pending_prefill_tokens += sample.pending_prefill_tokens;
+    }
+}
+
+/// Subtracts samples that were added before, and removes replicas without load.
+fn subtract(totals: &mut BTreeMap<u64, LoadSample>, samples: &BTreeMap<u64, LoadSample>) {
+    for (replica, sample) in samples {
+        let Some(total) = totals.get_mut(replica) else {
+            continue;
+        };
+        total.running -= sample.running;
+        total.pending_prefill_tokens -= sample.pending_prefill_tokens;
+        if *total == LoadSample::default() {
+            totals.remove(replica);
+        }
+    }
 }
 
 /// Hashes the id of a replica for messages between entries (FNV-1a; 64 bits do not collide with thousands of replicas).
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -24,6 +24,7 @@
 mod stream_relay;
 mod stream_segment;
 mod weight_announcer;
+mod zone_exchange;
 
 use std::sync::Arc;
 
--- a/crates/ingress/src/peer_exchange.rs
+++ b/crates/ingress/src/peer_exchange.rs
@@ -1,4 +1,5 @@
-//! Entries discover each other through the store and exchange their load in datagrams.
+//! Entries discover each other through the store and exchange their load in datagrams: each with the entries of its zone,
+//! and one for all with other zones ([`crate::zone_exchange`]).
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -6,12 +7,13 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use fleet::{AgentStatus, DeclarationAge, EntryHeartbeat, FleetMessage, LoadSample, PeerRecord};
+use fleet::{DeclarationAge, EntryHeartbeat, FleetMessage, LoadSample, PeerRecord, VersionTable};
 use platform::RowWrite;
 use slog::{info, warn};
 use tokio::net::UdpSocket;
 
 use crate::entry_shared::EntryShared;
+use crate::zone_exchange::{self, ReportFilter};
 
 /// Store table in which entries register.
 pub(crate) const ENTRY_TABLE: &str = "entries";
@@ -29,6 +31,7 @@
     let socket = Arc::new(socket);
     tokio::spawn(register(shared.clone()));
     tokio::spawn(receive_messages(shared.clone(), socket.clone()));
+    tokio::spawn(zone_exchange::send_reports(shared.clone(), socket.clone()));
     tokio::spawn(send_heartbeats(shared.clone(), socket));
     Ok(())
 }
@@ -91,13 +94,12 @@
     Ok(())
 }
 
-/// Sends this entry's state and load to other entries: at each change to those of its zone, less often to all others.
+/// Sends this entry's state and load to the entries of its zone at each change.
 ///
 /// Entries of a zone mostly share the same replicas, so without each other's load they would choose the same ones.
-/// Traffic between zones has a cost.
 async fn send_heartbeats(shared: Arc<EntryShared>, socket: Arc<UdpSocket>) {
     let mut sequence = 0;
-    let mut last_to_all: Option<(Instant, EntryHeartbeat)> = None;
+    let mut last_to_listed: Option<Instant> = None;
     loop {
         let is_urgent = tokio::select! {
             () = shared.urgent_change.notified() => true,
@@ -106,35 +108,36 @@
         };
         sequence += 1;
         let heartbeat = own_heartbeat(&shared, sequence);
-        let is_due = last_to_all.as_ref().is_none_or(|(at, previous)| {
-            at.elapsed() >= MAX_HEARTBEAT_INTERVAL
-                || (at.elapsed() >= MIN_GLOBAL_HEARTBEAT_INTERVAL
-                    && previous.loads != heartbeat.loads)
-        });
-        let to_all = is_urgent || is_due;
-        send_heartbeat(&shared, &socket, &heartbeat, to_all);
-        if to_all {
-            last_to_all = Some((Instant::now(), heartbeat));
+        let is_due = last_to_listed.is_none_or(|it| it.elapsed() >= MAX_HEARTBEAT_INTERVAL);
+        let to_listed = is_urgent || is_due;
+        send_heartbeat(&shared, &socket, heartbeat, to_listed);
+        if to_listed {
+            last_to_listed = Some(Instant::now());
         }
-        tokio::time::sleep(MIN_ZONE_HEARTBEAT_INTERVAL).await;
+        tokio::time::sleep(MIN_HEARTBEAT_INTERVAL).await;
     }
 }
 
 fn send_heartbeat(
     shared: &EntryShared,
     socket: &UdpSocket,
-    heartbeat: &EntryHeartbeat,
-    to_all: bool,
+    heartbeat: EntryHeartbeat,
+    to_listed: bool,
 ) {
-    let message = FleetMessage::Entry(heartbeat.clone());
+    let message = FleetMessage::Entry(heartbeat);
     let bytes = postcard::to_allocvec(&message).expect("encoding a heartbeat cannot fail");
     let zone = &shared.settings.zone;
     let state = shared.state();
-    // Entries that are considered dead are included, so that both sides detect the end of a network partition.
-    let peers: Vec<SocketAddr> = if to_all {
-        state.peers.all().map(|it| it.inner).collect()
+    let now = Instant::now();
+    // Entries that are considered dead are included at times, so that both sides detect the end of a partition.
+    let peers: Vec<SocketAddr> = if to_listed {
+        let listed = state.peers.all();
+        listed
+            .filter(|it| it.zone == *zone)
+            .map(|it| it.inner)
+            .collect()
     } else {
-        let alive = state.peers.alive(Instant::now());
+        let alive = state.peers.alive(now);
         alive
             .filter(|it| it.zone == *zone)
             .map(|it| it.inner)
@@ -150,26 +153,43 @@
 fn own_heartbeat(shared: &EntryShared, sequence: u64) -> EntryHeartbeat {
     let record = shared.own_record();
     let state = shared.state();
-    let loads = state.loads.own_samples().into_iter().collect();
-    let recent = state.versions.recent_declarations(Instant::now());
-    let weights = recent
-        .into_iter()
-        .map(|(model, version, age)| DeclarationAge {
-            model: model.to_owned(),
-            version,
-            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-        });
     EntryHeartbeat {
         record,
         sequence,
-        loads,
-        weights: weights.collect(),
+        loads: state.loads.own_samples().into_iter().collect(),
+        weights: recent_declarations(&state.versions, Instant::now()),
+    }
+}
+
+/// Returns the recent declarations in the form that is sent to other entries.
+pub(crate) fn recent_declarations(versions: &VersionTable, now: Instant) -> Vec<DeclarationAge> {
+    let recent = versions.recent_declarations(now).into_iter();
+    let ages = recent.map(|(model, version, age)| DeclarationAge {
+        model: model.to_owned(),
+        version,
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+    });
+    ages.collect()
+}
+
+/// Records declarations that another entry has sent.
+pub(crate) fn record_declarations(
+    versions: &mut VersionTable,
+    declarations: &[DeclarationAge],
+    now: Instant,
+) {
+    for declared in declarations {
+        let age = Duration::from_millis(u64::from(declared.age_ms));
+        if let Some(known_since) = now.checked_sub(age) {
+            versions.record_known_time(&declared.model, declared.version, known_since);
+        }
     }
 }
 
 async fn receive_messages(shared: Arc<EntryShared>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut last_seen: BTreeMap<String, (u64, u64)> = BTreeMap::new();
+    let mut report_filter = ReportFilter::default();
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             // The error concerns an earlier datagram that could not be delivered; the socket is still usable.
@@ -179,7 +199,13 @@
             Ok(FleetMessage::Entry(heartbeat)) => {
                 handle_heartbeat(&shared, heartbeat, &mut last_seen)
             }
-            Ok(FleetMessage::Agent(status)) => handle_agent_status(&shared, &status),
+            Ok(FleetMessage::Zone(report)) => {
+                let bytes = &buffer[..length];
+                zone_exchange::handle_report(&shared, &socket, report, bytes, &mut report_filter);
+            }
+            Ok(FleetMessage::Agent(status)) => {
+                zone_exchange::handle_agent_status(&shared, &socket, status);
+            }
             Ok(FleetMessage::Weights(_)) => {
                 warn!(shared.log, "datagram for an agent skipped"; "from" => from.to_string());
             }
@@ -209,14 +235,7 @@
     let mut state = shared.state();
     state.loads.update_peer(&node, loads, now);
     state.loads.expire(now);
-    for declared in heartbeat.weights {
-        let age = Duration::from_millis(u64::from(declared.age_ms));
-        if let Some(known_since) = now.checked_sub(age) {
-            state
-                .versions
-                .record_known_time(&declared.model, declared.version, known_since);
-        }
-    }
+    record_declarations(&mut state.versions, &heartbeat.weights, now);
     let is_changed = state.peers.record_heartbeat(heartbeat.record, now);
     drop(state);
     if is_changed {
@@ -225,28 +244,10 @@
     }
 }
 
-fn handle_agent_status(shared: &EntryShared, status: &AgentStatus) {
-    let is_changed = shared
-        .state()
-        .catalog
-        .update_weights(status.replica, &status.models);
-    if is_changed {
-        info!(
-            shared.log, "weights of a replica changed";
-            "address" => status.replica.to_string(),
-            "version" => status.models.first().map(|it| it.version),
-        );
-    }
-}
-
-/// Minimum time between two heartbeats to entries of the own zone. A few requests arrive in the zone in this time.
-const MIN_ZONE_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(15);
-
-/// Minimum time between two heartbeats to all entries; a few times the period in which a replica's load changes (one
-/// forward pass, 50 ms or more).
-const MIN_GLOBAL_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
+/// Minimum time between two heartbeats. A few requests arrive in the zone in this time.
+const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(15);
 
-/// Maximum time between two heartbeats to all entries.
+/// Maximum time between two heartbeats to all listed entries of the zone.
 const MAX_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time after which the list of entries is read again, to find entries that were hidden by a network partition at
--- /dev/null
+++ b/crates/ingress/src/zone_exchange.rs
@@ -0,0 +1,214 @@
+//! Exchange between zones: the reporter of a zone sends its state to other zones and passes on what they send.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use fleet::{AgentStatus, FleetMessage, LoadSample, PeerRecord, RelayScope, ZoneReport};
+use rand::seq::IndexedRandom;
+use slog::info;
+use tokio::net::UdpSocket;
+
+use crate::entry_shared::EntryShared;
+use crate::peer_exchange::{recent_declarations, record_declarations};
+
+/// Drops reports that arrive late or twice, since several entries may pass on the same one.
+#[derive(Debug, Default)]
+pub(crate) struct ReportFilter {
+    newest: BTreeMap<String, (u64, u64)>,
+}
+
+impl ReportFilter {
+    /// Returns whether `report` is newer than all earlier ones of its reporter.
+    fn accept(&mut self, report: &ZoneReport) -> bool {
+        let number = (report.incarnation, report.sequence);
+        let newest = self.newest.entry(report.reporter.clone()).or_default();
+        let is_newer = number > *newest;
+        *newest = number.max(*newest);
+        is_newer
+    }
+}
+
+/// Sends reports for as long as this entry is the reporter of its zone.
+pub(crate) async fn send_reports(shared: Arc<EntryShared>, socket: Arc<UdpSocket>) {
+    let mut sequence = 0;
+    let mut last_sent: Option<(Instant, Vec<(u64, LoadSample)>)> = None;
+    let mut last_roster: Option<Instant> = None;
+    loop {
+        let settings = &shared.settings;
+        let now = Instant::now();
+        let is_reporter =
+            fleet::is_zone_reporter(&shared.state().peers, &settings.node, &settings.zone, now);
+        if !is_reporter {
+            tokio::time::sleep(MAX_REPORT_INTERVAL).await;
+            continue;
+        }
+        let other_zones = settings.regions.len().saturating_sub(1);
+        let scale = u32::try_from(other_zones.div_ceil(ZONES_AT_MIN_INTERVAL)).unwrap_or(u32::MAX);
+        tokio::time::sleep(MIN_REPORT_INTERVAL * scale.max(1)).await;
+        let loads: Vec<_> = shared.state().loads.zone_samples().into_iter().collect();
+        let is_due = last_sent
+            .as_ref()
+            .is_none_or(|(at, sent)| at.elapsed() >= MAX_REPORT_INTERVAL || *sent != loads);
+        if !is_due {
+            continue;
+        }
+        sequence += 1;
+        let with_roster = last_roster.is_none_or(|it| it.elapsed() >= MAX_REPORT_INTERVAL);
+        let report = own_report(&shared, sequence, loads.clone(), with_roster);
+        send_report(&shared, &socket, report);
+        let now = Instant::now();
+        last_sent = Some((now, loads));
+        if with_roster {
+            last_roster = Some(now);
+        }
+    }
+}
+
+fn own_report(
+    shared: &EntryShared,
+    sequence: u64,
+    loads: Vec<(u64, LoadSample)>,
+    with_roster: bool,
+) -> ZoneReport {
+    let now = Instant::now();
+    let own = shared.own_record();
+    let zone = &shared.settings.zone;
+    let state = shared.state();
+    let mut entries: Vec<PeerRecord> = Vec::new();
+    if with_roster {
+        let alive = state.peers.alive(now).filter(|it| it.zone == *zone);
+        entries.extend(alive.cloned());
+        entries.push(own);
+    }
+    ZoneReport {
+        zone: zone.clone(),
+        reporter: shared.settings.node.clone(),
+        incarnation: shared.incarnation,
+        sequence,
+        loads,
+        weights: recent_declarations(&state.versions, now),
+        entries,
+    }
+}
+
+fn send_report(shared: &EntryShared, socket: &UdpSocket, report: ZoneReport) {
+    let round = usize::try_from(report.sequence).unwrap_or_default();
+    let bytes =
+        postcard::to_allocvec(&FleetMessage::Zone(report)).expect("encoding a report cannot fail");
+    send_all(socket, &bytes, &other_zones(shared, round).concat());
+}
+
+/// Applies the report of another zone and passes it on if this entry is the reporter of its zone.
+pub(crate) fn handle_report(
+    shared: &EntryShared,
+    socket: &UdpSocket,
+    report: ZoneReport,
+    bytes: &[u8],
+    filter: &mut ReportFilter,
+) {
+    let settings = &shared.settings;
+    if report.zone == settings.zone || !filter.accept(&report) {
+        return;
+    }
+    let now = Instant::now();
+    let loads = report.loads.into_iter().collect();
+    let mut state = shared.state();
+    state.loads.update_zone(&report.zone, loads, now);
+    state.loads.expire(now);
+    record_declarations(&mut state.versions, &report.weights, now);
+    let mut discovered = Vec::new();
+    for record in report.entries {
+        let node = record.node.clone();
+        if state.peers.record_heartbeat(record, now) {
+            discovered.push(node);
+        }
+    }
+    let must_relay = fleet::is_zone_reporter(&state.peers, &settings.node, &settings.zone, now);
+    drop(state);
+    if !discovered.is_empty() {
+        info!(shared.log, "entries of a zone discovered"; "in" => &report.zone, "entries" => discovered.join(","));
+    }
+    if must_relay {
+        send_all(socket, bytes, &own_zone(shared));
+    }
+}
+
+/// Applies the status of an agent and passes it on as far as it says.
+pub(crate) fn handle_agent_status(
+    shared: &EntryShared,
+    socket: &UdpSocket,
+    mut status: AgentStatus,
+) {
+    let is_changed = shared
+        .state()
+        .catalog
+        .update_weights(status.replica, &status.models);
+    if is_changed {
+        info!(
+            shared.log, "weights of a replica changed";
+            "address" => status.replica.to_string(),
+            "version" => status.models.first().map(|it| it.version),
+        );
+    }
+    let relay = status.relay;
+    if relay == RelayScope::AllZones {
+        // The agent repeats its status; a random choice makes up for an entry that has just died.
+        let zones = other_zones(shared, rand::random_range(0..MAX_ROUND));
+        let one_per_zone = zones.iter().filter_map(|it| it.choose(&mut rand::rng()));
+        let targets: Vec<SocketAddr> = one_per_zone.copied().collect();
+        status.relay = RelayScope::OwnZone;
+        send_all(socket, &encode_status(&status), &targets);
+    }
+    if relay != RelayScope::None {
+        status.relay = RelayScope::None;
+        send_all(socket, &encode_status(&status), &own_zone(shared));
+    }
+}
+
+fn encode_status(status: &AgentStatus) -> Vec<u8> {
+    postcard::to_allocvec(&FleetMessage::Agent(status.clone()))
+        .expect("encoding a status cannot fail")
+}
+
+fn own_zone(shared: &EntryShared) -> Vec<SocketAddr> {
+    let state = shared.state();
+    let alive = state.peers.alive(Instant::now());
+    alive
+        .filter(|it| it.zone == shared.settings.zone)
+        .map(|it| it.inner)
+        .collect()
+}
+
+fn other_zones(shared: &EntryShared, round: usize) -> Vec<Vec<SocketAddr>> {
+    let zone = &shared.settings.zone;
+    let now = Instant::now();
+    fleet::report_targets(&shared.state().peers, zone, TARGETS_PER_ZONE, round, now)
+}
+
+fn send_all(socket: &UdpSocket, bytes: &[u8], targets: &[SocketAddr]) {
+    for target in targets {
+        // A lost datagram needs no resend: a later one contains the complete state.
+        let _ = socket.try_send_to(bytes, *target);
+    }
+}
+
+/// Minimum time between two reports; a few times the period in which a replica's load changes (one forward pass, 50 ms
+/// or more).
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Maximum time between two reports, and minimum time between two lists of entries. Entries are considered dead after
+/// a few times as long.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Number of other zones up to which reports are sent at the minimum interval. With more zones the interval grows, so
+/// that an entry receives a bounded number of reports.
+const ZONES_AT_MIN_INTERVAL: usize = 5;
+
+/// Upper bound of the random round of a status.
+const MAX_ROUND: usize = 1000;
+
+/// Number of entries of each other zone that receive a report: the one that passes it on, and the one that does so if
+/// the first has just died.
+const TARGETS_PER_ZONE: usize = 2;
--- a/crates/stager/src/declaration_loop.rs
+++ b/crates/stager/src/declaration_loop.rs
@@ -41,7 +41,7 @@
                 drop(state);
                 shared.declarations_received.notify_one();
             }
-            Ok(FleetMessage::Entry(_) | FleetMessage::Agent(_)) => {
+            Ok(FleetMessage::Entry(_) | FleetMessage::Agent(_) | FleetMessage::Zone(_)) => {
                 warn!(shared.log, "datagram of an unexpected type ignored"; "from" => from.to_string());
             }
             Err(err) => {
--- a/crates/stager/src/feed_reader.rs
+++ b/crates/stager/src/feed_reader.rs
@@ -70,7 +70,8 @@
     shared.state().feeds.get(&table).and_then(|it| it.version())
 }
 
-fn live_entries(shared: &AgentShared) -> Vec<SocketAddr> {
+/// Returns entries of the zone that have sent messages recently, in random order.
+pub(crate) fn live_entries(shared: &AgentShared) -> Vec<SocketAddr> {
     let state = shared.state();
     let entries = state.entries.iter();
     let entries = entries.filter(|it| it.1.elapsed() < ENTRY_TIMEOUT);
--- a/crates/stager/src/status_loop.rs
+++ b/crates/stager/src/status_loop.rs
@@ -4,15 +4,19 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use fleet::{AgentStatus, FleetMessage, PeerRecord};
+use fleet::{AgentStatus, FleetMessage, PeerRecord, RelayScope};
+use platform::CallError;
 use slog::warn;
 use tokio::net::UdpSocket;
 
 use crate::agent_shared::AgentShared;
+use crate::feed_reader;
 
 /// Sends a status message after each change and repeats it a few times, since datagrams may be lost.
+///
+/// The message goes to one entry, which passes it on to all others. Repetitions go to other entries of the zone.
 pub(crate) async fn run(shared: Arc<AgentShared>) {
     let socket = match UdpSocket::bind((shared.settings.ip, 0)).await {
         Ok(it) => it,
@@ -21,27 +25,20 @@
             return;
         }
     };
-    let mut entry_list: (Option<Instant>, Vec<SocketAddr>) = (None, Vec::new());
     loop {
         shared.serving_changed.notified().await;
-        if entry_list
-            .0
-            .is_none_or(|it| it.elapsed() > ENTRY_LIST_LIFETIME)
-        {
-            match shared.store.read_table(ENTRY_TABLE).await {
-                Ok(page) => {
-                    let records = page.rows.iter().filter_map(|it| it.value.as_ref());
-                    let records =
-                        records.filter_map(|it| serde_json::from_slice::<PeerRecord>(it).ok());
-                    entry_list = (Some(Instant::now()), records.map(|it| it.inner).collect());
-                }
-                Err(err) => {
-                    warn!(shared.log, "cannot read the list of entries"; "error" => err.to_string());
-                }
+        let entries = match known_entries(&shared).await {
+            Ok(it) => it,
+            Err(err) => {
+                // The registration of the replica in the store tells entries later.
+                warn!(shared.log, "cannot read the list of entries"; "error" => err.to_string());
+                continue;
+            }
+        };
+        for (index, delay) in RESEND_DELAYS.into_iter().enumerate() {
+            if let Some(entry) = entries.get(index % entries.len().max(1)) {
+                send(&shared, &socket, *entry);
             }
-        }
-        for delay in RESEND_DELAYS {
-            send(&shared, &socket, &entry_list.1);
             // A further change is sent immediately.
             if tokio::time::timeout(delay, shared.serving_changed.notified())
                 .await
@@ -54,27 +51,42 @@
     }
 }
 
-fn send(shared: &AgentShared, socket: &UdpSocket, entries: &[SocketAddr]) {
+/// Returns the entries that have sent messages recently, or else the entries of the zone that the store lists.
+async fn known_entries(shared: &AgentShared) -> Result<Vec<SocketAddr>, CallError> {
+    let heard = feed_reader::live_entries(shared);
+    if !heard.is_empty() {
+        return Ok(heard);
+    }
+    let page = shared.store.read_table(ENTRY_TABLE).await?;
+    let values = page.rows.iter().filter_map(|it| it.value.as_ref());
+    let records = values.filter_map(|it| serde_json::from_slice::<PeerRecord>(it).ok());
+    let in_zone = records.filter(|it| it.zone == shared.settings.zone);
+    Ok(in_zone
+        .map(|it| it.inner)
+        .take(MAX_LISTED_ENTRIES)
+        .collect())
+}
+
+fn send(shared: &AgentShared, socket: &UdpSocket, entry: SocketAddr) {
     let Some(models) = shared.state().serving.clone() else {
         return;
     };
     let status = AgentStatus {
+        relay: RelayScope::AllZones,
         replica: shared.replica_address,
         models,
     };
     let bytes = postcard::to_allocvec(&FleetMessage::Agent(status))
         .expect("a status message is always encodable");
-    for entry in entries {
-        // The next message makes up for a lost one; eventually the registration of the replica in the store does.
-        let _ = socket.try_send_to(&bytes, *entry);
-    }
+    // The next message makes up for a lost one; eventually the registration of the replica in the store does.
+    let _ = socket.try_send_to(&bytes, entry);
 }
 
 /// Store table that contains the records of all entries.
 const ENTRY_TABLE: &str = "entries";
 
-/// Time after which the list of entries is read again.
-const ENTRY_LIST_LIFETIME: Duration = Duration::from_secs(8);
+/// Maximum number of entries from the store's list that messages are sent to.
+const MAX_LISTED_ENTRIES: usize = 3;
 
 /// Delays after each message for one change. A message may be lost, and entries may still be starting when all hosts
 /// start at the same time.
