--- a/crates/fleet/src/fetch_plan.rs
+++ b/crates/fleet/src/fetch_plan.rs
@@ -1,7 +1,10 @@
-//! Plans from which source each agent fetches each piece of weights.
+//! Determines which agents bring which pieces of weights into a region, and whom each agent asks what it has.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use sha2::{Digest, Sha256};
+
 /// An agent that takes part in the transfer of pieces.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PiecePeer {
@@ -13,258 +16,250 @@
     pub complete: bool,
 }
 
-/// A source from which a piece can be fetched.
+/// A source of the manifest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PieceSource {
+pub enum ManifestSource {
     /// The origin of the weights.
     Origin,
-    /// An agent that has the piece, according to the list of replicas.
-    Holder(SocketAddr),
-    /// An agent that is fetching the piece too. It ranks before this one, so waiting for it cannot deadlock.
-    Fetcher(SocketAddr),
-}
-
-/// Limits on the use of the origin of the weights.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct OriginAccess {
-    /// Number of agents that fetch from it; it accepts few connections.
-    pub clients: usize,
-    /// Region of the origin, if known. Only agents of that region are assigned to it, so that the only traffic between
-    /// regions is one copy for each other region.
-    pub region: Option<String>,
+    /// Another agent.
+    Agent(SocketAddr),
 }
 
-/// The order of sources for each piece; agents with the same list of peers compute consistent plans.
+/// The roles of agents in a transfer; agents with the same list of peers compute consistent plans.
 ///
-/// For each piece, one agent fetches it from the origin and one agent per region copies it to that region; all others
-/// fetch it inside their region. Pieces are assigned round-robin rather than by rendezvous hashing, whose uneven
-/// shares would make the busiest uplink take half as long again. If an agent fails, the next in rank takes over.
+/// Pieces are divided into [`CLASSES`]. In the region of the origin, the first agent in the ranking of a class fetches
+/// its pieces from the origin; in each other region, the first agent copies them from the region of the origin. All
+/// others obtain them inside their region from any agent that has them. So the origin and each pair of regions carry
+/// about one copy. The next agents in the ranking take over from one that fails.
 #[derive(Clone, Debug)]
 pub struct FetchPlan {
     own: SocketAddr,
     region: String,
-    peers: Vec<PiecePeer>,
-    origin: OriginAccess,
+    origin_region: String,
+    /// Agents by region, ordered by address.
+    regions: BTreeMap<String, Vec<SocketAddr>>,
+    /// Agents of each region and class in the order in which they are responsible for the pieces of the class.
+    rankings: BTreeMap<String, Vec<Vec<SocketAddr>>>,
+    /// Agents whose replicas serve the version, with their regions.
+    complete: BTreeMap<SocketAddr, String>,
 }
 
 impl FetchPlan {
-    /// Creates the plan of the agent at `own` with `peers`, which may contain the agent itself.
-    pub fn new(own: SocketAddr, region: &str, peers: Vec<PiecePeer>, origin: OriginAccess) -> Self {
-        let mut peers = peers;
-        if !peers.iter().any(|it| it.address == own) {
-            peers.push(PiecePeer {
-                address: own,
-                region: region.to_owned(),
-                complete: false,
-            });
+    /// Creates the plan of the agent at `own` with `peers`, which may contain the agent itself. `origin_region` is the
+    /// region of the origin, if known.
+    pub fn new(
+        own: SocketAddr,
+        region: &str,
+        peers: Vec<PiecePeer>,
+        origin_region: Option<&str>,
+    ) -> Self {
+        let mut members: BTreeMap<String, BTreeSet<SocketAddr>> = BTreeMap::new();
+        members.entry(region.to_owned()).or_default().insert(own);
+        let mut complete = BTreeMap::new();
+        for peer in peers {
+            let addresses = members.entry(peer.region.clone()).or_default();
+            addresses.insert(peer.address);
+            if peer.complete && peer.address != own {
+                complete.insert(peer.address, peer.region);
+            }
         }
+        let known = origin_region.filter(|it| members.contains_key(*it));
+        let first = members.keys().next().map(String::as_str);
+        let origin_region = known.or(first).unwrap_or(region).to_owned();
+        let regions = members
+            .into_iter()
+            .map(|(region, addresses)| (region, addresses.into_iter().collect()));
+        let regions: BTreeMap<String, Vec<SocketAddr>> = regions.collect();
+        let rankings = regions
+            .iter()
+            .map(|(region, addresses)| (region.clone(), rank_by_class(addresses)));
         Self {
             own,
             region: region.to_owned(),
-            peers,
-            origin,
+            origin_region,
+            rankings: rankings.collect(),
+            regions,
+            complete,
         }
     }
 
-    /// Returns the sources of piece `index` in the order in which they are tried in round `round`.
+    /// Returns whether the agents of the own region fetch from the origin rather than from another region.
+    pub fn is_origin_region(&self) -> bool {
+        self.region == self.origin_region
+    }
+
+    /// Returns the position of this agent in the ranking of `class` in its region; the first one has position 0.
+    pub fn own_rank(&self, class: usize) -> usize {
+        let mut ranking = self.ranking(&self.region, class);
+        ranking
+            .position(|it| it == self.own)
+            .expect("the plan contains the agent itself")
+    }
+
+    /// Returns the agents that precede this one in the ranking of `class` in its region.
+    pub fn predecessors(&self, class: usize) -> impl Iterator<Item = SocketAddr> {
+        let ranking = self.ranking(&self.region, class);
+        ranking.take(self.own_rank(class))
+    }
+
+    /// Returns the agents whose pieces this one asks for.
     ///
-    /// An agent waits only for agents that rank before it, so waits cannot form a cycle. In the first round, one agent
-    /// fetches the piece from the origin, one per region copies it to the region, and the others of the region wait for
-    /// that one. Each further round lets one more agent of the ranking use other sources. If all agents switched at
-    /// once when a source is late, the links between regions would carry a copy for each of them, and the origin would
-    /// refuse the agent that all others wait for.
-    pub fn sources(&self, index: usize, round: usize) -> Vec<PieceSource> {
-        let in_region = self.ranked_in(&self.region, index, |_| true);
-        let all = self.ranked(index, |_| true);
-        let region_rank = self.ranked_before_self(&in_region).len();
-        let rank = self.ranked_before_self(&all).len();
-        // Agents that start at the same time fetch the same piece from different holders.
-        let offset = index + self.own_position() + round * MAX_CANDIDATES;
-        let is_source = |it: &PiecePeer| it.complete && it.address != self.own;
-        let may_cross_regions = round >= region_rank;
-        let mut sources = Vec::new();
-        let holders = self.ranked_in(&self.region, offset, is_source);
-        let other_holders = self.ranked(offset, |it| is_source(it) && may_cross_regions);
-        for ranking in [&holders, &other_holders] {
-            for holder in ranking.iter().take(MAX_CANDIDATES) {
-                push_unique(&mut sources, PieceSource::Holder(holder.address));
+    /// Inside the region these are the agents at distances 1, 2, 4, 8, … in the order of addresses, so that a piece
+    /// spreads in a number of steps that is logarithmic in the number of agents while each agent is asked by few.
+    pub fn neighbors(&self) -> BTreeSet<SocketAddr> {
+        let in_region = &self.regions[&self.region];
+        let position = in_region.binary_search(&self.own);
+        let position = position.expect("the plan contains the agent itself");
+        let distances = (0..usize::BITS).map(|it| 1_usize << it);
+        let distances = distances.take_while(|it| *it < in_region.len());
+        let mut neighbors: BTreeSet<_> = distances
+            .map(|it| in_region[(position + it) % in_region.len()])
+            .collect();
+        for class in 0..CLASSES {
+            let rank = self.own_rank(class);
+            if rank <= MAX_ACTING_RANK {
+                neighbors.extend(self.predecessors(class));
             }
-        }
-        // The agent that fetches the piece from the origin does not wait for others.
-        if rank > 0 {
-            let others = all[..rank].iter().filter(|_| may_cross_regions);
-            let fetchers = in_region[..region_rank].iter().take(MAX_CANDIDATES);
-            for fetcher in fetchers.chain(others.take(MAX_CANDIDATES)) {
-                push_unique(&mut sources, PieceSource::Fetcher(fetcher.address));
+            if rank <= MAX_IMPORT_RANK && !self.is_origin_region() {
+                let ranking = self.ranking(&self.origin_region, class);
+                neighbors.extend(ranking.take(IMPORT_SOURCES));
+                // The link of the first agent would carry a copy for each region.
+                neighbors.extend(self.ranking(self.next_region(), class).next());
             }
         }
-        if round >= rank {
-            sources.push(PieceSource::Origin);
+        if !self.is_origin_region() && (0..CLASSES).any(|it| self.own_rank(it) <= MAX_ACTING_RANK) {
+            // One that differs from agent to agent, in case the first ones of a ranking are all dead.
+            let origin_region = &self.regions[&self.origin_region];
+            neighbors.insert(origin_region[position % origin_region.len()]);
         }
-        sources
+        neighbors.remove(&self.own);
+        neighbors
+    }
+
+    /// Returns the agents whose replicas serve the version; the value tells whether an agent is in the own region.
+    pub fn complete(&self) -> impl Iterator<Item = (SocketAddr, bool)> {
+        let complete = self.complete.iter();
+        complete.map(|(address, region)| (*address, *region == self.region))
+    }
+
+    /// Returns whether the replica of an agent serves the version.
+    pub fn is_complete(&self, address: SocketAddr) -> bool {
+        self.complete.contains_key(&address)
     }
 
-    /// Returns the sources of the manifest in the order in which they are tried.
+    /// Returns whether an agent is in the own region.
+    pub fn is_in_region(&self, address: SocketAddr) -> bool {
+        self.regions[&self.region].binary_search(&address).is_ok()
+    }
+
+    /// Returns the sources of the manifest in the order in which they are tried. `attempt` counts earlier attempts.
     ///
-    /// One agent fetches the manifest from the origin and one agent of each other region fetches it from that agent.
-    /// Inside a region it is distributed along a tree, because many copies would occupy the uplink of a single agent
-    /// for long.
-    pub fn manifest_sources(&self) -> Vec<PieceSource> {
-        let has_complete = self.peers.iter().any(|it| it.complete);
-        let root = self.origin_client(MANIFEST_INDEX, |it| it.complete || !has_complete);
-        if root == Some(self.own) {
-            return vec![PieceSource::Origin];
-        }
-        let mut in_region = self.ranked_in(&self.region, MANIFEST_INDEX, |_| true);
-        in_region.sort_by_key(|it| (Some(it.address) != root, !it.complete));
-        let rank = in_region.iter().position(|it| it.address == self.own);
-        let mut rank = rank.unwrap_or(in_region.len());
-        let may_use_origin = rank <= 1 || self.is_origin_client();
+    /// Two agents of the origin's region ask the origin and two of each other region ask these, so that no single host
+    /// delays all others. Inside a region the agents ask those two and a neighbor.
+    pub fn manifest_sources(&self, attempt: usize) -> Vec<ManifestSource> {
+        let agent = ManifestSource::Agent;
+        let rank = self.own_rank(0);
+        let in_region = self.complete().filter(|it| it.1).map(|it| it.0);
+        let in_region: Vec<_> = in_region.collect();
         let mut sources = Vec::new();
-        while rank > 0 {
-            rank = (rank - 1) / MANIFEST_FANOUT;
-            sources.push(PieceSource::Fetcher(in_region[rank].address));
+        if !in_region.is_empty() {
+            sources.push(agent(in_region[(attempt + rank) % in_region.len()]));
         }
-        if let Some(root) = root {
-            push_unique(&mut sources, PieceSource::Fetcher(root));
+        if rank < MANIFEST_CLIENTS {
+            let first = self.ranking(&self.origin_region, 0).take(MANIFEST_CLIENTS);
+            if self.is_origin_region() {
+                sources.push(ManifestSource::Origin);
+            }
+            let mut others: Vec<_> = first.filter(|it| *it != self.own).collect();
+            let offset = rank % others.len().max(1);
+            others.rotate_left(offset);
+            sources.extend(others.into_iter().map(agent));
+        } else {
+            let mut first: Vec<_> = self.predecessors(0).take(MANIFEST_CLIENTS).collect();
+            let offset = (attempt + rank) % first.len().max(1);
+            first.rotate_left(offset);
+            sources.extend(first.into_iter().map(agent));
+            let neighbors: Vec<_> = self.neighbors().into_iter().collect();
+            let neighbor = neighbors.get((attempt + rank) % neighbors.len().max(1));
+            sources.extend(neighbor.copied().map(agent));
         }
-        if may_use_origin {
-            sources.push(PieceSource::Origin);
+        // The agents that should ask the origin may be dead or cut off from it.
+        let is_late = attempt >= MANIFEST_ATTEMPTS * (rank + 1);
+        if rank <= MAX_ACTING_RANK && is_late && !sources.contains(&ManifestSource::Origin) {
+            sources.push(ManifestSource::Origin);
         }
         sources
     }
 
-    /// Returns whether this agent is one of those that fetch pieces from the origin.
-    fn is_origin_client(&self) -> bool {
-        (0..self.origin.clients.max(1)).any(|it| self.origin_client(it, |_| true) == Some(self.own))
-    }
-
-    fn own_position(&self) -> usize {
-        let own = self.peers.iter().position(|it| it.address == self.own);
-        own.unwrap_or(0)
-    }
-
     /// Returns the position of this agent in the order in which replicas load weights, in 0..1. Adjacent positions
     /// belong to different regions if possible.
     pub fn rollout_position(&self) -> f64 {
-        let mut positions: Vec<_> = self
-            .peers
-            .iter()
-            .map(|it| {
-                let list = self.ranked_in(&it.region, 0, |_| true);
-                let rank = list
-                    .iter()
-                    .position(|other| other.address == it.address)
-                    .unwrap_or(0);
-                (rank as f64 / list.len() as f64, it.address)
-            })
-            .collect();
+        let mut positions = Vec::new();
+        for list in self.regions.values() {
+            for (rank, address) in list.iter().enumerate() {
+                positions.push((rank as f64 / list.len() as f64, *address));
+            }
+        }
         positions.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let own = positions
-            .iter()
-            .position(|it| it.1 == self.own)
-            .unwrap_or(0);
-        own as f64 / positions.len() as f64
-    }
-
-    /// Returns whether this agent is the one that copies piece `index` to its region.
-    pub fn fetches_for_region(&self, index: usize) -> bool {
-        let in_region = self.ranked_in(&self.region, index, |_| true);
-        in_region.first().is_some_and(|it| it.address == self.own)
+        let own = positions.iter().position(|it| it.1 == self.own);
+        own.unwrap_or(0) as f64 / positions.len() as f64
     }
 
-    /// Returns the part of a ranking that precedes this agent.
-    fn ranked_before_self<'a, 'b>(&self, ranked: &'a [&'b PiecePeer]) -> &'a [&'b PiecePeer] {
-        let own = ranked.iter().position(|it| it.address == self.own);
-        &ranked[..own.unwrap_or(ranked.len())]
+    /// Returns the region after the own one in alphabetical order, or the first one after the last.
+    fn next_region(&self) -> &str {
+        let mut after = self.regions.keys().skip_while(|it| **it != self.region);
+        let next = after.nth(1).or_else(|| self.regions.keys().next());
+        next.unwrap_or(&self.region)
     }
 
-    /// Ranks the agents of one region that match `filter`; the first one copies the piece to the region.
-    fn ranked_in(
-        &self,
-        region: &str,
-        index: usize,
-        filter: impl Fn(&PiecePeer) -> bool,
-    ) -> Vec<&PiecePeer> {
-        let mut list: Vec<_> = self
-            .peers
-            .iter()
-            .filter(|it| it.region == region && filter(it))
-            .collect();
-        rotate(&mut list, index);
-        list
+    fn ranking(&self, region: &str, class: usize) -> impl Iterator<Item = SocketAddr> {
+        let classes = self.rankings.get(region);
+        let ranking = classes.and_then(|it| it.get(class));
+        ranking.into_iter().flatten().copied()
     }
+}
 
-    /// Ranks the agents that match `filter`; the first one fetches the piece from the origin.
-    ///
-    /// The other agents are interleaved: the first of each region, then the second of each region, and so on. This
-    /// order is consistent with the rankings of the regions, so waits along either ranking cannot form a cycle.
-    fn ranked(&self, index: usize, filter: impl Fn(&PiecePeer) -> bool + Copy) -> Vec<&PiecePeer> {
-        let mut list: Vec<_> = self.peers.iter().filter(|it| filter(it)).collect();
-        rotate(&mut list, index);
-        let mut regions: Vec<&str> = Vec::new();
-        for peer in list {
-            if !regions.contains(&peer.region.as_str()) {
-                regions.push(&peer.region);
-            }
+/// Ranks agents for each class by a hash, so that agents whose lists differ by a few others agree on the first ones. The
+/// agents are the first ones of equally many classes.
+fn rank_by_class(addresses: &[SocketAddr]) -> Vec<Vec<SocketAddr>> {
+    let mut first = BTreeSet::new();
+    let rank = |class: usize| {
+        let mut ranking = addresses.to_vec();
+        ranking.sort_by_cached_key(|it| Sha256::digest(format!("{class} {it}")));
+        if first.len() == ranking.len() {
+            first.clear();
         }
-        let in_regions: Vec<Vec<&PiecePeer>> = regions
-            .iter()
-            .map(|it| self.ranked_in(it, index, filter))
-            .collect();
-        let longest = in_regions.iter().map(Vec::len).max().unwrap_or(0);
-        let mut ranked: Vec<_> = (0..longest)
-            .flat_map(|rank| in_regions.iter().filter_map(move |it| it.get(rank)))
-            .copied()
-            .collect();
-        if let Some(first) = self.origin_client(index, filter) {
-            ranked.retain(|it| it.address != first);
-            ranked.splice(0..0, self.peers.iter().filter(|it| it.address == first));
-        }
-        ranked
-    }
-
-    /// Returns the agent that fetches piece `index` from the origin; the origin clients are assigned round-robin.
-    fn origin_client(
-        &self,
-        index: usize,
-        filter: impl Fn(&PiecePeer) -> bool,
-    ) -> Option<SocketAddr> {
-        let is_near = |it: &PiecePeer| Some(&it.region) == self.origin.region.as_ref();
-        let matching = || self.peers.iter().filter(|it| filter(it));
-        let has_near = matching().any(is_near);
-        let mut list: Vec<SocketAddr> = matching()
-            .filter(|it| !has_near || is_near(it))
-            .map(|it| it.address)
-            .collect();
-        list.sort_unstable();
-        let clients = self.origin.clients.max(1).min(list.len());
-        if clients == 0 {
-            return None;
+        let free = ranking.iter().position(|it| !first.contains(it));
+        if let Some(free) = free {
+            ranking[..=free].rotate_right(1);
         }
-        list.get((index % clients) * list.len() / clients).copied()
-    }
+        first.extend(ranking.first().copied());
+        ranking
+    };
+    (0..CLASSES).map(rank).collect()
 }
 
-fn rotate(list: &mut [&PiecePeer], index: usize) {
-    list.sort_by_key(|it| it.address);
-    if !list.is_empty() {
-        list.rotate_left(index % list.len());
-    }
+/// Returns the class of a piece.
+pub fn piece_class(index: usize) -> usize {
+    index % CLASSES
 }
 
-fn push_unique(sources: &mut Vec<PieceSource>, source: PieceSource) {
-    if !sources.contains(&source) {
-        sources.push(source);
-    }
-}
+/// Number of classes, and so the maximum number of agents that fetch from the origin at the same time. Few are enough
+/// to keep its link busy, and each further one makes all transfers slower. More than one is needed because each of
+/// them sends its pieces to all regions over its own link.
+pub const CLASSES: usize = 6;
+
+/// Last position in a ranking whose agent takes over if all agents before it fail.
+pub const MAX_ACTING_RANK: usize = 3;
+
+/// Last position in a ranking whose agent asks agents in other regions what they have.
+const MAX_IMPORT_RANK: usize = 1;
 
-/// Piece index that is used to rank agents for the manifest.
-const MANIFEST_INDEX: usize = 0;
+/// Number of agents of the origin's region that are asked for the pieces of a class.
+const IMPORT_SOURCES: usize = 2;
 
-/// Number of agents that fetch the manifest from the same agent. The manifest is small, so a few copies do not delay
-/// pieces.
-const MANIFEST_FANOUT: usize = 4;
+/// Number of agents of a region that bring the manifest into it.
+const MANIFEST_CLIENTS: usize = 2;
 
-/// Number of agents of one ranking that are tried before the next ranking or the origin; more rarely fail together.
-const MAX_CANDIDATES: usize = 3;
+/// Number of failed attempts after which the next agent in the ranking asks the origin for the manifest.
+const MANIFEST_ATTEMPTS: usize = 4;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,8 @@
 mod log_rate_limiter;
 mod peer_table;
 mod piece_manifest;
+mod piece_set;
+mod piece_swarm;
 mod replica;
 mod replica_catalog;
 mod replica_choice;
@@ -33,7 +35,7 @@
 pub use engine_profile::{BatchLoad, EngineProfile, RequestSize};
 pub use feed_mirror::{FeedChange, FeedMirror, FeedResponse, FeedRow, FeedTable};
 pub use feed_readers::{FeedSource, feed_source, max_reader_age};
-pub use fetch_plan::{FetchPlan, OriginAccess, PiecePeer, PieceSource};
+pub use fetch_plan::{CLASSES, FetchPlan, ManifestSource, PiecePeer, piece_class};
 pub use fleet_message::{
     AgentStatus, DeclarationAge, DeclaredWeights, EntryHeartbeat, FleetMessage, RelayScope,
     ZoneReport,
@@ -43,6 +45,8 @@
 pub use log_rate_limiter::{LogDecision, LogKind, LogRateLimiter};
 pub use peer_table::{PeerRecord, PeerTable};
 pub use piece_manifest::PieceManifest;
+pub use piece_set::PieceSet;
+pub use piece_swarm::{FetchOutcome, PieceFetch, PieceSource, PieceSwarm};
 pub use replica::{LoadedModel, Replica, ReplicaState, active_replicas};
 pub use replica_catalog::{CatalogChange, ReplicaCatalog};
 pub use replica_choice::{ChoiceRequest, ChosenReplica, NoReplica, choose_replica};
--- a/crates/fleet/src/switch_deadlines.rs
+++ b/crates/fleet/src/switch_deadlines.rs
@@ -41,15 +41,33 @@
         Some(*declared + self.switch_time)
     }
 
-    /// Returns whether `version` is worth fetching: it is the newest version, or it takes effect so soon that the
-    /// newest version cannot be fetched before.
-    pub fn should_fetch(&self, version: u64, now: Instant) -> bool {
-        let is_newest = self.declared.keys().next_back() <= Some(&version);
-        let remaining = version.checked_sub(1).and_then(|it| self.deadline(it));
-        let remaining = remaining.map(|it| it.saturating_duration_since(now));
-        is_newest || remaining.is_some_and(|it| it < self.switch_time / 2)
+    /// Returns the version that a replica is to load next if it serves version `serving`, or none.
+    ///
+    /// This is the newest version, or the one before it if its transfer has most likely progressed: if the origin became
+    /// unavailable now, a version that is almost transferred could be served long before one that has just been
+    /// declared. All agents come to the same result, because it depends only on the times of the declarations.
+    pub fn version_to_load(&self, serving: Option<u64>, now: Instant) -> u64 {
+        let mut newest_first = self.declared.iter().rev();
+        let Some((newest, newest_declared)) = newest_first.next() else {
+            return serving.unwrap_or_default();
+        };
+        let Some((previous, previous_declared)) = newest_first.next() else {
+            return *newest;
+        };
+        let head_start = newest_declared.saturating_duration_since(*previous_declared);
+        let is_last_chance = now + self.switch_time / 6 >= *newest_declared + self.switch_time;
+        let is_served = serving >= Some(*previous);
+        if is_served || is_last_chance || head_start < self.switch_time / MIN_HEAD_START_DIVISOR {
+            *newest
+        } else {
+            *previous
+        }
     }
 }
 
+/// Part of the switch time that a version must have been declared before the newest one to be loaded first. Deadlines
+/// leave time for about three transfers from the origin, so this is a third of a transfer.
+const MIN_HEAD_START_DIVISOR: u32 = 10;
+
 /// Maximum number of stored versions; older ones took effect long ago.
 const MAX_VERSIONS: usize = 8;
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -23,8 +23,6 @@
     pub(crate) version: u64,
     /// Addresses of the origins, in the order of the configuration.
     pub(crate) origins: Vec<SocketAddr>,
-    /// Number of connections that an origin accepts from all agents together.
-    pub(crate) origin_connections: usize,
     /// Region of the first origin, if known.
     pub(crate) origin_region: Option<String>,
 }
@@ -47,8 +45,8 @@
     pub(crate) feeds: BTreeMap<FeedTable, FeedMirror>,
     /// Pieces that are staged at the replica.
     pub(crate) staged_pieces: StagedPieces,
-    /// Whether missing pieces are being fetched. Requests from other agents wait for such pieces.
-    pub(crate) is_fetching: bool,
+    /// Version that the replica was last ordered to load, unless the replica has restarted since.
+    pub(crate) ordered_version: Option<u64>,
     /// Weights that the replica serves, as reported to entries, or `None` until the replica has first been polled.
     pub(crate) serving: Option<Vec<LoadedModel>>,
 }
@@ -80,10 +78,6 @@
     pub(crate) download_pacer: LinkPacer,
     /// Limits the concurrent transfers of pieces to other agents.
     pub(crate) upload_slots: Semaphore,
-    /// Limits the concurrent transfers of pieces from other agents.
-    pub(crate) download_slots: Semaphore,
-    /// Limits the concurrent transfers of pieces from the origin.
-    pub(crate) origin_slots: Semaphore,
     state: Mutex<AgentState>,
 }
 
@@ -108,8 +102,6 @@
             declarations_received: Notify::new(),
             pieces_changed: Notify::new(),
             upload_slots: Semaphore::new(MAX_UPLOADS),
-            download_slots: Semaphore::new(MAX_DOWNLOADS),
-            origin_slots: Semaphore::new(MAX_ORIGIN_FETCHES),
             state: Mutex::new(AgentState {
                 target: None,
                 deadlines: SwitchDeadlines::new(settings.bounds.version_switch),
@@ -118,7 +110,7 @@
                 entries: BTreeMap::new(),
                 feeds: BTreeMap::new(),
                 staged_pieces: StagedPieces::default(),
-                is_fetching: false,
+                ordered_version: None,
                 serving: None,
             }),
             settings,
@@ -154,10 +146,3 @@
 /// Maximum number of pieces that are sent concurrently. The link also carries the streams of the replica, which must
 /// not queue behind pieces.
 const MAX_UPLOADS: usize = 2;
-
-/// Maximum number of pieces that are fetched from other agents concurrently, for the same reason.
-const MAX_DOWNLOADS: usize = 8;
-
-/// Maximum number of pieces that are fetched from the origin concurrently. One per agent is enough: two agents keep its
-/// link busy.
-const MAX_ORIGIN_FETCHES: usize = 1;
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -111,28 +111,29 @@
     let Some(engine) = routes.service(service).and_then(|it| it.engine.as_ref()) else {
         return;
     };
-    let version = versions
+    let newest = versions
         .get(&engine.model)
         .copied()
         .unwrap_or(INITIAL_VERSION);
-    let origins: Vec<(&WeightOrigin, u32)> = routes
+    let origins: Vec<&WeightOrigin> = routes
         .services()
-        .filter_map(|it| {
-            let connections = it.max_connections.unwrap_or(DEFAULT_ORIGIN_CONNECTIONS);
-            Some((it.origin.as_ref()?, connections))
-        })
+        .filter_map(|it| it.origin.as_ref())
         .collect();
-    let connections = origins.iter().map(|it| it.1).min().unwrap_or(1);
-    let origin_zone = origins.first().and_then(|it| it.0.zone.as_ref());
-    let target = WeightTarget {
+    let origin_zone = origins.first().and_then(|it| it.zone.as_ref());
+    let mut target = WeightTarget {
         model: engine.model.clone(),
-        version,
-        origins: origins.iter().map(|it| it.0.address).collect(),
-        origin_connections: usize::try_from(connections).unwrap_or(usize::MAX),
+        version: newest,
+        origins: origins.iter().map(|it| it.address).collect(),
         origin_region: origin_zone.and_then(|it| shared.settings.regions.get(it).cloned()),
     };
     let mut state = shared.state();
     update_deadlines(&mut state, &target, shared.settings.bounds.version_switch);
+    let serving = state.serving.iter().flatten();
+    let serving = serving
+        .filter(|it| it.name == target.model)
+        .map(|it| it.version);
+    let serving = serving.max().max(state.ordered_version);
+    target.version = state.deadlines.version_to_load(serving, Instant::now());
     if state.target.as_ref() == Some(&target) {
         return;
     }
@@ -140,7 +141,9 @@
         shared.log, "weights wanted";
         "model" => &target.model,
         "version" => target.version,
-        "missing_before" => state.staged_pieces.missing().len(),
+        "newest" => newest,
+        "serving" => serving,
+        "missing_before" => state.staged_pieces.missing_count(),
     );
     state.target = Some(target);
     drop(state);
@@ -164,15 +167,12 @@
     state.deadlines.declare(target.version, now);
 }
 
-/// Connection limit of an origin whose configuration contains none; the value of the known deployments.
-const DEFAULT_ORIGIN_CONNECTIONS: u32 = 48;
-
 /// Time without a message from entries after which the store is read; three message intervals.
 const DECLARATION_TIMEOUT: Duration = Duration::from_millis(2200);
 
 /// Time to wait for the first message of an entry after the start. Entries send one every 0.7 s once the replica is
-/// registered.
-const INITIAL_WAIT: Duration = Duration::from_millis(1500);
+/// registered, which takes up to two seconds.
+const INITIAL_WAIT: Duration = Duration::from_millis(3000);
 
 /// Version of the weights of a model without a declared version.
 const INITIAL_VERSION: u64 = 1;
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -11,7 +11,6 @@
 mod link_pacer;
 mod piece_fetch;
 mod piece_server;
-mod source_backoff;
 mod source_client;
 mod staged_pieces;
 mod status_loop;
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -1,16 +1,22 @@
-//! Fetches the manifest and the pieces of the target from the sources that the fetch plan selects.
+//! Fetches the manifest and the pieces of the target: asks neighbors what they have, and fetches what the swarm chooses.
 
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fleet::{
-    FeedTable, FetchPlan, OriginAccess, PieceManifest, PiecePeer, PieceSource, active_replicas,
+    FeedTable, FetchOutcome, FetchPlan, ManifestSource, PieceFetch, PieceManifest, PiecePeer,
+    PieceSource, PieceSwarm, active_replicas,
 };
 use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, WeightTarget};
-use crate::source_backoff::SourceBackoff;
+use crate::source_client::{FetchError, NeighborPieces};
 use crate::{feed_reader, source_client};
 
 /// Reads the list of replicas and creates the fetch plan of this agent.
@@ -43,44 +49,38 @@
         complete: it.version_of(&target.model) == Some(target.version),
     });
     let peers = peers.collect();
+    let origin_region = target.origin_region.as_deref();
     Ok(FetchPlan::new(
         own_address,
         &shared.settings.region,
         peers,
-        OriginAccess {
-            clients: target.origin_connections / CONNECTIONS_PER_ORIGIN_CLIENT,
-            region: target.origin_region.clone(),
-        },
+        origin_region,
     ))
 }
 
-/// Fetches the manifest of the target.
+/// Fetches the manifest of the target. `attempt` counts the earlier attempts that failed.
 pub(crate) async fn fetch_manifest(
     shared: &AgentShared,
     target: &WeightTarget,
     plan: &FetchPlan,
-    backoff: &SourceBackoff,
+    attempt: usize,
 ) -> Option<PieceManifest> {
-    for source in plan.manifest_sources() {
+    for source in plan.manifest_sources(attempt) {
         let fetched = match source {
-            PieceSource::Holder(address) | PieceSource::Fetcher(address)
-                if backoff.is_backing_off(address, Instant::now()) =>
-            {
-                continue;
-            }
-            PieceSource::Holder(address) | PieceSource::Fetcher(address) => {
+            ManifestSource::Agent(address) => {
                 source_client::fetch_manifest_from_agent(shared, target, address).await
             }
-            PieceSource::Origin => source_client::fetch_manifest_from_origin(shared, target).await,
+            ManifestSource::Origin => {
+                source_client::fetch_manifest_from_origin(shared, target).await
+            }
         };
         match fetched {
-            Ok(manifest) => return Some(manifest),
+            Ok(manifest) => {
+                info!(shared.log, "manifest fetched"; "version" => target.version, "source" => format!("{source:?}"));
+                return Some(manifest);
+            }
             Err(err) => {
                 info!(shared.log, "manifest not fetched"; "source" => format!("{source:?}"), "error" => err.to_string());
-                // An agent without a manifest may still have pieces later, so it is not put into backoff.
-                if matches!(err, source_client::FetchError::RequestFailed(_)) {
-                    record_failure(backoff, source);
-                }
             }
         }
     }
@@ -92,110 +92,114 @@
     shared: &Arc<AgentShared>,
     target: &WeightTarget,
     manifest: &Arc<PieceManifest>,
-    plan: &FetchPlan,
-    backoff: &SourceBackoff,
+    plan: FetchPlan,
 ) -> bool {
-    let plan_expires_at = Instant::now() + PLAN_LIFETIME;
-    let mut missing = shared.state().staged_pieces.missing();
-    // Pieces that were not fetched under earlier plans are requested from further sources.
-    let first_round = shared.state().staged_pieces.begin_plan();
-    // Pieces that other agents wait for come first: those that this agent fetches from the origin or copies to its
-    // region.
-    missing.sort_by_key(|it| match plan.sources(*it, 0).first() {
-        Some(PieceSource::Origin) => 0,
-        _ if plan.fetches_for_region(*it) => 1,
-        _ => 2,
-    });
-    let results = futures::stream::iter(missing)
-        .map(|index| {
-            let plan = (plan, first_round);
-            fetch_and_stage(
-                shared,
-                target,
-                manifest,
-                plan,
-                index,
-                backoff,
-                plan_expires_at,
-            )
-        })
-        .buffer_unordered(MAX_CONCURRENT_PIECES);
-    results
-        .fold(true, |all_staged, it| std::future::ready(all_staged && it))
-        .await
+    let mut swarm = PieceSwarm::new(plan, manifest.len(), Instant::now());
+    let mut fetches = FuturesUnordered::new();
+    let mut polls = FuturesUnordered::new();
+    let mut polled = BTreeSet::new();
+    let mut next_plan: Pin<Box<dyn Future<Output = Result<FetchPlan, String>> + Send + '_>> =
+        Box::pin(refresh_plan(shared, target));
+    let mut last_report = Instant::now();
+    loop {
+        if !source_client::should_fetch(shared, target) {
+            return false;
+        }
+        let Some(staged) = shared.state().staged_pieces.of(target).cloned() else {
+            return false;
+        };
+        if staged.is_full() {
+            return true;
+        }
+        if last_report.elapsed() > REPORT_INTERVAL {
+            last_report = Instant::now();
+            info!(
+                shared.log, "transfer in progress";
+                "version" => target.version,
+                "staged" => staged.count(),
+                "from_origin" => swarm.in_flight(|it| it == PieceSource::Origin),
+                "from_agents" => swarm.in_flight(|it| it != PieceSource::Origin),
+            );
+        }
+        for neighbor in swarm.plan().neighbors() {
+            if !swarm.plan().is_complete(neighbor) && polled.insert(neighbor) {
+                let known = swarm.known_count(neighbor);
+                polls.push(poll_neighbor(shared, target, manifest, neighbor, known));
+            }
+        }
+        while let Some(fetch) = swarm.next_fetch(&staged, rand::random(), Instant::now()) {
+            fetches.push(fetch_and_stage(shared, target, manifest, fetch));
+        }
+        // A source may become usable without any event, when its pause ends.
+        let timeout = pin!(tokio::time::sleep(MAX_IDLE_TIME));
+        tokio::select! {
+            Some((fetch, outcome)) = fetches.next() => {
+                swarm.record_end(fetch, outcome, rand::random(), Instant::now());
+            }
+            Some((neighbor, response)) = polls.next() => {
+                polled.remove(&neighbor);
+                match response {
+                    Some(NeighborPieces::Known(pieces)) => {
+                        swarm.record_pieces(neighbor, pieces, Instant::now());
+                    }
+                    Some(NeighborPieces::UnknownVersion) => swarm.record_without_version(neighbor),
+                    None => {}
+                }
+            }
+            plan = &mut next_plan => {
+                match plan {
+                    Ok(plan) => swarm.update_plan(plan),
+                    Err(err) => warn!(shared.log, "cannot read the list of replicas"; "error" => err),
+                }
+                next_plan = Box::pin(refresh_plan(shared, target));
+            }
+            () = timeout => {}
+        }
+    }
 }
 
-/// Fetches a piece from the first source that has it, and stages it.
-///
-/// The sources are tried in rounds until the plan expires. Other agents may wait for this piece, so it is retried on
-/// its own rather than after all other pieces of this agent.
-async fn fetch_and_stage(
+async fn refresh_plan(shared: &AgentShared, target: &WeightTarget) -> Result<FetchPlan, String> {
+    tokio::time::sleep(PLAN_LIFETIME).await;
+    create_plan(shared, target).await
+}
+
+/// Asks a neighbor which pieces it has; it responds once these are more or fewer than `known`, or after a while.
+async fn poll_neighbor(
     shared: &AgentShared,
     target: &WeightTarget,
     manifest: &PieceManifest,
-    (plan, first_round): (&FetchPlan, usize),
-    index: usize,
-    backoff: &SourceBackoff,
-    plan_expires_at: Instant,
-) -> bool {
-    for round in first_round.. {
-        for source in plan.sources(index, round) {
-            if !source_client::should_fetch(shared, target) || Instant::now() > plan_expires_at {
-                return false;
-            }
-            if let Some(bytes) = fetch_piece(
-                shared,
-                target,
-                manifest,
-                source,
-                index,
-                backoff,
-                plan_expires_at,
-            )
-            .await
-            {
-                return stage_piece(shared, target, index, bytes).await;
-            }
-        }
-        if !source_client::should_fetch(shared, target) || Instant::now() > plan_expires_at {
-            break;
+    neighbor: SocketAddr,
+    known: usize,
+) -> (SocketAddr, Option<NeighborPieces>) {
+    tokio::time::sleep(POLL_PAUSE).await;
+    let response = source_client::neighbor_pieces(shared, target, neighbor, known).await;
+    let response = response.and_then(|it| match it {
+        NeighborPieces::Known(pieces) if pieces.len() != manifest.len() => Err(
+            FetchError::RequestFailed("the number of pieces is wrong".to_owned()),
+        ),
+        it => Ok(it),
+    });
+    match response {
+        Ok(it) => (neighbor, Some(it)),
+        Err(err) => {
+            info!(shared.log, "neighbor did not respond"; "neighbor" => neighbor.to_string(), "error" => err.to_string());
+            tokio::time::sleep(FAILED_POLL_PAUSE).await;
+            (neighbor, None)
         }
-        tokio::time::sleep(ROUND_DELAY).await;
     }
-    false
 }
 
-async fn fetch_piece(
+async fn fetch_and_stage(
     shared: &AgentShared,
     target: &WeightTarget,
     manifest: &PieceManifest,
-    source: PieceSource,
-    index: usize,
-    backoff: &SourceBackoff,
-    plan_expires_at: Instant,
-) -> Option<Vec<u8>> {
-    let (label, fetched) = match source {
-        PieceSource::Holder(address) | PieceSource::Fetcher(address)
-            if backoff.is_backing_off(address, Instant::now()) =>
-        {
-            return None;
-        }
-        PieceSource::Holder(address) => (
-            "holder",
-            source_client::fetch_piece_from_agent(shared, target, manifest, address, index, None)
-                .await,
-        ),
-        PieceSource::Fetcher(address) => (
-            "fetcher",
-            source_client::fetch_piece_from_agent(
-                shared,
-                target,
-                manifest,
-                address,
-                index,
-                Some(plan_expires_at.min(Instant::now() + FETCHER_WAIT)),
-            )
-            .await,
+    fetch: PieceFetch,
+) -> (PieceFetch, FetchOutcome) {
+    let index = fetch.index;
+    let (label, fetched) = match fetch.source {
+        PieceSource::Agent(address) => (
+            "agent",
+            source_client::fetch_piece_from_agent(shared, target, manifest, address, index).await,
         ),
         PieceSource::Origin => (
             "origin",
@@ -206,36 +210,45 @@
         if manifest.matches(index, &bytes) {
             Ok(bytes)
         } else {
-            Err(source_client::FetchError::DigestMismatch)
+            Err(FetchError::DigestMismatch)
         }
     });
-    let outcome = match &fetched {
+    let label_of_outcome = match &fetched {
         Ok(_) => "ok",
-        Err(source_client::FetchError::NotFound) => "absent",
-        Err(source_client::FetchError::DigestMismatch) => "spoilt",
-        Err(source_client::FetchError::RequestFailed(_)) => "unreachable",
+        Err(FetchError::NotFound) => "absent",
+        Err(FetchError::Busy) => "busy",
+        Err(FetchError::DigestMismatch) => "spoilt",
+        Err(FetchError::RequestFailed(_)) => "unreachable",
     };
-    shared
-        .metrics
-        .pieces
-        .with_label_values(&[label, outcome])
-        .inc();
-    match fetched {
-        Ok(bytes) => Some(bytes),
-        Err(err) => {
-            info!(
-                shared.log, "piece not fetched";
-                "index" => index,
-                "version" => target.version,
-                "source" => format!("{source:?}"),
-                "error" => err.to_string(),
-            );
-            if matches!(err, source_client::FetchError::RequestFailed(_)) {
-                record_failure(backoff, source);
-            }
-            None
+    let labels = [label, label_of_outcome];
+    shared.metrics.pieces.with_label_values(&labels).inc();
+    let err = match fetched {
+        Ok(bytes) => {
+            let is_staged = stage_piece(shared, target, index, bytes).await;
+            let outcome = if is_staged {
+                FetchOutcome::Staged
+            } else {
+                FetchOutcome::Busy
+            };
+            return (fetch, outcome);
         }
+        Err(err) => err,
+    };
+    if !matches!(err, FetchError::Busy) {
+        info!(
+            shared.log, "piece not fetched";
+            "index" => index,
+            "version" => target.version,
+            "source" => format!("{:?}", fetch.source),
+            "error" => err.to_string(),
+        );
     }
+    let outcome = match err {
+        FetchError::NotFound | FetchError::DigestMismatch => FetchOutcome::Absent,
+        FetchError::Busy => FetchOutcome::Busy,
+        FetchError::RequestFailed(_) => FetchOutcome::Unreachable,
+    };
+    (fetch, outcome)
 }
 
 async fn stage_piece(
@@ -253,11 +266,7 @@
         return false;
     }
     let mut state = shared.state();
-    if state
-        .staged_pieces
-        .manifest(&target.model, target.version)
-        .is_none()
-    {
+    if state.staged_pieces.of(target).is_none() {
         return false;
     }
     state.staged_pieces.record_verified(index, Instant::now());
@@ -266,27 +275,17 @@
     true
 }
 
-fn record_failure(backoff: &SourceBackoff, source: PieceSource) {
-    if let PieceSource::Holder(address) | PieceSource::Fetcher(address) = source {
-        backoff.record_failure(address, Instant::now());
-    }
-}
-
-/// Maximum number of pieces that are fetched concurrently. It exceeds what a link needs, since some requests wait for
-/// agents that are still fetching the piece.
-const MAX_CONCURRENT_PIECES: usize = 32;
-
-/// Time after which the list of replicas is read again. Agents with different lists, as after an outage of the store,
-/// may wait for each other for that long.
+/// Time after which the list of replicas is read again.
 const PLAN_LIFETIME: Duration = Duration::from_millis(2500);
 
-/// Time for which an agent that is still fetching a piece is polled before the next source is tried.
-const FETCHER_WAIT: Duration = Duration::from_millis(1200);
+/// Time between two log lines on the progress of a transfer.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
+
+/// Maximum time between two choices of a next piece.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(100);
 
-/// Number of connections of the origin per agent that regularly fetches from it. The rest is reserved for agents that
-/// take over from failed ones.
-const CONNECTIONS_PER_ORIGIN_CLIENT: usize = 3;
+/// Minimum time between two polls of the same neighbor, in which it receives a few pieces.
+const POLL_PAUSE: Duration = Duration::from_millis(60);
 
-/// Delay after a round in which no source had a piece. Each round lets one more agent use sources in other regions or
-/// the origin, so only a few do within the lifetime of a plan.
-const ROUND_DELAY: Duration = Duration::from_millis(600);
+/// Time before a neighbor that did not respond is polled again.
+const FAILED_POLL_PAUSE: Duration = Duration::from_millis(500);
--- a/crates/stager/src/piece_server.rs
+++ b/crates/stager/src/piece_server.rs
@@ -13,9 +13,9 @@
     format!("/pieces/{model}/{version}/{index}")
 }
 
-/// Returns the path of a long poll for the [`PieceState`] of a piece, which ends early once the piece is staged.
-pub(crate) fn ready_path(model: &str, version: u64, index: usize) -> String {
-    format!("/ready/{model}/{version}/{index}")
+/// Returns the path of a long poll for the set of staged pieces. It ends once their number differs from `known`.
+pub(crate) fn pieces_path(model: &str, version: u64, known: usize) -> String {
+    format!("/staged/{model}/{version}/{known}")
 }
 
 /// Returns the path at which an agent serves a manifest.
@@ -23,36 +23,6 @@
     format!("/manifests/{model}/{version}")
 }
 
-/// Availability of a piece at an agent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum PieceState {
-    /// The piece is staged.
-    Staged,
-    /// The agent is fetching the piece; the request should be retried.
-    Fetching,
-    /// The agent does not know the version or is not fetching the piece.
-    Unavailable,
-}
-
-impl PieceState {
-    fn status(self) -> StatusCode {
-        match self {
-            Self::Staged => StatusCode::OK,
-            Self::Fetching => StatusCode::ACCEPTED,
-            Self::Unavailable => StatusCode::NOT_FOUND,
-        }
-    }
-
-    /// Decodes the state from the status of a response.
-    pub(crate) fn from_status(status: StatusCode) -> Self {
-        match status {
-            StatusCode::OK => Self::Staged,
-            StatusCode::ACCEPTED => Self::Fetching,
-            _ => Self::Unavailable,
-        }
-    }
-}
-
 /// Handles a request of another agent.
 pub(crate) async fn handle_request(
     shared: Arc<AgentShared>,
@@ -60,17 +30,14 @@
 ) -> Response<HttpBody> {
     let parts: Vec<&str> = request.uri().path().split('/').skip(1).collect();
     let (status, bytes) = match parts[..] {
-        ["ready", model, version, index] => match (version.parse(), index.parse()) {
-            (Ok(version), Ok(index)) => {
-                let state = piece_state(&shared, model, version, index).await;
-                (state.status(), Vec::new())
+        ["staged", model, version, known] => match (version.parse(), known.parse()) {
+            (Ok(version), Ok(known)) => {
+                ok_or_not_found(staged_pieces(&shared, model, version, known).await)
             }
             _ => not_found(),
         },
         ["pieces", model, version, index] => match (version.parse(), index.parse()) {
-            (Ok(version), Ok(index)) => {
-                ok_or_not_found(read_valid_piece(&shared, model, version, index).await)
-            }
+            (Ok(version), Ok(index)) => read_valid_piece(&shared, model, version, index).await,
             _ => not_found(),
         },
         ["manifests", model, version] => match version.parse() {
@@ -92,34 +59,18 @@
     (StatusCode::NOT_FOUND, Vec::new())
 }
 
-/// Returns the state of a piece, after a limited wait if the manifest or the piece is still being fetched.
-async fn piece_state(shared: &AgentShared, model: &str, version: u64, index: usize) -> PieceState {
-    let has_manifest = || {
-        shared
-            .state()
-            .staged_pieces
-            .manifest(model, version)
-            .is_some()
-    };
-    if wait_until(shared, MANIFEST_WAIT, has_manifest)
-        .await
-        .is_none()
-    {
-        return PieceState::Unavailable;
-    }
-    // An agent whose replica already serves the version fetches nothing, even if a staged piece is corrupt.
-    let is_decided = || {
-        let state = shared.state();
-        state.staged_pieces.is_staged(index) || !state.is_fetching
-    };
-    wait_until(shared, PIECE_WAIT, is_decided).await;
-    let state = shared.state();
-    match state.staged_pieces.is_staged(index) {
-        _ if state.staged_pieces.manifest(model, version).is_none() => PieceState::Unavailable,
-        true => PieceState::Staged,
-        false if state.is_fetching => PieceState::Fetching,
-        false => PieceState::Unavailable,
-    }
+/// Returns the encoded set of staged pieces, or `None` if the version is unknown.
+async fn staged_pieces(
+    shared: &AgentShared,
+    model: &str,
+    version: u64,
+    known: usize,
+) -> Option<Vec<u8>> {
+    let current = || shared.state().staged_pieces.pieces(model, version).cloned();
+    let is_changed = || current().is_some_and(|it| it.count() != known);
+    // A change and the timeout are handled alike.
+    wait_until(shared, PIECES_WAIT, is_changed).await;
+    postcard::to_allocvec(&current()?).ok()
 }
 
 async fn read_valid_piece(
@@ -127,30 +78,39 @@
     model: &str,
     version: u64,
     index: usize,
-) -> Option<Vec<u8>> {
-    let manifest = shared
-        .state()
-        .staged_pieces
-        .manifest(model, version)?
-        .clone();
-    let _permit = shared.upload_slots.acquire().await.ok()?;
+) -> (StatusCode, Vec<u8>) {
+    let manifest = {
+        let state = shared.state();
+        let staged = state.staged_pieces.pieces(model, version);
+        let manifest = state.staged_pieces.manifest(model, version);
+        match manifest.filter(|_| staged.is_some_and(|it| it.contains(index))) {
+            Some(it) => it.clone(),
+            None => return not_found(),
+        }
+    };
+    let permit = tokio::time::timeout(MAX_UPLOAD_WAIT, shared.upload_slots.acquire()).await;
+    let Ok(Ok(_permit)) = permit else {
+        return (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+    };
     shared.upload_pacer.wait(manifest.piece_bytes).await;
     let bytes = match shared.replica_client.read_staged_piece(model, index).await {
         Ok(it) => it,
         Err(err) => {
             info!(shared.log, "cannot read staged piece"; "index" => index, "error" => err.to_string());
-            return None;
+            return not_found();
         }
     };
     match bytes.filter(|it| manifest.matches(index, it)) {
-        Some(bytes) => Some(bytes),
+        Some(bytes) => (StatusCode::OK, bytes),
         None => {
-            info!(shared.log, "staged piece is corrupt"; "index" => index, "version" => version);
             let mut state = shared.state();
-            if state.staged_pieces.manifest(model, version).is_some() {
+            let staged = state.staged_pieces.pieces(model, version);
+            // A piece of a newer version may have replaced it in the meantime.
+            if staged.is_some_and(|it| it.contains(index)) {
+                info!(shared.log, "staged piece is corrupt"; "index" => index, "version" => version);
                 state.staged_pieces.record_missing(index);
             }
-            None
+            not_found()
         }
     }
 }
@@ -190,8 +150,12 @@
 
 /// Maximum wait for the manifest. An agent that has not discovered the version within this time most likely cannot
 /// reach the store.
-const MANIFEST_WAIT: Duration = Duration::from_millis(1200);
+const MANIFEST_WAIT: Duration = Duration::from_millis(400);
 
-/// Maximum wait for a piece that is being fetched. It is short because the requesting agent treats a long silence as
+/// Maximum wait for a change of the staged pieces. It is short because the requesting agent treats a long silence as
 /// a failure, and not shorter because each request uses bandwidth.
-const PIECE_WAIT: Duration = Duration::from_millis(900);
+const PIECES_WAIT: Duration = Duration::from_millis(500);
+
+/// Maximum time for which a request waits for other transfers. The requesting agent can most likely fetch the piece
+/// elsewhere sooner.
+const MAX_UPLOAD_WAIT: Duration = Duration::from_millis(150);
--- a/crates/stager/src/staged_pieces.rs
+++ b/crates/stager/src/staged_pieces.rs
@@ -3,63 +3,106 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use fleet::PieceManifest;
+use fleet::{PieceManifest, PieceSet};
+
+use crate::agent_shared::WeightTarget;
 
 /// Staged pieces of one version, with the time at which the digest of each was last known to match.
+///
+/// The replica stores one copy of each piece, so the pieces of a newer version replace those of the previous one one by
+/// one. Until then, agents that still need the previous version can have them.
 #[derive(Debug, Default)]
 pub(crate) struct StagedPieces {
-    manifest: Option<Arc<PieceManifest>>,
+    current: Option<StagedVersion>,
+    previous: Option<StagedVersion>,
     verified_at: Vec<Option<Instant>>,
-    plan_count: usize,
+}
+
+#[derive(Debug)]
+struct StagedVersion {
+    manifest: Arc<PieceManifest>,
+    staged: PieceSet,
 }
 
 impl StagedPieces {
-    /// Starts tracking the version of `manifest`, with no pieces staged.
+    /// Starts tracking the version of `manifest`. Staged pieces of the previous version that are the same in this one
+    /// are kept.
     pub(crate) fn reset(&mut self, manifest: Arc<PieceManifest>) {
-        self.verified_at = vec![None; manifest.len()];
-        self.plan_count = 0;
-        self.manifest = Some(manifest);
+        let mut staged = PieceSet::new(manifest.len());
+        let mut verified_at = vec![None; manifest.len()];
+        self.previous = self.current.take();
+        if let Some(previous) = &self.previous {
+            let is_same_model = previous.manifest.model == manifest.model;
+            let digests = previous.manifest.digests.iter().zip(&manifest.digests);
+            for (index, (before, after)) in digests.enumerate() {
+                if is_same_model && before == after && previous.staged.contains(index) {
+                    staged.insert(index);
+                    verified_at[index] = self.verified_at[index];
+                }
+            }
+        }
+        self.verified_at = verified_at;
+        self.current = Some(StagedVersion { manifest, staged });
     }
 
-    /// Counts a new fetch plan for the version and returns the number of earlier ones.
-    pub(crate) fn begin_plan(&mut self) -> usize {
-        self.plan_count += 1;
-        self.plan_count - 1
+    /// Returns the manifest if `version` of `model` is the tracked version or the one before it.
+    pub(crate) fn manifest(&self, model: &str, version: u64) -> Option<&Arc<PieceManifest>> {
+        self.version(model, version).map(|it| &it.manifest)
     }
 
-    /// Returns the manifest if `version` of `model` is the tracked version.
-    pub(crate) fn manifest(&self, model: &str, version: u64) -> Option<&Arc<PieceManifest>> {
-        self.manifest
-            .as_ref()
-            .filter(|it| it.model == model && it.version == version)
+    /// Returns the staged pieces if `version` of `model` is the tracked version or the one before it.
+    pub(crate) fn pieces(&self, model: &str, version: u64) -> Option<&PieceSet> {
+        self.version(model, version).map(|it| &it.staged)
+    }
+
+    /// Returns the staged pieces of `target` if it is the tracked version.
+    pub(crate) fn of(&self, target: &WeightTarget) -> Option<&PieceSet> {
+        let current = self.current.as_ref();
+        let current = current.filter(|it| it.is(&target.model, target.version));
+        current.map(|it| &it.staged)
+    }
+
+    /// Returns the manifest of `target` if it is the tracked version.
+    pub(crate) fn manifest_of(&self, target: &WeightTarget) -> Option<&Arc<PieceManifest>> {
+        let current = self.current.as_ref();
+        let current = current.filter(|it| it.is(&target.model, target.version));
+        current.map(|it| &it.manifest)
     }
 
     /// Marks all pieces as staged, because the replica already serves the version. The digest of each is checked before
     /// it is sent to another agent.
     pub(crate) fn mark_all_staged(&mut self, now: Instant) {
-        self.verified_at.fill(Some(now));
+        for index in 0..self.verified_at.len() {
+            self.record_verified(index, now);
+        }
     }
 
     /// Records that a piece was written to the replica or that its digest matches.
     pub(crate) fn record_verified(&mut self, index: usize, now: Instant) {
         self.verified_at[index] = Some(now);
+        if let Some(current) = &mut self.current {
+            current.staged.insert(index);
+        }
+        if let Some(previous) = &mut self.previous {
+            previous.staged.remove(index);
+        }
     }
 
     /// Records that a piece is missing or corrupt.
     pub(crate) fn record_missing(&mut self, index: usize) {
-        self.verified_at[index] = None;
+        if let Some(it) = self.verified_at.get_mut(index) {
+            *it = None;
+        }
+        let versions = [&mut self.current, &mut self.previous];
+        for version in versions.into_iter().flatten() {
+            version.staged.remove(index);
+        }
     }
 
-    /// Returns whether a piece is staged.
-    pub(crate) fn is_staged(&self, index: usize) -> bool {
-        self.verified_at.get(index).is_some_and(Option::is_some)
-    }
-
-    /// Returns the indices of the pieces that are not staged.
-    pub(crate) fn missing(&self) -> Vec<usize> {
-        (0..self.verified_at.len())
-            .filter(|it| !self.is_staged(*it))
-            .collect()
+    /// Returns the number of pieces of the tracked version that are not staged.
+    pub(crate) fn missing_count(&self) -> usize {
+        let current = self.current.as_ref();
+        current.map_or(0, |it| it.staged.len() - it.staged.count())
     }
 
     /// Returns the indices of the staged pieces that were last verified before `cutoff`.
@@ -71,7 +114,18 @@
 
     /// Clears the record, because a new incarnation of the replica may have lost its staged pieces.
     pub(crate) fn clear(&mut self) {
-        self.manifest = None;
-        self.verified_at.clear();
+        *self = Self::default();
+    }
+
+    fn version(&self, model: &str, version: u64) -> Option<&StagedVersion> {
+        let versions = [&self.current, &self.previous];
+        let mut versions = versions.into_iter().flatten();
+        versions.find(|it| it.is(model, version))
+    }
+}
+
+impl StagedVersion {
+    fn is(&self, model: &str, version: u64) -> bool {
+        self.manifest.model == model && self.manifest.version == version
     }
 }
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -10,12 +10,11 @@
 
 use crate::agent_shared::{AgentShared, WeightTarget};
 use crate::piece_fetch;
-use crate::source_backoff::SourceBackoff;
 
 /// Reconciles the weights that the replica serves with the target, for the lifetime of the process.
 pub(crate) async fn run(shared: Arc<AgentShared>) {
-    let backoff = SourceBackoff::default();
     let mut incarnation: Option<Option<u64>> = None;
+    let mut attempts = ManifestAttempts::default();
     loop {
         // A notification and the timeout are handled alike.
         let _ = tokio::time::timeout(POLL_INTERVAL, shared.target_changed.notified()).await;
@@ -29,7 +28,9 @@
         if incarnation != Some(report.started_ms) {
             info!(shared.log, "replica started"; "born_ms" => report.started_ms, "models" => report.models.len());
             incarnation = Some(report.started_ms);
-            shared.state().staged_pieces.clear();
+            let mut state = shared.state();
+            state.staged_pieces.clear();
+            state.ordered_version = None;
         }
         report_serving(
             &shared,
@@ -44,10 +45,10 @@
             continue;
         };
         if !report.load_in_progress && is_serving(&report, &target) {
-            share_served_weights(&shared, &target, &backoff).await;
+            share_served_weights(&shared, &target, &mut attempts).await;
             continue;
         }
-        update_replica(&shared, &target, &report, &backoff).await;
+        update_replica(&shared, &target, &report, &mut attempts).await;
         // Poll again soon: the load has started, or pieces are missing.
         shared.target_changed.notify_one();
         let jitter = rand::rng().random_range(1.0..3.0);
@@ -55,19 +56,34 @@
     }
 }
 
+/// Counts the failed attempts to fetch the manifest of a version.
+#[derive(Debug, Default)]
+struct ManifestAttempts {
+    version: u64,
+    failed: usize,
+}
+
+impl ManifestAttempts {
+    /// Returns the number of failed attempts and counts a further one, which a successful attempt makes irrelevant.
+    fn begin(&mut self, target: &WeightTarget) -> usize {
+        if self.version != target.version {
+            *self = Self {
+                version: target.version,
+                failed: 0,
+            };
+        }
+        self.failed += 1;
+        self.failed - 1
+    }
+}
+
 /// Makes the weights that the replica serves available to other agents, which requires their manifest.
 async fn share_served_weights(
     shared: &Arc<AgentShared>,
     target: &WeightTarget,
-    backoff: &SourceBackoff,
+    attempts: &mut ManifestAttempts,
 ) {
-    shared.state().is_fetching = false;
-    if shared
-        .state()
-        .staged_pieces
-        .manifest(&target.model, target.version)
-        .is_some()
-    {
+    if shared.state().staged_pieces.of(target).is_some() {
         return;
     }
     let plan = match piece_fetch::create_plan(shared, target).await {
@@ -77,7 +93,8 @@
             return;
         }
     };
-    let Some(manifest) = piece_fetch::fetch_manifest(shared, target, &plan, backoff).await else {
+    let attempt = attempts.begin(target);
+    let Some(manifest) = piece_fetch::fetch_manifest(shared, target, &plan, attempt).await else {
         return;
     };
     let mut state = shared.state();
@@ -92,11 +109,11 @@
     shared: &Arc<AgentShared>,
     target: &WeightTarget,
     report: &ReplicaReport,
-    backoff: &SourceBackoff,
+    attempts: &mut ManifestAttempts,
 ) {
     let started_at = Instant::now();
     // Staged pieces may be replaced during a load, since the replica reads them when it accepts the order.
-    let Some(rollout_position) = stage_pieces(shared, target, backoff).await else {
+    let Some(rollout_position) = stage_pieces(shared, target, attempts).await else {
         return;
     };
     let staging_time = started_at.elapsed();
@@ -117,6 +134,9 @@
         orders_started: report.orders_started,
     };
     let response = shared.replica_client.load(&order).await;
+    if matches!(response, Ok(OrderResponse::Started)) {
+        shared.state().ordered_version = Some(target.version);
+    }
     let outcome = match &response {
         Ok(OrderResponse::Started) => "begun",
         Ok(OrderResponse::AlreadyDone) => "done",
@@ -144,7 +164,14 @@
     let serving = report.models.iter().find(|it| it.name == target.model);
     let deadline = serving.and_then(|it| shared.state().deadlines.deadline(it.version));
     let window = deadline.map(|it| it.saturating_duration_since(Instant::now() + LOAD_MARGIN));
-    if let Some(window) = window {
+    // If a newer version is waiting, the replica can be updated to it only afterwards.
+    let has_successor = shared.state().deadlines.deadline(target.version).is_some();
+    let max_window = if has_successor {
+        MAX_SHORT_WINDOW
+    } else {
+        Duration::MAX
+    };
+    if let Some(window) = window.map(|it| it.min(max_window)) {
         tokio::time::sleep(window.mul_f64(rollout_position)).await;
     }
 }
@@ -153,18 +180,13 @@
 async fn stage_pieces(
     shared: &Arc<AgentShared>,
     target: &WeightTarget,
-    backoff: &SourceBackoff,
+    attempts: &mut ManifestAttempts,
 ) -> Option<f64> {
-    let has_manifest = shared
-        .state()
-        .staged_pieces
-        .manifest(&target.model, target.version)
-        .is_some();
-    if has_manifest && shared.state().staged_pieces.missing().is_empty() {
+    let has_manifest = shared.state().staged_pieces.of(target).is_some();
+    if has_manifest && shared.state().staged_pieces.missing_count() == 0 {
         // An earlier attempt did not lead to a load and has already used up time, so load without a delay.
         return Some(0.0);
     }
-    shared.state().is_fetching = true;
     let plan = match piece_fetch::create_plan(shared, target).await {
         Ok(it) => it,
         Err(err) => {
@@ -173,28 +195,21 @@
         }
     };
     if !has_manifest {
-        let manifest = piece_fetch::fetch_manifest(shared, target, &plan, backoff).await?;
+        let attempt = attempts.begin(target);
+        let manifest = piece_fetch::fetch_manifest(shared, target, &plan, attempt).await?;
         shared.state().staged_pieces.reset(Arc::new(manifest));
         shared.pieces_changed.notify_waiters();
         recover_staged(shared, target).await;
     }
-    let manifest = shared
-        .state()
-        .staged_pieces
-        .manifest(&target.model, target.version)
-        .cloned()?;
-    let is_complete = piece_fetch::fetch_pieces(shared, target, &manifest, &plan, backoff).await;
-    is_complete.then(|| plan.rollout_position())
+    let manifest = shared.state().staged_pieces.manifest_of(target).cloned()?;
+    let rollout_position = plan.rollout_position();
+    let is_complete = piece_fetch::fetch_pieces(shared, target, &manifest, plan).await;
+    is_complete.then_some(rollout_position)
 }
 
 /// Detects pieces that are still staged from an earlier process or incarnation.
 async fn recover_staged(shared: &AgentShared, target: &WeightTarget) {
-    let Some(manifest) = shared
-        .state()
-        .staged_pieces
-        .manifest(&target.model, target.version)
-        .cloned()
-    else {
+    let Some(manifest) = shared.state().staged_pieces.manifest_of(target).cloned() else {
         return;
     };
     for index in 0..manifest.len() {
@@ -212,7 +227,7 @@
             }
             Ok(Some(_))
                 if index >= PROBED_PIECES
-                    && shared.state().staged_pieces.missing().len() > index =>
+                    && shared.state().staged_pieces.missing_count() > index =>
             {
                 // More pieces are missing than were read before this one, so the others most likely belong to another
                 // version as well.
@@ -230,12 +245,7 @@
 
 /// Reads back staged pieces whose last verification is too old; returns whether all pieces are staged and valid.
 async fn verify_staged(shared: &AgentShared, target: &WeightTarget) -> bool {
-    let Some(manifest) = shared
-        .state()
-        .staged_pieces
-        .manifest(&target.model, target.version)
-        .cloned()
-    else {
+    let Some(manifest) = shared.state().staged_pieces.manifest_of(target).cloned() else {
         return false;
     };
     let cutoff = Instant::now().checked_sub(VERIFICATION_LIFETIME);
@@ -257,11 +267,7 @@
         };
         let is_valid = bytes.is_some_and(|it| manifest.matches(index, &it));
         let mut state = shared.state();
-        if state
-            .staged_pieces
-            .manifest(&target.model, target.version)
-            .is_none()
-        {
+        if state.staged_pieces.of(target).is_none() {
             return false;
         }
         if is_valid {
@@ -272,7 +278,7 @@
             all_valid = false;
         }
     }
-    all_valid && shared.state().staged_pieces.missing().is_empty()
+    all_valid && shared.state().staged_pieces.missing_count() == 0
 }
 
 fn is_serving(report: &ReplicaReport, target: &WeightTarget) -> bool {
@@ -297,6 +303,8 @@
     state.serving = Some(models.to_vec());
     drop(state);
     shared.serving_changed.notify_one();
+    // The next version to load depends on the one that is served.
+    shared.declarations_received.notify_one();
 }
 
 /// Interval at which the replica is polled, which is cheap because it runs on the same host.
@@ -310,6 +318,10 @@
 /// requests queued at a replica must have started by then.
 const LOAD_MARGIN: Duration = Duration::from_millis(800);
 
+/// Maximum time over which loads are spread if a newer version is waiting; a few load times, so that not all replicas
+/// load at the same time.
+const MAX_SHORT_WINDOW: Duration = Duration::from_millis(2000);
+
 /// Time for entries to stop sending requests before a load starts; a few times the latency between regions.
 const REROUTE_DELAY: Duration = Duration::from_millis(15);
 
