Declarations of weights are announced to agents three times in quick succession

Cause: a datagram that is lost, or an announcer that hears of the declaration later, is made up for only after 0.7 s. The two announcers of a zone may also both be cut off from the store.

Change: the message is repeated after 60 and 200 ms, and three entries of a zone announce instead of two. 30 bytes each.

--- a/crates/ingress/src/weight_announcer.rs
+++ b/crates/ingress/src/weight_announcer.rs
@@ -20,14 +20,18 @@
             return;
         }
     };
+    let mut repetitions = REPETITION_DELAYS.iter();
     loop {
-        // A declaration and the timeout both lead to the same message.
-        let _ = tokio::time::timeout(ANNOUNCE_INTERVAL, shared.weights_declared.notified()).await;
+        let delay = repetitions.next().unwrap_or(&ANNOUNCE_INTERVAL);
+        let declared = tokio::time::timeout(*delay, shared.weights_declared.notified()).await;
+        if declared.is_ok() {
+            repetitions = REPETITION_DELAYS.iter();
+        }
         let Some((bytes, agents)) = encode_announcement(&shared) else {
             continue;
         };
         for agent in agents {
-            // A lost datagram needs no resend: the next one has the same content.
+            // The next datagram has the same content and makes up for a lost one.
             let _ = socket.try_send_to(&bytes, agent);
         }
     }
@@ -85,5 +89,9 @@
 /// Time between two messages. Agents fall back to reading the store after they have missed a few.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Number of entries in a zone that send messages to its agents.
-const ANNOUNCERS_PER_ZONE: usize = 2;
+/// Delays of the messages after the first one for a declaration. Agents that miss it would begin the transfer later
+/// than those that they bring pieces to.
+const REPETITION_DELAYS: [Duration; 2] = [Duration::from_millis(60), Duration::from_millis(200)];
+
+/// Number of entries in a zone that send messages to its agents. Those that are cut off from the store send none.
+const ANNOUNCERS_PER_ZONE: usize = 3;
