Streams that cannot be resumed are not cut, and requests on old weights are withdrawn at the switch

Two faults in the same time-outs.

Slow but sound streams cut. A stream without an event for 1.2 s, or without a first one for 0.7 s plus three times the prediction, was taken from its replica. Where the route cannot be resumed nothing could continue it, so the caller got 502 or a broken response although the replica would have completed it. The 1.2 s were three times the pause of the first deployments; the pause that a route states (gapAimMs) was never read, and the large deployment states 600 ms. Now a route's own pause counts, and only where the stream can be continued elsewhere.

The entry trusted three times the prediction. A factor on a guess cannot hold a rule: the choice now says when the request must have started, and the entry withdraws it then.

Ruled out for 2: a shorter Deadline-Ms, which would also stop streams that began in time.

--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -1,12 +1,13 @@
 //! Replica selection for a request, with refusal under overload.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::engine_profile::{BatchLoad, EngineProfile, RequestSize};
 use crate::load_table::LoadTable;
 use crate::replica::Replica;
 use crate::replica_catalog::ReplicaCatalog;
 use crate::replica_health::HealthTable;
+use crate::route::Route;
 use crate::version_table::VersionRequirement;
 
 /// Parameters of a replica selection, apart from the state of the replicas.
@@ -44,6 +45,23 @@
     pub predicted_ms: f64,
     /// Version of the weights that the replica must have loaded, if a version is required.
     pub expect_version: Option<u64>,
+    /// Time within which the replica must start the request, because its weights are too old afterwards. A prediction
+    /// cannot guarantee that, so the request must be withdrawn if it has not started by then.
+    pub must_start_within: Option<Duration>,
+}
+
+impl ChosenReplica {
+    /// Returns the time without a first event after which the request is withdrawn: its weights are about to be too old
+    /// for a request that has not started, or the replica has failed and the request can be sent to another one.
+    pub fn first_event_timeout(&self, route: &Route) -> Duration {
+        let predicted = Duration::from_secs_f64(self.predicted_ms.max(0.0) / 1000.0);
+        let timeout = if route.is_retryable() {
+            FIRST_EVENT_MIN_TIMEOUT + predicted * FAILURE_FACTOR
+        } else {
+            Duration::MAX
+        };
+        timeout.min(self.must_start_within.unwrap_or(timeout))
+    }
 }
 
 /// Reason why no replica was selected.
@@ -105,6 +123,7 @@
         replica: replica.clone(),
         predicted_ms,
         expect_version,
+        must_start_within: request.time_to_switch(replica),
     })
 }
 
@@ -172,16 +191,18 @@
 /// Returns whether a request will start before the weights of `replica` become too old, with a margin for a replica
 /// that is slower than predicted.
 fn starts_in_time(request: &ChoiceRequest<'_>, replica: &Replica, predicted_ms: f64) -> bool {
-    let (Some(engine), Some(next)) = (
-        request.engine,
-        request.version_requirement.and_then(|it| it.next_switch),
-    ) else {
-        return true;
-    };
-    let is_current = replica
-        .version_of(&engine.model)
-        .is_some_and(|it| it >= next.version);
-    is_current || predicted_ms * SLOWDOWN_MARGIN < next.remaining.as_secs_f64() * 1000.0
+    let remaining = request.time_to_switch(replica);
+    remaining.is_none_or(|it| predicted_ms * SLOWDOWN_MARGIN < it.as_secs_f64() * 1000.0)
+}
+
+impl ChoiceRequest<'_> {
+    /// Returns the time until the weights of `replica` become too old, if a newer version has been declared.
+    fn time_to_switch(&self, replica: &Replica) -> Option<Duration> {
+        let next = self.version_requirement?.next_switch?;
+        let version = replica.version_of(&self.engine?.model);
+        let is_current = version.is_some_and(|it| it >= next.version);
+        (!is_current).then_some(next.remaining)
+    }
 }
 
 fn predicted_ms(
@@ -203,6 +224,12 @@
     base * health.latency_ratio(&replica.id, now)
 }
 
+/// Factor by which a first event may be later than predicted before the replica is considered failed.
+const FAILURE_FACTOR: u32 = 3;
+
+/// Time that is added to that.
+const FIRST_EVENT_MIN_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Factor by which a replica may be slower than predicted without a request starting too late.
 const SLOWDOWN_MARGIN: f64 = 3.0;
 
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -40,6 +40,8 @@
     pub timeout: Duration,
     /// Latency objective: a response, or the first event of a stream, within this time earns its full payoff.
     pub objective: Duration,
+    /// Longest pause between the events of a stream that is still on time.
+    pub max_pause: Duration,
     /// Services behind the route; never empty.
     pub targets: Vec<RouteTarget>,
     /// Maximum number of replicas that one request is sent to.
@@ -82,6 +84,12 @@
         }
     }
 
+    /// Returns the time without an event after which a stream is continued at another replica, or `None` if it cannot
+    /// be: a pause is no reason to end a stream that may still complete.
+    pub fn event_timeout(&self) -> Option<Duration> {
+        self.is_retryable().then_some(self.max_pause * PAUSE_FACTOR)
+    }
+
     /// Selects the service for a request by weight; `random` is uniform in 0..1.
     pub fn target(&self, random: f64) -> &str {
         let total: u32 = self.targets.iter().map(|it| it.weight).sum();
@@ -95,3 +103,6 @@
         self.targets.last().map_or("", |it| &it.service)
     }
 }
+
+/// Factor by which a pause may exceed the longest one that is on time. Clients give up after a few times as long.
+const PAUSE_FACTOR: u32 = 3;
--- a/crates/fleet/tests/routes.rs
+++ b/crates/fleet/tests/routes.rs
@@ -19,6 +19,7 @@
         }],
         max_attempts: 2,
         public: false,
+        max_pause: Duration::from_millis(400),
         resumable: false,
     }
 }
@@ -97,3 +98,17 @@
     assert!(!KeyTable::new(None).required());
     expect!["KeyTable { keys: 1, required: true }"].assert_eq(&format!("{keys:?}"));
 }
+
+#[test]
+fn only_streams_that_can_be_resumed_end_after_a_pause() {
+    let check = |kind: CallKind, resumable: bool, expected: Option<u64>| {
+        let route = Route {
+            kind,
+            resumable,
+            ..route("r", "a.example", "/")
+        };
+        assert_eq!(route.event_timeout(), expected.map(Duration::from_millis));
+    };
+    check(CallKind::Stream, true, Some(1200));
+    check(CallKind::Stream, false, None);
+}
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -14,9 +14,7 @@
 use crate::entry_shared::EntryShared;
 use crate::replica_send::return_connection;
 use crate::request_handler::{RelayOutcome, choose_replica, may_retry};
-use crate::stream_segment::{
-    MIN_RESUME_TIME, SegmentRead, StreamSegment, first_event_timeout, millis,
-};
+use crate::stream_segment::{MIN_RESUME_TIME, SegmentRead, StreamSegment, millis};
 
 /// Sends `call` to `chosen` and waits for the first event. Then returns the response, whose body is relayed by a
 /// separate task.
@@ -34,7 +32,9 @@
     if !segment.pooled_response.response.status().is_success() {
         return relay_error_response(shared, call, segment).await;
     }
-    let wait = first_event_timeout(chosen).saturating_sub(segment.elapsed());
+    let wait = chosen
+        .first_event_timeout(&call.route)
+        .saturating_sub(segment.elapsed());
     let first_events = match segment
         .read_events(&mut cursor, wait.min(call.time_remaining()))
         .await
@@ -131,7 +131,8 @@
                 continue;
             }
         }
-        let wait = EVENT_TIMEOUT.min(call.time_remaining());
+        let event_timeout = call.route.event_timeout().unwrap_or(Duration::MAX);
+        let wait = event_timeout.min(call.time_remaining());
         let reading = pin!(segment.read_events(&mut cursor, wait));
         read = tokio::select! {
             biased;
@@ -199,7 +200,9 @@
         if !segment.pooled_response.response.status().is_success() {
             continue;
         }
-        let wait = first_event_timeout(&chosen).min(call.time_remaining());
+        let wait = chosen
+            .first_event_timeout(&call.route)
+            .min(call.time_remaining());
         match segment.read_events(cursor, wait).await {
             SegmentRead::Interrupted(interruption) => {
                 segment.record_interruption(shared, call, interruption, cursor);
@@ -217,7 +220,3 @@
 
 /// Maximum size of a forwarded error response in bytes.
 const MAX_ERROR_RESPONSE_BYTES: usize = 1024 * 1024;
-
-/// Time without an event after which a replica is considered failed: three times the longest pause that is still on
-/// time (0.4 s).
-const EVENT_TIMEOUT: Duration = Duration::from_millis(1200);
--- a/crates/ingress/src/stream_segment.rs
+++ b/crates/ingress/src/stream_segment.rs
@@ -78,7 +78,9 @@
         let guard =
             InFlightGuard::new(shared, &chosen.replica.id, call.metadata.size.prompt_tokens);
         let sent_at = Instant::now();
-        let wait = first_event_timeout(chosen).min(call.time_remaining());
+        let wait = chosen
+            .first_event_timeout(&call.route)
+            .min(call.time_remaining());
         match send(shared, call, chosen, last_event_id, wait).await {
             SendOutcome::Response(pooled_response, metadata) => Ok(Self {
                 framing: BodyFraming::of(&pooled_response.response),
@@ -231,13 +233,5 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Returns the time without a first event after which a replica is considered failed.
-pub(crate) fn first_event_timeout(chosen: &ChosenReplica) -> Duration {
-    FIRST_EVENT_MIN_TIMEOUT + Duration::from_secs_f64(chosen.predicted_ms.max(0.0) * 3.0 / 1000.0)
-}
-
 /// Minimum remaining time for which a stream is still resumed.
 pub(crate) const MIN_RESUME_TIME: Duration = Duration::from_millis(100);
-
-/// Time that is added to three times the prediction in the timeout for a first event.
-const FIRST_EVENT_MIN_TIMEOUT: Duration = Duration::from_millis(700);
