An empty replica does not fetch a version that all others have left

Cause: the version to load depended on the times of the declarations alone. Change: if a replica of the list already serves the newest version, that one is loaded. The case is added to a_version_that_is_partly_transferred_is_loaded_before_a_newer_one, which fails without the change.

--- a/crates/fleet/src/switch_deadlines.rs
+++ b/crates/fleet/src/switch_deadlines.rs
@@ -45,8 +45,15 @@
     ///
     /// This is the newest version, or the one before it if its transfer has most likely progressed: if the origin became
     /// unavailable now, a version that is almost transferred could be served long before one that has just been
-    /// declared. All agents come to the same result, because it depends only on the times of the declarations.
-    pub fn version_to_load(&self, serving: Option<u64>, now: Instant) -> u64 {
+    /// declared. If `has_holder` says that a replica already serves the newest version, that one is transferred within
+    /// seconds, while the one before it may no longer be served by any. Otherwise all agents come to the same result,
+    /// because it depends only on the times of the declarations.
+    pub fn version_to_load(
+        &self,
+        serving: Option<u64>,
+        has_holder: impl Fn(u64) -> bool,
+        now: Instant,
+    ) -> u64 {
         let mut newest_first = self.declared.iter().rev();
         let Some((newest, newest_declared)) = newest_first.next() else {
             return serving.unwrap_or_default();
@@ -57,7 +64,8 @@
         let head_start = newest_declared.saturating_duration_since(*previous_declared);
         let is_last_chance = now + self.switch_time / 6 >= *newest_declared + self.switch_time;
         let is_served = serving >= Some(*previous);
-        if is_served || is_last_chance || head_start < self.switch_time / MIN_HEAD_START_DIVISOR {
+        let is_too_early = head_start < self.switch_time / MIN_HEAD_START_DIVISOR;
+        if is_served || is_last_chance || is_too_early || has_holder(*newest) {
             *newest
         } else {
             *previous
--- a/crates/fleet/tests/versions.rs
+++ b/crates/fleet/tests/versions.rs
@@ -137,7 +137,7 @@
         for (version, declared_ms) in declared {
             deadlines.declare(*version, time(*declared_ms));
         }
-        let version = deadlines.version_to_load(serving, time(at_ms));
+        let version = deadlines.version_to_load(serving, |_| false, time(at_ms));
         assert_eq!(
             version, expected,
             "{declared:?}, serving {serving:?} at {at_ms} ms"
@@ -153,6 +153,13 @@
     // An empty replica serves the previous version until the newest one has arrived.
     check(&[(1, 0), (2, 10_000)], None, 11_000, 1);
     check(&[(1, 0), (2, 10_000)], None, 16_000, 2);
+    // Its restart while all others serve the newest version already must not make it fetch the previous one.
+    let start = Instant::now();
+    let mut deadlines = SwitchDeadlines::new(SWITCH);
+    deadlines.declare(1, start);
+    deadlines.declare(2, start + Duration::from_secs(10));
+    let now = start + Duration::from_secs(11);
+    assert_eq!(deadlines.version_to_load(None, |it| it == 2, now), 2);
     // The origin has only the newest two versions.
     check(&[(2, 10_000), (3, 12_000), (4, 14_000)], Some(1), 14_000, 3);
 }
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::{FeedTable, RouteTable, SwitchDeadlines, WeightOrigin};
+use fleet::{FeedMirror, FeedTable, RouteTable, SwitchDeadlines, WeightOrigin};
 use platform::{CONFIG_KEY, VERSION_PREFIX};
 use slog::{info, warn};
 
@@ -133,7 +133,15 @@
         .filter(|it| it.name == target.model)
         .map(|it| it.version);
     let serving = serving.max().max(state.ordered_version);
-    target.version = state.deadlines.version_to_load(serving, Instant::now());
+    let has_holder = |version: u64| {
+        let feed = state.feeds.get(&FeedTable::Replicas);
+        let rows = feed.into_iter().flat_map(FeedMirror::rows);
+        // Registrations that cannot be decoded are skipped silently: entries read the same table and log them.
+        let mut replicas = rows.filter_map(|it| platform::decode_replica(it.0, it.1).ok());
+        replicas.any(|it| it.version_of(&target.model) == Some(version))
+    };
+    let deadlines = &state.deadlines;
+    target.version = deadlines.version_to_load(serving, has_holder, Instant::now());
     if state.target.as_ref() == Some(&target) {
         return;
     }
