Agents report their weights to the entries they knew while the store is away

Cause: entries announce nothing while the store is silent, so an agent knew no entry, read the list from the store, waited for its time-out and dropped the message. Entries learned of loaded weights only from the store's own registrations.

Ruled out: the transfer (the origin sent one copy; pieces arrived within 5 s of the store's return).

Change: an agent sends to the entries it last heard, and lists them only if it never heard any.

--- a/crates/stager/src/feed_reader.rs
+++ b/crates/stager/src/feed_reader.rs
@@ -71,7 +71,7 @@
 }
 
 /// Returns entries of the zone that have sent messages recently, in random order.
-pub(crate) fn live_entries(shared: &AgentShared) -> Vec<SocketAddr> {
+fn live_entries(shared: &AgentShared) -> Vec<SocketAddr> {
     let state = shared.state();
     let entries = state.entries.iter();
     let entries = entries.filter(|it| it.1.elapsed() < ENTRY_TIMEOUT);
--- a/crates/stager/src/status_loop.rs
+++ b/crates/stager/src/status_loop.rs
@@ -12,7 +12,6 @@
 use tokio::net::UdpSocket;
 
 use crate::agent_shared::AgentShared;
-use crate::feed_reader;
 
 /// Sends a status message after each change and repeats it a few times, since datagrams may be lost.
 ///
@@ -25,16 +24,24 @@
             return;
         }
     };
+    let mut entries = Vec::new();
     loop {
         shared.serving_changed.notified().await;
-        let entries = match known_entries(&shared).await {
-            Ok(it) => it,
-            Err(err) => {
+        let heard = heard_entries(&shared);
+        if !heard.is_empty() {
+            entries = heard;
+        }
+        // While the store is away, entries send nothing and cannot be listed; those known before most likely still run.
+        if entries.is_empty() {
+            match listed_entries(&shared).await {
+                Ok(listed) => entries = listed,
                 // The registration of the replica in the store tells entries later.
-                warn!(shared.log, "cannot read the list of entries"; "error" => err.to_string());
-                continue;
+                Err(err) => {
+                    warn!(shared.log, "cannot read the list of entries"; "error" => err.to_string());
+                    continue;
+                }
             }
-        };
+        }
         for (index, delay) in RESEND_DELAYS.into_iter().enumerate() {
             if let Some(entry) = entries.get(index % entries.len().max(1)) {
                 send(&shared, &socket, *entry);
@@ -51,20 +58,25 @@
     }
 }
 
-/// Returns the entries that have sent messages recently, or else the entries of the zone that the store lists.
-async fn known_entries(shared: &AgentShared) -> Result<Vec<SocketAddr>, CallError> {
-    let heard = feed_reader::live_entries(shared);
-    if !heard.is_empty() {
-        return Ok(heard);
-    }
+/// Returns the entries of the zone that have sent messages, most recently first.
+fn heard_entries(shared: &AgentShared) -> Vec<SocketAddr> {
+    let state = shared.state();
+    let mut heard: Vec<_> = state
+        .entries
+        .iter()
+        .map(|it| (it.1.elapsed(), *it.0))
+        .collect();
+    heard.sort_unstable();
+    heard.into_iter().map(|it| it.1).take(MAX_ENTRIES).collect()
+}
+
+/// Returns entries of the zone that the store lists.
+async fn listed_entries(shared: &AgentShared) -> Result<Vec<SocketAddr>, CallError> {
     let page = shared.store.read_table(ENTRY_TABLE).await?;
     let values = page.rows.iter().filter_map(|it| it.value.as_ref());
     let records = values.filter_map(|it| serde_json::from_slice::<PeerRecord>(it).ok());
     let in_zone = records.filter(|it| it.zone == shared.settings.zone);
-    Ok(in_zone
-        .map(|it| it.inner)
-        .take(MAX_LISTED_ENTRIES)
-        .collect())
+    Ok(in_zone.map(|it| it.inner).take(MAX_ENTRIES).collect())
 }
 
 fn send(shared: &AgentShared, socket: &UdpSocket, entry: SocketAddr) {
@@ -85,8 +97,8 @@
 /// Store table that contains the records of all entries.
 const ENTRY_TABLE: &str = "entries";
 
-/// Maximum number of entries from the store's list that messages are sent to.
-const MAX_LISTED_ENTRIES: usize = 3;
+/// Maximum number of entries that messages are sent to in turn.
+const MAX_ENTRIES: usize = 3;
 
 /// Delays after each message for one change. A message may be lost, and entries may still be starting when all hosts
 /// start at the same time.
