A version that is nearly transferred is finished, and normal transfers no longer count as slow

Cause: the reserve before the switch was a sixth of the switch time, several times what a load takes. Pieces pass a few agents, each of which paused 60 ms between polls. A transfer of 150 ms counted as slow, which six concurrent ones reach on an idle link, so the first holder of a piece was avoided for a second.

Change: a sixteenth of the switch time, 20 ms, 400 ms.

--- a/crates/fleet/src/piece_swarm.rs
+++ b/crates/fleet/src/piece_swarm.rs
@@ -421,9 +421,9 @@
 /// Maximum number of pieces that an agent fetches from the same agent at the same time.
 const MAX_FETCHES_PER_AGENT: usize = 2;
 
-/// Difference between the durations of transfers from which on the faster agent is preferred; several times as long as
-/// a piece takes over an idle link.
-const DURATION_CLASS: Duration = Duration::from_millis(150);
+/// Duration of a transfer from which on an agent is considered slow, and difference from which on a faster one is
+/// preferred. [`MAX_FETCHES`] pieces at a time take half as long over an idle link of the usual speed.
+const DURATION_CLASS: Duration = Duration::from_millis(400);
 
 /// Time for which a piece that a slow agent has is expected at others.
 const SLOW_SOURCE_WAIT: Duration = Duration::from_millis(1000);
--- a/crates/fleet/src/switch_deadlines.rs
+++ b/crates/fleet/src/switch_deadlines.rs
@@ -62,7 +62,8 @@
             return *newest;
         };
         let head_start = newest_declared.saturating_duration_since(*previous_declared);
-        let is_last_chance = now + self.switch_time / 6 >= *newest_declared + self.switch_time;
+        let reserve = self.switch_time / LOAD_RESERVE_DIVISOR;
+        let is_last_chance = now + reserve >= *newest_declared + self.switch_time;
         let is_served = serving >= Some(*previous);
         let is_too_early = head_start < self.switch_time / MIN_HEAD_START_DIVISOR;
         if is_served || is_last_chance || is_too_early || has_holder(*newest) {
@@ -77,5 +78,9 @@
 /// leave time for about three transfers from the origin, so this is a third of a transfer.
 const MIN_HEAD_START_DIVISOR: u32 = 10;
 
+/// Part of the switch time before the newest version takes effect in which the one before it is not worth loading any
+/// more: replicas need about as long to load staged weights.
+const LOAD_RESERVE_DIVISOR: u32 = 16;
+
 /// Maximum number of stored versions; older ones took effect long ago.
 const MAX_VERSIONS: usize = 8;
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -284,8 +284,9 @@
 /// Maximum time between two choices of a next piece.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(100);
 
-/// Minimum time between two polls of the same neighbor, in which it receives a few pieces.
-const POLL_PAUSE: Duration = Duration::from_millis(60);
+/// Minimum time between two polls of the same neighbor, in which it receives about one piece. A piece passes a few agents
+/// before it reaches all, so the pause delays the last one several times.
+const POLL_PAUSE: Duration = Duration::from_millis(20);
 
 /// Time before a neighbor that did not respond is polled again.
 const FAILED_POLL_PAUSE: Duration = Duration::from_millis(500);
