Connections that wait in the listener's queue are served after a planned stop

What callers would see: a request that was sent just as an entry stopped ended with a reset, without an answer.

Cause: at a stop the accept loop ended and the listener was closed, which resets the connections that the system had accepted and the server had not. A connection that was accepted but whose request had not been read yet was closed too, because the HTTP library counts it as idle. The stop also ended when no connection was open, before the loop had looked at the stop.

Ruled out: kept-open connections; they are told to close for 3.6 s before, and a request that crosses the close is not passed on.

Change: the loop empties the queue before the listener is closed; the first request of a connection is awaited for 200 ms after a stop; a server is finished only when its loop has ended and no connection is open.

--- a/crates/httpio/src/http_server.rs
+++ b/crates/httpio/src/http_server.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::{convert, future};
+use std::{convert, future, time};
 
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -25,6 +25,7 @@
 pub struct ServerHandle {
     stop: Arc<watch::Sender<bool>>,
     open_count: Arc<AtomicUsize>,
+    is_accepting: Arc<AtomicBool>,
     address: SocketAddr,
 }
 
@@ -41,6 +42,12 @@
         self.stop.send_replace(true);
     }
 
+    /// Returns whether the server has been stopped and all its connections are closed. Connections that clients opened
+    /// before the stop may still be accepted after it.
+    pub fn is_finished(&self) -> bool {
+        !self.is_accepting.load(Ordering::Relaxed) && self.open_connections() == 0
+    }
+
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
         self.open_count.load(Ordering::Relaxed)
@@ -95,6 +102,7 @@
         let handle = ServerHandle {
             stop: Arc::new(stop),
             open_count: open_count.clone(),
+            is_accepting: Arc::new(AtomicBool::new(true)),
             address,
         };
         tokio::spawn(accept_loop(
@@ -103,6 +111,7 @@
             handler,
             StopSignal(stopped),
             open_count,
+            handle.is_accepting.clone(),
         ));
         Ok(handle)
     }
@@ -112,25 +121,17 @@
     listener: tokio::net::TcpListener,
     limits: ServerLimits,
     handler: F,
-    mut stop: StopSignal,
+    stop: StopSignal,
     open_count: Arc<AtomicUsize>,
+    is_accepting: Arc<AtomicBool>,
 ) where
     F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<HttpBody>> + Send + 'static,
 {
-    loop {
-        let accepted = tokio::select! {
-            it = listener.accept() => it,
-            () = wait_for_stop(&mut stop.0) => return,
-        };
-        let Ok((socket, peer)) = accepted else {
-            // Accepting fails while the process is out of file descriptors; closing connections release some.
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
+    let start = |socket: tokio::net::TcpStream, peer: SocketAddr| {
         if open_count.fetch_add(1, Ordering::Relaxed) >= limits.max_connections {
             open_count.fetch_sub(1, Ordering::Relaxed);
-            continue;
+            return;
         }
         let _ = socket.set_nodelay(true);
         let (handler, stop, open_count, limits) = (
@@ -143,7 +144,30 @@
             serve_connection(socket, peer, &limits, handler, stop).await;
             open_count.fetch_sub(1, Ordering::Relaxed);
         });
+    };
+    let mut stopped = stop.clone();
+    loop {
+        let accepted = tokio::select! {
+            it = listener.accept() => it,
+            () = wait_for_stop(&mut stopped.0) => break,
+        };
+        let Ok((socket, peer)) = accepted else {
+            // Accepting fails while the process is out of file descriptors; closing connections release some.
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        start(socket, peer);
+    }
+    // Closing the listener resets connections that clients have opened and that wait in its queue.
+    if let Ok(listener) = listener.into_std() {
+        while let Ok((socket, peer)) = listener.accept() {
+            let socket = socket.set_nonblocking(true).map(|()| socket);
+            if let Ok(socket) = socket.and_then(tokio::net::TcpStream::from_std) {
+                start(socket, peer);
+            }
+        }
     }
+    is_accepting.store(false, Ordering::Relaxed);
 }
 
 async fn serve_connection<F, R>(
@@ -158,7 +182,10 @@
 {
     let ends_with_connection = Arc::new(AtomicBool::new(false));
     let last_response_flag = ends_with_connection.clone();
+    let has_request = Arc::new(AtomicBool::new(false));
+    let request_flag = has_request.clone();
     let service = service::service_fn(move |request: Request<Incoming>| {
+        request_flag.store(true, Ordering::Relaxed);
         let version = request.version();
         let response = handler(request, peer);
         let flag = last_response_flag.clone();
@@ -175,7 +202,7 @@
         .max_headers(limits.max_headers)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(rt::TokioIo::new(&mut socket), service);
-    let result = run_connection(connection, &mut stop).await;
+    let result = run_connection(connection, &mut stop, &has_request).await;
     if result.is_err() && ends_with_connection.load(Ordering::Relaxed) {
         // An orderly end of the connection would mark the aborted body as complete.
         socket.reset();
@@ -197,10 +224,12 @@
         && !response.headers().contains_key(header::CONTENT_LENGTH)
 }
 
-/// Serves a connection until it is closed. After a stop, it is closed when its current request is complete.
+/// Serves a connection until it is closed. After a stop, it is closed when its current request is complete; if the
+/// client has just opened it, its first request is awaited for a moment.
 async fn run_connection<I, S>(
     connection: http1::Connection<I, S>,
     stop: &mut StopSignal,
+    has_request: &AtomicBool,
 ) -> hyper::Result<()>
 where
     I: hyper::rt::Read + hyper::rt::Write + Unpin,
@@ -210,8 +239,16 @@
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         result = connection.as_mut() => return result,
-        () = wait_for_stop(&mut stop.0) => connection.as_mut().graceful_shutdown(),
+        () = wait_for_stop(&mut stop.0) => {}
     }
+    if !has_request.load(Ordering::Relaxed) {
+        // `hyper` would close the connection without reading the request that may have arrived already.
+        let first_request = tokio::time::timeout(FIRST_REQUEST_WAIT, connection.as_mut()).await;
+        if let Ok(result) = first_request {
+            return result;
+        }
+    }
+    connection.as_mut().graceful_shutdown();
     connection.await
 }
 
@@ -223,7 +260,10 @@
 }
 
 /// Delay after a failed accept, which prevents a busy loop while file descriptors are exhausted.
-const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(50);
+const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
+
+/// Time after a stop in which the first request of a connection is still read; several round trips to clients.
+const FIRST_REQUEST_WAIT: time::Duration = time::Duration::from_millis(200);
 
 /// The minimum buffer size that `hyper` accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
--- a/crates/ingress/src/stop.rs
+++ b/crates/ingress/src/stop.rs
@@ -25,7 +25,7 @@
         .bounds
         .stop_grace
         .saturating_sub(EXIT_RESERVE);
-    while front.open_connections() > 0 && began.elapsed() < deadline {
+    while !front.is_finished() && began.elapsed() < deadline {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     deregister.abort();
