--- a/crates/standin/src/harness/child_process.rs
+++ b/crates/standin/src/harness/child_process.rs
@@ -84,6 +84,20 @@
     /// Suspends the process with SIGSTOP, which simulates a paused host.
     pub fn suspend(&self) {
         self.signal("STOP");
+        // The signal takes effect later on a busy machine, and the process would still serve requests until then.
+        while self.is_running() {
+            std::thread::sleep(STOP_POLL_INTERVAL);
+        }
+    }
+
+    /// Returns whether the process exists and is not suspended.
+    fn is_running(&self) -> bool {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        // The state follows the name of the program, which is in parentheses.
+        let state = stat
+            .ok()
+            .and_then(|it| it.rsplit_once(") ")?.1.chars().next());
+        state.is_some_and(|it| !matches!(it, 'T' | 'Z' | 'X'))
     }
 
     /// Resumes a suspended process with SIGCONT.
@@ -126,3 +140,6 @@
         self.kill();
     }
 }
+
+/// Interval at which the state of a process is read after it was suspended.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(1);
