--- a/crates/standin/src/harness/child_process.rs
+++ b/crates/standin/src/harness/child_process.rs
@@ -85,13 +85,13 @@
     pub fn suspend(&self) {
         self.signal("STOP");
         // The signal takes effect later on a busy machine, and the process would still serve requests until then.
-        while self.is_running() {
+        while self.is_scheduled() {
             std::thread::sleep(STOP_POLL_INTERVAL);
         }
     }
 
     /// Returns whether the process exists and is not suspended.
-    fn is_running(&self) -> bool {
+    fn is_scheduled(&self) -> bool {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
         // The state follows the name of the program, which is in parentheses.
         let state = stat
