A version of which nothing has arrived has no head start

Cause: version 2 is declared just as the store goes silent and version 3 three seconds later.

Change: the previous version is finished first only if the agent has a quarter of its pieces, or a replica serves it. The case is added to a_version_that_is_partly_transferred_is_loaded_before_a_newer_one.

--- a/crates/fleet/src/switch_deadlines.rs
+++ b/crates/fleet/src/switch_deadlines.rs
@@ -46,12 +46,14 @@
     /// This is the newest version, or the one before it if its transfer has most likely progressed: if the origin became
     /// unavailable now, a version that is almost transferred could be served long before one that has just been
     /// declared. If `has_holder` says that a replica already serves the newest version, that one is transferred within
-    /// seconds, while the one before it may no longer be served by any. Otherwise all agents come to the same result,
-    /// because it depends only on the times of the declarations.
+    /// seconds, while the one before it may no longer be served by any. `has_progress` says whether the agent has pieces of
+    /// a version, or a replica serves it: a version that was declared while nobody could learn of it has no head start,
+    /// and agents that know it would be separated from those that do not.
     pub fn version_to_load(
         &self,
         serving: Option<u64>,
         has_holder: impl Fn(u64) -> bool,
+        has_progress: impl Fn(u64) -> bool,
         now: Instant,
     ) -> u64 {
         let mut newest_first = self.declared.iter().rev();
@@ -66,7 +68,8 @@
         let is_last_chance = now + reserve >= *newest_declared + self.switch_time;
         let is_served = serving >= Some(*previous);
         let is_too_early = head_start < self.switch_time / MIN_HEAD_START_DIVISOR;
-        if is_served || is_last_chance || is_too_early || has_holder(*newest) {
+        let is_hopeless = is_served || is_last_chance || is_too_early;
+        if is_hopeless || has_holder(*newest) || !has_progress(*previous) {
             *newest
         } else {
             *previous
--- a/crates/fleet/tests/versions.rs
+++ b/crates/fleet/tests/versions.rs
@@ -137,7 +137,7 @@
         for (version, declared_ms) in declared {
             deadlines.declare(*version, time(*declared_ms));
         }
-        let version = deadlines.version_to_load(serving, |_| false, time(at_ms));
+        let version = deadlines.version_to_load(serving, |_| false, |_| true, time(at_ms));
         assert_eq!(
             version, expected,
             "{declared:?}, serving {serving:?} at {at_ms} ms"
@@ -160,7 +160,15 @@
     deadlines.declare(1, start);
     deadlines.declare(2, start + Duration::from_secs(10));
     let now = start + Duration::from_secs(11);
-    assert_eq!(deadlines.version_to_load(None, |it| it == 2, now), 2);
+    assert_eq!(
+        deadlines.version_to_load(None, |it| it == 2, |_| true, now),
+        2
+    );
+    // Version 1 was declared while the store was away, and nobody has a piece of it.
+    assert_eq!(
+        deadlines.version_to_load(None, |_| false, |_| false, now),
+        2
+    );
     // The origin has only the newest two versions.
     check(&[(2, 10_000), (3, 12_000), (4, 14_000)], Some(1), 14_000, 3);
 }
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -140,8 +140,13 @@
         let mut replicas = rows.filter_map(|it| platform::decode_replica(it.0, it.1).ok());
         replicas.any(|it| it.version_of(&target.model) == Some(version))
     };
+    let has_progress = |version: u64| {
+        let staged = state.staged_pieces.pieces(&target.model, version);
+        let is_begun = staged.is_some_and(|it| it.count() * MIN_PROGRESS_DIVISOR >= it.len());
+        is_begun || has_holder(version)
+    };
     let deadlines = &state.deadlines;
-    target.version = deadlines.version_to_load(serving, has_holder, Instant::now());
+    target.version = deadlines.version_to_load(serving, has_holder, has_progress, Instant::now());
     if state.target.as_ref() == Some(&target) {
         return;
     }
@@ -175,6 +180,9 @@
     state.deadlines.declare(target.version, now);
 }
 
+/// Part of the pieces of a version that must be staged for it to be finished before a newer one.
+const MIN_PROGRESS_DIVISOR: usize = 4;
+
 /// Time without a message from entries after which the store is read; three message intervals.
 const DECLARATION_TIMEOUT: Duration = Duration::from_millis(2200);
 
