Logs say why a request is not sent to another replica, and what ended a stream

Now 'not sent to another replica' and fulmarline_retry_denials_total name the reason, and 'withdrawn' is told from 'stalled'. No decision is changed.

--- a/crates/fleet/src/stream_cursor.rs
+++ b/crates/fleet/src/stream_cursor.rs
@@ -48,6 +48,11 @@
         self.buffer.len()
     }
 
+    /// Returns whether the current replica has sent a complete event.
+    pub fn segment_has_events(&self) -> bool {
+        self.segment_has_events
+    }
+
     /// Prepares for the events of another replica. Discards what the last one sent of an incomplete event.
     pub fn start_segment(&mut self) {
         self.buffer.clear();
--- a/crates/ingress/src/buffered_relay.rs
+++ b/crates/ingress/src/buffered_relay.rs
@@ -10,7 +10,7 @@
 use crate::entry_shared::EntryShared;
 use crate::in_flight_guard::InFlightGuard;
 use crate::replica_send::{SendOutcome, return_connection, send};
-use crate::request_handler::{RelayOutcome, may_retry};
+use crate::request_handler::{RelayOutcome, acquire_retry};
 
 /// Sends `call` to `chosen` and reads the complete response, so that a truncated response never reaches the client.
 pub(crate) async fn relay(
@@ -50,7 +50,7 @@
     };
     return_connection(shared, sender, address, &metadata);
     let is_failure = status == StatusCode::INTERNAL_SERVER_ERROR;
-    if is_failure && call.route.is_retryable() && may_retry(shared, call, true) {
+    if is_failure && call.route.is_retryable() && acquire_retry(shared, call, true).is_ok() {
         // The retry was already deducted from the budget here; the caller's loop must not deduct another one.
         return retry_elsewhere(shared, call, chosen)
             .await
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -26,6 +26,7 @@
     pub(crate) prediction_ratio: Histogram,
     pub(crate) longest_pause: Histogram,
     pub(crate) stream_segments: IntCounterVec,
+    pub(crate) retry_denials: IntCounterVec,
     pub(crate) predicted_first_event: Histogram,
     pub(crate) in_flight: IntGauge,
     pub(crate) replicas: IntGaugeVec,
@@ -113,6 +114,11 @@
                 "Segments of streams that replicas sent, by how the end of the body is marked and how the segment ended.",
                 &["framing", "end"],
             )?,
+            retry_denials: counters(
+                "fulmarline_retry_denials_total",
+                "Requests that were not sent to another replica after a failure or a silence, by reason.",
+                &["why"],
+            )?,
             predicted_first_event: histogram(
                 "fulmarline_predicted_first_event_seconds",
                 "Predicted time from a send to the first event, which includes the wait at the replica.",
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -20,6 +20,7 @@
 mod replica_rows;
 mod replica_send;
 mod request_handler;
+mod retry_denial;
 mod stop;
 mod stream_relay;
 mod stream_segment;
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -80,6 +80,9 @@
         Ok(Ok(pooled_response)) => classify_head(call, pooled_response),
         Ok(Err(ClientError::NotSent(_))) => SendOutcome::NotRun(NotRunReason::NotSent),
         Ok(Err(ClientError::NoResponse(_))) => SendOutcome::Unknown("connection_lost"),
+        Err(_) if chosen.must_start_within.is_some_and(|it| wait >= it) => {
+            SendOutcome::Unknown("withdrawn")
+        }
         Err(_) => SendOutcome::Unknown("no_answer"),
     };
     record_outcome(shared, call, chosen, &outcome);
@@ -156,7 +159,7 @@
         SendOutcome::NotRun(NotRunReason::NotSent) => ("not_sent", ReplicaOutcome::Unreachable),
         SendOutcome::NotRun(NotRunReason::Refused) => ("refused", ReplicaOutcome::Refused),
         SendOutcome::NotRun(NotRunReason::Misdirected) => ("misdirected", ReplicaOutcome::Refused),
-        SendOutcome::Unknown(reason @ ("connection_lost" | "no_answer")) => {
+        SendOutcome::Unknown(reason @ ("connection_lost" | "no_answer" | "withdrawn")) => {
             (*reason, ReplicaOutcome::Unreachable)
         }
         SendOutcome::Unknown(reason) => (*reason, ReplicaOutcome::Failed),
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -12,6 +12,7 @@
 use crate::entry_shared::EntryShared;
 use crate::refusal::Refusal;
 use crate::replica_send::{NotRunReason, SendOutcome};
+use crate::retry_denial::RetryDenial;
 use crate::{buffered_relay, stop, stream_relay};
 
 /// Handles one request of a client.
@@ -104,7 +105,8 @@
                 true
             }
         };
-        if !may_retry(shared, &call, has_arrived) {
+        if let Err(denial) = acquire_retry(shared, &call, has_arrived) {
+            log_denial(shared, &call, denial, &tried);
             return Err(if may_have_run {
                 Refusal::Unknown
             } else {
@@ -173,19 +175,54 @@
     }
 }
 
-/// Returns whether the request may be sent again. Takes a retry from the budget if a replica has already received it.
-pub(crate) fn may_retry(shared: &EntryShared, call: &ClientCall, has_arrived: bool) -> bool {
-    if !has_arrived {
-        return call.sends() < MAX_SENDS;
+/// Checks whether the request may be sent again. Takes a retry from the budget if a replica has already received it.
+pub(crate) fn acquire_retry(
+    shared: &EntryShared,
+    call: &ClientCall,
+    has_arrived: bool,
+) -> Result<(), RetryDenial> {
+    let max_sends = if has_arrived {
+        call.route.max_attempts.max(1)
+    } else {
+        MAX_SENDS
+    };
+    if call.sends() >= max_sends {
+        return Err(RetryDenial::Attempts);
     }
-    if call.sends() >= call.route.max_attempts.max(1) {
-        return false;
+    if !has_arrived {
+        return Ok(());
     }
     let now = Instant::now();
-    shared
+    let is_acquired = shared
         .state()
         .retry_budget(&call.service, &shared.settings, now)
-        .try_acquire(now)
+        .try_acquire(now);
+    is_acquired.then_some(()).ok_or(RetryDenial::Budget)
+}
+
+/// Logs why a request is not sent to a further replica, and counts it.
+pub(crate) fn log_denial(
+    shared: &EntryShared,
+    call: &ClientCall,
+    denial: RetryDenial,
+    tried: &[String],
+) {
+    shared
+        .metrics
+        .retry_denials
+        .with_label_values(&[denial.label()])
+        .inc();
+    if shared.may_log(LogKind::Failed) {
+        info!(
+            shared.log, "not sent to another replica";
+            "request" => call.id(),
+            "why" => denial.label(),
+            "replica" => tried.last(),
+            "sends" => call.sends(),
+            "left_ms" => u64::try_from(call.time_remaining().as_millis()).unwrap_or(u64::MAX),
+            "config" => call.table.version(),
+        );
+    }
 }
 
 /// Chooses a replica for `call`.
--- /dev/null
+++ b/crates/ingress/src/retry_denial.rs
@@ -0,0 +1,43 @@
+//! Why a request is not sent to another replica.
+
+use fleet::NoReplica;
+
+/// Reason why a request is not sent to another replica, for logs and metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RetryDenial {
+    /// The route allows only one run.
+    NotRepeatable,
+    /// The deadline is too close.
+    Deadline,
+    /// The request was sent to as many replicas as its route allows.
+    Attempts,
+    /// The retry budget of the service is used up.
+    Budget,
+    /// No other replica is registered, healthy and has an allowed version of the weights.
+    NoReplica,
+    /// Even the best other replica is predicted to respond too late.
+    Overloaded,
+}
+
+impl RetryDenial {
+    /// Returns the name of the reason in logs and metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Self::NotRepeatable => "not_repeatable",
+            Self::Deadline => "deadline",
+            Self::Attempts => "attempts",
+            Self::Budget => "budget",
+            Self::NoReplica => "no_replica",
+            Self::Overloaded => "overloaded",
+        }
+    }
+}
+
+impl From<NoReplica> for RetryDenial {
+    fn from(cause: NoReplica) -> Self {
+        match cause {
+            NoReplica::NoneUsable => Self::NoReplica,
+            NoReplica::Overloaded(_) => Self::Overloaded,
+        }
+    }
+}
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -13,7 +13,8 @@
 use crate::client_call::ClientCall;
 use crate::entry_shared::EntryShared;
 use crate::replica_send::return_connection;
-use crate::request_handler::{RelayOutcome, choose_replica, may_retry};
+use crate::request_handler::{RelayOutcome, acquire_retry, choose_replica, log_denial};
+use crate::retry_denial::RetryDenial;
 use crate::stream_segment::{MIN_RESUME_TIME, SegmentRead, StreamSegment, millis};
 
 /// Sends `call` to `chosen` and waits for the first event. Then returns the response, whose body is relayed by a
@@ -124,10 +125,13 @@
             }
             SegmentRead::Interrupted(interruption) => {
                 segment.record_interruption(&shared, &call, interruption, &cursor);
-                let Some(resumed) = resume(&shared, &call, &mut tried, &mut cursor).await else {
-                    break "cut";
-                };
-                (segment, read) = resumed;
+                match resume(&shared, &call, &mut tried, &mut cursor).await {
+                    Ok(resumed) => (segment, read) = resumed,
+                    Err(denial) => {
+                        log_denial(&shared, &call, denial, &tried);
+                        break "cut";
+                    }
+                }
                 continue;
             }
         }
@@ -175,15 +179,16 @@
     call: &Arc<ClientCall>,
     tried: &mut Vec<String>,
     cursor: &mut StreamCursor,
-) -> Option<(StreamSegment, SegmentRead)> {
+) -> Result<(StreamSegment, SegmentRead), RetryDenial> {
     if !call.route.is_retryable() {
-        return None;
+        return Err(RetryDenial::NotRepeatable);
     }
     loop {
-        if call.time_remaining() < MIN_RESUME_TIME || !may_retry(shared, call, true) {
-            return None;
+        if call.time_remaining() < MIN_RESUME_TIME {
+            return Err(RetryDenial::Deadline);
         }
-        let chosen = choose_replica(shared, call, tried, cursor.last_id()).ok()?;
+        acquire_retry(shared, call, true)?;
+        let chosen = choose_replica(shared, call, tried, cursor.last_id())?;
         call.record_send();
         tried.push(chosen.replica.id.clone());
         info!(
@@ -209,7 +214,7 @@
             }
             read => {
                 segment.record_resumed();
-                return Some((segment, read));
+                return Ok((segment, read));
             }
         }
     }
--- a/crates/ingress/src/stream_segment.rs
+++ b/crates/ingress/src/stream_segment.rs
@@ -43,6 +43,8 @@
     ConnectionLost,
     /// No event arrived in time.
     Stalled,
+    /// The first event did not arrive before the weights of the replica became too old.
+    Withdrawn,
     /// The response ended although the stream is not complete, or an event is missing, duplicated or too large.
     Stream(StreamError),
 }
@@ -53,6 +55,7 @@
         match self {
             Self::ConnectionLost => "connection_lost",
             Self::Stalled => "stalled",
+            Self::Withdrawn => "withdrawn",
             Self::Stream(StreamError::Order | StreamError::TooLarge) => "bad_event",
             Self::Stream(StreamError::InsideEvent) => "inside_event",
             Self::Stream(StreamError::NoEvent) => "no_event",
@@ -61,7 +64,7 @@
 
     fn replica_outcome(self) -> ReplicaOutcome {
         match self {
-            Self::ConnectionLost | Self::Stalled => ReplicaOutcome::Unreachable,
+            Self::ConnectionLost | Self::Stalled | Self::Withdrawn => ReplicaOutcome::Unreachable,
             Self::Stream(_) => ReplicaOutcome::Failed,
         }
     }
@@ -113,7 +116,7 @@
         loop {
             let body: &mut Incoming = self.pooled_response.response.body_mut();
             let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
-                Err(_) => return SegmentRead::Interrupted(Interruption::Stalled),
+                Err(_) => return SegmentRead::Interrupted(self.silence(cursor)),
                 Ok(None) => return self.finish(cursor),
                 Ok(Some(Err(_))) => return SegmentRead::Interrupted(Interruption::ConnectionLost),
                 Ok(Some(Ok(frame))) => frame,
@@ -129,6 +132,20 @@
         }
     }
 
+    /// Returns why the segment ends after no event has arrived in time.
+    fn silence(&self, cursor: &StreamCursor) -> Interruption {
+        let is_withdrawn = !cursor.segment_has_events()
+            && self
+                .chosen
+                .must_start_within
+                .is_some_and(|it| self.elapsed() >= it);
+        if is_withdrawn {
+            Interruption::Withdrawn
+        } else {
+            Interruption::Stalled
+        }
+    }
+
     fn finish(&self, cursor: &mut StreamCursor) -> SegmentRead {
         match cursor.finish(self.framing != BodyFraming::Connection) {
             Ok(rest) => SegmentRead::Complete(Bytes::from(rest)),
