A failing test: streams whose replicas fall silent and go on are cut

What callers see: a stream that may be resumed is broken off after 1.2 s without an event, or answered with 502 before its first one, although its replica goes on; with one replica, with two that are both silent, beside a change of the configuration, a reload and a declared version.

The raw replica can now fall silent after the head of its response.

--- a/crates/fulmarline/tests/platform_pauses.rs
+++ b/crates/fulmarline/tests/platform_pauses.rs
@@ -6,13 +6,16 @@
 use std::time::Duration;
 
 use httpio::{Method, StatusCode};
-use serde_json::json;
+use serde_json::{Value, json};
 use site::TestSite;
-use standin::{RawFraming, RawReplica, RawRequest, RawResponse, RunCounts};
+use standin::{PausedPart, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts};
 
 /// Pause of a slow replica; longer than the time after which a stream that can be resumed is continued elsewhere.
 const PAUSE: Duration = Duration::from_millis(2500);
 
+/// Paths of requests at which replicas fall silent: between two events, after the head of the response and before it.
+const SILENT_PATHS: [&str; 3] = ["long-pause", "late-start", "late-head"];
+
 fn events(id: &str) -> Vec<String> {
     (1..=4)
         .map(|it| format!("id: {it}\ndata: {id}/{it}\n\n"))
@@ -26,37 +29,103 @@
         .cloned()
         .unwrap_or_default();
     let mut response = RawResponse::complete(RawFraming::Chunked, events(&id));
-    if request.path.ends_with("/late-start") {
+    if request.path.ends_with("/late-head") {
         std::thread::sleep(PAUSE);
     }
+    if request.path.ends_with("/late-start") {
+        response.pause_before = PausedPart::Body;
+        response.pause = PAUSE;
+    }
     if request.path.ends_with("/long-pause") {
         response.pause = PAUSE;
     }
     response
 }
 
+/// Returns a stream route to the pool of raw replicas.
+fn route(prefix: &str, resumable: bool) -> Value {
+    json!({
+        "name": prefix, "host": "shop.example", "prefix": prefix, "kind": "stream", "timeoutMs": 6000,
+        "sloMs": 2000, "prio": 1, "service": "pool", "maxAttempts": 2, "public": false, "resumable": resumable,
+    })
+}
+
+fn start_site(name: &str, first_index: u8, replicas: u8, runs: &RunCounts) -> TestSite {
+    let mut site = TestSite::start(name, first_index, &[]);
+    site.configure(&json!([route("/once/", false), route("/again/", true)]));
+    for index in 0..replicas {
+        let id = format!("pool-{index}");
+        let ip = [127, 0, 1, first_index + index];
+        let replica = RawReplica::start(&id, ip, runs, respond).unwrap();
+        site.store
+            .put("servers", replica.id(), &replica.row("pool", "a"));
+    }
+    site.wait("a served request", |it| {
+        let response = it.call(0, Method::POST, "/once/warm", "warm", "key-1")?;
+        (response.status == StatusCode::OK).then_some(())
+    });
+    site
+}
+
+/// Checks that a request gets the whole response although every replica that receives it falls silent.
+fn check_whole(site: &TestSite, path: &str, id: &str) {
+    let response = site
+        .call(0, Method::POST, path, id, "key-1")
+        .unwrap_or_else(|| panic!("{path}: the connection was closed without a response"));
+    assert_eq!(response.status, StatusCode::OK, "{path}: {response:?}");
+    assert!(response.complete, "{path}: {response:?}");
+    assert_eq!(response.body, events(id).concat(), "{path}");
+}
+
 /// Guards against slow but sound streams that were broken off after 1.2 s without an event, although nothing could have
 /// continued them.
 #[test]
 fn streams_that_cannot_be_resumed_are_not_cut_during_a_pause() {
-    let mut site = TestSite::start("platform-pauses", 90, &[]);
-    site.configure(&json!([{
-        "name": "once", "host": "shop.example", "prefix": "/once/", "kind": "stream", "timeoutMs": 6000,
-        "sloMs": 2000, "prio": 1, "service": "pool", "maxAttempts": 2, "public": false, "resumable": false,
-    }]));
     let runs = RunCounts::default();
-    let replica = RawReplica::start("pool-0", [127, 0, 1, 90], &runs, respond).unwrap();
-    site.store
-        .put("servers", replica.id(), &replica.row("pool", "a"));
-    site.wait("a served request", |it| {
-        let response = it.call(0, Method::POST, "/once/warm", "warm", "key-1")?;
-        (response.status == StatusCode::OK).then_some(())
-    });
-    for path in ["/once/late-start", "/once/long-pause"] {
-        let response = site.call(0, Method::POST, path, path, "key-1").unwrap();
-        assert_eq!(response.status, StatusCode::OK, "{path}: {response:?}");
-        assert!(response.complete, "{path}: {response:?}");
-        assert_eq!(response.body, events(path).concat());
+    let site = start_site("platform-pauses", 90, 1, &runs);
+    for path in SILENT_PATHS {
+        check_whole(&site, &format!("/once/{path}"), path);
         assert_eq!(runs.get(path), 1);
     }
 }
+
+/// Guards against streams that were given up at a silent replica before another one had continued them.
+#[test]
+fn streams_are_not_cut_while_every_replica_that_could_continue_them_is_silent() {
+    for replicas in [1, 2] {
+        let runs = RunCounts::default();
+        let name = format!("platform-pauses-{replicas}");
+        let site = start_site(&name, 90 + 2 * replicas, replicas, &runs);
+        for path in SILENT_PATHS {
+            let id = format!("{path}-{replicas}");
+            check_whole(&site, &format!("/again/{path}"), &id);
+            assert!(runs.get(&id) <= 2, "{id}: {} runs", runs.get(&id));
+        }
+    }
+}
+
+/// Guards against streams that were cut beside a change of the configuration, a reload or a declared version, because
+/// nothing could continue them at that time.
+#[test]
+fn streams_of_silent_replicas_outlast_changes() {
+    let runs = RunCounts::default();
+    let mut site = start_site("platform-pauses-changes", 96, 2, &runs);
+    let caller = site.caller();
+    for (index, path) in SILENT_PATHS.into_iter().enumerate() {
+        let id = format!("{path}-{index}");
+        let request = std::thread::spawn({
+            let (caller, id) = (caller.clone(), id.clone());
+            move || caller.call(0, Method::POST, &format!("/again/{path}"), &id, "key-1")
+        });
+        std::thread::sleep(PAUSE / 5);
+        match index {
+            0 => site.configure(&json!([route("/once/", false), route("/again/", true)])),
+            1 => site.entries[0].reload(),
+            _ => site.declare(2),
+        }
+        let response = request.join().unwrap().expect("a response");
+        assert_eq!(response.status, StatusCode::OK, "{id}: {response:?}");
+        assert!(response.complete, "{id}: {response:?}");
+        assert_eq!(response.body, events(&id).concat(), "{id}");
+    }
+}
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -51,6 +51,7 @@
 }
 
 /// Client that sends requests to entries.
+#[derive(Clone)]
 pub struct SiteCaller {
     handle: tokio::runtime::Handle,
     client: HttpClient,
--- a/crates/standin/src/site/raw_replica.rs
+++ b/crates/standin/src/site/raw_replica.rs
@@ -37,8 +37,19 @@
     pub sent_bytes: usize,
     /// What follows the sent bytes.
     pub end: RawEnd,
-    /// Pause before the last part that is sent.
+    /// Silence of the replica while it sends the response.
     pub pause: Duration,
+    /// What follows the silence.
+    pub pause_before: PausedPart,
+}
+
+/// Part of a response before which a replica falls silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PausedPart {
+    /// The whole body; the head is sent at once.
+    Body,
+    /// The last part that is sent.
+    LastPart,
 }
 
 /// What follows the last byte of a body.
@@ -105,10 +116,11 @@
             parts,
             end: RawEnd::Marked,
             pause: Duration::ZERO,
+            pause_before: PausedPart::LastPart,
         }
     }
 
-    /// Returns the bytes to send and the position of the last part in them.
+    /// Returns the bytes to send and the position in them at which the replica falls silent.
     fn encode(&self, id: &str, replica: &str) -> (Vec<u8>, usize) {
         let framing = match self.framing {
             RawFraming::Length => {
@@ -129,7 +141,8 @@
         )
         .into_bytes();
         let mut remaining = self.sent_bytes;
-        let mut last_part = bytes.len();
+        let body_start = bytes.len();
+        let mut last_part = body_start;
         for part in &self.parts {
             let sent = &part[..part.len().min(remaining)];
             remaining -= sent.len();
@@ -146,7 +159,11 @@
         if self.framing == RawFraming::Chunked && self.end == RawEnd::Marked {
             bytes.extend_from_slice(b"0\r\n\r\n");
         }
-        (bytes, last_part)
+        let pause_position = match self.pause_before {
+            PausedPart::Body => body_start,
+            PausedPart::LastPart => last_part,
+        };
+        (bytes, pause_position)
     }
 }
 
@@ -208,10 +225,10 @@
     request.earlier_runs = runs.record(&id);
     let response = respond(&request);
     let mut writer = socket;
-    let (bytes, last_part) = response.encode(&id, replica);
-    writer.write_all(&bytes[..last_part])?;
+    let (bytes, pause_position) = response.encode(&id, replica);
+    writer.write_all(&bytes[..pause_position])?;
     std::thread::sleep(response.pause);
-    writer.write_all(&bytes[last_part..])?;
+    writer.write_all(&bytes[pause_position..])?;
     if response.end == RawEnd::Reset {
         std::thread::sleep(RESET_DELAY);
         socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO))?;
