A silent replica keeps its stream until another one continues it

Cause: silence was taken for failure. The entry cancelled the attempt first and looked for another replica afterwards. If the attempts or the retry budget were used up, or every other replica was overloaded, nothing was left of a request that would have completed.

Ruled out: longer time-outs, which move the bound and leave streams of dead replicas waiting; a configuration that takes away what the request needs (no denial for no_replica).

Change: StreamAttempts keeps the silent attempt, asks another replica at most once for each silence, and relays whichever sends an event first; the other one is cancelled then. A request on old weights is still withdrawn at the switch, now with one limit for head and first event together. A withdrawal does not count against the replica. An error response is forwarded if no other attempt can be made, instead of 502. Comments in a stream do not end a silence.

Measured: the tests pass, and one for replicas that stay silent for good.

--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -51,16 +51,13 @@
 }
 
 impl ChosenReplica {
-    /// Returns the time without a first event after which the request is withdrawn: its weights are about to be too old
-    /// for a request that has not started, or the replica has failed and the request can be sent to another one.
-    pub fn first_event_timeout(&self, route: &Route) -> Duration {
+    /// Returns the time without a first event after which another replica is asked as well, or `None` if the route
+    /// allows only one run. A silent replica may be sound, so the request is not withdrawn.
+    pub fn silence_timeout(&self, route: &Route) -> Option<Duration> {
         let predicted = Duration::from_secs_f64(self.predicted_ms.max(0.0) / 1000.0);
-        let timeout = if route.is_retryable() {
-            FIRST_EVENT_MIN_TIMEOUT + predicted * FAILURE_FACTOR
-        } else {
-            Duration::MAX
-        };
-        timeout.min(self.must_start_within.unwrap_or(timeout))
+        route
+            .is_retryable()
+            .then_some(FIRST_EVENT_MIN_TIMEOUT + predicted * FAILURE_FACTOR)
     }
 }
 
@@ -224,7 +221,7 @@
     base * health.latency_ratio(&replica.id, now)
 }
 
-/// Factor by which a first event may be later than predicted before the replica is considered failed.
+/// Factor by which a first event may be later than predicted before the replica is considered silent.
 const FAILURE_FACTOR: u32 = 3;
 
 /// Time that is added to that.
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -84,9 +84,9 @@
         }
     }
 
-    /// Returns the time without an event after which a stream is continued at another replica, or `None` if it cannot
-    /// be: a pause is no reason to end a stream that may still complete.
-    pub fn event_timeout(&self) -> Option<Duration> {
+    /// Returns the time without an event after which another replica is asked to continue a stream as well, or `None` if
+    /// none may.
+    pub fn silence_timeout(&self) -> Option<Duration> {
         self.is_retryable().then_some(self.max_pause * PAUSE_FACTOR)
     }
 
--- a/crates/fleet/src/stream_cursor.rs
+++ b/crates/fleet/src/stream_cursor.rs
@@ -20,17 +20,18 @@
     NoEvent,
 }
 
-/// State of the stream of one client across all replicas that serve it.
+/// State of the part of a client's stream that one replica sends. Another replica that continues the stream gets a cursor
+/// of its own, which starts after the last event that the client has.
 #[derive(Clone, Debug, Default)]
 pub struct StreamCursor {
     buffer: Vec<u8>,
     last_id: Option<u64>,
-    /// Whether the current replica has sent a complete event.
-    segment_has_events: bool,
+    /// Whether the replica has sent a complete event.
+    has_events: bool,
 }
 
 impl StreamCursor {
-    /// Creates a cursor; `last_id` is the last event that the client has, if it resumes a stream.
+    /// Creates a cursor; `last_id` is the last event that the client has, if the stream is resumed.
     pub fn new(last_id: Option<u64>) -> Self {
         Self {
             last_id,
@@ -38,7 +39,7 @@
         }
     }
 
-    /// Returns the id of the last event that was forwarded.
+    /// Returns the id of the last event that was read.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
     }
@@ -48,17 +49,6 @@
         self.buffer.len()
     }
 
-    /// Returns whether the current replica has sent a complete event.
-    pub fn segment_has_events(&self) -> bool {
-        self.segment_has_events
-    }
-
-    /// Prepares for the events of another replica. Discards what the last one sent of an incomplete event.
-    pub fn start_segment(&mut self) {
-        self.buffer.clear();
-        self.segment_has_events = false;
-    }
-
     /// Checks whether the stream is complete when the replica's response has ended, and returns the blank lines and
     /// comments after its last event.
     ///
@@ -72,7 +62,7 @@
         if is_inside_event(&self.buffer) {
             return Err(StreamError::InsideEvent);
         }
-        if !end_is_marked && !self.segment_has_events {
+        if !end_is_marked && !self.has_events {
             return Err(StreamError::NoEvent);
         }
         Ok(std::mem::take(&mut self.buffer))
@@ -99,7 +89,7 @@
             }
             self.last_id = Some(id);
         }
-        self.segment_has_events = true;
+        self.has_events = true;
         Ok(Some(EventBatch { bytes: events }))
     }
 }
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -119,10 +119,12 @@
     };
     let text = match choose_replica(&request, &catalog, &loads, &health, now) {
         Ok(it) => {
-            let withdrawn = it.must_start_within.map_or_else(String::new, |_| {
+            let withdrawn = it.must_start_within.map_or_else(String::new, |withdrawal| {
+                let silence = it.silence_timeout(&resumable_route()).unwrap();
                 format!(
-                    ", withdrawn after {} ms",
-                    it.first_event_timeout(&resumable_route()).as_millis()
+                    ", another one asked after {} ms, withdrawn after {} ms",
+                    silence.as_millis(),
+                    withdrawal.as_millis()
                 )
             });
             format!(
@@ -288,7 +290,9 @@
     };
     check(
         &soon(900),
-        &expect!["r1 in 113 ms, version None, withdrawn after 900 ms"],
+        &expect![
+            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 900 ms"
+        ],
     );
     check(&soon(300), &expect!["r2 in 119 ms, version None"]);
 }
--- a/crates/fleet/tests/routes.rs
+++ b/crates/fleet/tests/routes.rs
@@ -100,14 +100,14 @@
 }
 
 #[test]
-fn only_streams_that_can_be_resumed_end_after_a_pause() {
+fn only_streams_that_can_be_resumed_are_continued_elsewhere_after_a_pause() {
     let check = |kind: CallKind, resumable: bool, expected: Option<u64>| {
         let route = Route {
             kind,
             resumable,
             ..route("r", "a.example", "/")
         };
-        assert_eq!(route.event_timeout(), expected.map(Duration::from_millis));
+        assert_eq!(route.silence_timeout(), expected.map(Duration::from_millis));
     };
     check(CallKind::Stream, true, Some(1200));
     check(CallKind::Stream, false, None);
--- a/crates/fleet/tests/streams.rs
+++ b/crates/fleet/tests/streams.rs
@@ -60,7 +60,7 @@
     let mut cursor = StreamCursor::new(None);
     cursor.push(b"id: 1\ndata: a\n\nid: 2\ndata: hal").unwrap();
     assert_eq!(cursor.partial_len(), b"id: 2\ndata: hal".len());
-    cursor.start_segment();
+    let mut cursor = StreamCursor::new(cursor.last_id());
     let batch = cursor.push(b"id: 2\ndata: whole\n\n").unwrap().unwrap();
     assert_eq!(batch.bytes, b"id: 2\ndata: whole\n\n");
 }
@@ -117,7 +117,7 @@
 
     let mut cursor = StreamCursor::new(None);
     cursor.push(b"id: 1\ndata: a\n\n").unwrap();
-    cursor.start_segment();
+    let mut cursor = StreamCursor::new(cursor.last_id());
     assert!(
         cursor.finish(false).is_err(),
         "the second replica sent no event"
--- a/crates/fulmarline/tests/platform_pauses.rs
+++ b/crates/fulmarline/tests/platform_pauses.rs
@@ -13,6 +13,9 @@
 /// Pause of a slow replica; longer than the time after which a stream that can be resumed is continued elsewhere.
 const PAUSE: Duration = Duration::from_millis(2500);
 
+/// Pause of a replica that falls silent for good; longer than any request may take.
+const ENDLESS_PAUSE: Duration = Duration::from_secs(20);
+
 /// Paths of requests at which replicas fall silent: between two events, after the head of the response and before it.
 const SILENT_PATHS: [&str; 3] = ["long-pause", "late-start", "late-head"];
 
@@ -22,22 +25,29 @@
         .collect()
 }
 
+/// Part of the path of a request at which only the first replica that receives it falls silent, for good.
+const FIRST_ONLY: &str = "first-";
+
 fn respond(request: &RawRequest) -> RawResponse {
-    let id = request
-        .headers
-        .get("request-id")
-        .cloned()
-        .unwrap_or_default();
-    let mut response = RawResponse::complete(RawFraming::Chunked, events(&id));
-    if request.path.ends_with("/late-head") {
-        std::thread::sleep(PAUSE);
+    let header = |name: &str| request.headers.get(name).cloned().unwrap_or_default();
+    let id = header("request-id");
+    let sent = header("last-event-id").parse().unwrap_or(0);
+    let events = events(&id).split_off(sent);
+    let mut response = RawResponse::complete(RawFraming::Chunked, events);
+    let is_for_good = request.path.contains(FIRST_ONLY);
+    if is_for_good && request.earlier_runs > 0 {
+        return response;
+    }
+    let pause = if is_for_good { ENDLESS_PAUSE } else { PAUSE };
+    if request.path.ends_with("late-head") {
+        std::thread::sleep(pause);
     }
-    if request.path.ends_with("/late-start") {
+    if request.path.ends_with("late-start") {
         response.pause_before = PausedPart::Body;
-        response.pause = PAUSE;
+        response.pause = pause;
     }
-    if request.path.ends_with("/long-pause") {
-        response.pause = PAUSE;
+    if request.path.ends_with("long-pause") {
+        response.pause = pause;
     }
     response
 }
@@ -129,3 +139,15 @@
         assert_eq!(response.body, events(&id).concat(), "{id}");
     }
 }
+
+/// Guards against streams of replicas that fall silent for good and are not continued by another replica.
+#[test]
+fn streams_of_replicas_that_stay_silent_are_continued_elsewhere() {
+    let runs = RunCounts::default();
+    let site = start_site("platform-pauses-taken-over", 98, 2, &runs);
+    for path in SILENT_PATHS {
+        let id = format!("{FIRST_ONLY}{path}");
+        check_whole(&site, &format!("/again/{id}"), &id);
+        assert_eq!(runs.get(&id), 2, "{id}");
+    }
+}
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -22,6 +22,7 @@
 mod request_handler;
 mod retry_denial;
 mod stop;
+mod stream_attempts;
 mod stream_relay;
 mod stream_segment;
 mod weight_announcer;
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -159,7 +159,7 @@
         SendOutcome::NotRun(NotRunReason::NotSent) => ("not_sent", ReplicaOutcome::Unreachable),
         SendOutcome::NotRun(NotRunReason::Refused) => ("refused", ReplicaOutcome::Refused),
         SendOutcome::NotRun(NotRunReason::Misdirected) => ("misdirected", ReplicaOutcome::Refused),
-        SendOutcome::Unknown(reason @ ("connection_lost" | "no_answer" | "withdrawn")) => {
+        SendOutcome::Unknown(reason @ ("connection_lost" | "no_answer")) => {
             (*reason, ReplicaOutcome::Unreachable)
         }
         SendOutcome::Unknown(reason) => (*reason, ReplicaOutcome::Failed),
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -75,6 +75,9 @@
         .state()
         .retry_budget(&call.service, &shared.settings, call.arrived)
         .record_request(call.arrived);
+    if call.route.kind == CallKind::Stream {
+        return stream_relay::respond(shared, call).await;
+    }
     loop {
         if call.time_remaining() < MIN_SEND_TIME {
             return Err(if may_have_run {
@@ -85,18 +88,16 @@
         }
         let chosen = match choose_replica(shared, &call, &tried, call.metadata.last_event_id) {
             Ok(it) => it,
-            Err(cause) => return Err(refusal_for(shared, &call, cause, &tried, may_have_run)),
+            Err(cause) => {
+                log_no_replica(shared, &call, cause, &tried);
+                return Err(refusal_for(cause, &tried, may_have_run));
+            }
         };
         call.record_send();
         let predicted = chosen.predicted_ms / 1000.0;
         shared.metrics.predicted_first_event.observe(predicted);
         tried.push(chosen.replica.id.clone());
-        let outcome = if call.route.kind == CallKind::Stream {
-            stream_relay::start(shared, &call, &chosen).await
-        } else {
-            buffered_relay::relay(shared, &call, &chosen).await
-        };
-        let has_arrived = match outcome {
+        let has_arrived = match buffered_relay::relay(shared, &call, &chosen).await {
             RelayOutcome::Response(response) => return Ok(response),
             RelayOutcome::NotRun(reason) => reason.has_arrived(),
             RelayOutcome::Unknown if !call.route.is_retryable() => return Err(Refusal::Unknown),
@@ -116,14 +117,26 @@
     }
 }
 
-/// Logs why no replica was chosen and returns the refusal for the client.
-fn refusal_for(
+/// Returns the refusal for the client if no replica was chosen.
+fn refusal_for(cause: NoReplica, tried: &[String], may_have_run: bool) -> Refusal {
+    match cause {
+        _ if may_have_run => Refusal::Unknown,
+        _ if !tried.is_empty() => Refusal::RefusedByReplicas,
+        NoReplica::NoneUsable => Refusal::NoReplica,
+        NoReplica::Overloaded(_) => Refusal::Overloaded,
+    }
+}
+
+/// Logs why no replica was chosen.
+pub(crate) fn log_no_replica(
     shared: &EntryShared,
     call: &ClientCall,
     cause: NoReplica,
     tried: &[String],
-    may_have_run: bool,
-) -> Refusal {
+) {
+    if !shared.may_log(LogKind::Failed) {
+        return;
+    }
     let predicted_ms = match cause {
         NoReplica::NoneUsable => None,
         NoReplica::Overloaded(predicted) => Some(predicted.round()),
@@ -131,8 +144,7 @@
     let state = shared.state();
     let ready = state.catalog.ready(&call.service, Instant::now()).count();
     drop(state);
-    if shared.may_log(LogKind::Failed) {
-        info!(
+    info!(
         shared.log, "no replica chosen";
         "request" => call.id(),
         "service" => &call.service,
@@ -144,14 +156,7 @@
         "ready" => ready,
         "tried" => tried.len(),
         "config" => call.table.version(),
-        );
-    }
-    match cause {
-        _ if may_have_run => Refusal::Unknown,
-        _ if !tried.is_empty() => Refusal::RefusedByReplicas,
-        NoReplica::NoneUsable => Refusal::NoReplica,
-        NoReplica::Overloaded(_) => Refusal::Overloaded,
-    }
+    );
 }
 
 /// Outcome of a relay before any byte was forwarded to the client.
@@ -262,7 +267,7 @@
 }
 
 /// Minimum remaining time for which a request is still sent.
-const MIN_SEND_TIME: Duration = Duration::from_millis(20);
+pub(crate) const MIN_SEND_TIME: Duration = Duration::from_millis(20);
 
 /// Maximum sends of one request if no replica was reached; more failures indicate a network fault rather than a replica
 /// fault.
--- a/crates/ingress/src/retry_denial.rs
+++ b/crates/ingress/src/retry_denial.rs
@@ -20,6 +20,11 @@
 }
 
 impl RetryDenial {
+    /// Returns whether a later attempt would be denied as well.
+    pub(crate) fn is_final(self) -> bool {
+        matches!(self, Self::NotRepeatable | Self::Deadline | Self::Attempts)
+    }
+
     /// Returns the name of the reason in logs and metrics.
     pub(crate) fn label(self) -> &'static str {
         match self {
--- /dev/null
+++ b/crates/ingress/src/stream_attempts.rs
@@ -0,0 +1,398 @@
+//! The attempts to serve one stream: the replica that serves it and, while that one is silent, another that may continue
+//! it.
+//!
+//! A silent replica may be sound and go on, so its attempt ends only when another replica has sent an event. See
+//! `docs/incidents/lost-version.md`.
+
+use std::future;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use fleet::{ChosenReplica, LogKind, ReplicaOutcome};
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use httpio::Response;
+use slog::info;
+
+use crate::client_call::ClientCall;
+use crate::entry_shared::EntryShared;
+use crate::refusal::Refusal;
+use crate::replica_send::{SendOutcome, return_connection};
+use crate::request_handler::{
+    MIN_SEND_TIME, acquire_retry, choose_replica, log_denial, log_no_replica,
+};
+use crate::retry_denial::RetryDenial;
+use crate::stream_segment::{SegmentRead, StreamSegment, millis};
+
+/// The attempts to serve one stream.
+pub(crate) struct StreamAttempts {
+    shared: Arc<EntryShared>,
+    call: Arc<ClientCall>,
+    /// Ids of the replicas that the request was sent to.
+    tried: Vec<String>,
+    /// The replica that the request was sent to last.
+    newest: Option<ChosenReplica>,
+    /// The attempt whose events are relayed.
+    serving: Option<StreamSegment>,
+    /// Attempts without an event so far. Dropping one cancels it at its replica.
+    starting: FuturesUnordered<BoxFuture<'static, AttemptStart>>,
+    /// Time at which another replica is asked to continue the stream, if no event arrives until then.
+    ask_at: Option<Instant>,
+    /// Whether the newest attempt was reported as silent.
+    is_silent: bool,
+    /// The last event that the client has.
+    last_event_id: Option<u64>,
+    /// Whether an event was read.
+    has_events: bool,
+    /// Whether an attempt that has ended may have run the request.
+    may_have_run: bool,
+    /// Whether the last attempt that failed had reached its replica.
+    has_arrived: bool,
+}
+
+/// Result of reading from the attempts.
+pub(crate) enum StreamRead {
+    /// Complete events.
+    Events(Bytes),
+    /// The stream is complete; contains the head of its response, and the blank lines and comments after its last event.
+    Complete(Response<()>, Bytes),
+    /// A replica responded with an error before the first event.
+    Error(Box<StreamSegment>),
+    /// No attempt is left and none can be made.
+    Ended(Refusal),
+}
+
+/// How an attempt began.
+enum AttemptStart {
+    /// The replica responded with success; contains the first events or the end of the stream.
+    Responded(Box<StreamSegment>, SegmentRead),
+    /// The replica responded with an error.
+    Error(Box<StreamSegment>),
+    /// There is no usable response.
+    Failed(SendOutcome),
+}
+
+/// What happens next to the attempts.
+enum AttemptEvent {
+    Read(SegmentRead),
+    Started(AttemptStart),
+    Silent,
+    DeadlinePassed,
+}
+
+impl StreamAttempts {
+    /// Creates the attempts of `call`; the first one is made by the first read.
+    pub(crate) fn new(shared: Arc<EntryShared>, call: Arc<ClientCall>) -> Self {
+        Self {
+            last_event_id: call.metadata.last_event_id,
+            shared,
+            call,
+            tried: Vec::new(),
+            newest: None,
+            serving: None,
+            starting: FuturesUnordered::new(),
+            ask_at: None,
+            is_silent: false,
+            has_events: false,
+            may_have_run: false,
+            has_arrived: false,
+        }
+    }
+
+    /// Returns the id of the replica that the request was sent to last.
+    pub(crate) fn last_replica(&self) -> Option<&str> {
+        let serving = self.serving.as_ref().map(|it| &it.chosen.replica.id);
+        serving.or(self.tried.last()).map(String::as_str)
+    }
+
+    /// Returns the id of the last event that was read.
+    pub(crate) fn last_event_id(&self) -> Option<u64> {
+        self.last_event_id
+    }
+
+    /// Returns the head of the response for the client.
+    ///
+    /// # Panics
+    ///
+    /// Panics unless the last read has returned events.
+    pub(crate) fn response_head(&self) -> Response<()> {
+        let serving = self.serving.as_ref();
+        serving
+            .expect("events are read from an attempt")
+            .response_head()
+    }
+
+    /// Reads until events arrive or the stream ends. Asks further replicas after failures and during silences.
+    pub(crate) async fn read(&mut self) -> StreamRead {
+        if self.serving.is_some() && self.ask_at.is_none() {
+            // Counted from the call, because the time that the client took for earlier events is no silence.
+            self.ask_at = after(self.call.route.silence_timeout());
+        }
+        loop {
+            if self.serving.is_none()
+                && self.starting.is_empty()
+                && let Err(denial) = self.ask_replica()
+            {
+                return StreamRead::Ended(self.refusal(denial));
+            }
+            let read = match self.next_event().await {
+                AttemptEvent::Read(read) => self.handle_read(read),
+                AttemptEvent::Started(start) => self.handle_start(start),
+                AttemptEvent::Silent => {
+                    self.handle_silence();
+                    None
+                }
+                AttemptEvent::DeadlinePassed => {
+                    self.may_have_run = true;
+                    return StreamRead::Ended(self.refusal(RetryDenial::Deadline));
+                }
+            };
+            if let Some(read) = read {
+                return read;
+            }
+        }
+    }
+
+    async fn next_event(&mut self) -> AttemptEvent {
+        let deadline = Some(self.call.deadline);
+        tokio::select! {
+            biased;
+            read = read_serving(self.serving.as_mut()) => AttemptEvent::Read(read),
+            Some(start) = self.starting.next() => AttemptEvent::Started(start),
+            () = sleep_until(self.ask_at) => AttemptEvent::Silent,
+            () = sleep_until(deadline) => AttemptEvent::DeadlinePassed,
+        }
+    }
+
+    fn handle_read(&mut self, read: SegmentRead) -> Option<StreamRead> {
+        let segment = self.serving.take()?;
+        if self.is_silent {
+            self.record_return(&segment);
+        }
+        self.continue_with(segment, read)
+    }
+
+    fn handle_start(&mut self, start: AttemptStart) -> Option<StreamRead> {
+        match start {
+            AttemptStart::Responded(segment, SegmentRead::Interrupted(interruption)) => {
+                segment.record_interruption(&self.shared, &self.call, interruption);
+                self.may_have_run = true;
+                self.has_arrived = true;
+            }
+            AttemptStart::Responded(mut segment, read) => {
+                if self.has_events {
+                    segment.record_resumed(&self.shared, &self.call, self.last_event_id);
+                } else {
+                    segment.record_first_event(&self.shared, &self.call);
+                }
+                if let Some(silent) = self.serving.take() {
+                    silent.record_replacement(&self.shared);
+                }
+                return self.continue_with(*segment, read);
+            }
+            AttemptStart::Error(segment) => {
+                self.has_arrived = true;
+                if !self.has_events && !self.is_replaceable(&segment) {
+                    self.starting.clear();
+                    return Some(StreamRead::Error(segment));
+                }
+                self.may_have_run = true;
+            }
+            AttemptStart::Failed(outcome) => match outcome {
+                SendOutcome::NotRun(reason) => self.has_arrived = reason.has_arrived(),
+                SendOutcome::Unknown(_) | SendOutcome::Response(..) => {
+                    self.may_have_run = true;
+                    self.has_arrived = true;
+                }
+            },
+        }
+        // The attempts that are left are silent already.
+        self.ask_at = Some(Instant::now());
+        None
+    }
+
+    /// Makes `segment` the attempt that is relayed, and cancels all others.
+    fn continue_with(&mut self, segment: StreamSegment, read: SegmentRead) -> Option<StreamRead> {
+        match read {
+            SegmentRead::Events(bytes) => {
+                self.starting.clear();
+                self.is_silent = false;
+                self.has_events = true;
+                // Comments do not interrupt a silence.
+                if segment.last_event_id() != self.last_event_id {
+                    self.last_event_id = segment.last_event_id();
+                    self.ask_at = None;
+                }
+                self.serving = Some(segment);
+                Some(StreamRead::Events(bytes))
+            }
+            SegmentRead::Complete(rest) => {
+                self.starting.clear();
+                segment.record_completion(&self.shared);
+                let head = segment.response_head();
+                let (_, connection, address) = segment.pooled_response.into_parts();
+                return_connection(&self.shared, connection, address, &segment.metadata);
+                Some(StreamRead::Complete(head, rest))
+            }
+            SegmentRead::Interrupted(interruption) => {
+                segment.record_interruption(&self.shared, &self.call, interruption);
+                self.may_have_run = true;
+                self.has_arrived = true;
+                None
+            }
+        }
+    }
+
+    /// Returns whether the error response of an attempt is replaced by another attempt, which is made if necessary.
+    fn is_replaceable(&mut self, segment: &StreamSegment) -> bool {
+        if !segment.status().is_server_error() || !self.call.route.is_retryable() {
+            return false;
+        }
+        if !self.starting.is_empty() {
+            return true;
+        }
+        self.ask_replica()
+            .inspect_err(|denial| log_denial(&self.shared, &self.call, *denial, &self.tried))
+            .is_ok()
+    }
+
+    /// Asks another replica, while the silent one may still go on.
+    fn handle_silence(&mut self) {
+        self.ask_at = None;
+        self.has_arrived = true;
+        self.record_silence();
+        if let Err(denial) = self.ask_replica() {
+            log_denial(&self.shared, &self.call, denial, &self.tried);
+            if !denial.is_final() {
+                self.ask_at = after(self.call.route.silence_timeout());
+            }
+        }
+    }
+
+    /// Sends the request to a replica that was not tried yet.
+    fn ask_replica(&mut self) -> Result<(), RetryDenial> {
+        if self.call.time_remaining() < MIN_SEND_TIME {
+            return Err(RetryDenial::Deadline);
+        }
+        if self.may_have_run && !self.call.route.is_retryable() {
+            return Err(RetryDenial::NotRepeatable);
+        }
+        let chosen = choose_replica(&self.shared, &self.call, &self.tried, self.last_event_id);
+        let chosen = chosen.map_err(|cause| {
+            log_no_replica(&self.shared, &self.call, cause, &self.tried);
+            RetryDenial::from(cause)
+        })?;
+        if !self.tried.is_empty() {
+            acquire_retry(&self.shared, &self.call, self.has_arrived)?;
+        }
+        self.call.record_send();
+        let predicted = chosen.predicted_ms / 1000.0;
+        self.shared.metrics.predicted_first_event.observe(predicted);
+        self.tried.push(chosen.replica.id.clone());
+        self.newest = Some(chosen.clone());
+        self.is_silent = false;
+        self.ask_at = after(chosen.silence_timeout(&self.call.route));
+        self.starting.push(Box::pin(start_attempt(
+            self.shared.clone(),
+            self.call.clone(),
+            chosen,
+            self.last_event_id,
+        )));
+        Ok(())
+    }
+
+    /// Returns the response for the client if no attempt is left.
+    fn refusal(&self, denial: RetryDenial) -> Refusal {
+        let is_expired = denial == RetryDenial::Deadline;
+        match denial {
+            _ if self.may_have_run && is_expired => Refusal::TimedOut,
+            _ if self.may_have_run => Refusal::Unknown,
+            _ if is_expired => Refusal::Expired,
+            _ if !self.tried.is_empty() => Refusal::RefusedByReplicas,
+            RetryDenial::Overloaded => Refusal::Overloaded,
+            _ => Refusal::NoReplica,
+        }
+    }
+
+    /// Records that the newest attempt is silent.
+    fn record_silence(&mut self) {
+        if std::mem::replace(&mut self.is_silent, true) {
+            return;
+        }
+        let serving = self.serving.as_ref().map(|it| &it.chosen);
+        let newest = self.newest.as_ref().filter(|_| !self.starting.is_empty());
+        let Some(silent) = newest.or(serving) else {
+            return;
+        };
+        let id = &silent.replica.id;
+        self.shared
+            .state()
+            .health
+            .record_outcome(id, ReplicaOutcome::Unreachable, Instant::now());
+        self.shared
+            .replica_client
+            .drop_idle_connections(silent.replica.address);
+        self.log_silence("replica silent", id);
+    }
+
+    /// Records that a silent replica has gone on.
+    fn record_return(&self, segment: &StreamSegment) {
+        let id = &segment.chosen.replica.id;
+        self.shared
+            .state()
+            .health
+            .record_outcome(id, ReplicaOutcome::Served, Instant::now());
+        self.log_silence("silent replica went on", id);
+    }
+
+    fn log_silence(&self, message: &'static str, replica: &str) {
+        if self.shared.may_log(LogKind::Failed) {
+            info!(
+                self.shared.log, "{}", message;
+                "request" => self.call.id(),
+                "replica" => replica,
+                "last_event" => self.last_event_id,
+                "attempts" => self.starting.len() + usize::from(self.serving.is_some()),
+                "left_ms" => millis(self.call.time_remaining()),
+            );
+        }
+    }
+}
+
+/// Sends the request to `chosen` and waits for the first event, or until the weights of the replica are too old.
+async fn start_attempt(
+    shared: Arc<EntryShared>,
+    call: Arc<ClientCall>,
+    chosen: ChosenReplica,
+    last_event_id: Option<u64>,
+) -> AttemptStart {
+    let mut segment = match StreamSegment::open(&shared, &call, &chosen, last_event_id).await {
+        Ok(segment) => segment,
+        Err(outcome) => return AttemptStart::Failed(outcome),
+    };
+    if !segment.status().is_success() {
+        return AttemptStart::Error(Box::new(segment));
+    }
+    let read = segment.read_first_events().await;
+    AttemptStart::Responded(Box::new(segment), read)
+}
+
+async fn read_serving(serving: Option<&mut StreamSegment>) -> SegmentRead {
+    match serving {
+        Some(segment) => segment.read_events(None).await,
+        None => future::pending().await,
+    }
+}
+
+async fn sleep_until(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time.into()).await,
+        None => future::pending().await,
+    }
+}
+
+fn after(delay: Option<Duration>) -> Option<Instant> {
+    delay.map(|it| Instant::now() + it)
+}
--- a/crates/ingress/src/stream_segment.rs
+++ b/crates/ingress/src/stream_segment.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use fleet::{ChosenReplica, LogKind, ReplicaOutcome, StreamCursor, StreamError};
 use http_body_util::BodyExt;
-use httpio::{BodyFraming, Incoming, PooledResponse, Response};
+use httpio::{BodyFraming, Incoming, PooledResponse, Response, StatusCode};
 use platform::ResponseMetadata;
 use slog::info;
 
@@ -14,7 +14,6 @@
 use crate::entry_shared::EntryShared;
 use crate::in_flight_guard::InFlightGuard;
 use crate::replica_send::{SendOutcome, send};
-use crate::request_handler::RelayOutcome;
 
 /// The segment of a stream that one replica sends.
 pub(crate) struct StreamSegment {
@@ -22,6 +21,7 @@
     pub(crate) metadata: ResponseMetadata,
     pub(crate) chosen: ChosenReplica,
     framing: BodyFraming,
+    cursor: StreamCursor,
     guard: InFlightGuard,
     sent_at: Instant,
 }
@@ -41,8 +41,6 @@
 pub(crate) enum Interruption {
     /// The connection was lost, or the response ended before the end that its length or chunks announce.
     ConnectionLost,
-    /// No event arrived in time.
-    Stalled,
     /// The first event did not arrive before the weights of the replica became too old.
     Withdrawn,
     /// The response ended although the stream is not complete, or an event is missing, duplicated or too large.
@@ -54,7 +52,6 @@
     fn label(self) -> &'static str {
         match self {
             Self::ConnectionLost => "connection_lost",
-            Self::Stalled => "stalled",
             Self::Withdrawn => "withdrawn",
             Self::Stream(StreamError::Order | StreamError::TooLarge) => "bad_event",
             Self::Stream(StreamError::InsideEvent) => "inside_event",
@@ -62,41 +59,65 @@
         }
     }
 
-    fn replica_outcome(self) -> ReplicaOutcome {
+    /// Returns what the reason says about the replica, if anything.
+    fn replica_outcome(self) -> Option<ReplicaOutcome> {
         match self {
-            Self::ConnectionLost | Self::Stalled | Self::Withdrawn => ReplicaOutcome::Unreachable,
-            Self::Stream(_) => ReplicaOutcome::Failed,
+            Self::ConnectionLost => Some(ReplicaOutcome::Unreachable),
+            Self::Withdrawn => None,
+            Self::Stream(_) => Some(ReplicaOutcome::Failed),
         }
     }
 }
 
 impl StreamSegment {
     /// Sends `call` to `chosen` and returns once the head of the response has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Returns the outcome of the send if there is no usable response.
     pub(crate) async fn open(
         shared: &Arc<EntryShared>,
         call: &Arc<ClientCall>,
         chosen: &ChosenReplica,
         last_event_id: Option<u64>,
-    ) -> Result<Self, RelayOutcome> {
+    ) -> Result<Self, SendOutcome> {
         let guard =
             InFlightGuard::new(shared, &chosen.replica.id, call.metadata.size.prompt_tokens);
         let sent_at = Instant::now();
-        let wait = chosen
-            .first_event_timeout(&call.route)
-            .min(call.time_remaining());
-        match send(shared, call, chosen, last_event_id, wait).await {
+        let time_remaining = call.time_remaining();
+        let wait = chosen.must_start_within.unwrap_or(time_remaining);
+        match send(
+            shared,
+            call,
+            chosen,
+            last_event_id,
+            wait.min(time_remaining),
+        )
+        .await
+        {
             SendOutcome::Response(pooled_response, metadata) => Ok(Self {
                 framing: BodyFraming::of(&pooled_response.response),
                 pooled_response: *pooled_response,
                 metadata,
                 chosen: chosen.clone(),
+                cursor: StreamCursor::new(last_event_id),
                 guard,
                 sent_at,
             }),
-            failed => Err(RelayOutcome::from_failed_send(&failed)),
+            failed => Err(failed),
         }
     }
 
+    /// Returns the status code of the response.
+    pub(crate) fn status(&self) -> StatusCode {
+        self.pooled_response.response.status()
+    }
+
+    /// Returns the id of the last event that was read, or of the one that the client had before.
+    pub(crate) fn last_event_id(&self) -> Option<u64> {
+        self.cursor.last_id()
+    }
+
     /// Returns the head of the response for the client.
     pub(crate) fn response_head(&self) -> Response<()> {
         let replica_response = &self.pooled_response.response;
@@ -106,25 +127,32 @@
         response
     }
 
-    /// Reads until a complete event has arrived, the segment has ended, or `wait` has passed.
-    pub(crate) async fn read_events(
-        &mut self,
-        cursor: &mut StreamCursor,
-        wait: Duration,
-    ) -> SegmentRead {
-        let deadline = tokio::time::Instant::now() + wait;
+    /// Reads the first events as [`Self::read_events`] does, unless the weights of the replica become too old before.
+    pub(crate) async fn read_first_events(&mut self) -> SegmentRead {
+        let must_start_by = self.chosen.must_start_within.map(|it| self.sent_at + it);
+        self.read_events(must_start_by).await
+    }
+
+    /// Reads until a complete event has arrived, the segment has ended, or the time `withdraw_at` has come.
+    pub(crate) async fn read_events(&mut self, withdraw_at: Option<Instant>) -> SegmentRead {
         loop {
             let body: &mut Incoming = self.pooled_response.response.body_mut();
-            let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
-                Err(_) => return SegmentRead::Interrupted(self.silence(cursor)),
-                Ok(None) => return self.finish(cursor),
-                Ok(Some(Err(_))) => return SegmentRead::Interrupted(Interruption::ConnectionLost),
-                Ok(Some(Ok(frame))) => frame,
+            let frame = match withdraw_at {
+                None => body.frame().await,
+                Some(time) => match tokio::time::timeout_at(time.into(), body.frame()).await {
+                    Err(_) => return SegmentRead::Interrupted(Interruption::Withdrawn),
+                    Ok(frame) => frame,
+                },
+            };
+            let frame = match frame {
+                None => return self.finish(),
+                Some(Err(_)) => return SegmentRead::Interrupted(Interruption::ConnectionLost),
+                Some(Ok(frame)) => frame,
             };
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            match cursor.push(&data) {
+            match self.cursor.push(&data) {
                 Ok(Some(events)) => return SegmentRead::Events(Bytes::from(events.bytes)),
                 Ok(None) => {}
                 Err(err) => return SegmentRead::Interrupted(Interruption::Stream(err)),
@@ -132,35 +160,35 @@
         }
     }
 
-    /// Returns why the segment ends after no event has arrived in time.
-    fn silence(&self, cursor: &StreamCursor) -> Interruption {
-        let is_withdrawn = !cursor.segment_has_events()
-            && self
-                .chosen
-                .must_start_within
-                .is_some_and(|it| self.elapsed() >= it);
-        if is_withdrawn {
-            Interruption::Withdrawn
-        } else {
-            Interruption::Stalled
-        }
-    }
-
-    fn finish(&self, cursor: &mut StreamCursor) -> SegmentRead {
-        match cursor.finish(self.framing != BodyFraming::Connection) {
+    fn finish(&mut self) -> SegmentRead {
+        match self.cursor.finish(self.framing != BodyFraming::Connection) {
             Ok(rest) => SegmentRead::Complete(Bytes::from(rest)),
             Err(err) => SegmentRead::Interrupted(Interruption::Stream(err)),
         }
     }
 
-    /// Returns the time since the request was sent to the replica.
-    pub(crate) fn elapsed(&self) -> Duration {
-        self.sent_at.elapsed()
+    /// Records that the replica continues a stream after the event `after`, which says nothing about the time to the
+    /// client's first event.
+    pub(crate) fn record_resumed(
+        &mut self,
+        shared: &EntryShared,
+        call: &ClientCall,
+        after: Option<u64>,
+    ) {
+        self.guard.record_first_event();
+        if shared.may_log(LogKind::Failed) {
+            info!(
+                shared.log, "stream resumed";
+                "request" => call.id(),
+                "replica" => &self.chosen.replica.id,
+                "after_event" => after,
+            );
+        }
     }
 
-    /// Records the first event of a resumed stream, which says nothing about the time to the client's first event.
-    pub(crate) fn record_resumed(&mut self) {
-        self.guard.record_first_event();
+    /// Records that another replica has continued the stream while this one was silent.
+    pub(crate) fn record_replacement(&self, shared: &EntryShared) {
+        self.count_end(shared, "replaced");
     }
 
     /// Records the first event of a stream.
@@ -209,15 +237,15 @@
         shared: &EntryShared,
         call: &ClientCall,
         interruption: Interruption,
-        cursor: &StreamCursor,
     ) {
         // If the request's deadline has passed or is about to, that is not a fault of the replica.
-        if call.time_remaining() >= MIN_RESUME_TIME {
-            shared.state().health.record_outcome(
-                &self.chosen.replica.id,
-                interruption.replica_outcome(),
-                Instant::now(),
-            );
+        if call.time_remaining() >= MIN_JUDGED_TIME
+            && let Some(outcome) = interruption.replica_outcome()
+        {
+            shared
+                .state()
+                .health
+                .record_outcome(&self.chosen.replica.id, outcome, Instant::now());
         }
         self.count_end(shared, interruption.label());
         if !shared.may_log(LogKind::Failed) {
@@ -229,8 +257,8 @@
             "replica" => &self.chosen.replica.id,
             "why" => interruption.label(),
             "framing" => self.framing.label(),
-            "last_event" => cursor.last_id(),
-            "partial_bytes" => cursor.partial_len(),
+            "last_event" => self.cursor.last_id(),
+            "partial_bytes" => self.cursor.partial_len(),
             "left_ms" => millis(call.time_remaining()),
         );
     }
@@ -250,5 +278,5 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Minimum remaining time for which a stream is still resumed.
-pub(crate) const MIN_RESUME_TIME: Duration = Duration::from_millis(100);
+/// Minimum remaining time in which a broken stream still counts as a failure of its replica.
+const MIN_JUDGED_TIME: Duration = Duration::from_millis(100);
