A version is loaded before a newer one only if that gains time with allowed weights

Cause: the rule of that a version is finished first if the newest one came a tenth of the switch time later, or if a replica elsewhere serves it.

Ruled out: the streams of silent replicas (the fall is on as well); the origin, which sent 2 copies in both.

Change: both plans are compared by the time without allowed weights; a version that is returned to keeps its staged pieces.

--- a/crates/fleet/src/switch_deadlines.rs
+++ b/crates/fleet/src/switch_deadlines.rs
@@ -43,47 +43,53 @@
 
     /// Returns the version that a replica is to load next if it serves version `serving`, or none.
     ///
-    /// This is the newest version, or the one before it if its transfer has most likely progressed: if the origin became
-    /// unavailable now, a version that is almost transferred could be served long before one that has just been
-    /// declared. If `has_holder` says that a replica already serves the newest version, that one is transferred within
-    /// seconds, while the one before it may no longer be served by any. `has_progress` says whether the agent has pieces of
-    /// a version, or a replica serves it: a version that was declared while nobody could learn of it has no head start,
-    /// and agents that know it would be separated from those that do not.
+    /// This is the newest version or the one before it, whichever leaves the replica without an allowed version for less
+    /// time: finishing the previous version costs a further load and delays the newest one, skipping it leaves nothing
+    /// to serve if the newest one arrives too late. `staged_share` returns the share of the pieces of a version that are
+    /// staged. See `docs/decisions/0044-versions-in-a-row.md`.
     pub fn version_to_load(
         &self,
         serving: Option<u64>,
-        has_holder: impl Fn(u64) -> bool,
-        has_progress: impl Fn(u64) -> bool,
+        staged_share: impl Fn(u64) -> f64,
         now: Instant,
     ) -> u64 {
         let mut newest_first = self.declared.iter().rev();
         let Some((newest, newest_declared)) = newest_first.next() else {
             return serving.unwrap_or_default();
         };
-        let Some((previous, previous_declared)) = newest_first.next() else {
+        let previous = newest_first.next().map(|it| *it.0);
+        let Some(previous) = previous.filter(|it| serving < Some(*it)) else {
             return *newest;
         };
-        let head_start = newest_declared.saturating_duration_since(*previous_declared);
-        let reserve = self.switch_time / LOAD_RESERVE_DIVISOR;
-        let is_last_chance = now + reserve >= *newest_declared + self.switch_time;
-        let is_served = serving >= Some(*previous);
-        let is_too_early = head_start < self.switch_time / MIN_HEAD_START_DIVISOR;
-        let is_hopeless = is_served || is_last_chance || is_too_early;
-        if is_hopeless || has_holder(*newest) || !has_progress(*previous) {
-            *newest
+        let serving_ends = serving.and_then(|it| self.deadline(it)).unwrap_or(now);
+        let switch = *newest_declared + self.switch_time;
+        let transfer_time = self.switch_time / TRANSFER_DIVISOR;
+        let whole_at = |version: u64, start: Instant| {
+            start + transfer_time.mul_f64(1.0 - staged_share(version).clamp(0.0, 1.0))
+        };
+        let previous_whole = whole_at(previous, now);
+        if previous_whole + LOAD_TIME >= switch {
+            return *newest;
+        }
+        let newest_after_previous = whole_at(*newest, previous_whole + LOAD_TIME);
+        let skip_cost =
+            LOAD_TIME + whole_at(*newest, now).saturating_duration_since(serving_ends.max(now));
+        let finish_cost = 2 * LOAD_TIME
+            + previous_whole.saturating_duration_since(serving_ends.max(now))
+            + newest_after_previous.saturating_duration_since(switch);
+        if finish_cost < skip_cost {
+            previous
         } else {
-            *previous
+            *newest
         }
     }
 }
 
-/// Part of the switch time that a version must have been declared before the newest one to be loaded first. Deadlines
-/// leave time for about three transfers from the origin, so this is a third of a transfer.
-const MIN_HEAD_START_DIVISOR: u32 = 10;
+/// Part of the switch time that a transfer takes if nothing disturbs it.
+const TRANSFER_DIVISOR: u32 = 2;
 
-/// Part of the switch time before the newest version takes effect in which the one before it is not worth loading any
-/// more: replicas need about as long to load staged weights.
-const LOAD_RESERVE_DIVISOR: u32 = 16;
+/// Time for which a replica takes no requests during a load, because the streams in progress end first.
+const LOAD_TIME: Duration = Duration::from_millis(1000);
 
 /// Maximum number of stored versions; older ones took effect long ago.
 const MAX_VERSIONS: usize = 8;
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::{FeedMirror, FeedTable, RouteTable, SwitchDeadlines, WeightOrigin};
+use fleet::{FeedTable, RouteTable, SwitchDeadlines, WeightOrigin};
 use platform::{CONFIG_KEY, VERSION_PREFIX};
 use slog::{info, warn};
 
@@ -133,20 +133,12 @@
         .filter(|it| it.name == target.model)
         .map(|it| it.version);
     let serving = serving.max().max(state.ordered_version);
-    let has_holder = |version: u64| {
-        let feed = state.feeds.get(&FeedTable::Replicas);
-        let rows = feed.into_iter().flat_map(FeedMirror::rows);
-        // Registrations that cannot be decoded are skipped silently: entries read the same table and log them.
-        let mut replicas = rows.filter_map(|it| platform::decode_replica(it.0, it.1).ok());
-        replicas.any(|it| it.version_of(&target.model) == Some(version))
-    };
-    let has_progress = |version: u64| {
+    let staged_share = |version: u64| {
         let staged = state.staged_pieces.pieces(&target.model, version);
-        let is_begun = staged.is_some_and(|it| it.count() * MIN_PROGRESS_DIVISOR >= it.len());
-        is_begun || has_holder(version)
+        staged.map_or(0.0, |it| it.count() as f64 / it.len().max(1) as f64)
     };
     let deadlines = &state.deadlines;
-    target.version = deadlines.version_to_load(serving, has_holder, has_progress, Instant::now());
+    target.version = deadlines.version_to_load(serving, staged_share, Instant::now());
     if state.target.as_ref() == Some(&target) {
         return;
     }
@@ -180,9 +172,6 @@
     state.deadlines.declare(target.version, now);
 }
 
-/// Part of the pieces of a version that must be staged for it to be finished before a newer one.
-const MIN_PROGRESS_DIVISOR: usize = 4;
-
 /// Time without a message from entries after which the store is read; three message intervals.
 const DECLARATION_TIMEOUT: Duration = Duration::from_millis(2200);
 
--- a/crates/stager/src/staged_pieces.rs
+++ b/crates/stager/src/staged_pieces.rs
@@ -15,13 +15,13 @@
 pub(crate) struct StagedPieces {
     current: Option<StagedVersion>,
     previous: Option<StagedVersion>,
-    verified_at: Vec<Option<Instant>>,
 }
 
 #[derive(Debug)]
 struct StagedVersion {
     manifest: Arc<PieceManifest>,
     staged: PieceSet,
+    verified_at: Vec<Option<Instant>>,
 }
 
 impl StagedPieces {
@@ -37,12 +37,23 @@
             for (index, (before, after)) in digests.enumerate() {
                 if is_same_model && before == after && previous.staged.contains(index) {
                     staged.insert(index);
-                    verified_at[index] = self.verified_at[index];
+                    verified_at[index] = previous.verified_at[index];
                 }
             }
         }
-        self.verified_at = verified_at;
-        self.current = Some(StagedVersion { manifest, staged });
+        self.current = Some(StagedVersion {
+            manifest,
+            staged,
+            verified_at,
+        });
+    }
+
+    /// Tracks the version before the current one again if it is `target`, with the pieces that are still staged.
+    pub(crate) fn return_to(&mut self, target: &WeightTarget) {
+        let previous = self.previous.as_ref();
+        if previous.is_some_and(|it| it.is(&target.model, target.version)) {
+            std::mem::swap(&mut self.current, &mut self.previous);
+        }
     }
 
     /// Returns the manifest if `version` of `model` is the tracked version or the one before it.
@@ -72,30 +83,28 @@
     /// Marks all pieces as staged, because the replica already serves the version. The digest of each is checked before
     /// it is sent to another agent.
     pub(crate) fn mark_all_staged(&mut self, now: Instant) {
-        for index in 0..self.verified_at.len() {
+        let len = self.current.as_ref().map_or(0, |it| it.staged.len());
+        for index in 0..len {
             self.record_verified(index, now);
         }
     }
 
     /// Records that a piece was written to the replica or that its digest matches.
     pub(crate) fn record_verified(&mut self, index: usize, now: Instant) {
-        self.verified_at[index] = Some(now);
         if let Some(current) = &mut self.current {
+            current.verified_at[index] = Some(now);
             current.staged.insert(index);
         }
         if let Some(previous) = &mut self.previous {
-            previous.staged.remove(index);
+            previous.remove(index);
         }
     }
 
     /// Records that a piece is missing or corrupt.
     pub(crate) fn record_missing(&mut self, index: usize) {
-        if let Some(it) = self.verified_at.get_mut(index) {
-            *it = None;
-        }
         let versions = [&mut self.current, &mut self.previous];
         for version in versions.into_iter().flatten() {
-            version.staged.remove(index);
+            version.remove(index);
         }
     }
 
@@ -107,9 +116,11 @@
 
     /// Returns the indices of the staged pieces that were last verified before `cutoff`.
     pub(crate) fn verified_before(&self, cutoff: Instant) -> Vec<usize> {
-        (0..self.verified_at.len())
-            .filter(|it| self.verified_at[*it].is_some_and(|verified_at| verified_at < cutoff))
-            .collect()
+        let verified_at = self.current.iter().flat_map(|it| &it.verified_at);
+        let outdated = verified_at
+            .enumerate()
+            .filter(|it| it.1.is_some_and(|it| it < cutoff));
+        outdated.map(|it| it.0).collect()
     }
 
     /// Clears the record, because a new incarnation of the replica may have lost its staged pieces.
@@ -125,6 +136,13 @@
 }
 
 impl StagedVersion {
+    fn remove(&mut self, index: usize) {
+        if let Some(verified_at) = self.verified_at.get_mut(index) {
+            *verified_at = None;
+        }
+        self.staged.remove(index);
+    }
+
     fn is(&self, model: &str, version: u64) -> bool {
         self.manifest.model == model && self.manifest.version == version
     }
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -182,6 +182,7 @@
     target: &WeightTarget,
     attempts: &mut ManifestAttempts,
 ) -> Option<f64> {
+    shared.state().staged_pieces.return_to(target);
     let has_manifest = shared.state().staged_pieces.of(target).is_some();
     if has_manifest && shared.state().staged_pieces.missing_count() == 0 {
         // An earlier attempt did not lead to a load and has already used up time, so load without a delay.
