A silent engine no longer ends a stream of the own interface

What callers saw: on the own interface, a stream whose engine sent nothing for 3 s, while its connection was whole, ended with `event: error`, 304 stream-cut, if no other engine could continue it, although the first one went on.

Cause: the relay gave up the attempt after 3 s of silence, before another engine had taken over, and excluded its host.

Ruled out: the gate, which has no time-out on responses, and a rollout, which waits until its engine is idle.

Change: silence starts another attempt and keeps the silent one. The first to send the next token is kept, the others are cancelled; without another attempt the relay waits until the deadline or a broken connection. The stand-in engine can pause between tokens and notices a client that leaves meanwhile.

--- a/crates/entry/src/calls/attempt_plan.rs
+++ b/crates/entry/src/calls/attempt_plan.rs
@@ -25,6 +25,8 @@
     pub(crate) prefix_digest: Option<u64>,
     /// Hosts that further attempts avoid; shared between a lookup and its hedge.
     pub(crate) tried_hosts: Arc<Mutex<BTreeSet<HostName>>>,
+    /// Hosts of attempts that are still running; a further attempt beside them must run elsewhere.
+    pub(crate) running_hosts: BTreeSet<HostName>,
 }
 
 /// Outcome of one attempt.
@@ -48,6 +50,7 @@
             cost: 1,
             prefix_digest: None,
             tried_hosts: Arc::default(),
+            running_hosts: BTreeSet::new(),
         }
     }
 
@@ -58,10 +61,12 @@
             .insert(host.clone());
     }
 
-    pub(crate) fn tried_hosts(&self) -> BTreeSet<HostName> {
-        self.tried_hosts
+    /// Returns the hosts at which no further attempt may start.
+    pub(crate) fn avoided_hosts(&self) -> BTreeSet<HostName> {
+        let tried = self
+            .tried_hosts
             .lock()
-            .expect("no thread panics while it holds the plan lock")
-            .clone()
+            .expect("no thread panics while it holds the plan lock");
+        &*tried | &self.running_hosts
     }
 }
--- a/crates/entry/src/calls/dispatch_state.rs
+++ b/crates/entry/src/calls/dispatch_state.rs
@@ -27,7 +27,7 @@
     pub(crate) deadline: Instant,
     pub(crate) version: Option<VersionDigest>,
     pub(crate) prefix_digest: Option<u64>,
-    pub(crate) tried_hosts: BTreeSet<HostName>,
+    pub(crate) avoided_hosts: BTreeSet<HostName>,
 }
 
 /// Queued request.
@@ -78,7 +78,7 @@
             .filter(|it| it.kind == self.target && it.state == GateState::Open)
             .filter(|it| drains.is_none_or(|drains| !drains.contains(&it.host)))
             .filter(|it| self.version.is_none() || it.serving == self.version)
-            .filter(|it| !self.tried_hosts.contains(&it.host))
+            .filter(|it| !self.avoided_hosts.contains(&it.host))
             .collect()
     }
 
--- a/crates/entry/src/calls/dispatcher.rs
+++ b/crates/entry/src/calls/dispatcher.rs
@@ -232,7 +232,7 @@
             deadline: call.deadline,
             version: plan.version,
             prefix_digest: plan.prefix_digest,
-            tried_hosts: plan.tried_hosts(),
+            avoided_hosts: plan.avoided_hosts(),
         }
     }
 }
--- a/crates/entry/src/calls/mod.rs
+++ b/crates/entry/src/calls/mod.rs
@@ -15,6 +15,7 @@
 mod order_table;
 mod service_call;
 mod slot_scheduler;
+mod stream_attempts;
 mod stream_events;
 mod stream_relay;
 mod target_response;
--- a/crates/entry/src/calls/slot_scheduler.rs
+++ b/crates/entry/src/calls/slot_scheduler.rs
@@ -117,6 +117,13 @@
         self.dispatch_queued(&row.kind);
     }
 
+    /// Returns whether a target can serve the request, regardless of its capacity.
+    pub(crate) fn has_target(&self, slot_request: &SlotRequest) -> bool {
+        !slot_request
+            .candidate_rows(&self.snapshots.load())
+            .is_empty()
+    }
+
     /// Records that a request failed because every gate was at its limit.
     pub(crate) fn on_overload(&self) {
         self.counters.on_overload(OverloadCause::TargetsFull);
--- a/crates/entry/src/calls/target_response.rs
+++ b/crates/entry/src/calls/target_response.rs
@@ -1,5 +1,8 @@
 //! A target's response whose body has not been read, with the slot of its request.
 
+use std::pin::pin;
+use std::task::{Context, Poll, ready};
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use httpio::{HttpClient, Incoming, PooledResponse, Response};
@@ -33,16 +36,21 @@
         &self.pooled_response.response
     }
 
-    /// Returns the next data frame of the body, or `None` at its end.
-    pub(crate) async fn next_chunk(&mut self) -> Option<std::io::Result<Bytes>> {
+    /// Polls for the next data frame of the body, or `None` at its end.
+    pub(crate) fn poll_chunk(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::io::Result<Bytes>>> {
         loop {
-            match self.pooled_response.response.body_mut().frame().await? {
-                Ok(frame) => match frame.into_data() {
-                    Ok(bytes) => return Some(Ok(bytes)),
+            let frame = pin!(self.pooled_response.response.body_mut().frame());
+            return match ready!(frame.poll(cx)) {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(bytes) => Poll::Ready(Some(Ok(bytes))),
                     Err(_) => continue,
                 },
-                Err(err) => return Some(Err(std::io::Error::other(err))),
-            }
+                Some(Err(err)) => Poll::Ready(Some(Err(std::io::Error::other(err)))),
+                None => Poll::Ready(None),
+            };
         }
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -40,7 +40,7 @@
 pub use overload_tracker::{OverloadState, OverloadTracker, OverloadTransition};
 pub use prefix_table::PrefixTable;
 pub use queue_request::{QueueLimits, QueueRefusal, QueueRequest, QueueTicket};
-pub use resumable_stream::{RecoveryAction, ResumableStream, TokenAction};
+pub use resumable_stream::{RecoveryAction, ResumableStream, SilenceAction, TokenAction};
 pub use retry_budget::RetryBudget;
 pub use target_choice::{ChoiceRequest, ChoiceStrategy, TargetCandidate, choose_target};
 pub use wait_estimate::{expected_wait, has_capacity, in_flight};
--- a/crates/standin/src/engine/engine_faults.rs
+++ b/crates/standin/src/engine/engine_faults.rs
@@ -10,6 +10,9 @@
     pub slow_factor: f64,
     /// Whether the engine hangs: it accepts requests and does not respond.
     pub hang: bool,
+    /// Whether the engine sends no tokens, and continues with the next one once the fault has ended. Its state and its
+    /// load remain readable.
+    pub pause_tokens: bool,
     /// Whether load orders fail after the weights were fetched.
     pub fail_loads: bool,
     /// Number of following requests that are refused with status 503.
@@ -20,11 +23,19 @@
     pub unframed: bool,
 }
 
+impl EngineFaults {
+    /// Returns whether the next token is held back.
+    pub(crate) fn holds_tokens(&self) -> bool {
+        self.hang || self.pause_tokens
+    }
+}
+
 impl Default for EngineFaults {
     fn default() -> Self {
         Self {
             slow_factor: 1.0,
             hang: false,
+            pause_tokens: false,
             fail_loads: false,
             refuse_next: 0,
             cut_next: 0,
--- a/crates/standin/src/engine/token_stream.rs
+++ b/crates/standin/src/engine/token_stream.rs
@@ -36,7 +36,7 @@
     Truncated,
 }
 
-/// Interval at which a request to a hanging engine checks whether the fault has ended.
+/// Interval at which a request to a hanging or paused engine checks whether the fault has ended.
 const HANG_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Number of tokens that the `cut_next` fault lets through before it ends a response.
@@ -95,7 +95,7 @@
                 () = tokio::time::sleep_until(next_at) => {}
                 reason = wait_for_stop(&mut self.stop_signal) => return CompletionEnd::Stopped(reason),
             }
-            while self.shared.inner().faults.hang {
+            while self.shared.inner().faults.holds_tokens() {
                 tokio::select! {
                     () = tokio::time::sleep(HANG_POLL_INTERVAL) => {}
                     reason = wait_for_stop(&mut self.stop_signal) => return CompletionEnd::Stopped(reason),
@@ -130,13 +130,16 @@
     pub(crate) async fn stream(mut self, slot: BatchSlot, sender: BodySender) {
         let request = self.request.clone();
         let version = self.version;
-        let end = self
-            .generate(|index, text, last| {
-                let event = engine_responses::token_event(&request, version, index, &text, last);
-                let sender = &sender;
-                async move { sender.send(event).await.is_ok() }
-            })
-            .await;
+        let generate = self.generate(|index, text, last| {
+            let event = engine_responses::token_event(&request, version, index, &text, last);
+            let sender = &sender;
+            async move { sender.send(event).await.is_ok() }
+        });
+        // A client may leave while the engine sends nothing.
+        let end = tokio::select! {
+            it = generate => it,
+            () = sender.closed() => CompletionEnd::ClientDisconnected,
+        };
         drop(slot);
         if end == CompletionEnd::Complete {
             self.finish();
