SIGHUP no longer ends entries and agents with settings of their own

What callers saw: when the processes of the own interface were asked to reload with SIGHUP, all responses in progress broke off.

Cause: only a process with the platform's settings file handled SIGHUP; in the others it had its default effect and ended the process at once, without a planned stop.

Evidence: a_silent_stream_outlasts_reloads_of_the_settings failed before: the body of the stream ended after its first tokens with neither an error event nor the end-of-stream marker, and the logs of entry and agent end at the signal.

Change: all processes handle SIGHUP alike: they read the settings file and log whether it differs from the settings in use.

A signal before the process waits for its stop still ends it.

--- a/crates/fulmarline/src/main.rs
+++ b/crates/fulmarline/src/main.rs
@@ -63,16 +63,20 @@
             return ExitStatus::InvalidInput;
         }
     };
+    let read = || Ok(settings::read(file)?);
+    let initial = settings.clone();
     let result = match (settings, role) {
         (Settings::Entry(it), RoleName::Entry) => {
             let (log, _guard) = logging::start("entry", &it.host, &it.log);
+            let stop_request = reload_signal::watch_until_stopped(read, initial, log.clone());
             metrics::start("entry", &it.host, it.metrics.as_ref())
-                .and_then(|metrics| entry::run(it, log, metrics, stop_signal::wait()))
+                .and_then(|metrics| entry::run(it, log, metrics, stop_request))
         }
         (Settings::Agent(it), RoleName::Agent) => {
             let (log, _guard) = logging::start("agent", &it.host, &it.log);
+            let stop_request = reload_signal::watch_until_stopped(read, initial, log.clone());
             metrics::start("agent", &it.host, it.metrics.as_ref())
-                .and_then(|metrics| agent::run(it, log, metrics, stop_signal::wait()))
+                .and_then(|metrics| agent::run(it, log, metrics, stop_request))
         }
         (Settings::Entry(_), RoleName::Agent) => return role_mismatch(file, "entry", "agent"),
         (Settings::Agent(_), RoleName::Entry) => return role_mismatch(file, "agent", "entry"),
--- a/crates/fulmarline/src/node.rs
+++ b/crates/fulmarline/src/node.rs
@@ -5,7 +5,7 @@
 use platform::{NodeRole, NodeSettings, SETTINGS_VARIABLE};
 
 use crate::exit_status::ExitStatus;
-use crate::{logging, reload_signal, stop_signal};
+use crate::{logging, reload_signal};
 
 /// Runs `role` with the settings file named by the platform until a planned stop has finished.
 pub(crate) fn run(role: NodeRole) -> ExitStatus {
@@ -21,13 +21,8 @@
         NodeRole::Agent => "agent",
     };
     let (log, _guard) = logging::start_on_platform(name, &settings.node, &settings.zone);
-    let reload_task = reload_signal::watch(path, settings.clone(), log.clone());
-    let stop_request = async move {
-        tokio::select! {
-            stopped = stop_signal::wait() => stopped,
-            () = run_forever(reload_task) => Ok(()),
-        }
-    };
+    let read = move || NodeSettings::read(&path);
+    let stop_request = reload_signal::watch_until_stopped(read, settings.clone(), log.clone());
     let result = match role {
         NodeRole::Entry => ingress::run(settings, log, stop_request),
         NodeRole::Agent => stager::run(settings, log, stop_request),
@@ -63,12 +58,6 @@
     }
 }
 
-/// Runs `watch` and never completes. `watch` ends if SIGHUP cannot be handled, which must not stop the process.
-async fn run_forever(watch: impl Future<Output = ()>) {
-    watch.await;
-    std::future::pending().await
-}
-
 /// Reads the settings file that the platform names in the environment.
 fn read_settings() -> anyhow::Result<(PathBuf, NodeSettings)> {
     let path = std::env::var_os(SETTINGS_VARIABLE).ok_or_else(|| {
--- a/crates/fulmarline/tests/silent_engines.rs
+++ b/crates/fulmarline/tests/silent_engines.rs
@@ -192,3 +192,20 @@
         .unwrap();
     assert_eq!(runs(&fleet, "guide"), (1, 0));
 }
+
+/// Guards against requests that are cut because SIGHUP ends the entry or an agent.
+#[test]
+fn a_silent_stream_outlasts_reloads_of_the_settings() {
+    let mut fleet = support::start_serving_fleet("silent-reload", one_engine_plan);
+    let (stream, name) = start_stream(&fleet, "guide");
+    fleet.engines[&name].set_faults(paused());
+    for process in fleet.process_names() {
+        fleet.process(&process).reload();
+    }
+    std::thread::sleep(LONG_SILENCE);
+    fleet.engines[&name].set_faults(EngineFaults::default());
+    assert_complete_stream(&fleet, "guide", &stream.join().unwrap());
+    for process in fleet.process_names() {
+        assert!(fleet.process(&process).is_running(), "{process}");
+    }
+}
--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -19,7 +19,7 @@
 use crate::walker::{Field, Section};
 
 /// Settings of `fulmarline agent`.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AgentSettings {
     /// Host of the process.
     pub host: HostSettings,
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -15,7 +15,7 @@
 use crate::walker::Section;
 
 /// Settings of `fulmarline entry`.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EntrySettings {
     /// Host of the process.
     pub host: HostSettings,
--- a/crates/settings/src/identity_settings.rs
+++ b/crates/settings/src/identity_settings.rs
@@ -9,7 +9,7 @@
 use crate::walker::{Field, Section};
 
 /// A person or script that is allowed to send commands.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct OperatorSettings {
     /// Name that is recorded with each command.
     pub name: String,
@@ -18,7 +18,7 @@
 }
 
 /// A token of an organisation; an organisation may have several, so that tokens can be rotated without downtime.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct CallerSettings {
     /// The organisation that the caller belongs to.
     pub organisation: OrganisationName,
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -14,7 +14,7 @@
 use crate::walker::{Field, FileContext, Section};
 
 /// The settings of one process, by its role.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Settings {
     /// The process is an entry.
     Entry(EntrySettings),
--- a/crates/settings/src/secret_text.rs
+++ b/crates/settings/src/secret_text.rs
@@ -24,6 +24,12 @@
     }
 }
 
+impl PartialEq for SecretText {
+    fn eq(&self, other: &Self) -> bool {
+        self.matches(&other.0)
+    }
+}
+
 impl fmt::Debug for SecretText {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("SecretText(***)")
--- a/crates/standin/src/harness/child_process.rs
+++ b/crates/standin/src/harness/child_process.rs
@@ -81,6 +81,11 @@
         self.signal("TERM");
     }
 
+    /// Requests that the process reads its settings file again, with SIGHUP.
+    pub fn reload(&self) {
+        self.signal("HUP");
+    }
+
     /// Suspends the process with SIGSTOP, which simulates a paused host.
     pub fn suspend(&self) {
         self.signal("STOP");
