A silent engine or service no longer ends a request before its response begins

What callers saw: on the own interface, a completion whose engine had not begun its response after 5 s, and a lookup after 10 s, failed with 302 target-lost if no other target answered, although the first one would have. Every completion without streaming that takes longer than 5 s to generate was given up, at each engine in turn.

Cause: the dispatcher gave up an attempt at these times, before another one had a response.

Evidence: on the code before, with one engine or service, a completion of 8 s, a lookup of 11.5 s and a stream whose engine hung for 6.5 s ended with `target-lost`, "the target did not respond after it may have started the request"; the tests that need two attempts at a time timed out waiting for the second one.

Ruled out: the gate, which has no time-out on the back end's response.

Change: an attempt is given up if its connection breaks, its gate refuses it or the deadline passes. After the same times, another attempt is started beside it if a target can serve the request and the retry budget permits it; the first response counts and the others are cancelled. For completions without streaming the time grows with their tokens. Orders are sent as before. The decisions are in AttemptRace, which has no IO.

--- a/crates/entry/src/calls/attempt_plan.rs
+++ b/crates/entry/src/calls/attempt_plan.rs
@@ -21,6 +21,8 @@
     pub(crate) resume_from: u64,
     /// Estimated work, in tokens.
     pub(crate) cost: u32,
+    /// Number of tokens that the target generates before its response begins; 0 if it is streamed.
+    pub(crate) tokens_before_response: u32,
     /// Digest of the prompt prefix, for cache affinity.
     pub(crate) prefix_digest: Option<u64>,
     /// Hosts that further attempts avoid; shared between a lookup and its hedge.
@@ -48,6 +50,7 @@
             version: None,
             resume_from: 0,
             cost: 1,
+            tokens_before_response: 0,
             prefix_digest: None,
             tried_hosts: Arc::default(),
             running_hosts: BTreeSet::new(),
--- a/crates/entry/src/calls/dispatcher.rs
+++ b/crates/entry/src/calls/dispatcher.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use httpio::{ClientError, HeaderValue, HttpClient, Request};
-use model::{AttemptId, ResultCode, RunStatus};
-use routing::{CallKind, OrderGate};
+use model::{AttemptId, ResultCode, RunStatus, TargetRow};
+use routing::OrderGate;
 use settings::EntrySettings;
 use slog::{Logger, info};
 use wire::{RevokeOutcome, WireCounters, context};
@@ -13,8 +13,9 @@
 use crate::calls::attempt_plan::{AttemptOutcome, AttemptPlan};
 use crate::calls::call_context::CallContext;
 use crate::calls::call_error::CallError;
+use crate::calls::dispatch_race::DispatchRace;
 use crate::calls::dispatch_state::SlotRequest;
-use crate::calls::slot_scheduler::{Arrival, SlotScheduler};
+use crate::calls::slot_scheduler::SlotScheduler;
 use crate::calls::target_response::TargetResponse;
 use crate::calls::target_slot::TargetSlot;
 
@@ -52,6 +53,8 @@
 
     /// Sends a request to targets until one responds, the attempts are exhausted or an attempt may have run.
     ///
+    /// While a target is silent, a lookup or completion may be sent to another one as well; the first response counts.
+    ///
     /// # Errors
     ///
     /// For an order, the code of the error has the status [`RunStatus::NotRun`] only if every attempt was refused, not
@@ -62,61 +65,10 @@
         call: &CallContext,
         plan: &AttemptPlan,
     ) -> Result<TargetResponse, CallError> {
-        let mut last_code = None;
-        let mut attempts = 0;
-        let mut limit_refusals = 0;
-        while attempts < MAX_ATTEMPTS && limit_refusals < MAX_LIMIT_REFUSALS {
-            let arrival = match last_code {
-                None => Arrival::New,
-                Some(_) => Arrival::Retry,
-            };
-            let slot = self
-                .scheduler
-                .acquire(self.slot_request(call, plan), arrival)
-                .await;
-            let slot = match (slot, last_code) {
-                (Ok(slot), _) => slot,
-                (Err(_), Some(code)) if code != ResultCode::Overloaded => {
-                    return Err(error_from_code(code));
-                }
-                (Err(error), _) => return Err(error),
-            };
-            attempts += 1;
-            let gate = order_gate(&slot);
-            let attempt = new_attempt_id();
-            match self.send_attempt(call, plan, slot, attempt).await {
-                AttemptOutcome::Response(response) => return Ok(*response),
-                AttemptOutcome::NotRun(ResultCode::Overloaded) => {
-                    // A refusal at the gate's limit does not count as an attempt: the request is queued again.
-                    attempts -= 1;
-                    limit_refusals += 1;
-                    last_code = Some(ResultCode::Overloaded);
-                }
-                AttemptOutcome::NotRun(code) => last_code = Some(code),
-                AttemptOutcome::Unknown => {
-                    let before_deadline = Instant::now() < call.deadline;
-                    if plan.kind != CallKind::Order
-                        && before_deadline
-                        && self.scheduler.try_acquire_retry()
-                    {
-                        last_code = Some(ResultCode::TargetLost);
-                        continue;
-                    }
-                    let code = self.resolve_lost_attempt(call, &gate, attempt).await;
-                    if code.run_status() != RunStatus::NotRun || !before_deadline {
-                        return Err(error_from_code(code));
-                    }
-                    last_code = Some(code);
-                }
-            }
-        }
-        if last_code == Some(ResultCode::Overloaded) {
-            self.scheduler.on_overload();
-        }
-        Err(error_from_code(last_code.unwrap_or(ResultCode::NoTarget)))
+        DispatchRace::new(self, call, plan).run().await
     }
 
-    /// Sends one attempt to the target of `slot`, and waits for the response headers.
+    /// Sends one attempt to the target of `slot`, and waits for the response headers until the deadline.
     pub(crate) async fn send_attempt(
         &self,
         call: &CallContext,
@@ -131,26 +83,19 @@
         headers.insert(httpio::header::AUTHORIZATION, self.authorization.clone());
         let row = &slot.row;
         let send = self.client.send(row.gate, request);
-        let head_timeout = match plan.kind {
-            CallKind::Completion => COMPLETION_HEAD_TIMEOUT,
-            CallKind::Lookup => LOOKUP_HEAD_TIMEOUT,
-            CallKind::Order => Duration::MAX,
+        let pooled_response = match tokio::time::timeout_at(call.deadline.into(), send).await {
+            Ok(Ok(pooled_response)) => pooled_response,
+            Ok(Err(ClientError::NotSent(_))) => {
+                plan.mark_tried(&row.host);
+                self.scheduler.on_failure(&row.host);
+                return AttemptOutcome::NotRun(ResultCode::TargetRefused);
+            }
+            Ok(Err(ClientError::NoResponse(_))) | Err(_) => {
+                plan.mark_tried(&row.host);
+                self.scheduler.on_failure(&row.host);
+                return AttemptOutcome::Unknown;
+            }
         };
-        let time_remaining = call.deadline.saturating_duration_since(Instant::now());
-        let pooled_response =
-            match tokio::time::timeout(time_remaining.min(head_timeout), send).await {
-                Ok(Ok(pooled_response)) => pooled_response,
-                Ok(Err(ClientError::NotSent(_))) => {
-                    plan.mark_tried(&row.host);
-                    self.scheduler.on_failure(&row.host);
-                    return AttemptOutcome::NotRun(ResultCode::TargetRefused);
-                }
-                Ok(Err(ClientError::NoResponse(_))) | Err(_) => {
-                    plan.mark_tried(&row.host);
-                    self.scheduler.on_failure(&row.host);
-                    return AttemptOutcome::Unknown;
-                }
-            };
         let code = pooled_response.response.headers().get(model::RESULT_HEADER);
         let code = code
             .and_then(|it| it.to_str().ok())
@@ -207,7 +152,7 @@
     }
 
     /// Revokes an attempt that got no response, and returns the code for what is proven about its execution.
-    async fn resolve_lost_attempt(
+    pub(crate) async fn resolve_lost_attempt(
         &self,
         call: &CallContext,
         gate: &OrderGate,
@@ -237,13 +182,13 @@
     }
 }
 
-/// Returns the gate of the target of `slot`.
-pub(crate) fn order_gate(slot: &TargetSlot) -> OrderGate {
+/// Returns the gate of the target that `row` describes.
+pub(crate) fn order_gate(row: &TargetRow) -> OrderGate {
     OrderGate {
-        host: slot.row.host.clone(),
-        incarnation: slot.row.incarnation,
-        gate: slot.row.gate,
-        control: slot.row.control,
+        host: row.host.clone(),
+        incarnation: row.incarnation,
+        gate: row.gate,
+        control: row.control,
     }
 }
 
@@ -289,7 +234,7 @@
     Ok(builder.body(httpio::full(call.body.clone()))?)
 }
 
-fn error_from_code(code: ResultCode) -> CallError {
+pub(crate) fn error_from_code(code: ResultCode) -> CallError {
     let message = match code.run_status() {
         RunStatus::NotRun => "no target accepted the request; it has not run",
         _ => "the target did not respond after it may have started the request",
@@ -297,24 +242,12 @@
     CallError::new(code, message)
 }
 
-/// Maximum number of attempts per request.
-const MAX_ATTEMPTS: usize = 4;
-
-/// Maximum number of refusals by gates at their limits before a request fails.
-const MAX_LIMIT_REFUSALS: usize = 64;
-
 /// Timeout for connecting to a gate.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Timeout for a revocation, including the connection to the gate.
 const REVOKE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Timeout for the response headers of a completion, after which it is retried on another target.
-const COMPLETION_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Timeout for the response headers of a lookup, after which it is retried on another target.
-const LOOKUP_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Timeout for reading the body of a refusal, which allows the connection to be reused.
 const REFUSAL_READ_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/crates/entry/src/calls/mod.rs
+++ b/crates/entry/src/calls/mod.rs
@@ -6,6 +6,7 @@
 mod call_error;
 mod call_server;
 mod directory;
+mod dispatch_race;
 mod dispatch_state;
 mod dispatcher;
 mod model_call;
--- a/crates/entry/src/calls/model_call.rs
+++ b/crates/entry/src/calls/model_call.rs
@@ -44,6 +44,10 @@
     }
     let plan = AttemptPlan {
         cost: request.estimated_tokens(),
+        tokens_before_response: match request.stream {
+            true => 0,
+            false => request.estimated_tokens(),
+        },
         prefix_digest: request.prefix_digest(),
         ..AttemptPlan::new(
             TargetKind::Model(request.model.clone()),
--- a/crates/entry/src/calls/order_driver.rs
+++ b/crates/entry/src/calls/order_driver.rs
@@ -130,7 +130,7 @@
         };
         let row = OrderRow {
             attempt: dispatcher::new_attempt_id(),
-            gate: dispatcher::order_gate(&slot),
+            gate: dispatcher::order_gate(&slot.row),
             ..self.state_machine.claim_row().clone()
         };
         self.slot = Some(slot);
--- a/crates/entry/src/calls/service_call.rs
+++ b/crates/entry/src/calls/service_call.rs
@@ -127,7 +127,7 @@
     let claim_row = OrderRow {
         fingerprint: fingerprint(&call),
         attempt: dispatcher::new_attempt_id(),
-        gate: dispatcher::order_gate(&slot),
+        gate: dispatcher::order_gate(&slot.row),
         claimed_ms: now_ms,
         dispatch_until_ms: now_ms + time_remaining.min(MAX_DISPATCH_TIME).as_millis() as u64,
         expires_ms: now_ms + retention.as_millis() as u64,
--- a/crates/fulmarline/tests/silent_engines.rs
+++ b/crates/fulmarline/tests/silent_engines.rs
@@ -1,15 +1,14 @@
-//! Engines that fall silent and go on, and those that stay silent.
+//! Engines and services that fall silent and go on, and those that stay silent.
 
 mod support;
 
-use std::net::SocketAddr;
 use std::path::Path;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use httpio::{HttpClient, Request};
 use serde_json::{Value, json};
-use standin::{DeterministicResponse, EngineFaults, FleetPlan, ProcessFleet};
+use standin::{DeterministicResponse, EngineFaults, FleetPlan, ProcessFleet, ServiceFaults};
 
 /// Timeout of every wait, well above what a loaded machine needs.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -144,33 +143,42 @@
         .unwrap();
 }
 
-/// Guards against attempts that keep their engines busy after the caller of a silent stream has left.
+/// Guards against attempts that keep their engines busy after the caller of a silent request has left.
 #[test]
-fn a_caller_who_leaves_a_silent_stream_cancels_both_attempts() {
+fn a_caller_who_leaves_a_silent_request_cancels_both_attempts() {
     let fleet = support::start_serving_fleet("silent-left", support::single_zone_plan);
     for engine in fleet.engines.values() {
         engine.set_faults(paused());
     }
-    let body =
-        json!({ "model": "demo", "prompt": "guide", "max_tokens": TOKEN_COUNT, "stream": true });
-    let request = Request::post("/v1/completions")
-        .header("authorization", "Bearer token-north")
-        .body(httpio::full(body.to_string()))
-        .unwrap();
-    let entry: SocketAddr = fleet.callers()[0];
-    let client = HttpClient::new(None, WAIT_TIMEOUT);
-    let response = fleet.runtime().block_on(client.send(entry, request));
-    fleet
-        .wait_for("a second attempt", WAIT_TIMEOUT, |it| {
-            (runs(it, "guide") == (2, 0)).then_some(())
-        })
-        .unwrap();
-    drop(response);
-    fleet
-        .wait_for("the end of both attempts", WAIT_TIMEOUT, |it| {
-            (runs(it, "guide") == (2, 2)).then_some(())
-        })
-        .unwrap();
+    for is_streamed in [true, false] {
+        let prompt = format!("guide {is_streamed}");
+        let body = json!({
+            "model": "demo",
+            "prompt": prompt,
+            "max_tokens": TOKEN_COUNT,
+            "stream": is_streamed,
+        });
+        let request = Request::post("/v1/completions")
+            .header("authorization", "Bearer token-north")
+            .body(httpio::full(body.to_string()))
+            .unwrap();
+        let entry = fleet.callers()[0];
+        let client = HttpClient::new(None, WAIT_TIMEOUT);
+        let handle = fleet.runtime().handle();
+        let call = handle.spawn(async move { client.send(entry, request).await });
+        fleet
+            .wait_for("a second attempt", WAIT_TIMEOUT, |it| {
+                (runs(it, &prompt) == (2, 0)).then_some(())
+            })
+            .unwrap();
+        call.abort();
+        drop(call);
+        fleet
+            .wait_for("the end of both attempts", WAIT_TIMEOUT, |it| {
+                (runs(it, &prompt) == (2, 2)).then_some(())
+            })
+            .unwrap();
+    }
 }
 
 /// Guards against silent streams that are cut because a rollout waits for their engine.
@@ -209,3 +217,96 @@
         assert!(fleet.process(&process).is_running(), "{process}");
     }
 }
+
+/// Guards against completions without streaming that fail because their engine needs longer than the time after which
+/// another attempt starts.
+#[test]
+fn a_long_completion_is_not_given_up_by_its_only_engine() {
+    let fleet = support::start_serving_fleet("long-completion", one_engine_plan);
+    let response = support::send_completion(&fleet, 0, "guide", 400);
+    assert_eq!(response.status, 200, "{response:?}");
+    let text = response.body["choices"][0]["text"].as_str();
+    assert_eq!(text, Some(&*expected_text(&fleet, "guide", 400)));
+    assert_eq!(runs(&fleet, "guide"), (1, 0));
+}
+
+/// Guards against streams that fail because their engine was silent for a few seconds before its response began.
+#[test]
+fn a_stream_whose_response_begins_late_is_complete() {
+    let fleet = support::start_serving_fleet("late-response", one_engine_plan);
+    fleet.engines["model-1"].set_faults(EngineFaults {
+        hang: true,
+        ..EngineFaults::default()
+    });
+    let stream = support::open_stream(&fleet, 0, "guide", TOKEN_COUNT);
+    std::thread::sleep(Duration::from_millis(6_500));
+    fleet.engines["model-1"].set_faults(EngineFaults::default());
+    assert_complete_stream(&fleet, "guide", &stream.join().unwrap());
+}
+
+/// Guards against requests that wait for an engine which never begins its response although another one can.
+#[test]
+fn a_request_is_answered_by_another_engine_if_its_own_never_begins() {
+    let fleet = support::start_serving_fleet("no-response", support::single_zone_plan);
+    fleet.engines["model-1"].set_faults(EngineFaults {
+        hang: true,
+        ..EngineFaults::default()
+    });
+    let streams: Vec<_> = (0..4)
+        .map(|it| {
+            let prompt = format!("guide {it}");
+            let stream = support::open_stream(&fleet, 0, &prompt, TOKEN_COUNT);
+            (prompt, stream)
+        })
+        .collect();
+    for (prompt, stream) in streams {
+        assert_complete_stream(&fleet, &prompt, &stream.join().unwrap());
+    }
+}
+
+/// Guards against lookups that fail because their only service needs longer than the time after which another attempt
+/// starts.
+#[test]
+fn a_slow_lookup_is_not_given_up_at_its_only_service() {
+    let fleet = support::start_serving_fleet("slow-lookup", one_engine_plan);
+    fleet.services["orders-1"].set_faults(ServiceFaults {
+        delay_ms: 11_500,
+        ..ServiceFaults::default()
+    });
+    let request = Request::get("/services/orders/stock").body(httpio::empty());
+    let response = support::send(&fleet, 0, request.unwrap());
+    assert_eq!(response.status, 200, "{response:?}");
+}
+
+/// Guards against completions that fail because their first engine begins its response after a second attempt has
+/// started, and against second attempts that go on afterwards.
+#[test]
+fn a_completion_is_answered_by_the_first_engine_while_the_second_one_is_silent() {
+    let fleet = support::start_serving_fleet("silent-completions", support::single_zone_plan);
+    for engine in fleet.engines.values() {
+        engine.set_faults(paused());
+    }
+    std::thread::scope(|scope| {
+        let response = scope.spawn(|| support::send_completion(&fleet, 0, "guide", TOKEN_COUNT));
+        let first = fleet.wait_for("the first attempt", WAIT_TIMEOUT, |it| {
+            let mut engines = it.engines.iter();
+            let engine = engines.find(|(_, it)| it.runs_by_prompt().get("guide").started > 0);
+            engine.map(|(name, _)| name.clone())
+        });
+        fleet
+            .wait_for("a second attempt", WAIT_TIMEOUT, |it| {
+                (runs(it, "guide") == (2, 0)).then_some(())
+            })
+            .unwrap();
+        fleet.engines[&first.unwrap()].set_faults(EngineFaults::default());
+        let response = response.join().unwrap();
+        assert_eq!(response.status, 200, "{response:?}");
+        let text = response.body["choices"][0]["text"].as_str();
+        assert_eq!(text, Some(&*expected_text(&fleet, "guide", TOKEN_COUNT)));
+    });
+    fleet
+        .wait_for("the end of the second attempt", WAIT_TIMEOUT, |it| {
+            (runs(it, "guide") == (2, 1)).then_some(())
+        })
+        .unwrap();
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 //! is reproducible.
 
 mod admission_gate;
+mod attempt_race;
 mod call_kind;
 mod concurrency_limit;
 mod fair_queue;
@@ -27,6 +28,7 @@
 mod wait_estimate;
 
 pub use admission_gate::{AdmissionGate, AdmissionRefusal, AdmissionRequest, RevokeReply};
+pub use attempt_race::{AttemptRace, RaceAction};
 pub use call_kind::{CallKind, call_kind};
 pub use concurrency_limit::{ConcurrencyLimit, LatencyTargets};
 pub use fair_queue::FairQueue;
