--- a/crates/entry/src/calls/attempt_plan.rs
+++ b/crates/entry/src/calls/attempt_plan.rs
@@ -21,10 +21,14 @@
     pub(crate) resume_from: u64,
     /// Estimated work, in tokens.
     pub(crate) cost: u32,
+    /// Number of tokens that the target generates before its response begins; 0 if it is streamed.
+    pub(crate) tokens_before_response: u32,
     /// Digest of the prompt prefix, for cache affinity.
     pub(crate) prefix_digest: Option<u64>,
     /// Hosts that further attempts avoid; shared between a lookup and its hedge.
     pub(crate) tried_hosts: Arc<Mutex<BTreeSet<HostName>>>,
+    /// Hosts of attempts that are still running; a further attempt beside them must run elsewhere.
+    pub(crate) running_hosts: BTreeSet<HostName>,
 }
 
 /// Outcome of one attempt.
@@ -46,8 +50,10 @@
             version: None,
             resume_from: 0,
             cost: 1,
+            tokens_before_response: 0,
             prefix_digest: None,
             tried_hosts: Arc::default(),
+            running_hosts: BTreeSet::new(),
         }
     }
 
@@ -58,10 +64,12 @@
             .insert(host.clone());
     }
 
-    pub(crate) fn tried_hosts(&self) -> BTreeSet<HostName> {
-        self.tried_hosts
+    /// Returns the hosts at which no further attempt may start.
+    pub(crate) fn avoided_hosts(&self) -> BTreeSet<HostName> {
+        let tried = self
+            .tried_hosts
             .lock()
-            .expect("no thread panics while it holds the plan lock")
-            .clone()
+            .expect("no thread panics while it holds the plan lock");
+        &*tried | &self.running_hosts
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 //! is reproducible.
 
 mod admission_gate;
+mod attempt_race;
 mod call_kind;
 mod concurrency_limit;
 mod fair_queue;
@@ -27,6 +28,7 @@
 mod wait_estimate;
 
 pub use admission_gate::{AdmissionGate, AdmissionRefusal, AdmissionRequest, RevokeReply};
+pub use attempt_race::{AttemptRace, RaceAction};
 pub use call_kind::{CallKind, call_kind};
 pub use concurrency_limit::{ConcurrencyLimit, LatencyTargets};
 pub use fair_queue::FairQueue;
@@ -40,7 +42,7 @@
 pub use overload_tracker::{OverloadState, OverloadTracker, OverloadTransition};
 pub use prefix_table::PrefixTable;
 pub use queue_request::{QueueLimits, QueueRefusal, QueueRequest, QueueTicket};
-pub use resumable_stream::{RecoveryAction, ResumableStream, TokenAction};
+pub use resumable_stream::{RecoveryAction, ResumableStream, SilenceAction, TokenAction};
 pub use retry_budget::RetryBudget;
 pub use target_choice::{ChoiceRequest, ChoiceStrategy, TargetCandidate, choose_target};
 pub use wait_estimate::{expected_wait, has_capacity, in_flight};
