--- a/crates/standin/src/harness/child_process.rs
+++ b/crates/standin/src/harness/child_process.rs
@@ -81,6 +81,11 @@
         self.signal("TERM");
     }
 
+    /// Signals with SIGHUP that the settings file may have changed.
+    pub fn hang_up(&self) {
+        self.signal("HUP");
+    }
+
     /// Suspends the process with SIGSTOP, which simulates a paused host.
     pub fn suspend(&self) {
         self.signal("STOP");
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -1,6 +1,7 @@
 //! A simulated site of the users' platform with its published protocol: the store, replicas and the origin of weights.
 
 mod raw_replica;
+mod silence_switch;
 mod site_origin;
 mod site_replica;
 mod site_settings;
@@ -8,8 +9,9 @@
 mod site_weights;
 
 pub use raw_replica::{RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts};
+pub use silence_switch::SilenceSwitch;
 pub use site_origin::SiteOrigin;
-pub use site_replica::{ReplicaFaults, ReplicaKind, SiteReplica};
+pub use site_replica::{ReplicaCalls, ReplicaFaults, ReplicaKind, SiteReplica};
 pub use site_settings::{SiteHost, SitePorts};
 pub use site_store::SiteStore;
 pub use site_weights::SiteWeights;
--- a/crates/standin/src/site/site_origin.rs
+++ b/crates/standin/src/site/site_origin.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::StandinRuntime;
+use crate::site::silence_switch::SilenceSwitch;
 use crate::site::site_weights::SiteWeights;
 
 /// An HTTP server of manifests and pieces that counts the pieces sent.
@@ -22,6 +23,7 @@
     weights: SiteWeights,
     pieces_sent: AtomicU64,
     corrupts_pieces: AtomicBool,
+    silence: SilenceSwitch,
 }
 
 impl SiteOrigin {
@@ -35,12 +37,17 @@
             weights,
             pieces_sent: AtomicU64::new(0),
             corrupts_pieces: AtomicBool::new(false),
+            silence: SilenceSwitch::default(),
         });
         let server_shared = shared.clone();
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let server =
             crate::standin_runtime::serve(runtime.handle(), address, move |request, _| {
-                handle_request(server_shared.clone(), request)
+                let shared = server_shared.clone();
+                async move {
+                    let work = handle_request(shared.clone(), request);
+                    shared.silence.handle(work).await
+                }
             })?;
         Ok(Self { shared, server })
     }
@@ -55,6 +62,11 @@
         self.shared.pieces_sent.load(Ordering::Relaxed)
     }
 
+    /// Begins or ends a silence, in which requests are read and none is answered.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.shared.silence.set_silent(is_silent);
+    }
+
     /// Sets whether every third piece sent is corrupted.
     pub fn set_corrupt_pieces(&self, corrupts_pieces: bool) {
         self.shared
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 
 use crate::StandinRuntime;
+use crate::site::silence_switch::SilenceSwitch;
 use crate::site::site_weights::SiteWeights;
 
 /// The kind of workload of a replica.
@@ -36,6 +37,19 @@
     pub full: bool,
 }
 
+/// The calls that a replica can leave unanswered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ReplicaCalls {
+    /// Clients' requests. They run when they arrive; their responses and the events of streams are held back.
+    Requests,
+    /// Reports of the replica's state.
+    Reports,
+    /// Writing and reading of staged pieces.
+    Staging,
+    /// Orders to load.
+    Orders,
+}
+
 /// An HTTP server of a replica that counts the runs of each request.
 #[derive(Clone, Debug)]
 pub struct SiteReplica {
@@ -50,6 +64,7 @@
     weights: SiteWeights,
     last_event: u64,
     event_interval: Duration,
+    silences: BTreeMap<ReplicaCalls, SilenceSwitch>,
     state: Mutex<ReplicaState>,
 }
 
@@ -65,6 +80,23 @@
     mixed_loads: u64,
     runs: BTreeMap<String, u64>,
     forbidden_headers: Vec<String>,
+    /// Number of received calls, answered or not.
+    received: BTreeMap<ReplicaCalls, u64>,
+}
+
+impl ReplicaCalls {
+    /// All calls of a replica.
+    pub const ALL: [Self; 4] = [Self::Requests, Self::Reports, Self::Staging, Self::Orders];
+
+    /// Returns the kind of the call of `path`.
+    fn of(path: &str) -> Self {
+        match path.strip_prefix("/fulmarline/") {
+            Some("report") => Self::Reports,
+            Some("order") => Self::Orders,
+            Some(path) if path.starts_with("stage-") => Self::Staging,
+            _ => Self::Requests,
+        }
+    }
 }
 
 impl SiteReplica {
@@ -91,6 +123,9 @@
             weights,
             last_event: 12,
             event_interval: Duration::from_millis(15),
+            silences: ReplicaCalls::ALL
+                .map(|it| (it, SilenceSwitch::default()))
+                .into(),
             state: Mutex::new(ReplicaState {
                 version,
                 staged: staged.map(|it| (it, weights.piece(version, it))).collect(),
@@ -100,7 +135,7 @@
         let server_shared = shared.clone();
         let server =
             crate::standin_runtime::serve(runtime.handle(), address, move |request, _| {
-                handle_request(server_shared.clone(), request)
+                answer_request(server_shared.clone(), request)
             })?;
         Ok(Self { shared, server })
     }
@@ -121,6 +156,13 @@
         self.shared.lock().faults = faults;
     }
 
+    /// Begins or ends a silence, in which `calls` are read and none of them is answered.
+    pub fn set_silent(&self, calls: &[ReplicaCalls], is_silent: bool) {
+        for calls in calls {
+            self.shared.silences[calls].set_silent(is_silent);
+        }
+    }
+
     /// Returns the loaded version; 0 for none.
     pub fn version(&self) -> u64 {
         self.shared.lock().version
@@ -136,6 +178,12 @@
         self.shared.lock().mixed_loads
     }
 
+    /// Returns the number of received calls, answered or not.
+    pub fn received(&self, calls: ReplicaCalls) -> u64 {
+        let state = self.shared.lock();
+        state.received.get(&calls).copied().unwrap_or(0)
+    }
+
     /// Returns the received headers that must not be forwarded to a replica.
     pub fn forbidden_headers(&self) -> Vec<String> {
         self.shared.lock().forbidden_headers.clone()
@@ -182,6 +230,21 @@
     }
 }
 
+async fn answer_request(
+    shared: Arc<ReplicaShared>,
+    request: Request<Incoming>,
+) -> Response<HttpBody> {
+    let calls = ReplicaCalls::of(request.uri().path());
+    *shared.lock().received.entry(calls).or_default() += 1;
+    let work = handle_request(shared.clone(), request);
+    if calls == ReplicaCalls::Requests {
+        let response = work.await;
+        shared.silences[&calls].wait().await;
+        return response;
+    }
+    shared.silences[&calls].handle(work).await
+}
+
 async fn handle_request(
     shared: Arc<ReplicaShared>,
     request: Request<Incoming>,
@@ -314,6 +377,7 @@
     tokio::spawn(async move {
         for number in first_event..=shared.last_event {
             tokio::time::sleep(shared.event_interval).await;
+            shared.silences[&ReplicaCalls::Requests].wait().await;
             let event = format!("id: {number}\ndata: {id}/{number}\n\n");
             let is_truncated = truncate_after.is_some_and(|it| number >= first_event + it);
             let bytes = if is_truncated {
--- a/crates/standin/src/site/site_store.rs
+++ b/crates/standin/src/site/site_store.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 
 use crate::StandinRuntime;
+use crate::site::silence_switch::SilenceSwitch;
 
 /// An HTTP server of an in-memory store with fault injection.
 #[derive(Clone, Debug)]
@@ -24,6 +25,7 @@
 struct StoreShared {
     state: Mutex<StoreState>,
     changed: Notify,
+    silence: SilenceSwitch,
 }
 
 #[derive(Debug, Default)]
@@ -36,6 +38,8 @@
     history_start: u64,
     down: bool,
     calls: u64,
+    /// Number of received requests for changes by table.
+    feed_calls: BTreeMap<String, u64>,
 }
 
 impl SiteStore {
@@ -50,7 +54,12 @@
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let server =
             crate::standin_runtime::serve(runtime.handle(), address, move |request, _| {
-                handle_request(server_shared.clone(), request)
+                let shared = server_shared.clone();
+                async move {
+                    shared.lock().count_call(&request);
+                    let work = handle_request(shared.clone(), request);
+                    shared.silence.handle(work).await
+                }
             })?;
         Ok(Self { shared, server })
     }
@@ -88,6 +97,17 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Begins or ends a silence, in which requests are read and none is answered. Rows can still be written with
+    /// [`SiteStore::put`].
+    pub fn set_silent(&self, is_silent: bool) {
+        self.shared.silence.set_silent(is_silent);
+    }
+
+    /// Ends a silence in which everything received was lost.
+    pub fn end_silence_with_loss(&self) {
+        self.shared.silence.end_with_loss();
+    }
+
     /// Discards the change history, so that feeds fail with status 410 until the client has read all rows again.
     pub fn truncate_history(&self) {
         let mut state = self.shared.lock();
@@ -103,6 +123,12 @@
     pub fn calls(&self) -> u64 {
         self.shared.lock().calls
     }
+
+    /// Returns the number of received requests for changes of `table`.
+    pub fn feed_calls(&self, table: &str) -> u64 {
+        let state = self.shared.lock();
+        state.feed_calls.get(table).copied().unwrap_or(0)
+    }
 }
 
 impl StoreShared {
@@ -114,6 +140,14 @@
 }
 
 impl StoreState {
+    fn count_call(&mut self, request: &Request<Incoming>) {
+        self.calls += 1;
+        if request.uri().path() == "/fulmarline/rows-feed" {
+            let table = query_fields(request).remove("table").unwrap_or_default();
+            *self.feed_calls.entry(table).or_default() += 1;
+        }
+    }
+
     fn put(&mut self, table: &str, key: &str, value: Option<String>) {
         self.version += 1;
         let row_key = (table.to_owned(), key.to_owned());
@@ -162,16 +196,12 @@
     request: Request<Incoming>,
 ) -> Response<HttpBody> {
     {
-        let mut state = shared.lock();
-        state.calls += 1;
+        let state = shared.lock();
         if state.down {
             return empty_response(StatusCode::SERVICE_UNAVAILABLE);
         }
     }
-    let query: BTreeMap<String, String> =
-        form_urlencoded::parse(request.uri().query().unwrap_or_default().as_bytes())
-            .into_owned()
-            .collect();
+    let query = query_fields(&request);
     let param = |name: &str| query.get(name).cloned().unwrap_or_default();
     match request.uri().path() {
         "/fulmarline/rows-get" => {
@@ -195,6 +225,12 @@
     }
 }
 
+fn query_fields(request: &Request<Incoming>) -> BTreeMap<String, String> {
+    form_urlencoded::parse(request.uri().query().unwrap_or_default().as_bytes())
+        .into_owned()
+        .collect()
+}
+
 async fn wait_for_changes(
     shared: &StoreShared,
     table: &str,
