A replica that does not answer its agent for a moment stays in service

What callers would see: requests refused with 503 'no_replica' although the replica serves streams, while it leaves the report for its agent unanswered for more than 1.5 s.

Cause: the agent tells entries that the replica serves no weights after one report that times out (1.5 s).

Evidence: the test, one replica whose reports are silent for 2 s: 20 of 46 streams refused. The agent's log: 'served weights changed', version null, error 'no response: timed out', and version 1 again 0.4 s later.

Ruled out: the streams themselves; the replica ran every one that it got.

A lost or refused connection still counts at once, and so does a replica that stays silent, which the test checks too.

--- a/crates/fulmarline/tests/platform_silence.rs
+++ b/crates/fulmarline/tests/platform_silence.rs
@@ -262,6 +262,30 @@
     wait_for_version(&site, 3);
 }
 
+/// Guards against a sound replica that is taken out of service because it does not answer its agent for a moment.
+#[test]
+fn a_silent_report_takes_no_replica_out_of_service() {
+    let mut site = TestSite::start("silence-report", 202, &[1]);
+    let wait_for_status = |site: &TestSite, status: StatusCode| {
+        site.wait("a status", |it| {
+            let response = call(&it.caller(), 0, CallKind::Stream, "probe".to_owned()).response?;
+            (response.status == status).then_some(())
+        });
+    };
+    wait_for_status(&site, StatusCode::OK);
+    let calls = call_during(&mut site, &[CallKind::Stream], |it| {
+        it.models[0].set_silent(&[ReplicaCalls::Reports], true);
+        std::thread::sleep(Duration::from_millis(2000));
+        it.models[0].set_silent(&[ReplicaCalls::Reports], false);
+    });
+    let statuses = check_calls(&site, &calls);
+    assert_eq!(statuses.into_keys().collect::<Vec<_>>(), [200]);
+
+    // A replica that stays silent has failed.
+    site.models[0].set_silent(&[ReplicaCalls::Reports], true);
+    wait_for_status(&site, StatusCode::SERVICE_UNAVAILABLE);
+}
+
 /// Guards against a switch that ends when the origin is silent for a moment.
 #[test]
 fn a_silence_of_the_origin_delays_a_switch_only() {
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -15,16 +15,27 @@
 pub(crate) async fn run(shared: Arc<AgentShared>) {
     let mut incarnation: Option<Option<u64>> = None;
     let mut attempts = ManifestAttempts::default();
+    // When the first of the calls was sent that have not been answered since the last report.
+    let mut silent_since: Option<Instant> = None;
     loop {
         // A notification and the timeout are handled alike.
         let _ = tokio::time::timeout(POLL_INTERVAL, shared.target_changed.notified()).await;
+        let polled_at = Instant::now();
         let report = match shared.replica_client.report().await {
             Ok(it) => it,
+            // A sound replica may be silent for a moment, and goes on with its requests afterwards.
+            Err(CallError::TimedOut)
+                if silent_since.get_or_insert(polled_at).elapsed() < MAX_REPORT_SILENCE =>
+            {
+                info!(shared.log, "replica is silent"; "ms" => u64::try_from(polled_at.elapsed().as_millis()).unwrap_or(u64::MAX));
+                continue;
+            }
             Err(err) => {
                 report_serving(&shared, &[], Some(&err));
                 continue;
             }
         };
+        silent_since = None;
         if incarnation != Some(report.started_ms) {
             info!(shared.log, "replica started"; "born_ms" => report.started_ms, "models" => report.models.len());
             incarnation = Some(report.started_ms);
@@ -310,6 +321,10 @@
 /// Interval at which the replica is polled, which is cheap because it runs on the same host.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time without a report after which a replica that accepts connections counts as failed. Sound replicas are silent for
+/// up to about two seconds.
+const MAX_REPORT_SILENCE: Duration = Duration::from_millis(3000);
+
 /// Minimum delay before a retry and before the first poll after an order. The delay is randomized up to three times as
 /// long, so that agents that fail at the same time do not retry at the same time.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
