A load order that got no answer is settled before pieces of a newer version are staged

What callers would see: streams made with weights of two versions, if a replica accepts an order late, after its agent has given up waiting for the answer and has staged pieces of a newer version.

Cause: a replica loads what is staged when it accepts the order. After a time-out (1.5 s) the agent went on with the newest version at once, although the order could still be accepted.

Evidence: the test leaves the orders of a replica unanswered for 6 s and declares version 3 after the order for version 2 arrived. The agent's log before: 'load ordered' version 2, error 'no response: timed out'; 0.1 s later the pieces of version 3 are staged. The replica then accepted the order for version 2 with pieces of version 3.

Ruled out: an order that is executed twice. Each names the number of orders that the replica had started, and the replica answers 409 to a repeat ('outcome=conflict' in the log of the test).

Change: the agent remembers an order that was not answered (`UnsettledOrder`), keeps to its version and sends it again until the replica answers, has started another order, or has restarted. If it can be neither settled nor sent for 10 s, it counts as lost.

An agent that is restarted does not know of the order; this is not covered.

--- a/crates/fulmarline/tests/platform_silence.rs
+++ b/crates/fulmarline/tests/platform_silence.rs
@@ -262,6 +262,23 @@
     wait_for_version(&site, 3);
 }
 
+/// Guards against weights that mix two versions: an order to load is read late, after a newer version was staged.
+#[test]
+fn a_late_order_loads_no_mixed_weights() {
+    let site = TestSite::start("silence-order", 200, &[1]);
+    let replica = &site.models[0];
+    replica.set_silent(&[ReplicaCalls::Orders], true);
+    site.declare(2);
+    site.wait("an order", |_| {
+        (replica.received(ReplicaCalls::Orders) > 0).then_some(())
+    });
+    site.declare(3);
+    // The agent gives up waiting for the response, and could stage all pieces of the newer version.
+    std::thread::sleep(Duration::from_millis(6000));
+    replica.set_silent(&[ReplicaCalls::Orders], false);
+    wait_for_version(&site, 3);
+}
+
 /// Guards against a sound replica that is taken out of service because it does not answer its agent for a moment.
 #[test]
 fn a_silent_report_takes_no_replica_out_of_service() {
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -27,6 +27,17 @@
     pub(crate) origin_region: Option<String>,
 }
 
+/// A load order whose outcome is not known: the replica may accept it at any time, and loads what is staged then.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct UnsettledOrder {
+    /// Weights that the order is for.
+    pub(crate) target: WeightTarget,
+    /// Number of orders that the replica had started. The order is settled once there are more.
+    pub(crate) orders_started: u64,
+    /// When the order was last sent.
+    pub(crate) sent_at: Instant,
+}
+
 /// Mutable state of an agent.
 #[derive(Debug)]
 pub(crate) struct AgentState {
@@ -47,6 +58,8 @@
     pub(crate) staged_pieces: StagedPieces,
     /// Version that the replica was last ordered to load, unless the replica has restarted since.
     pub(crate) ordered_version: Option<u64>,
+    /// Load order that the replica has not answered. Pieces of no other version may be staged meanwhile.
+    pub(crate) unsettled_order: Option<UnsettledOrder>,
     /// Weights that the replica serves, as reported to entries, or `None` until the replica has first been polled.
     pub(crate) serving: Option<Vec<LoadedModel>>,
 }
@@ -81,6 +94,23 @@
     state: Mutex<AgentState>,
 }
 
+impl AgentState {
+    /// Returns the weights whose pieces are staged now: those of an unsettled order, or else the target.
+    pub(crate) fn staging_target(&self) -> Option<&WeightTarget> {
+        let unsettled = self.unsettled_order.as_ref().map(|it| &it.target);
+        unsettled.or(self.target.as_ref())
+    }
+
+    /// Forgets the unsettled order if a replica that has started `orders_started` orders has answered it in effect, or
+    /// if it was not answered for so long that it was most likely lost.
+    pub(crate) fn settle_order(&mut self, orders_started: u64, now: Instant) {
+        self.unsettled_order.take_if(|it| {
+            it.orders_started != orders_started
+                || now.saturating_duration_since(it.sent_at) > UNSETTLED_ORDER_LIFETIME
+        });
+    }
+}
+
 impl AgentShared {
     pub(crate) fn new(settings: NodeSettings, log: Logger) -> anyhow::Result<Self> {
         let replica_address = settings
@@ -111,6 +141,7 @@
                 feeds: BTreeMap::new(),
                 staged_pieces: StagedPieces::default(),
                 ordered_version: None,
+                unsettled_order: None,
                 serving: None,
             }),
             settings,
@@ -143,6 +174,10 @@
 /// Timeout for a response of the replica, which runs on the same host.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Time after which an order that was not answered and could not be sent again is assumed to be lost; several times as
+/// long as a sound replica is silent.
+const UNSETTLED_ORDER_LIFETIME: Duration = Duration::from_secs(10);
+
 /// Maximum number of pieces that are sent concurrently. The link also carries the streams of the replica, which must
 /// not queue behind pieces.
 const MAX_UPLOADS: usize = 2;
--- a/crates/stager/src/source_client.rs
+++ b/crates/stager/src/source_client.rs
@@ -82,7 +82,7 @@
 /// Returns whether pieces of `target` are still worth fetching.
 pub(crate) fn should_fetch(shared: &AgentShared, target: &WeightTarget) -> bool {
     let state = shared.state();
-    let current = state.target.as_ref();
+    let current = state.staging_target();
     current.is_some_and(|it| it.model == target.model && it.version == target.version)
 }
 
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use slog::{info, warn};
 
-use crate::agent_shared::{AgentShared, WeightTarget};
+use crate::agent_shared::{AgentShared, UnsettledOrder, WeightTarget};
 use crate::piece_fetch;
 
 /// Reconciles the weights that the replica serves with the target, for the lifetime of the process.
@@ -42,7 +42,11 @@
             let mut state = shared.state();
             state.staged_pieces.clear();
             state.ordered_version = None;
+            state.unsettled_order = None;
         }
+        shared
+            .state()
+            .settle_order(report.orders_started, Instant::now());
         report_serving(
             &shared,
             if report.load_in_progress {
@@ -52,7 +56,7 @@
             },
             None,
         );
-        let Some(target) = shared.state().target.clone() else {
+        let Some(target) = shared.state().staging_target().cloned() else {
             continue;
         };
         if !report.load_in_progress && is_serving(&report, &target) {
@@ -144,10 +148,23 @@
         version: target.version,
         orders_started: report.orders_started,
     };
+    // The replica may accept the order later even if it is not answered, so it is sent again until it is.
+    let earlier = shared.state().unsettled_order.replace(UnsettledOrder {
+        target: target.clone(),
+        orders_started: order.orders_started,
+        sent_at: Instant::now(),
+    });
     let response = shared.replica_client.load(&order).await;
+    let mut state = shared.state();
+    match &response {
+        Err(CallError::TimedOut | CallError::NoResponse(_)) => {}
+        Err(CallError::NotSent(_)) => state.unsettled_order = earlier,
+        _ => state.unsettled_order = None,
+    }
     if matches!(response, Ok(OrderResponse::Started)) {
-        shared.state().ordered_version = Some(target.version);
+        state.ordered_version = Some(target.version);
     }
+    drop(state);
     let outcome = match &response {
         Ok(OrderResponse::Started) => "begun",
         Ok(OrderResponse::AlreadyDone) => "done",
