Agents' reports to entries beside a silent store have a test

What callers would see: requests refused with 'no_replica' until the store is back, although a replica has loaded its weights meanwhile.

The test: an empty replica receives its weights while the store has been silent for 6.5 s, so entries announce nothing and cannot be listed. A public stream must be served by it before the store is back.

--- a/crates/fulmarline/tests/platform_silence.rs
+++ b/crates/fulmarline/tests/platform_silence.rs
@@ -279,6 +279,32 @@
     wait_for_version(&site, 3);
 }
 
+/// Guards against entries that do not learn of loaded weights, because agents look for entries in a silent store.
+#[test]
+fn entries_learn_of_loaded_weights_while_the_store_is_silent() {
+    let mut site = TestSite::start("silence-status", 206, &[]);
+    let mut route = public_route("open");
+    route["kind"] = json!("stream");
+    route["service"] = json!("pool");
+    site.configure(&json!([route]));
+    site.add_model_replica(208, 0);
+    let replica = &site.models[0];
+    replica.set_silent(&[ReplicaCalls::Staging], true);
+    site.wait("the transfer", |_| {
+        (replica.received(ReplicaCalls::Staging) > 0).then_some(())
+    });
+    site.store.set_silent(true);
+    // The entries announce nothing any more, and the agent counts them as gone.
+    std::thread::sleep(Duration::from_millis(6500));
+    assert_eq!(replica.version(), 0);
+    replica.set_silent(&[ReplicaCalls::Staging], false);
+    wait_for_version(&site, 1);
+    site.wait("a served stream", |it| {
+        let response = it.call(0, Method::POST, "/open/1", "open", "none")?;
+        (response.status == StatusCode::OK).then_some(())
+    });
+}
+
 /// Guards against a sound replica that is taken out of service because it does not answer its agent for a moment.
 #[test]
 fn a_silent_report_takes_no_replica_out_of_service() {
