A long request is not ended while its replica reads nothing for a moment

What callers would see: 502 'unknown_outcome' for an order, or a repeated lookup, whose body is longer than the connection's buffers, if the sound replica reads nothing for more than 1.5 s and then goes on. A replica's silence is no reason to end an answer sooner.

Cause: `TCP_USER_TIMEOUT` (1.5 s), which ends connections to hosts that lost power, also ends a connection whose receive window stays full, although the peer's host acknowledges every probe.

Evidence: the test, an order with a body of 2 MB at a replica that reads nothing for 2.2 s. The entry's log: 'send failed', outcome=connection_lost.

Ruled out: the time-outs of the relay, which waits until the deadline (6 s); the connection time-out, since the kernel accepts.

Change: a request with a body above 48 KiB, which may not fit into a window, is sent on a connection of its own without that time-out and ends it ('Connection: close'), so the pool holds only connections that have it. If the host of such a request is lost, it ends at its deadline.

The size from which a silence ended requests before was not measured.

--- a/crates/fulmarline/tests/platform_silence.rs
+++ b/crates/fulmarline/tests/platform_silence.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use httpio::{Method, StatusCode};
@@ -13,6 +14,20 @@
 use site::{SiteCaller, SiteResponse, TestSite};
 use standin::ReplicaCalls;
 
+/// Held by the test that uses the addresses of a slot.
+static SLOTS: [Mutex<()>; 5] = [const { Mutex::new(()) }; 5];
+
+/// Starts a site at the addresses of `slot`, once no other test uses them.
+fn start_site(name: &str, slot: u8, versions: &[u64]) -> (MutexGuard<'static, ()>, TestSite) {
+    let guard = SLOTS[usize::from(slot)].lock();
+    // A test that failed has released the addresses as well.
+    let guard = guard.unwrap_or_else(PoisonError::into_inner);
+    (
+        guard,
+        TestSite::start(name, FIRST_INDEX + 2 * slot, versions),
+    )
+}
+
 /// A request with the response that its client received, or `None` if the connection was closed without one.
 struct CallRecord {
     id: String,
@@ -160,8 +175,8 @@
     site.declare(version);
 }
 
-fn check_store_silence(name: &str, first_index: u8, silence: Duration) {
-    let mut site = TestSite::start(name, first_index, &[1, 1]);
+fn check_store_silence(name: &str, slot: u8, silence: Duration) {
+    let (_slot, mut site) = start_site(name, slot, &[1, 1]);
     let kinds = [CallKind::Order, CallKind::Lookup, CallKind::Stream];
     let calls = call_during(&mut site, &kinds, |it| {
         it.store.set_silent(true);
@@ -182,20 +197,20 @@
 /// Guards against configurations, versions and requests that are lost when the store is silent for a moment.
 #[test]
 fn a_short_silence_of_the_store_loses_nothing() {
-    check_store_silence("silence-store-short", 190, Duration::from_millis(1500));
+    check_store_silence("silence-store-short", 0, Duration::from_millis(1500));
 }
 
 /// Guards against configurations, versions and requests that are lost when the store is silent for longer than keys are
 /// trusted.
 #[test]
 fn a_long_silence_of_the_store_refuses_and_recovers() {
-    check_store_silence("silence-store-long", 192, Duration::from_millis(8000));
+    check_store_silence("silence-store-long", 1, Duration::from_millis(8000));
 }
 
 /// Guards against an entry that learns of the return of the store only when a call from before it has timed out.
 #[test]
 fn entries_are_current_soon_after_a_long_silence_of_the_store() {
-    let mut site = TestSite::start("silence-store-return", 194, &[]);
+    let (_slot, mut site) = start_site("silence-store-return", 0, &[]);
     site.store.set_silent(true);
     std::thread::sleep(Duration::from_millis(8000));
     // What the store received last is lost with everything before.
@@ -217,7 +232,7 @@
 /// Guards against orders and lookups that are ended or repeated because their sound replica is silent.
 #[test]
 fn a_silence_of_plain_replicas_delays_requests_only() {
-    let mut site = TestSite::start("silence-replicas", 196, &[]);
+    let (_slot, mut site) = start_site("silence-replicas", 1, &[]);
     let kinds = [CallKind::Order, CallKind::Lookup];
     let calls = call_during(&mut site, &kinds, |it| {
         for round in 0..3 {
@@ -241,10 +256,39 @@
     check_config_order(&site);
 }
 
+/// Guards against long requests that are ended because their sound replica reads nothing for a moment.
+#[test]
+fn a_silence_in_a_long_body_delays_the_request_only() {
+    let (_slot, mut site) = start_site("silence-body", 2, &[]);
+    site.max_body_bytes = 2 * LONG_BODY_BYTES;
+    site.configure(&json!([public_route("long")]));
+    wait_for_route(&site, "long");
+    let caller = site.caller();
+    for (path, id) in [("/order/1", "long-order"), ("/lookup/1", "long-lookup")] {
+        for replica in &site.orders {
+            replica.set_silent(&[ReplicaCalls::Requests], true);
+        }
+        let response = std::thread::scope(|scope| {
+            let body = vec![b'x'; LONG_BODY_BYTES];
+            let response =
+                scope.spawn(|| caller.call_with_body(0, Method::POST, path, id, "key-1", body));
+            std::thread::sleep(Duration::from_millis(2200));
+            for replica in &site.orders {
+                replica.set_silent(&[ReplicaCalls::Requests], false);
+            }
+            response.join().unwrap()
+        });
+        let response = response.expect("a response");
+        assert_eq!(response.status, StatusCode::OK, "{id}: {response:?}");
+        let runs = site.orders.iter().flat_map(|it| it.runs());
+        assert_eq!(runs.filter(|it| it.0 == id).map(|it| it.1).sum::<u64>(), 1);
+    }
+}
+
 /// Guards against mixed weights, lost versions and broken streams when replicas do not answer their agents in a switch.
 #[test]
 fn a_silence_of_model_replicas_during_a_switch_mixes_nothing() {
-    let mut site = TestSite::start("silence-switch", 198, &[1, 1]);
+    let (_slot, mut site) = start_site("silence-switch", 2, &[1, 1]);
     let calls = call_during(&mut site, &[CallKind::Stream], |it| {
         for (version, calls) in [
             (2, [ReplicaCalls::Reports, ReplicaCalls::Orders]),
@@ -265,7 +309,7 @@
 /// Guards against weights that mix two versions: an order to load is read late, after a newer version was staged.
 #[test]
 fn a_late_order_loads_no_mixed_weights() {
-    let site = TestSite::start("silence-order", 200, &[1]);
+    let (_slot, site) = start_site("silence-order", 3, &[1]);
     let replica = &site.models[0];
     replica.set_silent(&[ReplicaCalls::Orders], true);
     site.declare(2);
@@ -282,12 +326,12 @@
 /// Guards against entries that do not learn of loaded weights, because agents look for entries in a silent store.
 #[test]
 fn entries_learn_of_loaded_weights_while_the_store_is_silent() {
-    let mut site = TestSite::start("silence-status", 206, &[]);
+    let (_slot, mut site) = start_site("silence-status", 4, &[]);
     let mut route = public_route("open");
     route["kind"] = json!("stream");
     route["service"] = json!("pool");
     site.configure(&json!([route]));
-    site.add_model_replica(208, 0);
+    site.add_model_replica(FIRST_INDEX + 18, 0);
     let replica = &site.models[0];
     replica.set_silent(&[ReplicaCalls::Staging], true);
     site.wait("the transfer", |_| {
@@ -308,7 +352,7 @@
 /// Guards against a sound replica that is taken out of service because it does not answer its agent for a moment.
 #[test]
 fn a_silent_report_takes_no_replica_out_of_service() {
-    let mut site = TestSite::start("silence-report", 202, &[1]);
+    let (_slot, mut site) = start_site("silence-report", 4, &[1]);
     let wait_for_status = |site: &TestSite, status: StatusCode| {
         site.wait("a status", |it| {
             let response = call(&it.caller(), 0, CallKind::Stream, "probe".to_owned()).response?;
@@ -332,7 +376,7 @@
 /// Guards against a switch that ends when the origin is silent for a moment.
 #[test]
 fn a_silence_of_the_origin_delays_a_switch_only() {
-    let mut site = TestSite::start("silence-origin", 204, &[1, 1]);
+    let (_slot, mut site) = start_site("silence-origin", 3, &[1, 1]);
     let calls = call_during(&mut site, &[CallKind::Stream], |it| {
         it.origin.set_silent(true);
         it.declare(2);
@@ -347,9 +391,15 @@
     check_config_order(&site);
 }
 
+/// Last octet of the first loopback address of the sites.
+const FIRST_INDEX: u8 = 190;
+
 /// Time within which a configuration must be in force on every entry after the store was silent.
 const MAX_CONFIG_DELAY: Duration = Duration::from_millis(3000);
 
+/// Size of a body that does not fit into the buffers of a connection.
+const LONG_BODY_BYTES: usize = 2 << 20;
+
 /// Time before and after a silence in which requests are sent as well.
 const QUIET_TIME: Duration = Duration::from_millis(400);
 
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -36,6 +36,8 @@
     pub ports: SitePorts,
     pub hosts: Vec<SiteHost>,
     client: HttpClient,
+    /// Maximum size of a request's body in the next configuration.
+    pub max_body_bytes: usize,
     config: u64,
     dir: PathBuf,
 }
@@ -58,7 +60,7 @@
 }
 
 impl SiteCaller {
-    /// Sends a request to an entry.
+    /// Sends a request without a body to an entry.
     pub fn call(
         &self,
         entry: usize,
@@ -67,6 +69,24 @@
         id: &str,
         key: &str,
     ) -> Option<SiteResponse> {
+        self.call_with_body(entry, method, path, id, key, Vec::new())
+    }
+
+    /// Sends a request with a body to an entry.
+    pub fn call_with_body(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        id: &str,
+        key: &str,
+        body: Vec<u8>,
+    ) -> Option<SiteResponse> {
+        let body = if body.is_empty() {
+            httpio::empty()
+        } else {
+            httpio::full(body)
+        };
         let request = Request::builder()
             .method(method)
             .uri(path)
@@ -76,7 +96,7 @@
             .header("Token-Count", "100,60")
             .header("Tenant", "forged")
             .header("Authorization", format!("Token {key}"))
-            .body(httpio::empty())
+            .body(body)
             .unwrap();
         let address = self.front_addresses[entry];
         self.handle.block_on(async {
@@ -129,6 +149,7 @@
             entries: Vec::new(),
             agents: Vec::new(),
             hosts: Vec::new(),
+            max_body_bytes: 65536,
             config: 0,
             dir,
         };
@@ -247,7 +268,7 @@
                 {"name": "plain", "maxConns": 100},
                 {"name": "weights", "origin": self.origin.address().to_string(), "maxConns": 100},
             ],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": self.max_body_bytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
             "tenants": [{"name": "dealer", "apiKeys": ["key-1"], "prio": 1}],
         });
         self.store.put("op", "config", &config);
--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -6,7 +6,7 @@
 use std::{fmt, time};
 
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, Response};
 use hyper_util::rt;
@@ -93,7 +93,8 @@
 
     /// Closes connections whose data the peer does not acknowledge within `timeout`.
     ///
-    /// Without this timeout, a request on a connection to a host that lost power waits for minutes.
+    /// Without this timeout, a request on a connection to a host that lost power waits for minutes. It does not apply to
+    /// requests with a body that may fill the receive window of the peer.
     #[must_use]
     pub fn with_tcp_user_timeout(mut self, timeout: time::Duration) -> Self {
         self.tcp_user_timeout = Some(timeout);
@@ -128,9 +129,15 @@
         address: SocketAddr,
         request: Request<HttpBody>,
     ) -> Result<PooledResponse, ClientError> {
+        if self.may_wait_for_window(&request) {
+            return self.send_on_new_connection(address, request).await;
+        }
         let mut sender = match self.take_idle(address).await {
             Some(it) => it,
-            None => self.connect(address).await.map_err(ClientError::NotSent)?,
+            None => self
+                .connect(address, self.tcp_user_timeout)
+                .await
+                .map_err(ClientError::NotSent)?,
         };
         let request = with_host_header(request, address);
         match sender.try_send_request(request).await {
@@ -160,9 +167,21 @@
         address: SocketAddr,
         request: Request<HttpBody>,
     ) -> Result<PooledResponse, ClientError> {
-        let mut sender = self.connect(address).await.map_err(ClientError::NotSent)?;
+        let mut request = with_host_header(request, address);
+        let mut tcp_user_timeout = self.tcp_user_timeout;
+        if self.may_wait_for_window(&request) {
+            tcp_user_timeout = None;
+            // The pool holds only connections with the timeout.
+            let close = hyper::header::HeaderValue::from_static("close");
+            let headers = request.headers_mut();
+            headers.insert(hyper::header::CONNECTION, close);
+        }
+        let mut sender = self
+            .connect(address, tcp_user_timeout)
+            .await
+            .map_err(ClientError::NotSent)?;
         let response = sender
-            .send_request(with_host_header(request, address))
+            .send_request(request)
             .await
             .map_err(ClientError::NoResponse)?;
         Ok(PooledResponse {
@@ -244,14 +263,27 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> std::io::Result<SendRequest<HttpBody>> {
+    /// Returns whether the peer may have to read a part of `request` before it can acknowledge the rest.
+    ///
+    /// `TCP_USER_TIMEOUT` also closes connections whose receive window stays full, and a sound server may read nothing
+    /// for a moment.
+    fn may_wait_for_window(&self, request: &Request<HttpBody>) -> bool {
+        let max_bytes = request.body().size_hint().upper();
+        self.tcp_user_timeout.is_some() && max_bytes.is_none_or(|it| it > MAX_WINDOW_BYTES)
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        tcp_user_timeout: Option<time::Duration>,
+    ) -> std::io::Result<SendRequest<HttpBody>> {
         let stream = tokio::time::timeout(self.connect_timeout, self.open_socket(address))
             .await
             .map_err(|_| {
                 std::io::Error::new(std::io::ErrorKind::TimedOut, "timed out while connecting")
             })??;
         stream.set_nodelay(true)?;
-        if let Some(timeout) = self.tcp_user_timeout {
+        if let Some(timeout) = tcp_user_timeout {
             socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(timeout))?;
         }
         let stream = ClientStream::new(stream, self.reset_on_close)?;
@@ -328,6 +360,10 @@
     request
 }
 
+/// Maximum size of a body that fits into the receive window of a new connection, which is 64 KiB by default, beside the
+/// head of the request.
+const MAX_WINDOW_BYTES: u64 = 48 * 1024;
+
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -40,7 +40,8 @@
 /// The calls that a replica can leave unanswered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ReplicaCalls {
-    /// Clients' requests. They run when they arrive; their responses and the events of streams are held back.
+    /// Clients' requests. One without a body runs when it arrives, and its response or the events of its stream are held
+    /// back; a body stays unread until the silence ends.
     Requests,
     /// Reports of the replica's state.
     Reports,
@@ -264,6 +265,10 @@
         );
     }
     let (parts, body) = request.into_parts();
+    let has_body = !hyper::body::Body::is_end_stream(&body);
+    if has_body && ReplicaCalls::of(&path) == ReplicaCalls::Requests {
+        shared.silences[&ReplicaCalls::Requests].wait().await;
+    }
     let body = httpio::read_limited(body, 1 << 22, Duration::from_secs(5))
         .await
         .unwrap_or_default();
