A silence while pieces are staged does not repeat their transfer

What the system lost: the pieces under way were fetched a second time, from the origin or other agents, when the replica left the staging calls of its agent unanswered for more than 1.5 s.

Cause: a piece that the replica did not confirm was dropped, and its source was treated as busy.

Ruled out: the transfer as a whole; pieces that were confirmed before the silence were kept.

Change: after a time-out the agent stages the bytes it has up to twice more, as long as it still wants their version.

--- a/crates/fulmarline/tests/platform_silence.rs
+++ b/crates/fulmarline/tests/platform_silence.rs
@@ -11,7 +11,7 @@
 
 use httpio::{Method, StatusCode};
 use serde_json::{Value, json};
-use site::{SiteCaller, SiteResponse, TestSite};
+use site::{SiteCaller, SiteResponse, TestSite, WEIGHTS};
 use standin::ReplicaCalls;
 
 /// Held by the test that uses the addresses of a slot.
@@ -323,6 +323,23 @@
     wait_for_version(&site, 3);
 }
 
+/// Guards against pieces that the origin sends again because a replica does not answer when they are staged.
+#[test]
+fn a_silence_while_pieces_are_staged_repeats_no_transfer() {
+    let (_slot, mut site) = start_site("silence-staging", 0, &[]);
+    site.add_model_replica(FIRST_INDEX + 10, 0);
+    let replica = &site.models[0];
+    replica.set_silent(&[ReplicaCalls::Staging], true);
+    // The first call reads what is staged, and times out.
+    site.wait("a piece", |_| {
+        (replica.received(ReplicaCalls::Staging) > 1).then_some(())
+    });
+    std::thread::sleep(Duration::from_millis(2000));
+    replica.set_silent(&[ReplicaCalls::Staging], false);
+    wait_for_version(&site, 1);
+    assert_eq!(site.origin.pieces_sent(), WEIGHTS.pieces as u64);
+}
+
 /// Guards against entries that do not learn of loaded weights, because agents look for entries in a silent store.
 #[test]
 fn entries_learn_of_loaded_weights_while_the_store_is_silent() {
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -13,6 +13,7 @@
 };
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use platform::CallError;
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, WeightTarget};
@@ -251,19 +252,28 @@
     (fetch, outcome)
 }
 
+/// Stages a piece; returns whether it is staged. A replica that is silent for a moment receives it again, since another
+/// transfer would cost more.
 async fn stage_piece(
     shared: &AgentShared,
     target: &WeightTarget,
     index: usize,
     bytes: Vec<u8>,
 ) -> bool {
-    if let Err(err) = shared
-        .replica_client
-        .stage_piece(&target.model, index, bytes)
-        .await
-    {
+    let mut attempts = 0;
+    loop {
+        let staging = shared
+            .replica_client
+            .stage_piece(&target.model, index, bytes.clone());
+        let Err(err) = staging.await else {
+            break;
+        };
         warn!(shared.log, "cannot stage piece"; "index" => index, "error" => err.to_string());
-        return false;
+        attempts += 1;
+        let may_repeat = matches!(err, CallError::TimedOut) && attempts < MAX_STAGING_ATTEMPTS;
+        if !may_repeat || !source_client::should_fetch(shared, target) {
+            return false;
+        }
     }
     let mut state = shared.state();
     if state.staged_pieces.of(target).is_none() {
@@ -275,6 +285,9 @@
     true
 }
 
+/// Maximum attempts to stage a piece at a replica that does not answer.
+const MAX_STAGING_ATTEMPTS: usize = 3;
+
 /// Time after which the list of replicas is read again.
 const PLAN_LIFETIME: Duration = Duration::from_millis(2500);
 
