Tests of requests that wait at a silent replica while new weights take effect

What callers would see: a request is answered on old weights after the time from which none may begin there (VERSION).

Cause on: an entry gave up a silent replica 0.7 s plus three times the prediction after it had sent the request, and sent it as long as three times the prediction fitted the time left, so a request could begin up to 0.1 s after the bound.

RawReplica now records when it begins a response, which it does only while the connection is open, and may pause between the head and the first part. So a test sees a late start even if the entry does not forward it.

Ruled out: a late start by an entry that learned of the version late; the store of these tests answers at once.

--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -18,6 +18,9 @@
 /// Timeout of every wait, well above what a loaded machine needs.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Number of tokens in the prompt of a usual request.
+const SHORT_PROMPT: u32 = 100;
+
 /// Size of the weights of the site's model.
 pub const WEIGHTS: SiteWeights = SiteWeights {
     pieces: 24,
@@ -58,7 +61,7 @@
 }
 
 impl SiteCaller {
-    /// Sends a request to an entry.
+    /// Sends a request with a short prompt to an entry.
     pub fn call(
         &self,
         entry: usize,
@@ -66,6 +69,19 @@
         path: &str,
         id: &str,
         key: &str,
+    ) -> Option<SiteResponse> {
+        self.call_with_prompt(entry, method, path, id, key, SHORT_PROMPT)
+    }
+
+    /// Sends a request whose prompt has `prompt_tokens` tokens to an entry.
+    pub fn call_with_prompt(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        id: &str,
+        key: &str,
+        prompt_tokens: u32,
     ) -> Option<SiteResponse> {
         let request = Request::builder()
             .method(method)
@@ -73,7 +89,7 @@
             .header("Host", "shop.example")
             .header("Request-Id", id)
             .header("Deadline-Ms", "6000")
-            .header("Token-Count", "100,60")
+            .header("Token-Count", format!("{prompt_tokens},60"))
             .header("Tenant", "forged")
             .header("Authorization", format!("Token {key}"))
             .body(httpio::empty())
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -43,7 +43,7 @@
 pub use run_counters::{RunCount, RunCounters};
 pub use site::{
     RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, ReplicaFaults, ReplicaKind, RunCounts,
-    SiteHost, SiteOrigin, SitePorts, SiteReplica, SiteStore, SiteWeights,
+    RunStart, SiteHost, SiteOrigin, SitePorts, SiteReplica, SiteStore, SiteWeights,
 };
 pub use standin_runtime::StandinRuntime;
 pub use table::{TableCounters, TableFaults, TableService};
--- a/crates/standin/src/site/raw_replica.rs
+++ b/crates/standin/src/site/raw_replica.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::Value;
 
@@ -37,6 +37,8 @@
     pub sent_bytes: usize,
     /// What follows the sent bytes.
     pub end: RawEnd,
+    /// Pause between the head and the first part. Without one, they are written together.
+    pub first_pause: Duration,
     /// Pause before the last part that is sent.
     pub pause: Duration,
 }
@@ -63,9 +65,27 @@
     pub earlier_runs: u64,
 }
 
-/// Number of runs by request id, shared by the replicas of a service.
+/// Requests that were received and those that began, shared by the replicas of a service.
 #[derive(Clone, Debug, Default)]
-pub struct RunCounts(Arc<Mutex<BTreeMap<String, u64>>>);
+pub struct RunCounts(Arc<Mutex<RunLog>>);
+
+#[derive(Debug, Default)]
+struct RunLog {
+    received: BTreeMap<String, u64>,
+    starts: Vec<RunStart>,
+}
+
+/// The moment at which a replica began to send the body of a response. A request whose connection was closed before does
+/// not begin.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunStart {
+    /// Id of the request.
+    pub request: String,
+    /// Id of the replica.
+    pub replica: String,
+    /// When it began.
+    pub at: Instant,
+}
 
 /// A replica on a loopback address, which runs until the test process ends.
 #[derive(Debug)]
@@ -77,18 +97,32 @@
 impl RunCounts {
     /// Returns the number of runs of the request with the id `id`.
     pub fn get(&self, id: &str) -> u64 {
-        self.lock().get(id).copied().unwrap_or(0)
+        self.lock().received.get(id).copied().unwrap_or(0)
+    }
+
+    /// Returns the starts of all requests in order.
+    pub fn starts(&self) -> Vec<RunStart> {
+        self.lock().starts.clone()
     }
 
     /// Counts a run and returns the number of earlier ones.
     fn record(&self, id: &str) -> u64 {
-        let mut counts = self.lock();
-        let count = counts.entry(id.to_owned()).or_default();
+        let mut log = self.lock();
+        let count = log.received.entry(id.to_owned()).or_default();
         *count += 1;
         *count - 1
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, u64>> {
+    fn record_start(&self, request: &str, replica: &str) {
+        let start = RunStart {
+            request: request.to_owned(),
+            replica: replica.to_owned(),
+            at: Instant::now(),
+        };
+        self.lock().starts.push(start);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RunLog> {
         self.0
             .lock()
             .expect("no thread panics while it holds the lock of the counts")
@@ -104,12 +138,13 @@
             sent_bytes: parts.iter().map(String::len).sum(),
             parts,
             end: RawEnd::Marked,
+            first_pause: Duration::ZERO,
             pause: Duration::ZERO,
         }
     }
 
-    /// Returns the bytes to send and the position of the last part in them.
-    fn encode(&self, id: &str, replica: &str) -> (Vec<u8>, usize) {
+    /// Returns the bytes to send and the positions of the first and the last part in them.
+    fn encode(&self, id: &str, replica: &str) -> (Vec<u8>, usize, usize) {
         let framing = match self.framing {
             RawFraming::Length => {
                 let total = self.parts.iter().map(String::len).sum();
@@ -129,7 +164,8 @@
         )
         .into_bytes();
         let mut remaining = self.sent_bytes;
-        let mut last_part = bytes.len();
+        let first_part = bytes.len();
+        let mut last_part = first_part;
         for part in &self.parts {
             let sent = &part[..part.len().min(remaining)];
             remaining -= sent.len();
@@ -146,7 +182,7 @@
         if self.framing == RawFraming::Chunked && self.end == RawEnd::Marked {
             bytes.extend_from_slice(b"0\r\n\r\n");
         }
-        (bytes, last_part)
+        (bytes, first_part, last_part)
     }
 }
 
@@ -189,7 +225,12 @@
 
     /// Returns the row of a replica of `service` with version 1 of the model.
     pub fn row(&self, service: &str, zone: &str) -> Value {
-        replica_row(self.address, service, zone, "ready", 1)
+        self.row_with_version(service, zone, 1)
+    }
+
+    /// Returns the row of a replica of `service` with `version` of the model.
+    pub fn row_with_version(&self, service: &str, zone: &str, version: u64) -> Value {
+        replica_row(self.address, service, zone, "ready", version)
     }
 }
 
@@ -208,8 +249,18 @@
     request.earlier_runs = runs.record(&id);
     let response = respond(&request);
     let mut writer = socket;
-    let (bytes, last_part) = response.encode(&id, replica);
-    writer.write_all(&bytes[..last_part])?;
+    let (bytes, first_part, last_part) = response.encode(&id, replica);
+    let mut sent = 0;
+    if !response.first_pause.is_zero() {
+        writer.write_all(&bytes[..first_part])?;
+        sent = first_part;
+        std::thread::sleep(response.first_pause);
+    }
+    if is_closed(socket)? {
+        return Ok(());
+    }
+    runs.record_start(&id, replica);
+    writer.write_all(&bytes[sent..last_part])?;
     std::thread::sleep(response.pause);
     writer.write_all(&bytes[last_part..])?;
     if response.end == RawEnd::Reset {
@@ -219,6 +270,17 @@
     Ok(())
 }
 
+/// Returns whether the entry has closed or reset the connection.
+fn is_closed(socket: &TcpStream) -> std::io::Result<bool> {
+    socket.set_nonblocking(true)?;
+    let peeked = socket.peek(&mut [0]);
+    socket.set_nonblocking(false)?;
+    Ok(match peeked {
+        Ok(length) => length == 0,
+        Err(err) => err.kind() != std::io::ErrorKind::WouldBlock,
+    })
+}
+
 fn read_request(socket: &TcpStream) -> std::io::Result<RawRequest> {
     let mut reader = BufReader::new(socket);
     let mut request = RawRequest::default();
