A request at a replica is withdrawn at the next switch that its weights do not satisfy

Cause: the requirement stated only the next switch. A replica on the first pending version satisfies it, so the request got no time at which to withdraw it, and waited there across the switch of the second version. A stream that cannot be resumed waits without limit. Besides, a version whose declaration became known late (its own row was overwritten, or the store did not answer) took effect later than the one after it, though it was acknowledged before.

Change: the requirement lists all pending versions, each no later than those that replace it; a replica is checked against the first one that is newer than its weights.

The table of choices now declares versions to a VersionTable instead of stating the requirement, so that it covers both; its expectations are the same.

Ruled out: that the time-out of a silent replica covers it; routes that cannot be resumed have none.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -58,5 +58,5 @@
 pub use store_clock::StoreClock;
 pub use stream_cursor::{EventBatch, StreamCursor, StreamError};
 pub use switch_deadlines::SwitchDeadlines;
-pub use version_table::{NextSwitch, VersionRequirement, VersionTable};
+pub use version_table::{PendingSwitch, VersionRequirement, VersionTable};
 pub use zone_exchange::{is_zone_reporter, report_targets};
--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -114,6 +114,7 @@
     }
     let has_requirement = request
         .version_requirement
+        .as_ref()
         .is_some_and(|it| it.oldest_allowed > 0);
     let expect_version = request
         .engine
@@ -185,6 +186,7 @@
     };
     request
         .version_requirement
+        .as_ref()
         .is_none_or(|it| version >= it.oldest_allowed)
 }
 
@@ -198,10 +200,8 @@
 impl ChoiceRequest<'_> {
     /// Returns the time until the weights of `replica` become too old, if a newer version has been declared.
     fn time_to_switch(&self, replica: &Replica) -> Option<Duration> {
-        let next = self.version_requirement?.next_switch?;
-        let version = replica.version_of(&self.engine?.model);
-        let is_current = version.is_some_and(|it| it >= next.version);
-        (!is_current).then_some(next.remaining)
+        let loaded = replica.version_of(&self.engine?.model);
+        self.version_requirement.as_ref()?.time_to_switch(loaded)
     }
 }
 
--- a/crates/fleet/src/version_table.rs
+++ b/crates/fleet/src/version_table.rs
@@ -4,25 +4,35 @@
 use std::time::{Duration, Instant};
 
 /// Versions that may currently serve a request for a model.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VersionRequirement {
     /// Newest declared version.
     pub newest: u64,
     /// Oldest version that may still serve requests.
     pub oldest_allowed: u64,
-    /// The next increase of `oldest_allowed`, if known.
-    pub next_switch: Option<NextSwitch>,
+    /// Later increases of `oldest_allowed` in order, as far as they are known.
+    pub pending: Vec<PendingSwitch>,
 }
 
-/// The next version to take effect.
+/// A version that has not taken effect yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NextSwitch {
+pub struct PendingSwitch {
     /// Version that will become the oldest allowed one.
     pub version: u64,
     /// Time until then.
     pub remaining: Duration,
 }
 
+impl VersionRequirement {
+    /// Returns the time after which a request must not start on `loaded` weights any more, if it is known.
+    ///
+    /// Every pending version counts: weights that satisfy the next one may be too old for the one after it.
+    pub fn time_to_switch(&self, loaded: Option<u64>) -> Option<Duration> {
+        let replacing = self.pending.iter().find(|it| loaded < Some(it.version));
+        replacing.map(|it| it.remaining)
+    }
+}
+
 /// Declared versions by model.
 #[derive(Clone, Debug)]
 pub struct VersionTable {
@@ -101,27 +111,30 @@
     pub fn requirement(&self, model: &str, now: Instant) -> Option<VersionRequirement> {
         let versions = self.models.get(model)?;
         let newest = *versions.keys().next_back()?;
-        let oldest_allowed = versions
-            .iter()
-            .rev()
-            .find(|(_, known_since)| {
-                known_since.is_none_or(|it| now.saturating_duration_since(it) >= self.switch_time)
-            })
-            .map_or(0, |(version, _)| *version);
-        let next_switch = versions
-            .iter()
-            .filter(|(version, _)| **version > oldest_allowed)
-            .find_map(|(version, known_since)| {
-                let age = now.saturating_duration_since((*known_since)?);
-                Some(NextSwitch {
-                    version: *version,
-                    remaining: self.switch_time.saturating_sub(age),
-                })
+        let mut oldest_allowed = 0;
+        let mut pending = Vec::new();
+        // A version was acknowledged before those that replace it, so it takes effect no later than they do, even if
+        // its own declaration became known here only after theirs.
+        let mut remaining = self.switch_time;
+        for (version, known_since) in versions.iter().rev() {
+            let age = known_since.map(|it| now.saturating_duration_since(it));
+            let time_to_switch =
+                age.map_or(Duration::ZERO, |it| self.switch_time.saturating_sub(it));
+            remaining = remaining.min(time_to_switch);
+            if remaining.is_zero() {
+                oldest_allowed = *version;
+                break;
+            }
+            pending.push(PendingSwitch {
+                version: *version,
+                remaining,
             });
+        }
+        pending.reverse();
         Some(VersionRequirement {
             newest,
             oldest_allowed,
-            next_switch,
+            pending,
         })
     }
 }
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -5,11 +5,14 @@
 
 use expect_test::{Expect, expect};
 use fleet::{
-    CallKind, ChoiceRequest, EngineProfile, HealthTable, LoadTable, LoadedModel, NextSwitch,
-    NoReplica, Replica, ReplicaCatalog, ReplicaOutcome, ReplicaState, RequestSize, Route,
-    VersionRequirement, choose_replica,
+    CallKind, ChoiceRequest, EngineProfile, HealthTable, LoadTable, LoadedModel, NoReplica,
+    Replica, ReplicaCatalog, ReplicaOutcome, ReplicaState, RequestSize, Route, VersionTable,
+    choose_replica,
 };
 
+/// Time from the declaration of a version until it takes effect.
+const SWITCH: Duration = Duration::from_secs(7);
+
 fn engine() -> EngineProfile {
     EngineProfile {
         model: "m".to_owned(),
@@ -52,7 +55,8 @@
     max_first_event_ms: f64,
     oldest_allowed: u64,
     failed: &'a [&'a str],
-    next_switch: Option<NextSwitch>,
+    /// Versions that take effect later, each with the time until then in milliseconds.
+    pending: &'a [(u64, u64)],
 }
 
 impl Default for Case<'_> {
@@ -63,7 +67,7 @@
             max_first_event_ms: 380.0,
             oldest_allowed: 0,
             failed: &[],
-            next_switch: None,
+            pending: &[],
         }
     }
 }
@@ -97,6 +101,14 @@
     for id in case.failed {
         health.record_outcome(id, ReplicaOutcome::Unreachable, now);
     }
+    let mut versions = VersionTable::new(SWITCH);
+    if case.oldest_allowed > 0 {
+        versions.declare("m", case.oldest_allowed, None);
+    }
+    for (version, remaining) in case.pending {
+        let known_since = now + Duration::from_millis(*remaining) - SWITCH;
+        versions.declare("m", *version, Some(known_since));
+    }
     let engine = engine();
     let request = ChoiceRequest {
         service: "pool",
@@ -106,11 +118,7 @@
             prompt_tokens: case.prompt,
             max_answer_tokens: 100,
         },
-        version_requirement: Some(VersionRequirement {
-            newest: 2,
-            oldest_allowed: case.oldest_allowed,
-            next_switch: case.next_switch,
-        }),
+        version_requirement: versions.requirement("m", now),
         tried: &[],
         max_first_event_ms: case.max_first_event_ms,
         tolerated_delay_ms: 100.0,
@@ -275,20 +283,47 @@
 #[test]
 fn old_weights_get_only_requests_that_start_in_time() {
     let replicas: &[Row] = &[("r1", "a", Some(1), 0), ("r2", "b", Some(2), 14)];
-    let soon = |remaining| {
-        let remaining = Duration::from_millis(remaining);
-        Case {
+    let check = |pending: &[(u64, u64)], expected: &Expect| {
+        let case = Case {
             replicas,
-            next_switch: Some(NextSwitch {
-                version: 2,
-                remaining,
-            }),
+            pending,
             ..Case::default()
-        }
+        };
+        check(&case, expected);
     };
     check(
-        &soon(900),
+        &[(2, 900)],
         &expect!["r1 in 113 ms, version None, withdrawn after 900 ms"],
     );
-    check(&soon(300), &expect!["r2 in 119 ms, version None"]);
+    check(&[(2, 300)], &expect!["r2 in 119 ms, version None"]);
+}
+
+/// Guards against requests that began on a version that had been skipped: while two versions were pending, a replica on
+/// the first of them counted as current, and a request that waited there was not withdrawn when the second took effect.
+#[test]
+fn a_request_is_withdrawn_from_a_version_that_is_replaced_next() {
+    let replicas: &[Row] = &[("r1", "a", Some(2), 0)];
+    check(
+        &Case {
+            replicas,
+            pending: &[(2, 100), (3, 800)],
+            ..Case::default()
+        },
+        &expect!["r1 in 113 ms, version None, withdrawn after 800 ms"],
+    );
+}
+
+/// Guards against a version whose declaration was noticed late: the version after it was acknowledged later, so both
+/// must take effect when that one does.
+#[test]
+fn a_version_takes_effect_no_later_than_the_next_one() {
+    let replicas: &[Row] = &[("r1", "a", Some(1), 0)];
+    check(
+        &Case {
+            replicas,
+            pending: &[(2, 4000), (3, 800)],
+            ..Case::default()
+        },
+        &expect!["r1 in 113 ms, version None, withdrawn after 800 ms"],
+    );
 }
