Entries learn the age of a declared version from each other, however late they read it

Cause, three gaps in the table of versions: - Entries reported a version's age only until it took effect. One that had been frozen or suspended for longer took the declaration for a new one and allowed old weights for 7.4 s more, while it counts as in touch 3 s after it woke. - What others reported was ignored until the entry's own read of the store had brought any version of the model, which takes up to 3.2 s on a connection that has fallen silent (2 s of the long poll, 1.2 s of the time-out). - Only the newest eight versions were kept. If more are declared within the switch time, none of them ever gets old enough.

Change: the newest version in effect is always reported (some 20 bytes a heartbeat), reported versions count at once and start the announcement to agents and the record in the store as the entry's own reads do, and versions are dropped only once a newer one has taken effect.

Ruled out: a limit on the time for which a version is reported, since a machine may be frozen for any time.

--- a/crates/fleet/src/fleet_message.rs
+++ b/crates/fleet/src/fleet_message.rs
@@ -65,7 +65,7 @@
     pub entries: Vec<PeerRecord>,
 }
 
-/// Age of a declared version of weights, for entries that have just started.
+/// Age of a declared version of weights, for entries that have just started or read the store late.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeclarationAge {
     /// Name of the model.
--- a/crates/fleet/src/version_table.rs
+++ b/crates/fleet/src/version_table.rs
@@ -55,27 +55,38 @@
     /// `known_since` is the time at which the declaration became known, or `None` if it may be arbitrarily old, as for
     /// a process that has just started: such a version takes effect at once.
     pub fn declare(&mut self, model: &str, version: u64, known_since: Option<Instant>) -> bool {
-        let versions = self.models.entry(model.to_owned()).or_default();
-        if versions.contains_key(&version) {
-            return false;
-        }
-        versions.insert(version, known_since);
-        while versions.len() > MAX_VERSIONS {
-            versions.pop_first();
+        match known_since {
+            Some(known_since) => self.record_known_time(model, version, known_since),
+            None => {
+                let versions = self.models.entry(model.to_owned()).or_default();
+                let is_new = !versions.contains_key(&version);
+                versions.entry(version).or_insert(None);
+                is_new
+            }
         }
-        true
     }
 
-    /// Records that another process has known a version since `known_since`.
+    /// Records that some process has known a version since `known_since`; returns whether it was unknown here.
     ///
     /// This supplies an unknown time or an earlier one, and versions that this process missed because it started after
     /// a newer version had replaced them in the store.
-    pub fn record_known_time(&mut self, model: &str, version: u64, known_since: Instant) {
-        let Some(versions) = self.models.get_mut(model) else {
-            return;
-        };
+    pub fn record_known_time(&mut self, model: &str, version: u64, known_since: Instant) -> bool {
+        let versions = self.models.entry(model.to_owned()).or_default();
+        let is_new = !versions.contains_key(&version);
         let time = versions.entry(version).or_insert(Some(known_since));
         *time = Some(time.map_or(known_since, |it| it.min(known_since)));
+        // Versions that had been replaced by then are no longer needed. Those that have not taken effect are kept,
+        // however many there are: without them, older ones would be allowed for longer.
+        let is_in_effect = |it: &Instant| *it + self.switch_time <= known_since;
+        let newest_in_effect = versions
+            .iter()
+            .rev()
+            .find(|it| it.1.as_ref().is_some_and(is_in_effect))
+            .map(|it| *it.0);
+        if let Some(oldest) = newest_in_effect {
+            *versions = versions.split_off(&oldest);
+        }
+        is_new
     }
 
     /// Returns all stored versions, with the time at which each became known.
@@ -87,7 +98,9 @@
     }
 
     /// Returns the versions of each model that have not taken effect yet and the newest one that has, with their ages.
-    /// Models whose newest version has taken effect are left out.
+    ///
+    /// The newest one is returned for as long as it is in effect: an entry that was suspended or cut off may read its
+    /// declaration at any later time, and would take it for a new one.
     pub fn recent_declarations(&self, now: Instant) -> Vec<(&str, u64, Duration)> {
         let mut recent = Vec::new();
         for (model, versions) in &self.models {
@@ -100,9 +113,7 @@
             });
             let is_pending = |age: &Duration| *age < self.switch_time;
             let pending = ages.clone().take_while(|it| is_pending(&it.2)).count();
-            if pending > 0 {
-                recent.extend(ages.take(pending + 1));
-            }
+            recent.extend(ages.take(pending + 1));
         }
         recent
     }
@@ -138,6 +149,3 @@
         })
     }
 }
-
-/// Maximum number of stored versions per model; older ones were replaced long ago.
-const MAX_VERSIONS: usize = 8;
--- a/crates/ingress/src/peer_exchange.rs
+++ b/crates/ingress/src/peer_exchange.rs
@@ -172,16 +172,26 @@
     ages.collect()
 }
 
-/// Records declarations that another entry has sent.
+/// Records declarations that another entry has sent, and starts what an unknown one requires.
 pub(crate) fn record_declarations(
-    versions: &mut VersionTable,
+    shared: &EntryShared,
     declarations: &[DeclarationAge],
     now: Instant,
 ) {
     for declared in declarations {
         let age = Duration::from_millis(u64::from(declared.age_ms));
-        if let Some(known_since) = now.checked_sub(age) {
-            versions.record_known_time(&declared.model, declared.version, known_since);
+        let Some(known_since) = now.checked_sub(age) else {
+            continue;
+        };
+        let (model, version) = (&declared.model, declared.version);
+        let is_new = shared
+            .state()
+            .versions
+            .record_known_time(model, version, known_since);
+        if is_new {
+            shared.weights_declared.notify_one();
+            shared.versions_changed.notify_one();
+            info!(shared.log, "weights declared, by another entry"; "model" => model, "version" => version, "age_ms" => declared.age_ms);
         }
     }
 }
@@ -232,10 +242,10 @@
     last_seen.insert(node.clone(), sequence);
     let now = Instant::now();
     let loads: BTreeMap<u64, LoadSample> = heartbeat.loads.into_iter().collect();
+    record_declarations(shared, &heartbeat.weights, now);
     let mut state = shared.state();
     state.loads.update_peer(&node, loads, now);
     state.loads.expire(now);
-    record_declarations(&mut state.versions, &heartbeat.weights, now);
     let is_changed = state.peers.record_heartbeat(heartbeat.record, now);
     drop(state);
     if is_changed {
--- a/crates/ingress/src/zone_exchange.rs
+++ b/crates/ingress/src/zone_exchange.rs
@@ -113,11 +113,11 @@
         return;
     }
     let now = Instant::now();
+    record_declarations(shared, &report.weights, now);
     let loads = report.loads.into_iter().collect();
     let mut state = shared.state();
     state.loads.update_zone(&report.zone, loads, now);
     state.loads.expire(now);
-    record_declarations(&mut state.versions, &report.weights, now);
     let mut discovered = Vec::new();
     for record in report.entries {
         let node = record.node.clone();
