A declaration is dated to the time since which it may have been missed

What callers would see: store connections of all entries fall silent as a version is declared, and requests are answered on old weights after the time from which none may begin there (VERSION).

Cause: an entry counted the switch time from its receipt of a declaration. On a connection that has fallen silent, that is up to 3.2 s after the acknowledgement (2 s of the long poll, 1.2 s of the time-out) and the pause before the next call, while 0.6 s are reserved. Other entries make up for one entry, but not if all have the same fault, as when every connection to the store is silent.

Change: a declaration counts from the response of the store, whose clock is known, and after one call without a response from the last confirmation before it, at most 3.4 s earlier. After a lost history it counts from the last confirmation, at most 1 s earlier (it was always 1 s). The stand-in store can leave pending feed calls without a response.

Ruled out: dating to the last confirmation always, which would take up to 2 s of the switch time although the store answers a pending long poll at once; and after longer outages, where it would make a version that has just been declared count as in effect everywhere.

--- a/crates/fleet/tests/feeds.rs
+++ b/crates/fleet/tests/feeds.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use expect_test::expect;
-use fleet::{FeedChange, FeedMirror, FeedSource, PeerRecord, PeerTable, StoreClock, feed_source};
+use fleet::{
+    FeedChange, FeedMirror, FeedRead, FeedSource, PeerRecord, PeerTable, StoreClock, feed_source,
+};
 
 fn change(key: &str, version: u64, value: Option<&str>) -> FeedChange {
     FeedChange {
@@ -238,3 +240,35 @@
     assert_eq!(clock.responded_at(9_000_000, ms(900), ms(950)), ms(950));
     assert_eq!(clock.responded_at(1, ms(960), ms(990)), ms(960));
 }
+
+/// Guards against dating a change by the receipt of the response: a version that was declared while calls to the store
+/// remained without a response took effect too late.
+#[test]
+fn a_change_is_dated_to_the_time_since_which_it_may_have_been_missed() {
+    let check = |confirmed: Option<u64>, failures: u32, is_history_lost: bool, expected: u64| {
+        let feed_read = FeedRead {
+            confirmed: confirmed.map(Duration::from_millis),
+            responded: Duration::from_millis(20_000),
+            failures,
+            is_history_lost,
+        };
+        assert_eq!(
+            feed_read.changed_since(),
+            Duration::from_millis(expected),
+            "{feed_read:?}"
+        );
+    };
+    // The store responds to a pending long poll at once.
+    check(Some(18_500), 0, false, 20_000);
+    // One call remained without a response.
+    check(Some(17_000), 1, false, 17_000);
+    check(Some(12_000), 1, false, 16_600);
+    check(None, 1, false, 16_600);
+    // A longer outage.
+    check(Some(12_000), 4, false, 20_000);
+    // The change history was lost.
+    check(Some(19_600), 0, true, 19_600);
+    check(Some(17_000), 0, true, 19_000);
+    // A confirmation may be later than the response, because the clock of the store is only estimated.
+    check(Some(20_010), 1, false, 20_000);
+}
--- a/crates/fulmarline/tests/platform_switch.rs
+++ b/crates/fulmarline/tests/platform_switch.rs
@@ -240,3 +240,60 @@
     assert_eq!(runs.get(path), 2, "the stream was resumed");
     check_starts(&runs, &declaration, &["pool-0", "pool-1"]);
 }
+
+/// Guards against an entry that was frozen until a version had taken effect and then allowed older weights for the whole
+/// switch time again, because the others no longer told it how old the declaration was.
+#[test]
+fn an_entry_that_wakes_after_the_switch_sends_nothing_to_old_weights() {
+    const WAKE: Duration = Duration::from_millis(7700);
+    let site = start_site("switch-frozen", 176);
+    let runs = RunCounts::default();
+    let declaration = Declaration::default();
+    let replica = RawReplica::start("pool-0", [127, 0, 1, 180], &runs, complete_response).unwrap();
+    register(&site, &replica, "a", 1);
+    wait_until_served(&site);
+    site.entries[0].suspend();
+    declaration.declare(&site);
+    declaration.sleep_until(WAKE);
+    site.entries[0].resume();
+    // An entry that has woken is bound by the switch after 3 s.
+    let bound = WAKE + Duration::from_secs(3);
+    let call = call_at(&site, &declaration, "/once/1".to_owned(), 100, bound);
+    let response = call.join().unwrap().expect("a status");
+    check_starts(&runs, &declaration, &["pool-0"]);
+    assert_eq!(
+        response.status,
+        StatusCode::SERVICE_UNAVAILABLE,
+        "{response:?}"
+    );
+}
+
+/// Guards against a declaration that counted as new when it was read after a call to the store had remained without a
+/// response: all entries allowed old weights for longer, by up to the time-out of the call.
+#[test]
+fn a_declaration_on_silent_store_connections_takes_effect_in_time() {
+    let site = start_site("switch-silent-store", 178);
+    let runs = RunCounts::default();
+    let declaration = Declaration::default();
+    let replica = RawReplica::start("pool-0", [127, 0, 1, 180], &runs, complete_response).unwrap();
+    register(&site, &replica, "a", 1);
+    wait_until_served(&site);
+    site.store.silence_pending_feeds();
+    declaration.declare(&site);
+    let calls: Vec<_> = (0..10)
+        .map(|it| {
+            let after = SWITCH_BOUND + Duration::from_millis(50 * it);
+            call_at(&site, &declaration, format!("/once/{it}"), 100, after)
+        })
+        .collect();
+    let responses: Vec<_> = calls.into_iter().map(|it| it.join().unwrap()).collect();
+    check_starts(&runs, &declaration, &["pool-0"]);
+    for response in responses {
+        let response = response.expect("a status");
+        assert_eq!(
+            response.status,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "{response:?}"
+        );
+    }
+}
--- a/crates/ingress/src/feed_loop.rs
+++ b/crates/ingress/src/feed_loop.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::{FeedChange, FeedSource, FeedTable};
+use fleet::{FeedChange, FeedRead, FeedSource, FeedTable};
 use platform::{CallError, NodeBounds, WatchResponse, table_name};
 use relay::RelayRequest;
 use slog::{info, warn};
@@ -42,7 +42,7 @@
                 read_entry(&shared, table, address).await
             }
             FeedSource::Store { has_followers } => {
-                read_store(&shared, table, has_followers, failures > 0, is_history_lost)
+                read_store(&shared, table, has_followers, failures, is_history_lost)
                     .await
                     .map_err(|it| it.to_string())
             }
@@ -187,9 +187,10 @@
     shared: &EntryShared,
     table: FeedTable,
     has_followers: bool,
-    after_outage: bool,
+    failures: u32,
     is_history_lost: bool,
 ) -> Result<Option<FeedUpdate>, CallError> {
+    let after_outage = failures > 0;
     let since = shared.state().feed(table).version();
     let sent = boot_clock::now();
     let (page, is_full_read) = match since.filter(|_| !is_history_lost) {
@@ -208,23 +209,25 @@
             }
         }
     };
-    // Rows of the first read may have changed long ago. After a gap in the feed, a change may have happened up to
-    // `MAX_FEED_GAP` before this read.
-    let is_first = is_full_read && !is_history_lost;
-    let max_gap = if is_history_lost {
-        MAX_FEED_GAP
-    } else {
-        Duration::ZERO
+    let received = boot_clock::now();
+    let mut state = shared.state();
+    let confirmed = state
+        .store_clock
+        .responded_at(page.store_ms, sent, received);
+    let feed_read = FeedRead {
+        confirmed: state.feed(table).confirmed_at(),
+        responded: confirmed,
+        failures,
+        is_history_lost,
     };
+    // Rows of the first read may have changed long ago.
+    let is_first = is_full_read && !is_history_lost;
+    let age = received.saturating_sub(feed_read.changed_since());
     let known_since = (!is_first)
-        .then(|| Instant::now().checked_sub(max_gap))
+        .then(|| Instant::now().checked_sub(age))
         .flatten();
-    let received = boot_clock::now();
     let version = page.version;
-    let store_ms = page.store_ms;
     let changes = page.into_changes(known_since, after_outage);
-    let mut state = shared.state();
-    let confirmed = state.store_clock.responded_at(store_ms, sent, received);
     let feed = state.feed(table);
     let changes = if is_full_read {
         feed.apply_snapshot(changes, version, after_outage)
@@ -298,6 +301,3 @@
 
 /// Time for which the store is read directly after no entry could be followed.
 const DIRECT_READ_TIME: Duration = Duration::from_millis(2500);
-
-/// Maximum time for which the feed may have received nothing before the loss of its history was detected.
-const MAX_FEED_GAP: Duration = Duration::from_millis(1000);
--- a/crates/standin/src/site/site_store.rs
+++ b/crates/standin/src/site/site_store.rs
@@ -34,6 +34,8 @@
     history: VecDeque<(u64, String, String, Option<String>)>,
     /// Oldest version from which the feed can continue.
     history_start: u64,
+    /// Number of times at which pending feed calls were silenced.
+    silences: u64,
     down: bool,
     calls: u64,
 }
@@ -99,6 +101,12 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Leaves the feed calls that are pending now without a response, as on connections that have silently failed. New
+    /// calls are served.
+    pub fn silence_pending_feeds(&self) {
+        self.shared.lock().silences += 1;
+    }
+
     /// Returns the number of received requests.
     pub fn calls(&self) -> u64 {
         self.shared.lock().calls
@@ -202,10 +210,14 @@
     wait: Duration,
 ) -> Response<HttpBody> {
     let deadline = tokio::time::Instant::now() + wait;
+    let silences = shared.lock().silences;
     loop {
         let changed = shared.changed.notified();
         let mut changed = std::pin::pin!(changed);
         changed.as_mut().enable();
+        if shared.lock().silences != silences {
+            std::future::pending::<()>().await;
+        }
         {
             let state = shared.lock();
             if state.down {
