A replica is asked to confirm weights that spare a request its withdrawal

What callers would see: a request is answered on old weights after the switch (VERSION), by a replica that has restarted and loaded the previous version while it was still listed with the new one.

Cause: the request names the version that the replica is listed with only once some declared version has taken effect. Before the first switch of a model it did not, although a replica listed with a pending version is trusted: its requests are not withdrawn.

Change: the version is also named where the replica is listed with a pending one. Replicas on older weights are sent no version, as before, since they may change to the new one at any time and would refuse.

Tests: old_weights_get_only_requests_that_start_in_time ("r2 in 119 ms, version None", expected version Some(2)) and a_request_is_withdrawn_from_a_version_that_is_replaced_next ("version None", expected Some(2)) failed before; both expectations are stricter than they were.

--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -112,14 +112,10 @@
     {
         return Err(NoReplica::Overloaded(predicted_ms));
     }
-    let has_requirement = request
-        .version_requirement
-        .as_ref()
-        .is_some_and(|it| it.oldest_allowed > 0);
     let expect_version = request
         .engine
-        .filter(|_| has_requirement)
-        .and_then(|it| replica.version_of(&it.model));
+        .and_then(|it| replica.version_of(&it.model))
+        .filter(|it| request.relies_on_version(*it));
     Ok(ChosenReplica {
         replica: replica.clone(),
         predicted_ms,
@@ -203,6 +199,15 @@
         let loaded = replica.version_of(&self.engine?.model);
         self.version_requirement.as_ref()?.time_to_switch(loaded)
     }
+
+    /// Returns whether the request may be sent, or need not be withdrawn at the next switch, only because the replica is
+    /// listed with the weights `loaded`. A replica that has restarted may have others by now.
+    fn relies_on_version(&self, loaded: u64) -> bool {
+        self.version_requirement.as_ref().is_some_and(|it| {
+            let is_ahead = it.pending.first().is_some_and(|it| loaded >= it.version);
+            it.oldest_allowed > 0 || is_ahead
+        })
+    }
 }
 
 fn predicted_ms(
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -295,7 +295,7 @@
         &[(2, 900)],
         &expect!["r1 in 113 ms, version None, withdrawn after 900 ms"],
     );
-    check(&[(2, 300)], &expect!["r2 in 119 ms, version None"]);
+    check(&[(2, 300)], &expect!["r2 in 119 ms, version Some(2)"]);
 }
 
 /// Guards against requests that began on a version that had been skipped: while two versions were pending, a replica on
@@ -309,7 +309,7 @@
             pending: &[(2, 100), (3, 800)],
             ..Case::default()
         },
-        &expect!["r1 in 113 ms, version None, withdrawn after 800 ms"],
+        &expect!["r1 in 113 ms, version Some(2), withdrawn after 800 ms"],
     );
 }
 
