Requests whose start cannot be observed go to old weights only if they expire before the switch

What callers would see: a request on a route that is not a stream, to a service with an engine, is answered on old weights after the switch (VERSION).

Cause: buffered_relay reads a response completely, so the entry does not see when the replica starts, and it ignores the time by which it must. A replica that falls silent starts the request whenever it goes on, up to the client's deadline.

Decision: withdrawing the request at the switch would break off requests that started in time, and ends those that must not run twice without a known outcome. The replica itself stops at the time limit that it is sent. So such a request goes to old weights only if it expires before they become too old, otherwise to a replica with the new ones, or it is refused as not run. No known deployment has such a route today; a configuration may add one.

--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -34,6 +34,9 @@
     pub random: f64,
     /// Number of entries that select replicas concurrently, including this one.
     pub entries: usize,
+    /// Time after which no replica starts the request any more, if its start cannot be observed: it cannot be withdrawn
+    /// when the weights become too old, because it may have started. `None` if it can be.
+    pub latest_start: Option<Duration>,
 }
 
 /// The replica selected for a request.
@@ -120,7 +123,9 @@
         replica: replica.clone(),
         predicted_ms,
         expect_version,
-        must_start_within: request.time_to_switch(replica),
+        must_start_within: request
+            .time_to_switch(replica)
+            .filter(|_| request.latest_start.is_none()),
     })
 }
 
@@ -186,11 +191,16 @@
         .is_none_or(|it| version >= it.oldest_allowed)
 }
 
-/// Returns whether a request will start before the weights of `replica` become too old, with a margin for a replica
-/// that is slower than predicted.
+/// Returns whether a request will start before the weights of `replica` become too old. If its start is observed, this is
+/// a prediction with a margin for a replica that is slower.
 fn starts_in_time(request: &ChoiceRequest<'_>, replica: &Replica, predicted_ms: f64) -> bool {
-    let remaining = request.time_to_switch(replica);
-    remaining.is_none_or(|it| predicted_ms * SLOWDOWN_MARGIN < it.as_secs_f64() * 1000.0)
+    let Some(remaining) = request.time_to_switch(replica) else {
+        return true;
+    };
+    match request.latest_start {
+        Some(latest_start) => latest_start <= remaining,
+        None => predicted_ms * SLOWDOWN_MARGIN < remaining.as_secs_f64() * 1000.0,
+    }
 }
 
 impl ChoiceRequest<'_> {
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -57,6 +57,8 @@
     failed: &'a [&'a str],
     /// Versions that take effect later, each with the time until then in milliseconds.
     pending: &'a [(u64, u64)],
+    /// Time after which the request does not start any more, in milliseconds, if its start cannot be observed.
+    latest_start: Option<u64>,
 }
 
 impl Default for Case<'_> {
@@ -68,6 +70,7 @@
             oldest_allowed: 0,
             failed: &[],
             pending: &[],
+            latest_start: None,
         }
     }
 }
@@ -124,6 +127,7 @@
         tolerated_delay_ms: 100.0,
         random: 0.0,
         entries: 1,
+        latest_start: case.latest_start.map(Duration::from_millis),
     };
     let text = match choose_replica(&request, &catalog, &loads, &health, now) {
         Ok(it) => {
@@ -327,3 +331,22 @@
         &expect!["r1 in 113 ms, version None, withdrawn after 800 ms"],
     );
 }
+
+/// Guards against responses that are read completely before they are forwarded: their start cannot be observed, so the
+/// request was not withdrawn and could start on old weights at any time.
+#[test]
+fn old_weights_get_only_requests_that_expire_in_time_if_their_start_is_not_observed() {
+    let replicas: &[Row] = &[("r1", "a", Some(1), 0), ("r2", "b", Some(2), 14)];
+    let check = |replicas: &[Row], remaining: u64, expected: &Expect| {
+        let case = Case {
+            replicas,
+            pending: &[(2, remaining)],
+            latest_start: Some(3000),
+            ..Case::default()
+        };
+        check(&case, expected);
+    };
+    check(replicas, 3500, &expect!["r1 in 113 ms, version None"]);
+    check(replicas, 2900, &expect!["r2 in 119 ms, version Some(2)"]);
+    check(&replicas[..1], 2900, &expect!["none usable"]);
+}
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -220,6 +220,7 @@
         tolerated_delay_ms: IDLE_DELAY_MS,
         random: rand::rng().random(),
         entries: state.peers.alive(now).count() + 1,
+        latest_start: (call.route.kind != CallKind::Stream).then(|| call.time_remaining()),
     };
     fleet::choose_replica(&request, &state.catalog, &state.loads, &state.health, now)
 }
