A version that has been replaced does not count as newly declared

What callers would see: nothing. An entry that reads declarations late reports a replaced version at each heartbeat, up to 66 times a second, until it learns of the newer one; each report would be logged and would wake the announcement to agents.

Test: a_version_that_has_been_replaced_is_not_new failed before ("assertion failed: !table.record_known_time("m", 2, second(8))").

--- a/crates/fleet/src/version_table.rs
+++ b/crates/fleet/src/version_table.rs
@@ -86,7 +86,7 @@
         if let Some(oldest) = newest_in_effect {
             *versions = versions.split_off(&oldest);
         }
-        is_new
+        is_new && versions.contains_key(&version)
     }
 
     /// Returns all stored versions, with the time at which each became known.
--- a/crates/fleet/tests/versions.rs
+++ b/crates/fleet/tests/versions.rs
@@ -144,6 +144,19 @@
     check(&declared, 9, &expect!["newest 15, oldest allowed 7"]);
 }
 
+/// Guards against announcing a version again at each report of an entry that does not know of its replacement yet.
+#[test]
+fn a_version_that_has_been_replaced_is_not_new() {
+    let start = Instant::now();
+    let second = |it: u64| start + Duration::from_secs(it);
+    let mut table = VersionTable::new(SWITCH);
+    assert!(table.declare("m", 3, Some(second(0))));
+    assert!(!table.record_known_time("m", 2, second(8)));
+    // A version that may still be in effect is.
+    assert!(table.record_known_time("m", 2, second(1)));
+    assert!(!table.record_known_time("m", 2, second(1)));
+}
+
 #[test]
 fn recent_declarations_include_the_version_in_effect() {
     let start = Instant::now() + Duration::from_secs(100);
