--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -34,6 +34,9 @@
     pub random: f64,
     /// Number of entries that select replicas concurrently, including this one.
     pub entries: usize,
+    /// Time after which no replica starts the request any more, if its start cannot be observed: it cannot be withdrawn
+    /// when the weights become too old, because it may have started. `None` if it can be.
+    pub latest_start: Option<Duration>,
 }
 
 /// The replica selected for a request.
@@ -109,18 +112,17 @@
     {
         return Err(NoReplica::Overloaded(predicted_ms));
     }
-    let has_requirement = request
-        .version_requirement
-        .is_some_and(|it| it.oldest_allowed > 0);
     let expect_version = request
         .engine
-        .filter(|_| has_requirement)
-        .and_then(|it| replica.version_of(&it.model));
+        .and_then(|it| replica.version_of(&it.model))
+        .filter(|it| request.relies_on_version(*it));
     Ok(ChosenReplica {
         replica: replica.clone(),
         predicted_ms,
         expect_version,
-        must_start_within: request.time_to_switch(replica),
+        must_start_within: request
+            .time_to_switch(replica)
+            .filter(|_| request.latest_start.is_none()),
     })
 }
 
@@ -182,23 +184,36 @@
     };
     request
         .version_requirement
+        .as_ref()
         .is_none_or(|it| version >= it.oldest_allowed)
 }
 
-/// Returns whether a request will start before the weights of `replica` become too old, with a margin for a replica
-/// that is slower than predicted.
+/// Returns whether a request will start before the weights of `replica` become too old. If its start is observed, this is
+/// a prediction with a margin for a replica that is slower.
 fn starts_in_time(request: &ChoiceRequest<'_>, replica: &Replica, predicted_ms: f64) -> bool {
-    let remaining = request.time_to_switch(replica);
-    remaining.is_none_or(|it| predicted_ms * SLOWDOWN_MARGIN < it.as_secs_f64() * 1000.0)
+    let Some(remaining) = request.time_to_switch(replica) else {
+        return true;
+    };
+    match request.latest_start {
+        Some(latest_start) => latest_start <= remaining,
+        None => predicted_ms * SLOWDOWN_MARGIN < remaining.as_secs_f64() * 1000.0,
+    }
 }
 
 impl ChoiceRequest<'_> {
     /// Returns the time until the weights of `replica` become too old, if a newer version has been declared.
     fn time_to_switch(&self, replica: &Replica) -> Option<Duration> {
-        let next = self.version_requirement?.next_switch?;
-        let version = replica.version_of(&self.engine?.model);
-        let is_current = version.is_some_and(|it| it >= next.version);
-        (!is_current).then_some(next.remaining)
+        let loaded = replica.version_of(&self.engine?.model);
+        self.version_requirement.as_ref()?.time_to_switch(loaded)
+    }
+
+    /// Returns whether the request may be sent, or need not be withdrawn at the next switch, only because the replica is
+    /// listed with the weights `loaded`. A replica that has restarted may have others by now.
+    fn relies_on_version(&self, loaded: u64) -> bool {
+        self.version_requirement.as_ref().is_some_and(|it| {
+            let is_ahead = it.pending.first().is_some_and(|it| loaded >= it.version);
+            it.oldest_allowed > 0 || is_ahead
+        })
     }
 }
 
--- a/crates/fleet/src/version_table.rs
+++ b/crates/fleet/src/version_table.rs
@@ -4,25 +4,35 @@
 use std::time::{Duration, Instant};
 
 /// Versions that may currently serve a request for a model.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VersionRequirement {
     /// Newest declared version.
     pub newest: u64,
     /// Oldest version that may still serve requests.
     pub oldest_allowed: u64,
-    /// The next increase of `oldest_allowed`, if known.
-    pub next_switch: Option<NextSwitch>,
+    /// Later increases of `oldest_allowed` in order, as far as they are known.
+    pub pending: Vec<PendingSwitch>,
 }
 
-/// The next version to take effect.
+/// A version that has not taken effect yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NextSwitch {
+pub struct PendingSwitch {
     /// Version that will become the oldest allowed one.
     pub version: u64,
     /// Time until then.
     pub remaining: Duration,
 }
 
+impl VersionRequirement {
+    /// Returns the time after which a request must not start on `loaded` weights any more, if it is known.
+    ///
+    /// Every pending version counts: weights that satisfy the next one may be too old for the one after it.
+    pub fn time_to_switch(&self, loaded: Option<u64>) -> Option<Duration> {
+        let replacing = self.pending.iter().find(|it| loaded < Some(it.version));
+        replacing.map(|it| it.remaining)
+    }
+}
+
 /// Declared versions by model.
 #[derive(Clone, Debug)]
 pub struct VersionTable {
@@ -45,27 +55,38 @@
     /// `known_since` is the time at which the declaration became known, or `None` if it may be arbitrarily old, as for
     /// a process that has just started: such a version takes effect at once.
     pub fn declare(&mut self, model: &str, version: u64, known_since: Option<Instant>) -> bool {
-        let versions = self.models.entry(model.to_owned()).or_default();
-        if versions.contains_key(&version) {
-            return false;
-        }
-        versions.insert(version, known_since);
-        while versions.len() > MAX_VERSIONS {
-            versions.pop_first();
+        match known_since {
+            Some(known_since) => self.record_known_time(model, version, known_since),
+            None => {
+                let versions = self.models.entry(model.to_owned()).or_default();
+                let is_new = !versions.contains_key(&version);
+                versions.entry(version).or_insert(None);
+                is_new
+            }
         }
-        true
     }
 
-    /// Records that another process has known a version since `known_since`.
+    /// Records that some process has known a version since `known_since`; returns whether it was unknown here.
     ///
     /// This supplies an unknown time or an earlier one, and versions that this process missed because it started after
     /// a newer version had replaced them in the store.
-    pub fn record_known_time(&mut self, model: &str, version: u64, known_since: Instant) {
-        let Some(versions) = self.models.get_mut(model) else {
-            return;
-        };
+    pub fn record_known_time(&mut self, model: &str, version: u64, known_since: Instant) -> bool {
+        let versions = self.models.entry(model.to_owned()).or_default();
+        let is_new = !versions.contains_key(&version);
         let time = versions.entry(version).or_insert(Some(known_since));
         *time = Some(time.map_or(known_since, |it| it.min(known_since)));
+        // Versions that had been replaced by then are no longer needed. Those that have not taken effect are kept,
+        // however many there are: without them, older ones would be allowed for longer.
+        let is_in_effect = |it: &Instant| *it + self.switch_time <= known_since;
+        let newest_in_effect = versions
+            .iter()
+            .rev()
+            .find(|it| it.1.as_ref().is_some_and(is_in_effect))
+            .map(|it| *it.0);
+        if let Some(oldest) = newest_in_effect {
+            *versions = versions.split_off(&oldest);
+        }
+        is_new && versions.contains_key(&version)
     }
 
     /// Returns all stored versions, with the time at which each became known.
@@ -77,7 +98,9 @@
     }
 
     /// Returns the versions of each model that have not taken effect yet and the newest one that has, with their ages.
-    /// Models whose newest version has taken effect are left out.
+    ///
+    /// The newest one is returned for as long as it is in effect: an entry that was suspended or cut off may read its
+    /// declaration at any later time, and would take it for a new one.
     pub fn recent_declarations(&self, now: Instant) -> Vec<(&str, u64, Duration)> {
         let mut recent = Vec::new();
         for (model, versions) in &self.models {
@@ -90,9 +113,7 @@
             });
             let is_pending = |age: &Duration| *age < self.switch_time;
             let pending = ages.clone().take_while(|it| is_pending(&it.2)).count();
-            if pending > 0 {
-                recent.extend(ages.take(pending + 1));
-            }
+            recent.extend(ages.take(pending + 1));
         }
         recent
     }
@@ -101,30 +122,30 @@
     pub fn requirement(&self, model: &str, now: Instant) -> Option<VersionRequirement> {
         let versions = self.models.get(model)?;
         let newest = *versions.keys().next_back()?;
-        let oldest_allowed = versions
-            .iter()
-            .rev()
-            .find(|(_, known_since)| {
-                known_since.is_none_or(|it| now.saturating_duration_since(it) >= self.switch_time)
-            })
-            .map_or(0, |(version, _)| *version);
-        let next_switch = versions
-            .iter()
-            .filter(|(version, _)| **version > oldest_allowed)
-            .find_map(|(version, known_since)| {
-                let age = now.saturating_duration_since((*known_since)?);
-                Some(NextSwitch {
-                    version: *version,
-                    remaining: self.switch_time.saturating_sub(age),
-                })
+        let mut oldest_allowed = 0;
+        let mut pending = Vec::new();
+        // A version was acknowledged before those that replace it, so it takes effect no later than they do, even if
+        // its own declaration became known here only after theirs.
+        let mut remaining = self.switch_time;
+        for (version, known_since) in versions.iter().rev() {
+            let age = known_since.map(|it| now.saturating_duration_since(it));
+            let time_to_switch =
+                age.map_or(Duration::ZERO, |it| self.switch_time.saturating_sub(it));
+            remaining = remaining.min(time_to_switch);
+            if remaining.is_zero() {
+                oldest_allowed = *version;
+                break;
+            }
+            pending.push(PendingSwitch {
+                version: *version,
+                remaining,
             });
+        }
+        pending.reverse();
         Some(VersionRequirement {
             newest,
             oldest_allowed,
-            next_switch,
+            pending,
         })
     }
 }
-
-/// Maximum number of stored versions per model; older ones were replaced long ago.
-const MAX_VERSIONS: usize = 8;
--- a/crates/fulmarline/tests/platform_pauses.rs
+++ b/crates/fulmarline/tests/platform_pauses.rs
@@ -8,7 +8,7 @@
 use httpio::{Method, StatusCode};
 use serde_json::{Value, json};
 use site::TestSite;
-use standin::{PausedPart, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts};
+use standin::{RawFraming, RawReplica, RawRequest, RawResponse, RunCounts};
 
 /// Pause of a slow replica; longer than the time after which a stream that can be resumed is continued elsewhere.
 const PAUSE: Duration = Duration::from_millis(2500);
@@ -43,8 +43,7 @@
         std::thread::sleep(pause);
     }
     if request.path.ends_with("late-start") {
-        response.pause_before = PausedPart::Body;
-        response.pause = pause;
+        response.first_pause = pause;
     }
     if request.path.ends_with("long-pause") {
         response.pause = pause;
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -18,6 +18,9 @@
 /// Timeout of every wait, well above what a loaded machine needs.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Number of tokens in the prompt of a usual request.
+const SHORT_PROMPT: u32 = 100;
+
 /// Size of the weights of the site's model.
 pub const WEIGHTS: SiteWeights = SiteWeights {
     pieces: 24,
@@ -61,7 +64,7 @@
 }
 
 impl SiteCaller {
-    /// Sends a request without a body to an entry.
+    /// Sends a request with a short prompt and without a body to an entry.
     pub fn call(
         &self,
         entry: usize,
@@ -70,7 +73,11 @@
         id: &str,
         key: &str,
     ) -> Option<SiteResponse> {
-        self.call_with_body(entry, method, path, id, key, Vec::new())
+        let headers = [
+            ("Request-Id", id),
+            ("Authorization", &format!("Token {key}")),
+        ];
+        self.send(entry, method, path, &headers, SHORT_PROMPT, Vec::new())
     }
 
     /// Sends a request with a body to an entry.
@@ -82,23 +89,56 @@
         id: &str,
         key: &str,
         body: Vec<u8>,
+    ) -> Option<SiteResponse> {
+        let headers = [
+            ("Request-Id", id),
+            ("Authorization", &format!("Token {key}")),
+        ];
+        self.send(entry, method, path, &headers, SHORT_PROMPT, body)
+    }
+
+    /// Sends a request whose prompt has `prompt_tokens` tokens to an entry.
+    pub fn call_with_prompt(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        id: &str,
+        key: &str,
+        prompt_tokens: u32,
+    ) -> Option<SiteResponse> {
+        let headers = [
+            ("Request-Id", id),
+            ("Authorization", &format!("Token {key}")),
+        ];
+        self.send(entry, method, path, &headers, prompt_tokens, Vec::new())
+    }
+
+    fn send(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        prompt_tokens: u32,
+        body: Vec<u8>,
     ) -> Option<SiteResponse> {
         let body = if body.is_empty() {
             httpio::empty()
         } else {
             httpio::full(body)
         };
-        let request = Request::builder()
+        let mut builder = Request::builder()
             .method(method)
             .uri(path)
             .header("Host", "shop.example")
-            .header("Request-Id", id)
             .header("Deadline-Ms", "6000")
-            .header("Token-Count", "100,60")
-            .header("Tenant", "forged")
-            .header("Authorization", format!("Token {key}"))
-            .body(body)
-            .unwrap();
+            .header("Token-Count", format!("{prompt_tokens},60"))
+            .header("Tenant", "forged");
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let request = builder.body(body).unwrap();
         let address = self.front_addresses[entry];
         self.handle.block_on(async {
             let pooled_response = self
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -9,7 +9,7 @@
 mod site_weights;
 
 pub use raw_replica::{
-    PausedPart, RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts,
+    RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts, RunStart,
 };
 pub use silence_switch::SilenceSwitch;
 pub use site_origin::SiteOrigin;
