Requests that have reached an entry are served after a planned stop

What callers would see: a request on a kept-open connection that had reached an entry, wholly or in part, just before its listener was stopped ended with the connection closed, without an answer. The entry read and discarded it.

Cause: at a stop the HTTP library is asked to close connections in order. It counts a connection as idle until a whole head has been read, closes it at once, and our orderly close then reads and drops what has arrived. Only the first request of a connection was awaited.

Ruled out: requests in progress, which end with 'connection: close'; new connections and those in the listener's queue, which were awaited already.

Change: after a stop, a connection is polled once more after the runtime has polled its sockets; if data has arrived since the last request or response, or none yet, the rest of the head is awaited for 200 ms, as it was for new connections.

--- a/crates/httpio/src/error_replacing_stream.rs
+++ b/crates/httpio/src/error_replacing_stream.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -19,17 +21,24 @@
     error_handler: Option<HeadErrorHandler>,
     /// Whether data has arrived since the last response, so that a request has been partially received.
     request_started: bool,
+    /// Whether data has arrived since the last request or response; shared with the server of the connection.
+    is_receiving: Arc<AtomicBool>,
     /// The unwritten part of a response that replaces a generated one.
     replacement: Option<Vec<u8>>,
 }
 
 impl ErrorReplacingStream {
     /// Wraps `socket`; without `error_handler`, generated responses are written unchanged.
-    pub(crate) fn new(socket: TcpStream, error_handler: Option<HeadErrorHandler>) -> Self {
+    pub(crate) fn new(
+        socket: TcpStream,
+        error_handler: Option<HeadErrorHandler>,
+        is_receiving: Arc<AtomicBool>,
+    ) -> Self {
         Self {
             socket,
             error_handler,
             request_started: false,
+            is_receiving,
             replacement: None,
         }
     }
@@ -62,6 +71,16 @@
         let _ = tokio::time::timeout(CLOSE_TIMEOUT, drained).await;
     }
 
+    fn record_read(&mut self) {
+        self.request_started = true;
+        self.is_receiving.store(true, Ordering::Relaxed);
+    }
+
+    fn record_write(&mut self) {
+        self.request_started = false;
+        self.is_receiving.store(false, Ordering::Relaxed);
+    }
+
     fn detect_generated_response(&mut self, bytes: &[u8]) {
         if self.replacement.is_some() {
             return;
@@ -96,7 +115,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
-        self.request_started |= buf.filled().len() > before;
+        if buf.filled().len() > before {
+            self.record_read();
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -107,7 +128,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.request_started = false;
+        self.record_write();
         self.detect_generated_response(bytes);
         if self.replacement.is_some() {
             return self.poll_write_replacement(cx, bytes.len());
@@ -120,7 +141,7 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.request_started = false;
+        self.record_write();
         // A generated response has no body, so `hyper` writes it as a single slice.
         if let [bytes] = slices {
             self.detect_generated_response(bytes);
--- a/crates/httpio/src/http_server.rs
+++ b/crates/httpio/src/http_server.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, Response, Version, header};
 use hyper_util::rt;
 use tokio::sync::watch;
+use tokio::task;
 
 use crate::body::HttpBody;
 use crate::error_replacing_stream::ErrorReplacingStream;
@@ -182,10 +183,11 @@
 {
     let ends_with_connection = Arc::new(AtomicBool::new(false));
     let last_response_flag = ends_with_connection.clone();
-    let has_request = Arc::new(AtomicBool::new(false));
-    let request_flag = has_request.clone();
+    // A client that has just connected is about to send its first request.
+    let is_receiving = Arc::new(AtomicBool::new(true));
+    let receiving_flag = is_receiving.clone();
     let service = service::service_fn(move |request: Request<Incoming>| {
-        request_flag.store(true, Ordering::Relaxed);
+        receiving_flag.store(false, Ordering::Relaxed);
         let version = request.version();
         let response = handler(request, peer);
         let flag = last_response_flag.clone();
@@ -195,14 +197,15 @@
             Ok::<_, convert::Infallible>(response)
         }
     });
-    let mut socket = ErrorReplacingStream::new(socket, limits.head_error_handler);
+    let mut socket =
+        ErrorReplacingStream::new(socket, limits.head_error_handler, is_receiving.clone());
     let connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_headers(limits.max_headers)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(rt::TokioIo::new(&mut socket), service);
-    let result = run_connection(connection, &mut stop, &has_request).await;
+    let result = run_connection(connection, &mut stop, &is_receiving).await;
     if result.is_err() && ends_with_connection.load(Ordering::Relaxed) {
         // An orderly end of the connection would mark the aborted body as complete.
         socket.reset();
@@ -224,12 +227,12 @@
         && !response.headers().contains_key(header::CONTENT_LENGTH)
 }
 
-/// Serves a connection until it is closed. After a stop, it is closed when its current request is complete; if the
-/// client has just opened it, its first request is awaited for a moment.
+/// Serves a connection until it is closed. After a stop, it is closed when its current request is complete; a request
+/// that has partially arrived, or the first one of a new connection, is awaited for a moment.
 async fn run_connection<I, S>(
     connection: http1::Connection<I, S>,
     stop: &mut StopSignal,
-    has_request: &AtomicBool,
+    is_receiving: &AtomicBool,
 ) -> hyper::Result<()>
 where
     I: hyper::rt::Read + hyper::rt::Write + Unpin,
@@ -241,10 +244,16 @@
         result = connection.as_mut() => return result,
         () = wait_for_stop(&mut stop.0) => {}
     }
-    if !has_request.load(Ordering::Relaxed) {
-        // `hyper` would close the connection without reading the request that may have arrived already.
-        let first_request = tokio::time::timeout(FIRST_REQUEST_WAIT, connection.as_mut()).await;
-        if let Ok(result) = first_request {
+    // `hyper` would close a connection without a current request, and discard what has arrived on it.
+    tokio::select! {
+        biased;
+        result = connection.as_mut() => return result,
+        // The runtime polls the sockets before it resumes a task that has yielded.
+        () = task::yield_now() => {}
+    }
+    if is_receiving.load(Ordering::Relaxed) {
+        let request = tokio::time::timeout(REQUEST_WAIT, connection.as_mut()).await;
+        if let Ok(result) = request {
             return result;
         }
     }
@@ -262,8 +271,8 @@
 /// Delay after a failed accept, which prevents a busy loop while file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
-/// Time after a stop in which the first request of a connection is still read; several round trips to clients.
-const FIRST_REQUEST_WAIT: time::Duration = time::Duration::from_millis(200);
+/// Time after a stop in which the rest of a request is still read; several round trips to clients.
+const REQUEST_WAIT: time::Duration = time::Duration::from_millis(200);
 
 /// The minimum buffer size that `hyper` accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
