Requests that outlast a planned stop get a response

What callers would see: a request whose replica was still silent at the end of a planned stop ended with its connection closed, without a response; so did one that was sent up to 0.8 s before the entry stopped listening, although its deadline lay beyond the exit. Nobody was told whether to repeat it.

Cause: only new streams were refused late in a stop. At the end of the grace period the process exited with the other requests in flight. For grace periods of less than 4 s the times of the stop did not fit: it exited as soon as it stopped listening.

Ruled out: streams under way; they were accepted up to 2.8 s after the signal, and what is left of them at the exit visibly breaks off.

Shorter grace periods were not run.

--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -299,6 +299,11 @@
         }
     }
 
+    /// Returns the address on which an entry accepts requests.
+    pub fn front(&self, entry: usize) -> SocketAddr {
+        (self.hosts[entry].ip, self.ports.front).into()
+    }
+
     /// Returns the status of the readiness check of an entry.
     pub fn ready(&self, entry: usize) -> Option<StatusCode> {
         self.get(entry, self.ports.ready, "/fulmarline/ready")
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -68,6 +68,8 @@
     pub(crate) feed_changed: Notify,
     /// Wakes the task that sends this entry's state to other entries when its load on a replica has changed.
     pub(crate) load_changed: Notify,
+    /// Wakes the handlers of requests in flight at the end of a planned stop.
+    pub(crate) final_responses_due: Notify,
     stop_began_at: Mutex<Option<Instant>>,
     state: Mutex<EntryState>,
 }
@@ -109,6 +111,7 @@
             feed_changed: Notify::new(),
             load_changed: Notify::new(),
             weights_declared: Notify::new(),
+            final_responses_due: Notify::new(),
             stop_began_at: Mutex::new(None),
             state: Mutex::new(EntryState {
                 routes: None,
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -27,7 +27,13 @@
         Err(refusal) => ("unrouted", refusal.response(), refusal.reason()),
         Ok(call) => {
             let kind = kind_label(call.route.kind);
-            match dispatch(&shared, Arc::new(call)).await {
+            let call = Arc::new(call);
+            let outcome = tokio::select! {
+                biased;
+                outcome = dispatch(&shared, call.clone()) => outcome,
+                () = stop::final_response_due(&shared) => Err(stop::final_refusal(&call)),
+            };
+            match outcome {
                 Ok(response) => (kind, response, "answered"),
                 Err(refusal) => (kind, refusal.response(), refusal.reason()),
             }
