A planned stop of an entry ends while callers keep sending

What operators would see: an entry that was asked to stop kept running as long as callers sent requests on connections that they kept open, until the supervisor killed it and cut off what was in progress.

Cause: the entry waited for a moment without any request in progress before it closed its listener, and its responses did not close their connections.

Ruled out: agents; a gate that is leaving refuses new work, so its wait ends.

Change: once the directory's time to live is over, the listener is closed first, and the entry exits when no request is in progress and all connections are closed.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -103,17 +103,19 @@
         control.request_stop();
         // Callers cache the directory for its time to live and may still connect to this address.
         tokio::time::sleep(settings.limits.directory_ttl).await;
+        // While the listener is open, callers that keep sending would keep the entry busy for ever. Requests in progress
+        // and those that have arrived are still completed.
+        listener.stop();
         let start = tokio::time::Instant::now();
         let mut next_warning = start + STOP_WARNING_INTERVAL;
-        while calls.in_flight() > 0 {
+        while calls.in_flight() > 0 || !listener.is_finished() {
             tokio::time::sleep(STOP_POLL_INTERVAL).await;
             if tokio::time::Instant::now() >= next_warning {
-                warn!(log, "planned stop is waiting for requests in progress"; "streams" => calls.in_flight());
+                warn!(log, "planned stop is waiting for requests in progress"; "streams" => calls.in_flight(),
+                    "connections" => listener.open_connections());
                 next_warning += STOP_WARNING_INTERVAL;
             }
         }
-        listener.stop();
-        tokio::time::sleep(FLUSH_TIME).await;
         info!(log, "entry stopped");
         anyhow::Ok(())
     })?;
--- a/crates/fulmarline/tests/requests.rs
+++ b/crates/fulmarline/tests/requests.rs
@@ -26,6 +26,9 @@
 /// Timeout of every wait, well above what a loaded machine needs.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Number of callers during a planned stop; at any time some of them have a request in progress.
+const STOP_CALLERS: usize = 6;
+
 /// Sends a request from a separate thread. Returns nothing if the connection to the entry breaks.
 fn send_request(
     fleet: &ProcessFleet,
@@ -324,6 +327,58 @@
     }
 }
 
+/// Guards against planned stops that never end while callers keep sending on open connections, and that cut off requests which
+/// arrive just as the entry closes its listener.
+#[test]
+fn a_planned_stop_ends_while_callers_keep_sending() {
+    let mut fleet = support::start_serving_fleet("stop-under-load", support::single_zone_plan);
+    let entry = fleet.callers()[0];
+    let handle = fleet.runtime().handle().clone();
+    let callers: Vec<_> = (0..STOP_CALLERS)
+        .map(|caller| {
+            let handle = handle.clone();
+            std::thread::spawn(move || handle.block_on(call_until_closed(entry, caller)))
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.process("entry-1").terminate();
+    let status = fleet.process("entry-1").wait(WAIT_TIMEOUT);
+    assert!(
+        status.is_some_and(|it| it.success()),
+        "the planned stop ended with {status:?}"
+    );
+    for caller in callers {
+        assert!(caller.join().unwrap() > 0, "no request was served");
+    }
+}
+
+/// Sends one request after another, on one connection if possible, until the entry no longer listens. Returns the number of
+/// responses, all of which were complete.
+async fn call_until_closed(entry: SocketAddr, caller: usize) -> usize {
+    let client = HttpClient::new(None, WAIT_TIMEOUT);
+    let mut responses = 0;
+    loop {
+        // Requests that start together must not end together.
+        let max_tokens = 100 + 37 * ((caller + 2 * responses) % STOP_CALLERS);
+        let body = json!({ "model": "demo", "prompt": "guide", "max_tokens": max_tokens });
+        let request = Request::post("/v1/completions")
+            .header("authorization", "Bearer token-north")
+            .body(httpio::full(body.to_string()))
+            .unwrap();
+        match client.send(entry, request).await {
+            Ok(pooled_response) => {
+                let read = pooled_response.read(&client, 1 << 20, WAIT_TIMEOUT).await;
+                let response = read.expect("a complete response");
+                assert!(!response.body().is_empty());
+                responses += 1;
+            }
+            Err(httpio::ClientError::NotSent(_)) => return responses,
+            // The request crossed the close of a connection on which no request was in progress.
+            Err(err) => assert!(responses > 0, "the first request had no response: {err}"),
+        }
+    }
+}
+
 #[test]
 fn overload_refusals_report_duration_and_cause_and_did_not_run() {
     let fleet = support::start_serving_fleet("overload", |dir| {
