The ports of a test site are not ephemeral

What was seen: in 2 of 52 runs of the soak of planned stops an entry ended at its start with 'cannot bind the internal address: Address already in use', once each for the internal and the directory address, and the test waited in vain for ready entries.

Cause: SitePorts::free took ports that the system assigns, and released them before the entries listened. The replicas of a site listen at the addresses of its entries, on ports that the system assigns, and may receive one of them. Who held the port in the two runs was not seen.

Ruled out: other processes; the addresses of the runs did not overlap.

Change: sites take ports below the ephemeral range, as the other harness does, and start at another one for each site and process. Two tests of platform_path, which run at the same time, shared a loopback address; one of them has another now.

--- a/crates/fulmarline/tests/platform_path.rs
+++ b/crates/fulmarline/tests/platform_path.rs
@@ -364,7 +364,7 @@
 fn a_stalled_log_reader_blocks_no_request() {
     const CALLER_COUNT: usize = 4;
     const CALLS_PER_CALLER: usize = 400;
-    let mut site = TestSite::start("platform-flood", 51, &[]);
+    let mut site = TestSite::start("platform-flood", 55, &[]);
     site.entries[1].kill();
     let mut entry = Command::new(env!("CARGO_BIN_EXE_fulmarline"))
         .arg("entry")
--- a/crates/standin/src/site/site_settings.rs
+++ b/crates/standin/src/site/site_settings.rs
@@ -1,6 +1,7 @@
 //! Settings files in the format of the platform.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Ports, which are the same on all hosts of a site.
 #[derive(Clone, Copy, Debug)]
@@ -27,25 +28,35 @@
 }
 
 impl SitePorts {
-    /// Returns five free ports assigned by the operating system. The lowest and the highest are the ends of `internal`.
+    /// Returns five free ports below the range of ephemeral ports. The lowest and the highest are the ends of `internal`.
+    ///
+    /// An ephemeral port could be assigned to a replica on the same host before the entry that listens on it has started.
+    /// Sites that start later, and those of other processes, mostly receive other ports.
     ///
     /// # Errors
     ///
     /// Returns the I/O error if no port is free.
     pub fn free() -> std::io::Result<Self> {
-        let listeners = (0..5)
-            .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
-            .collect::<std::io::Result<Vec<_>>>()?;
+        let site = std::process::id() as usize + SITE_COUNT.fetch_add(1, Ordering::Relaxed);
+        let skipped = site * PORT_COUNT % LISTEN_PORTS.len();
+        let ports = LISTEN_PORTS.skip(skipped).chain(LISTEN_PORTS);
+        let listeners = ports
+            .filter_map(|it| TcpListener::bind((Ipv4Addr::LOCALHOST, it)).ok())
+            .take(PORT_COUNT);
+        let listeners: Vec<_> = listeners.collect();
         let mut ports = listeners
             .iter()
             .map(|it| it.local_addr().map(|it| it.port()))
             .collect::<std::io::Result<Vec<_>>>()?;
         ports.sort_unstable();
+        let [first, front, ready, directory, last] = ports[..] else {
+            return Err(std::io::ErrorKind::AddrInUse.into());
+        };
         Ok(Self {
-            front: ports[1],
-            ready: ports[2],
-            directory: ports[3],
-            internal: (ports[0], ports[4]),
+            front,
+            ready,
+            directory,
+            internal: (first, last),
         })
     }
 }
@@ -124,3 +135,12 @@
         )
     }
 }
+
+/// Number of sites that have received ports in this process.
+static SITE_COUNT: AtomicUsize = AtomicUsize::new(0);
+
+/// Number of ports of a host.
+const PORT_COUNT: usize = 5;
+
+/// Ports to listen on. The ephemeral ports of Linux start at 32768.
+const LISTEN_PORTS: std::ops::Range<u16> = 30_000..32_000;
