A soak of planned stops, reloads and changes of the configuration

Sixteen clients send requests to two entries, whole and in pieces, on new, busy and idle connections, while one or both entries are stopped again and again, beside SIGHUP and changes of the configuration. Every response must be complete and belong to its request; a request whose connection was closed, or that was refused, must not have run; nothing that may not be repeated may run twice.

--- a/crates/fulmarline/tests/support/raw_client.rs
+++ b/crates/fulmarline/tests/support/raw_client.rs
@@ -17,6 +17,8 @@
     pub path: String,
     pub time_limit: Duration,
     pub body: String,
+    /// Length of an additional header that the entry forwards.
+    pub padding: usize,
 }
 
 /// What a client received for a request that it sent completely.
@@ -50,13 +52,16 @@
             method,
             path,
             body,
+            padding,
             ..
         } = self;
         let time_limit = self.time_limit.as_millis();
         format!(
             "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {time_limit}\r\n\
-             Token-Count: 100,60\r\nAuthorization: Token key-1\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
+             Token-Count: 100,60\r\nAuthorization: Token key-1\r\nContent-Length: {}\r\n\
+             Padding: {}\r\n\r\n{body}",
+            body.len(),
+            "p".repeat(*padding)
         )
         .into_bytes()
     }
--- a/crates/standin/src/harness/child_process.rs
+++ b/crates/standin/src/harness/child_process.rs
@@ -81,6 +81,11 @@
         self.signal("TERM");
     }
 
+    /// Reports with SIGHUP that the settings file has changed.
+    pub fn reload(&self) {
+        self.signal("HUP");
+    }
+
     /// Suspends the process with SIGSTOP, which simulates a paused host.
     pub fn suspend(&self) {
         self.signal("STOP");
