Limits of the configuration apply to the connections of clients

What callers would see: under a configuration that allows connections to be idle for longer than 15 s, or heads to arrive later than that after the last response, the entry closed connections that clients still counted on, and a request that was being sent ended without an answer. A head of more than 32 KiB was refused with 431, whatever the configuration allowed.

Cause: the entry's listener had fixed limits; of those of the configuration only the size of bodies was used. The timeout for a head also includes the idle time before it, so even at 15 s a head that was begun after four fifths of it had only 3 s left.

Ruled out: the size of bodies, which is read from the configuration of each request.

Change: the limits of a connection are computed when it is accepted: the configuration's, but at least the former ones. A connection that was accepted before a change keeps its limits.

--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -220,6 +220,16 @@
 
     /// Publishes the next configuration, which consists of the default routes and `extra_routes`.
     pub fn configure(&mut self, extra_routes: &Value) {
+        self.configure_with_limits(
+            extra_routes,
+            &json!({
+                "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
+            }),
+        );
+    }
+
+    /// Publishes the next configuration, with the limits `limits` for requests.
+    pub fn configure_with_limits(&mut self, extra_routes: &Value, limits: &Value) {
         self.config += 3;
         let route = |prefix: &str, kind: &str, service: &str| {
             json!({
@@ -247,7 +257,7 @@
                 {"name": "plain", "maxConns": 100},
                 {"name": "weights", "origin": self.origin.address().to_string(), "maxConns": 100},
             ],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+            "limits": limits,
             "tenants": [{"name": "dealer", "apiKeys": ["key-1"], "prio": 1}],
         });
         self.store.put("op", "config", &config);
--- a/crates/httpio/src/http_server.rs
+++ b/crates/httpio/src/http_server.rs
@@ -95,6 +95,25 @@
     where
         F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
         R: Future<Output = Response<HttpBody>> + Send + 'static,
+    {
+        self.serve_with_limits(handler, ServerLimits::clone)
+    }
+
+    /// Does the same as [`Self::serve`], with limits that may change: `current_limits` returns those of a connection that
+    /// is being accepted, given the limits that the server was bound with.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the listener cannot be registered with the runtime.
+    pub fn serve_with_limits<F, R, L>(
+        self,
+        handler: F,
+        current_limits: L,
+    ) -> std::io::Result<ServerHandle>
+    where
+        F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
+        R: Future<Output = Response<HttpBody>> + Send + 'static,
+        L: Fn(&ServerLimits) -> ServerLimits + Send + Sync + 'static,
     {
         let address = self.address();
         let listener = tokio::net::TcpListener::from_std(self.listener)?;
@@ -108,7 +127,7 @@
         };
         tokio::spawn(accept_loop(
             listener,
-            self.limits,
+            move || current_limits(&self.limits),
             handler,
             StopSignal(stopped),
             open_count,
@@ -118,9 +137,9 @@
     }
 }
 
-async fn accept_loop<F, R>(
+async fn accept_loop<F, R, L>(
     listener: tokio::net::TcpListener,
-    limits: ServerLimits,
+    current_limits: L,
     handler: F,
     stop: StopSignal,
     open_count: Arc<AtomicUsize>,
@@ -128,19 +147,16 @@
 ) where
     F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<HttpBody>> + Send + 'static,
+    L: Fn() -> ServerLimits + Send + Sync + 'static,
 {
     let start = |socket: tokio::net::TcpStream, peer: SocketAddr| {
+        let limits = current_limits();
         if open_count.fetch_add(1, Ordering::Relaxed) >= limits.max_connections {
             open_count.fetch_sub(1, Ordering::Relaxed);
             return;
         }
         let _ = socket.set_nodelay(true);
-        let (handler, stop, open_count, limits) = (
-            handler.clone(),
-            stop.clone(),
-            open_count.clone(),
-            limits.clone(),
-        );
+        let (handler, stop, open_count) = (handler.clone(), stop.clone(), open_count.clone());
         tokio::spawn(async move {
             serve_connection(socket, peer, &limits, handler, stop).await;
             open_count.fetch_sub(1, Ordering::Relaxed);
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -71,8 +71,8 @@
             .max_descriptors
             .saturating_sub(RESERVED_DESCRIPTORS),
         max_headers: MAX_HEADERS,
-        max_header_bytes: MAX_HEADER_BYTES,
-        header_timeout: IDLE_TIMEOUT,
+        max_header_bytes: MIN_HEADER_BYTES,
+        header_timeout: MIN_IDLE_TIMEOUT,
         head_error_handler: None,
     };
     let front = HttpServer::bind(front, limits.clone()).context("cannot bind the front address")?;
@@ -106,8 +106,11 @@
     servers
         .push(server.serve(move |_, _| entry_metrics::handle_scrape(shared_for_metrics.clone()))?);
     let shared_for_front = shared.clone();
-    let front = front
-        .serve(move |request, _| request_handler::handle(shared_for_front.clone(), request))?;
+    let shared_for_limits = shared.clone();
+    let front = front.serve_with_limits(
+        move |request, _| request_handler::handle(shared_for_front.clone(), request),
+        move |limits| front_limits(&shared_for_limits, limits),
+    )?;
 
     for table in [FeedTable::Operator, FeedTable::Replicas] {
         tokio::spawn(feed_loop::run(shared.clone(), table));
@@ -125,15 +128,30 @@
     Ok(())
 }
 
+/// Returns the limits of a client's new connection: those of the configuration in force, but at least `limits`.
+fn front_limits(shared: &EntryShared, limits: &ServerLimits) -> ServerLimits {
+    let mut limits = limits.clone();
+    if let Some(configured) = shared.state().routes.as_ref().map(|it| it.limits()) {
+        // The timeout for a head also includes the time for which the connection was idle before.
+        let header_timeout = configured.idle_timeout + configured.header_timeout;
+        limits.header_timeout = header_timeout.clamp(limits.header_timeout, MAX_IDLE_TIMEOUT);
+        limits.max_header_bytes = limits.max_header_bytes.max(configured.max_header_bytes);
+    }
+    limits
+}
+
 /// File descriptors reserved for connections to replicas and the store, and for files.
 const RESERVED_DESCRIPTORS: usize = 1200;
 
 /// Maximum number of header fields of a request.
 const MAX_HEADERS: usize = 100;
 
-/// Maximum size of a request's head in bytes; configurations require 16 KiB.
-const MAX_HEADER_BYTES: usize = 32 * 1024;
+/// Size of a request's head in bytes up to which it is accepted under every configuration.
+const MIN_HEADER_BYTES: usize = 32 * 1024;
+
+/// Time for which a client's connection may be idle under every configuration.
+const MIN_IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(15);
 
-/// Time for which a client's connection may be idle. It must exceed four fifths of what configurations require, which
-/// is 15 s.
-const IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(15);
+/// Time for which a client's connection may be idle at most; a longer one would only hold descriptors of clients that
+/// are gone.
+const MAX_IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(3600);
--- a/crates/standin/src/standin_runtime.rs
+++ b/crates/standin/src/standin_runtime.rs
@@ -67,6 +67,7 @@
 {
     let limits = ServerLimits {
         max_connections: MAX_CONNECTIONS,
+        max_header_bytes: 128 * 1024,
         header_timeout: std::time::Duration::from_secs(120),
         ..ServerLimits::default()
     };
