--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -282,6 +282,14 @@
 
     /// Publishes the next configuration, which consists of the default routes and `extra_routes`.
     pub fn configure(&mut self, extra_routes: &Value) {
+        let limits = json!({
+                "maxHeaderBytes": 16384, "maxBodyBytes": self.max_body_bytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
+        });
+        self.configure_with_limits(extra_routes, &limits);
+    }
+
+    /// Publishes the next configuration, with the limits `limits` for requests.
+    pub fn configure_with_limits(&mut self, extra_routes: &Value, limits: &Value) {
         self.config += 3;
         let route = |prefix: &str, kind: &str, service: &str| {
             json!({
@@ -309,7 +317,7 @@
                 {"name": "plain", "maxConns": 100},
                 {"name": "weights", "origin": self.origin.address().to_string(), "maxConns": 100},
             ],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": self.max_body_bytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+            "limits": limits,
             "tenants": [{"name": "dealer", "apiKeys": ["key-1"], "prio": 1}],
         });
         self.store.put("op", "config", &config);
@@ -361,6 +369,11 @@
         }
     }
 
+    /// Returns the address on which an entry accepts requests.
+    pub fn front(&self, entry: usize) -> SocketAddr {
+        (self.hosts[entry].ip, self.ports.front).into()
+    }
+
     /// Returns the status of the readiness check of an entry.
     pub fn ready(&self, entry: usize) -> Option<StatusCode> {
         self.get(entry, self.ports.ready, "/fulmarline/ready")
--- a/crates/httpio/src/http_server.rs
+++ b/crates/httpio/src/http_server.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, Response, Version, header};
 use hyper_util::rt;
 use tokio::sync::watch;
+use tokio::task;
 
 use crate::body::HttpBody;
 use crate::error_replacing_stream::ErrorReplacingStream;
@@ -94,6 +95,25 @@
     where
         F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
         R: Future<Output = Response<HttpBody>> + Send + 'static,
+    {
+        self.serve_with_limits(handler, ServerLimits::clone)
+    }
+
+    /// Does the same as [`Self::serve`], with limits that may change: `current_limits` returns those of a connection that
+    /// is being accepted, given the limits that the server was bound with.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the listener cannot be registered with the runtime.
+    pub fn serve_with_limits<F, R, L>(
+        self,
+        handler: F,
+        current_limits: L,
+    ) -> std::io::Result<ServerHandle>
+    where
+        F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
+        R: Future<Output = Response<HttpBody>> + Send + 'static,
+        L: Fn(&ServerLimits) -> ServerLimits + Send + Sync + 'static,
     {
         let address = self.address();
         let listener = tokio::net::TcpListener::from_std(self.listener)?;
@@ -107,7 +127,7 @@
         };
         tokio::spawn(accept_loop(
             listener,
-            self.limits,
+            move || current_limits(&self.limits),
             handler,
             StopSignal(stopped),
             open_count,
@@ -117,9 +137,9 @@
     }
 }
 
-async fn accept_loop<F, R>(
+async fn accept_loop<F, R, L>(
     listener: tokio::net::TcpListener,
-    limits: ServerLimits,
+    current_limits: L,
     handler: F,
     stop: StopSignal,
     open_count: Arc<AtomicUsize>,
@@ -127,19 +147,16 @@
 ) where
     F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<HttpBody>> + Send + 'static,
+    L: Fn() -> ServerLimits + Send + Sync + 'static,
 {
     let start = |socket: tokio::net::TcpStream, peer: SocketAddr| {
+        let limits = current_limits();
         if open_count.fetch_add(1, Ordering::Relaxed) >= limits.max_connections {
             open_count.fetch_sub(1, Ordering::Relaxed);
             return;
         }
         let _ = socket.set_nodelay(true);
-        let (handler, stop, open_count, limits) = (
-            handler.clone(),
-            stop.clone(),
-            open_count.clone(),
-            limits.clone(),
-        );
+        let (handler, stop, open_count) = (handler.clone(), stop.clone(), open_count.clone());
         tokio::spawn(async move {
             serve_connection(socket, peer, &limits, handler, stop).await;
             open_count.fetch_sub(1, Ordering::Relaxed);
@@ -182,10 +199,11 @@
 {
     let ends_with_connection = Arc::new(AtomicBool::new(false));
     let last_response_flag = ends_with_connection.clone();
-    let has_request = Arc::new(AtomicBool::new(false));
-    let request_flag = has_request.clone();
+    // A client that has just connected is about to send its first request.
+    let is_receiving = Arc::new(AtomicBool::new(true));
+    let receiving_flag = is_receiving.clone();
     let service = service::service_fn(move |request: Request<Incoming>| {
-        request_flag.store(true, Ordering::Relaxed);
+        receiving_flag.store(false, Ordering::Relaxed);
         let version = request.version();
         let response = handler(request, peer);
         let flag = last_response_flag.clone();
@@ -195,14 +213,15 @@
             Ok::<_, convert::Infallible>(response)
         }
     });
-    let mut socket = ErrorReplacingStream::new(socket, limits.head_error_handler);
+    let mut socket =
+        ErrorReplacingStream::new(socket, limits.head_error_handler, is_receiving.clone());
     let connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_headers(limits.max_headers)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(rt::TokioIo::new(&mut socket), service);
-    let result = run_connection(connection, &mut stop, &has_request).await;
+    let result = run_connection(connection, &mut stop, &is_receiving).await;
     if result.is_err() && ends_with_connection.load(Ordering::Relaxed) {
         // An orderly end of the connection would mark the aborted body as complete.
         socket.reset();
@@ -224,12 +243,12 @@
         && !response.headers().contains_key(header::CONTENT_LENGTH)
 }
 
-/// Serves a connection until it is closed. After a stop, it is closed when its current request is complete; if the
-/// client has just opened it, its first request is awaited for a moment.
+/// Serves a connection until it is closed. After a stop, it is closed when its current request is complete; a request
+/// that has partially arrived, or the first one of a new connection, is awaited for a moment.
 async fn run_connection<I, S>(
     connection: http1::Connection<I, S>,
     stop: &mut StopSignal,
-    has_request: &AtomicBool,
+    is_receiving: &AtomicBool,
 ) -> hyper::Result<()>
 where
     I: hyper::rt::Read + hyper::rt::Write + Unpin,
@@ -241,10 +260,16 @@
         result = connection.as_mut() => return result,
         () = wait_for_stop(&mut stop.0) => {}
     }
-    if !has_request.load(Ordering::Relaxed) {
-        // `hyper` would close the connection without reading the request that may have arrived already.
-        let first_request = tokio::time::timeout(FIRST_REQUEST_WAIT, connection.as_mut()).await;
-        if let Ok(result) = first_request {
+    // `hyper` would close a connection without a current request, and discard what has arrived on it.
+    tokio::select! {
+        biased;
+        result = connection.as_mut() => return result,
+        // The runtime polls the sockets before it resumes a task that has yielded.
+        () = task::yield_now() => {}
+    }
+    if is_receiving.load(Ordering::Relaxed) {
+        let request = tokio::time::timeout(REQUEST_WAIT, connection.as_mut()).await;
+        if let Ok(result) = request {
             return result;
         }
     }
@@ -262,8 +287,8 @@
 /// Delay after a failed accept, which prevents a busy loop while file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
-/// Time after a stop in which the first request of a connection is still read; several round trips to clients.
-const FIRST_REQUEST_WAIT: time::Duration = time::Duration::from_millis(200);
+/// Time after a stop in which the rest of a request is still read; several round trips to clients.
+const REQUEST_WAIT: time::Duration = time::Duration::from_millis(200);
 
 /// The minimum buffer size that `hyper` accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
