Clients of the silence tests keep their connections

A response may be lost on a kept connection only, which new connections do not show. All clients beside a silence now send on connections that are open from earlier requests.

--- a/crates/fulmarline/tests/platform_silence.rs
+++ b/crates/fulmarline/tests/platform_silence.rs
@@ -42,13 +42,13 @@
     Lookup,
 }
 
-/// Both entries, and the model replicas if there are any, are called while `act` runs.
+/// Runs `act` while clients of each of `kinds` call both entries on connections that they keep.
 fn call_during(
     site: &mut TestSite,
     kinds: &[CallKind],
     act: impl FnOnce(&mut TestSite),
 ) -> Vec<CallRecord> {
-    let caller = site.caller();
+    let caller = site.caller().with_kept_connections();
     let stop = AtomicBool::new(false);
     let next_id = AtomicU64::new(0);
     std::thread::scope(|scope| {
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -57,9 +57,18 @@
     handle: tokio::runtime::Handle,
     client: HttpClient,
     front_addresses: Vec<SocketAddr>,
+    /// Whether connections are used for further requests.
+    keeps_connections: bool,
 }
 
 impl SiteCaller {
+    /// Sends each request on a connection that is open from an earlier one, if there is any.
+    #[must_use]
+    pub fn with_kept_connections(mut self) -> Self {
+        self.keeps_connections = true;
+        self
+    }
+
     /// Sends a request without a body to an entry.
     pub fn call(
         &self,
@@ -100,12 +109,12 @@
             .unwrap();
         let address = self.front_addresses[entry];
         self.handle.block_on(async {
-            let pooled_response = self
-                .client
-                .send_on_new_connection(address, request)
-                .await
-                .ok()?;
-            let (response, _sender, _) = pooled_response.into_parts();
+            let pooled_response = if self.keeps_connections {
+                self.client.send(address, request).await
+            } else {
+                self.client.send_on_new_connection(address, request).await
+            };
+            let (response, sender, _) = pooled_response.ok()?.into_parts();
             let (parts, mut body) = response.into_parts();
             let mut bytes = Vec::new();
             let complete = loop {
@@ -115,6 +124,9 @@
                     Some(Ok(frame)) => bytes.extend(frame.into_data().unwrap_or_default()),
                 }
             };
+            if complete && self.keeps_connections {
+                self.client.recycle(sender, address);
+            }
             Some(SiteResponse {
                 status: parts.status,
                 headers: parts.headers,
@@ -317,6 +329,7 @@
                 .iter()
                 .map(|it| (it.ip, self.ports.front).into())
                 .collect(),
+            keeps_connections: false,
         }
     }
 
