A pooled connection is used only if it is quiet and ready

What callers would see: the response to another request, when a server sends a second copy of a response while the connection lies idle; and requests that wait until their deadline behind a connection which still sends the body of an earlier request that was answered early.

Cause: the client asked only whether the task of the connection had noticed its end, and then waited for the task. Data in the socket that the task had not seen yet became the response to the next request. A connection whose server does not read the rest of a body never becomes ready.

Ruled out: copies that the task has read already.

Change: the pool asks the operating system whether a connection is quiet, and takes only connections that are ready. A connection that is not is dropped, and a new one is opened.

--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -7,12 +7,13 @@
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, Response};
 use hyper_util::rt;
 
 use crate::body::HttpBody;
-use crate::client_stream::ClientStream;
+use crate::client_stream::{ClientStream, SocketView};
 
 /// A client with a pool of idle connections for each address.
 ///
@@ -31,10 +32,17 @@
 }
 
 struct IdleConnection {
-    sender: SendRequest<HttpBody>,
+    connection: ClientConnection,
     expires_at: time::Instant,
 }
 
+/// A connection whose task reads and writes its socket.
+#[derive(Debug)]
+pub struct ClientConnection {
+    sender: SendRequest<HttpBody>,
+    socket: SocketView,
+}
+
 /// A response with an unread body, and the connection that it arrives on.
 ///
 /// [`PooledResponse::read`] returns the connection to the pool; [`HttpClient::recycle`] does so after
@@ -43,7 +51,7 @@
 pub struct PooledResponse {
     /// The response with its unread body.
     pub response: Response<Incoming>,
-    sender: SendRequest<HttpBody>,
+    connection: ClientConnection,
     address: SocketAddr,
 }
 
@@ -128,15 +136,14 @@
         address: SocketAddr,
         request: Request<HttpBody>,
     ) -> Result<PooledResponse, ClientError> {
-        let mut sender = match self.take_idle(address).await {
-            Some(it) => it,
-            None => self.connect(address).await.map_err(ClientError::NotSent)?,
+        let Some(mut connection) = self.take_idle(address) else {
+            return self.send_on_new_connection(address, request).await;
         };
         let request = with_host_header(request, address);
-        match sender.try_send_request(request).await {
+        match connection.send(request).await {
             Ok(response) => Ok(PooledResponse {
                 response,
-                sender,
+                connection,
                 address,
             }),
             // `hyper` returns the request if none of it was written, because the idle connection had been closed.
@@ -160,14 +167,14 @@
         address: SocketAddr,
         request: Request<HttpBody>,
     ) -> Result<PooledResponse, ClientError> {
-        let mut sender = self.connect(address).await.map_err(ClientError::NotSent)?;
-        let response = sender
-            .send_request(with_host_header(request, address))
+        let mut connection = self.connect(address).await.map_err(ClientError::NotSent)?;
+        let response = connection
+            .send(with_host_header(request, address))
             .await
-            .map_err(ClientError::NoResponse)?;
+            .map_err(|it| ClientError::NoResponse(it.into_error()))?;
         Ok(PooledResponse {
             response,
-            sender,
+            connection,
             address,
         })
     }
@@ -190,18 +197,18 @@
     }
 
     /// Returns a connection to the pool, after its response was read completely.
-    pub fn recycle(&self, sender: SendRequest<HttpBody>, address: SocketAddr) {
-        self.recycle_with_max_idle_age(sender, address, MAX_IDLE_AGE);
+    pub fn recycle(&self, connection: ClientConnection, address: SocketAddr) {
+        self.recycle_with_max_idle_age(connection, address, MAX_IDLE_AGE);
     }
 
     /// Returns a connection to the pool, to be reused only within `max_idle_age`.
     pub fn recycle_with_max_idle_age(
         &self,
-        sender: SendRequest<HttpBody>,
+        connection: ClientConnection,
         address: SocketAddr,
         max_idle_age: time::Duration,
     ) {
-        if sender.is_closed() || self.max_idle_age.is_zero() {
+        if connection.sender.is_closed() || self.max_idle_age.is_zero() {
             return;
         }
         let mut idle = self
@@ -211,7 +218,7 @@
         let connections = idle.entry(address).or_default();
         if connections.len() < MAX_IDLE_PER_ADDRESS {
             connections.push(IdleConnection {
-                sender,
+                connection,
                 expires_at: time::Instant::now() + max_idle_age.min(self.max_idle_age),
             });
         }
@@ -225,26 +232,31 @@
             .remove(&address);
     }
 
-    async fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<HttpBody>> {
+    /// Takes a connection from the pool that can send a request at once.
+    ///
+    /// Data that has arrived while it was idle belongs to no request. A connection that is not ready may be sending the rest
+    /// of a request which was answered early, for as long as the server does not read it.
+    fn take_idle(&self, address: SocketAddr) -> Option<ClientConnection> {
+        let mut idle = self
+            .idle
+            .lock()
+            .expect("no thread panics while it holds the pool lock");
+        let connections = idle.get_mut(&address)?;
         loop {
-            let connection = {
-                let mut idle = self
-                    .idle
-                    .lock()
-                    .expect("no thread panics while it holds the pool lock");
-                idle.get_mut(&address)?.pop()?
-            };
-            if connection.expires_at < time::Instant::now() || connection.sender.is_closed() {
-                continue;
-            }
-            let mut sender = connection.sender;
-            if sender.ready().await.is_ok() {
-                return Some(sender);
+            let IdleConnection {
+                connection,
+                expires_at,
+            } = connections.pop()?;
+            if expires_at >= time::Instant::now()
+                && connection.sender.is_ready()
+                && connection.socket.is_quiet()
+            {
+                return Some(connection);
             }
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> std::io::Result<SendRequest<HttpBody>> {
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<ClientConnection> {
         let stream = tokio::time::timeout(self.connect_timeout, self.open_socket(address))
             .await
             .map_err(|_| {
@@ -255,13 +267,14 @@
             socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(timeout))?;
         }
         let stream = ClientStream::new(stream, self.reset_on_close)?;
+        let socket = stream.view();
         let (sender, connection) = hyper::client::conn::http1::handshake(rt::TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
         tokio::spawn(async move {
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(ClientConnection { sender, socket })
     }
 
     async fn open_socket(&self, address: SocketAddr) -> std::io::Result<tokio::net::TcpStream> {
@@ -291,7 +304,7 @@
     ) -> std::io::Result<Response<bytes::Bytes>> {
         let (parts, body) = self.response.into_parts();
         let bytes = crate::body::read_limited(body, max_bytes, timeout).await?;
-        client.recycle(self.sender, self.address);
+        client.recycle(self.connection, self.address);
         Ok(Response::from_parts(parts, bytes))
     }
 
@@ -308,14 +321,23 @@
     ) -> std::io::Result<Response<bytes::Bytes>> {
         let (parts, body) = self.response.into_parts();
         let bytes = crate::body::read_with_idle_timeout(body, max_bytes, idle_timeout).await?;
-        client.recycle(self.sender, self.address);
+        client.recycle(self.connection, self.address);
         Ok(Response::from_parts(parts, bytes))
     }
 
     /// Returns the response, the connection and its address, for reading a streamed body and recycling the connection
     /// afterwards.
-    pub fn into_parts(self) -> (Response<Incoming>, SendRequest<HttpBody>, SocketAddr) {
-        (self.response, self.sender, self.address)
+    pub fn into_parts(self) -> (Response<Incoming>, ClientConnection, SocketAddr) {
+        (self.response, self.connection, self.address)
+    }
+}
+
+impl ClientConnection {
+    async fn send(
+        &mut self,
+        request: Request<HttpBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<HttpBody>>> {
+        self.sender.try_send_request(request).await
     }
 }
 
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -19,7 +19,7 @@
 pub use body_framing::BodyFraming;
 pub use body_sender::{BodySender, PeerDisconnected, stream};
 pub use head_error::{HeadError, HeadErrorHandler};
-pub use http_client::{ClientError, HttpClient, PooledResponse};
+pub use http_client::{ClientConnection, ClientError, HttpClient, PooledResponse};
 pub use http_server::{HttpServer, ServerHandle, StopSignal};
 pub use server_limits::ServerLimits;
 
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -6,8 +6,7 @@
 
 use bytes::Bytes;
 use fleet::{CallKind, ChosenReplica, LogKind, ReplicaCatalog, ReplicaOutcome};
-use httpio::{ClientError, HttpBody, PooledResponse, Request, StatusCode};
-use hyper::client::conn::http1::SendRequest;
+use httpio::{ClientConnection, ClientError, PooledResponse, Request, StatusCode};
 use platform::{ForwardMetadata, ResponseMetadata};
 use slog::info;
 
@@ -89,17 +88,17 @@
 /// Returns a connection to the pool after its response has been read to the end.
 pub(crate) fn return_connection(
     shared: &EntryShared,
-    sender: SendRequest<HttpBody>,
+    connection: ClientConnection,
     address: SocketAddr,
     metadata: &ResponseMetadata,
 ) {
     match metadata.keep_alive_timeout {
         Some(idle) => shared.replica_client.recycle_with_max_idle_age(
-            sender,
+            connection,
             address,
             idle.mul_f64(IDLE_TIMEOUT_FRACTION),
         ),
-        None => shared.replica_client.recycle(sender, address),
+        None => shared.replica_client.recycle(connection, address),
     }
 }
 
