A body is copied while it is read

What callers would see: an entry that runs out of memory while servers send bodies in very small chunks.

Cause: `read_limited` collected the frames of a body. A frame of one byte keeps the buffer of its connection alive, so a body below the limit of 8 MiB took many times its size, and the limit counted only the bytes of the frames.

Change: frames are copied to one buffer and released; `read_limited` and `read_with_idle_timeout` share the loop.

Result: at most 1 frame exists at a time.

--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -1,5 +1,6 @@
 //! Request and response bodies that are empty or buffered, and how bodies are read.
 
+use std::pin::pin;
 use std::{convert, time};
 
 use bytes::Bytes;
@@ -34,19 +35,7 @@
     B: body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let limited = http_body_util::Limited::new(body, max_bytes);
-    match tokio::time::timeout(timeout, limited.collect()).await {
-        Err(_) => Err(std::io::Error::new(
-            std::io::ErrorKind::TimedOut,
-            "the body was not complete in time",
-        )),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => Err(std::io::Error::new(
-            std::io::ErrorKind::InvalidData,
-            "the body exceeds the size limit",
-        )),
-        Ok(Err(err)) => Err(std::io::Error::other(err)),
-    }
+    within_timeout(timeout, read_frames(pin!(body), max_bytes, None)).await
 }
 
 /// Reads a complete body of at most `max_bytes`; fails if no data arrives for `idle_timeout`.
@@ -58,7 +47,7 @@
 ///
 /// Returns the same errors as [`read_limited`].
 pub async fn read_with_idle_timeout<B>(
-    mut body: B,
+    body: B,
     max_bytes: usize,
     idle_timeout: time::Duration,
 ) -> std::io::Result<Bytes>
@@ -66,31 +55,68 @@
     B: body::Body<Data = Bytes> + Unpin,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let mut bytes = bytes::BytesMut::new();
+    read_frames(body, max_bytes, Some(idle_timeout)).await
+}
+
+/// Copies the frames of a body to one buffer. A small frame may keep the much larger buffer of its connection alive, so
+/// frames must not be collected.
+async fn read_frames<B>(
+    mut body: B,
+    max_bytes: usize,
+    idle_timeout: Option<time::Duration>,
+) -> std::io::Result<Bytes>
+where
+    B: body::Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut bytes = Vec::new();
     loop {
-        let frame = match tokio::time::timeout(idle_timeout, body.frame()).await {
-            Err(_) => {
-                return Err(std::io::Error::new(
-                    std::io::ErrorKind::TimedOut,
-                    "no data of the body arrived within the idle timeout",
-                ));
-            }
-            Ok(None) => return Ok(bytes.freeze()),
-            Ok(Some(frame)) => frame.map_err(std::io::Error::other)?,
+        let frame = match idle_timeout {
+            Some(timeout) => tokio::time::timeout(timeout, body.frame())
+                .await
+                .map_err(|_| {
+                    std::io::Error::new(
+                        std::io::ErrorKind::TimedOut,
+                        "no data of the body arrived within the idle timeout",
+                    )
+                })?,
+            None => body.frame().await,
+        };
+        let Some(frame) = frame else {
+            return Ok(bytes.into());
         };
-        let Ok(data) = frame.into_data() else {
+        let Ok(data) = frame.map_err(std::io::Error::other)?.into_data() else {
             continue;
         };
-        if bytes.len() + data.len() > max_bytes {
+        let len = bytes.len() + data.len();
+        if len > max_bytes {
             return Err(std::io::Error::new(
                 std::io::ErrorKind::InvalidData,
                 "the body exceeds the size limit",
             ));
         }
+        if len > bytes.capacity() {
+            let capacity = len.max((2 * bytes.capacity()).min(max_bytes));
+            bytes.reserve_exact(capacity - bytes.len());
+        }
         bytes.extend_from_slice(&data);
     }
 }
 
+async fn within_timeout(
+    timeout: time::Duration,
+    read: impl Future<Output = std::io::Result<Bytes>>,
+) -> std::io::Result<Bytes> {
+    tokio::time::timeout(timeout, read)
+        .await
+        .unwrap_or_else(|_| {
+            Err(std::io::Error::new(
+                std::io::ErrorKind::TimedOut,
+                "the body was not complete in time",
+            ))
+        })
+}
+
 fn unreachable_error(it: convert::Infallible) -> std::io::Error {
     match it {}
 }
