A server that sends without end neither fills memory nor stops other tasks

What callers would see: requests that wait until their deadline for a server that sends interim responses without end, and an entry that answers nothing for hundreds of milliseconds at a time because it decodes what one server sends.

Cause: `hyper` limits a head by the size of its buffer, but skips any number of interim responses. While data is available, the task of a connection reads 128 times before the runtime takes a turn, each time up to 400 KB, and an entry has one thread.

Evidence: `httpio/tests/endless.rs` on the code before: no result: "", then "HTTP/1.1 102 Processing\r\n\r\n" (after 30 s) bytes were received while another task ran 10 times

Ruled out: status lines, headers and header lines without end, which `hyper` rejects at the size of its buffer; a chunk size of digits and chunk extensions without end, which it rejects too.

Change: a head and its interim responses may take 1 MiB; a connection reads 128 KiB before other tasks take a turn, and its buffer holds 64 KiB instead of 408 KiB.

Result: 3 of 3 tests of the file pass; the bound of the second one is 1 MiB a turn and 32 MiB for the sockets.

--- a/crates/httpio/src/client_stream.rs
+++ b/crates/httpio/src/client_stream.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
 use std::task::{Context, Poll, ready};
 
@@ -10,10 +11,16 @@
 use tokio::net::TcpStream;
 
 /// A TCP stream that is closed either gracefully or with a reset.
-#[derive(Debug)]
 pub(crate) struct ClientStream {
     socket: Arc<TcpStream>,
+    awaits_head: Arc<AtomicBool>,
     reset_on_close: bool,
+    /// Number of bytes that were read since the task last waited.
+    read_without_wait: usize,
+    /// Lets other tasks run before the next read.
+    pause: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
+    /// Number of bytes that were read since the last write.
+    read_since_write: usize,
 }
 
 /// What the owner of a connection sees of its socket, which the task of the connection reads and writes.
@@ -21,6 +28,7 @@
 pub(crate) struct SocketView {
     /// Does not keep the socket open after the task has ended.
     socket: Weak<TcpStream>,
+    awaits_head: Arc<AtomicBool>,
 }
 
 impl ClientStream {
@@ -35,7 +43,11 @@
         }
         Ok(Self {
             socket: Arc::new(socket),
+            awaits_head: Arc::default(),
             reset_on_close,
+            read_without_wait: 0,
+            pause: None,
+            read_since_write: 0,
         })
     }
 
@@ -43,8 +55,22 @@
     pub(crate) fn view(&self) -> SocketView {
         SocketView {
             socket: Arc::downgrade(&self.socket),
+            awaits_head: self.awaits_head.clone(),
         }
     }
+
+    /// Counts received bytes, and fails if they are too many for the head of a response.
+    fn count_read(&mut self, count: usize) -> io::Result<()> {
+        self.read_without_wait += count;
+        self.read_since_write += count;
+        if self.awaits_head.load(Ordering::Relaxed) && self.read_since_write > MAX_HEAD_BYTES {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "the head of the response exceeds the size limit",
+            ));
+        }
+        Ok(())
+    }
 }
 
 impl SocketView {
@@ -59,18 +85,37 @@
         let peeked = socket2::SockRef::from(&*socket).peek(&mut byte);
         peeked.is_err_and(|it| it.kind() == io::ErrorKind::WouldBlock)
     }
+
+    /// Sets whether the connection waits for the head of a response, whose size is limited together with the interim
+    /// responses before it.
+    pub(crate) fn set_awaits_head(&self, awaits_head: bool) {
+        self.awaits_head.store(awaits_head, Ordering::Relaxed);
+    }
 }
 
 impl AsyncRead for ClientStream {
+    /// Reads from the socket, but pauses after [`MAX_READ_WITHOUT_WAIT`], so that other tasks run while a peer sends
+    /// faster than its data can be decoded.
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.read_without_wait >= MAX_READ_WITHOUT_WAIT {
+            self.read_without_wait = 0;
+            self.pause = Some(Box::pin(tokio::task::yield_now()));
+        }
+        if let Some(pause) = &mut self.pause {
+            ready!(pause.as_mut().poll(cx));
+            self.pause = None;
+        }
         loop {
-            ready!(self.socket.poll_read_ready(cx))?;
+            if self.socket.poll_read_ready(cx)?.is_pending() {
+                self.read_without_wait = 0;
+                return Poll::Pending;
+            }
             match self.socket.try_read_buf(buffer) {
-                Ok(_) => return Poll::Ready(Ok(())),
+                Ok(count) => return Poll::Ready(self.count_read(count)),
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
                 Err(err) => return Poll::Ready(Err(err)),
             }
@@ -88,10 +133,11 @@
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.read_since_write = 0;
         loop {
             ready!(self.socket.poll_write_ready(cx))?;
             match self.socket.try_write_vectored(slices) {
@@ -124,3 +170,10 @@
         })
     }
 }
+
+/// Maximum size of the head of a response together with the interim responses before it. The part of a body that may
+/// arrive before the head is processed is smaller.
+const MAX_HEAD_BYTES: usize = 1024 * 1024;
+
+/// Number of bytes that are read before other tasks run.
+const MAX_READ_WITHOUT_WAIT: usize = 128 * 1024;
--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -268,7 +268,9 @@
         }
         let stream = ClientStream::new(stream, self.reset_on_close)?;
         let socket = stream.view();
-        let (sender, connection) = hyper::client::conn::http1::handshake(rt::TokioIo::new(stream))
+        let (sender, connection) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(rt::TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
         tokio::spawn(async move {
@@ -337,7 +339,10 @@
         &mut self,
         request: Request<HttpBody>,
     ) -> Result<Response<Incoming>, TrySendError<Request<HttpBody>>> {
-        self.sender.try_send_request(request).await
+        self.socket.set_awaits_head(true);
+        let result = self.sender.try_send_request(request).await;
+        self.socket.set_awaits_head(false);
+        result
     }
 }
 
@@ -353,6 +358,9 @@
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
+/// Size of the buffer of a connection, which limits the head of a response and the size of a frame of its body.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Maximum time for which an idle connection is kept; less than the header timeout of the servers, which close idle
 /// connections after it.
 const MAX_IDLE_AGE: time::Duration = time::Duration::from_secs(5);
--- a/crates/httpio/tests/endless.rs
+++ b/crates/httpio/tests/endless.rs
@@ -1,6 +1,8 @@
 //! Tests what responses without end cost the client that receives them.
 
 use std::convert::Infallible;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -8,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use httpio::{HttpClient, Request};
 use hyper::body::{Body, Frame};
 
 /// Timeout of every wait, well above what a loaded machine needs.
@@ -16,6 +19,15 @@
 /// Number of frames of a body, each of which is a part of a larger buffer.
 const FRAME_COUNT: usize = 1000;
 
+/// Number of turns that another task takes while data without end is received.
+const TURN_COUNT: usize = 10;
+
+/// Maximum number of bytes that may be received between two turns.
+const MAX_TURN_BYTES: usize = 1024 * 1024;
+
+/// Number of bytes that the sockets of a connection may hold.
+const MAX_SOCKET_BYTES: usize = 32 * 1024 * 1024;
+
 /// A body of frames that count how many of them exist.
 struct CountedBody {
     remaining: usize,
@@ -64,6 +76,23 @@
         .unwrap()
 }
 
+/// Starts a server that responds with `head` and then `unit` without end, and counts the bytes that it has written.
+fn start_server(head: &'static str, unit: &'static str, written: &Arc<AtomicUsize>) -> SocketAddr {
+    let written = written.clone();
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let mut socket = listener.accept().unwrap().0;
+        let block = unit.repeat(1 + 64 * 1024 / unit.len());
+        socket.write_all(head.as_bytes()).unwrap();
+        // Fails when the client closes the connection.
+        while socket.write_all(block.as_bytes()).is_ok() {
+            written.fetch_add(block.len(), Ordering::Relaxed);
+        }
+    });
+    address
+}
+
 /// Guards against a small body in many chunks that keeps all buffers of its connection in memory.
 #[test]
 fn frames_are_released_while_a_body_is_read() {
@@ -77,3 +106,58 @@
     assert_eq!(current_thread().block_on(read).unwrap().len(), FRAME_COUNT);
     assert_eq!(peak.load(Ordering::Relaxed), 1);
 }
+
+/// Guards against requests that wait until their deadline for a head which has no end.
+#[test]
+fn a_head_without_end_is_an_error() {
+    let heads = [
+        ("HTTP/1.1 200 ", "x"),
+        ("HTTP/1.1 200 OK\r\nX-More: ", "x"),
+        ("HTTP/1.1 200 OK\r\n", "X-More: x\r\n"),
+        ("", "HTTP/1.1 102 Processing\r\n\r\n"),
+    ];
+    for (head, unit) in heads {
+        let address = start_server(head, unit, &Arc::default());
+        let result = current_thread().block_on(async {
+            let client = HttpClient::new(None, WAIT_TIMEOUT);
+            let request = Request::builder().uri("/").body(httpio::empty()).unwrap();
+            tokio::time::timeout(WAIT_TIMEOUT, client.send(address, request)).await
+        });
+        let result = result.unwrap_or_else(|_| panic!("no result: {head:?}, then {unit:?}"));
+        assert!(result.is_err(), "{head:?}, then {unit:?}");
+    }
+}
+
+/// Guards against a server whose data without end stops all other tasks of a process for seconds.
+#[test]
+fn other_tasks_run_while_data_without_end_is_received() {
+    let written = Arc::new(AtomicUsize::new(0));
+    let address = start_server(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1",
+        " ",
+        &written,
+    );
+    let exchange = async move {
+        let client = HttpClient::new(None, WAIT_TIMEOUT);
+        let request = Request::builder().uri("/").body(httpio::empty()).unwrap();
+        let response = client.send(address, request).await.unwrap();
+        let read = response.read(&client, 1024, WAIT_TIMEOUT);
+        let other_task = async {
+            for _ in 0..TURN_COUNT {
+                tokio::task::yield_now().await;
+            }
+        };
+        tokio::select! {
+            result = read => panic!("the body has no end: {result:?}"),
+            () = other_task => {}
+        }
+    };
+    // The runtime polls the future of `block_on` less often than spawned tasks.
+    let runtime = current_thread();
+    runtime.block_on(runtime.spawn(exchange)).unwrap();
+    let written = written.load(Ordering::Relaxed);
+    assert!(
+        written < TURN_COUNT * MAX_TURN_BYTES + MAX_SOCKET_BYTES,
+        "{written} bytes were received while another task ran {TURN_COUNT} times"
+    );
+}
