Copies of responses never decide about another request

What callers would see, when a server sends a second copy of a response late, on a connection that is in use again: - a request on a stream route that may not be resumed ran at two replicas (copies of 503, 400 and 421), or got 502 although its replica served it; - a caller received the body of another request's error response, if the copy had no id; - a caller was told 503, "has not run", about a request that had run; - a copy of 421 removed a sound replica from the catalog.

Cause: the id of a response was compared only after refusals had been recognised, and a response without an id belonged to whoever came next. Only requests of `non_idempotent` routes were sent on new connections, not those of streams that must be treated like them. `101 Switching Protocols` counted as a final response.

Change: a response belongs to a request only with its id; without one, only as the first response of a connection. A request that may not be repeated, or has no id, is sent on a new connection. A status outside of 200 to 599 is no response. The stand-in replica echoes the id in refusals as well.

--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -53,6 +53,7 @@
     pub response: Response<Incoming>,
     connection: ClientConnection,
     address: SocketAddr,
+    is_reused: bool,
 }
 
 /// Why a request received no response.
@@ -145,6 +146,7 @@
                 response,
                 connection,
                 address,
+                is_reused: true,
             }),
             // `hyper` returns the request if none of it was written, because the idle connection had been closed.
             Err(mut err) => match err.take_message() {
@@ -176,6 +178,7 @@
             response,
             connection,
             address,
+            is_reused: false,
         })
     }
 
@@ -332,6 +335,12 @@
     pub fn into_parts(self) -> (Response<Incoming>, ClientConnection, SocketAddr) {
         (self.response, self.connection, self.address)
     }
+
+    /// Returns whether another request was sent on the connection before, to which a late duplicate response may still
+    /// arrive.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
 }
 
 impl ClientConnection {
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{CallKind, ChosenReplica, LogKind, ReplicaCatalog, ReplicaOutcome};
+use fleet::{ChosenReplica, LogKind, ReplicaCatalog, ReplicaOutcome};
 use httpio::{ClientConnection, ClientError, PooledResponse, Request, StatusCode};
 use platform::{ForwardMetadata, ResponseMetadata};
 use slog::info;
@@ -63,10 +63,11 @@
     *request.uri_mut() = call.target.clone();
     *request.headers_mut() = platform::forwarded_request_headers(&call.headers, &metadata);
 
-    // A non-idempotent request is never sent on a reused connection, which may be closing or may still deliver the
-    // response to an earlier request.
+    // A reused connection may be closing or may still deliver the response to an earlier request. That loses a request
+    // which may not be repeated, and shows only in the id of the request.
+    let needs_new_connection = !call.route.is_retryable() || call.metadata.id.is_none();
     let exchange = async {
-        if call.route.kind == CallKind::NonIdempotent {
+        if needs_new_connection {
             shared
                 .replica_client
                 .send_on_new_connection(replica.address, request)
@@ -112,6 +113,18 @@
 fn classify_head(call: &ClientCall, pooled_response: PooledResponse) -> SendOutcome {
     let metadata = platform::decode_response_headers(pooled_response.response.headers());
     let status = pooled_response.response.status();
+    if !(200..600).contains(&status.as_u16()) {
+        return SendOutcome::Unknown("invalid_status");
+    }
+    // A late duplicate response to an earlier request contains that request's id, or none. Only the first response on a
+    // connection needs no id, as a server that refuses everything may not read the request.
+    let is_foreign = match &metadata.request_id {
+        Some(id) => call.metadata.id.as_ref() != Some(id),
+        None => pooled_response.is_reused(),
+    };
+    if is_foreign {
+        return SendOutcome::Unknown("foreign_answer");
+    }
     let is_refusal = metadata.not_executed
         && matches!(
             status,
@@ -125,10 +138,6 @@
     if is_refusal {
         return SendOutcome::NotRun(NotRunReason::Refused);
     }
-    // A late duplicate response to an earlier request contains that request's id.
-    if metadata.request_id.is_some() && metadata.request_id != call.metadata.id {
-        return SendOutcome::Unknown("foreign_answer");
-    }
     if status.is_success()
         && (!metadata.signed || metadata.request_id.is_none() || metadata.encoded)
     {
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -7,7 +7,9 @@
 mod site_store;
 mod site_weights;
 
-pub use raw_replica::{RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts};
+pub use raw_replica::{
+    RawConnection, RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts,
+};
 pub use site_origin::SiteOrigin;
 pub use site_replica::{ReplicaFaults, ReplicaKind, SiteReplica};
 pub use site_settings::{SiteHost, SitePorts};
--- a/crates/standin/src/site/raw_replica.rs
+++ b/crates/standin/src/site/raw_replica.rs
@@ -1,8 +1,9 @@
-//! A replica that writes its responses to the socket itself, with any framing and any end.
+//! A replica that writes its responses to the socket itself, with any framing, any end and any number of them.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -52,6 +53,15 @@
     Reset,
 }
 
+/// What a replica does with a connection after it has responded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RawConnection {
+    /// It waits for the next request.
+    KeepOpen,
+    /// It closes the connection.
+    Close,
+}
+
 /// The head of a received request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RawRequest {
@@ -72,6 +82,14 @@
 pub struct RawReplica {
     id: String,
     address: SocketAddr,
+    open_count: Arc<AtomicUsize>,
+}
+
+impl RawRequest {
+    /// Returns the id of the request, or an empty string if it has none.
+    pub fn id(&self) -> &str {
+        self.headers.get("request-id").map_or("", String::as_str)
+    }
 }
 
 impl RunCounts {
@@ -108,6 +126,23 @@
         }
     }
 
+    /// Writes the response of `replica` to the request with the id `id`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the I/O error if the entry has closed the connection.
+    pub fn write(&self, id: &str, replica: &str, mut socket: &TcpStream) -> std::io::Result<()> {
+        let (bytes, last_part) = self.encode(id, replica);
+        socket.write_all(&bytes[..last_part])?;
+        std::thread::sleep(self.pause);
+        socket.write_all(&bytes[last_part..])?;
+        if self.end == RawEnd::Reset {
+            std::thread::sleep(RESET_DELAY);
+            socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO))?;
+        }
+        Ok(())
+    }
+
     /// Returns the bytes to send and the position of the last part in them.
     fn encode(&self, id: &str, replica: &str) -> (Vec<u8>, usize) {
         let framing = match self.framing {
@@ -161,17 +196,42 @@
         ip: [u8; 4],
         runs: &RunCounts,
         respond: impl Fn(&RawRequest) -> RawResponse + Send + Sync + 'static,
+    ) -> std::io::Result<Self> {
+        let replica = id.to_owned();
+        Self::start_raw(id, ip, runs, move |request, socket| {
+            respond(request).write(request.id(), &replica, socket)?;
+            Ok(RawConnection::Close)
+        })
+    }
+
+    /// Starts a replica that passes each request to `serve`, which writes to the socket itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns the I/O error if the address cannot be bound.
+    pub fn start_raw(
+        id: &str,
+        ip: [u8; 4],
+        runs: &RunCounts,
+        serve: impl Fn(&RawRequest, &TcpStream) -> std::io::Result<RawConnection>
+        + Send
+        + Sync
+        + 'static,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(SocketAddr::from((ip, 0)))?;
         let address = listener.local_addr()?;
-        let respond = Arc::new(respond);
-        let (replica, runs) = (id.to_owned(), runs.clone());
+        let open_count = Arc::new(AtomicUsize::new(0));
+        let serve = Arc::new(serve);
+        let (runs, count) = (runs.clone(), open_count.clone());
         std::thread::spawn(move || {
             for socket in listener.incoming() {
-                let (respond, replica, runs) = (respond.clone(), replica.clone(), runs.clone());
-                // The connection fails if the entry closes it first, which needs no handling.
+                let (serve, runs, count) = (serve.clone(), runs.clone(), count.clone());
                 std::thread::spawn(move || {
-                    let _ = serve(&socket?, &replica, &runs, &*respond);
+                    let socket = socket?;
+                    count.fetch_add(1, Ordering::Relaxed);
+                    // The connection fails if the entry closes it first, which needs no handling.
+                    let _ = serve_connection(&socket, &runs, &*serve);
+                    count.fetch_sub(1, Ordering::Relaxed);
                     Ok::<_, std::io::Error>(())
                 });
             }
@@ -179,9 +239,15 @@
         Ok(Self {
             id: id.to_owned(),
             address,
+            open_count,
         })
     }
 
+    /// Returns the number of connections that neither side has closed.
+    pub fn open_connections(&self) -> usize {
+        self.open_count.load(Ordering::Relaxed)
+    }
+
     /// Returns the id under which the replica registers.
     pub fn id(&self) -> &str {
         &self.id
@@ -193,37 +259,27 @@
     }
 }
 
-fn serve(
+fn serve_connection(
     socket: &TcpStream,
-    replica: &str,
     runs: &RunCounts,
-    respond: &dyn Fn(&RawRequest) -> RawResponse,
+    serve: &dyn Fn(&RawRequest, &TcpStream) -> std::io::Result<RawConnection>,
 ) -> std::io::Result<()> {
-    let mut request = read_request(socket)?;
-    let id = request
-        .headers
-        .get("request-id")
-        .cloned()
-        .unwrap_or_default();
-    request.earlier_runs = runs.record(&id);
-    let response = respond(&request);
-    let mut writer = socket;
-    let (bytes, last_part) = response.encode(&id, replica);
-    writer.write_all(&bytes[..last_part])?;
-    std::thread::sleep(response.pause);
-    writer.write_all(&bytes[last_part..])?;
-    if response.end == RawEnd::Reset {
-        std::thread::sleep(RESET_DELAY);
-        socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO))?;
+    loop {
+        let mut request = read_request(socket)?;
+        request.earlier_runs = runs.record(request.id());
+        if serve(&request, socket)? == RawConnection::Close {
+            return Ok(());
+        }
     }
-    Ok(())
 }
 
 fn read_request(socket: &TcpStream) -> std::io::Result<RawRequest> {
     let mut reader = BufReader::new(socket);
     let mut request = RawRequest::default();
     let mut line = String::new();
-    reader.read_line(&mut line)?;
+    if reader.read_line(&mut line)? == 0 {
+        return Err(ErrorKind::UnexpectedEof.into());
+    }
     request.path = line.split(' ').nth(1).unwrap_or_default().to_owned();
     loop {
         line.clear();
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -258,14 +258,14 @@
             || header("expect-version").is_some_and(|it| it != version);
         let has_no_model = state.version == 0 && matches!(shared.kind, ReplicaKind::Model { .. });
         if is_misdirected {
-            return empty_response(StatusCode::MISDIRECTED_REQUEST);
+            return with_request_id(empty_response(StatusCode::MISDIRECTED_REQUEST), &id);
         }
         if state.faults.full || has_no_model {
             let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
             response
                 .headers_mut()
                 .insert("not-executed", httpio::HeaderValue::from_static("1"));
-            return response;
+            return with_request_id(response, &id);
         }
         for name in ["authorization", "path"] {
             if headers.contains_key(name) {
@@ -288,13 +288,16 @@
         }
     };
     let route_stamp = format!("stamp.{}", shared.id);
-    for (name, value) in [
-        ("request-id", id.as_str()),
-        ("route-stamp", route_stamp.as_str()),
-    ] {
-        if let Ok(value) = httpio::HeaderValue::from_str(value) {
-            response.headers_mut().insert(name, value);
-        }
+    if let Ok(value) = httpio::HeaderValue::from_str(&route_stamp) {
+        response.headers_mut().insert("route-stamp", value);
+    }
+    with_request_id(response, &id)
+}
+
+/// Adds the id of the request, which replicas echo in all their responses.
+fn with_request_id(mut response: Response<HttpBody>, id: &str) -> Response<HttpBody> {
+    if let Ok(value) = httpio::HeaderValue::from_str(id) {
+        response.headers_mut().insert("request-id", value);
     }
     response
 }
