A body that arrives byte by byte makes no progress

What callers would see: an entry or agent that works with old configuration, replicas or weights, because a response of the store or of the origin is awaited for as long as a byte arrives now and then.

Cause: `read_with_idle_timeout` started its timeout anew with each frame, and has no limit on the total time on purpose.

Change: the timeout starts anew with each KiB. A body below a KiB must be complete within it.

--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -38,9 +38,9 @@
     within_timeout(timeout, read_frames(pin!(body), max_bytes, None)).await
 }
 
-/// Reads a complete body of at most `max_bytes`; fails if no data arrives for `idle_timeout`.
+/// Reads a complete body of at most `max_bytes`; fails if it neither ends nor makes progress for `idle_timeout`.
 ///
-/// There is no limit on the total time, because a large body takes long over a slow link, and retrying the
+/// A server that sends a byte now and then makes no progress. There is no limit on the total time, because a large body takes long over a slow link, and retrying the
 /// request would only add the traffic of another copy to that link.
 ///
 /// # Errors
@@ -70,14 +70,15 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let mut bytes = Vec::new();
+    let mut window = idle_timeout.map(|it| (tokio::time::Instant::now() + it, 0));
     loop {
-        let frame = match idle_timeout {
-            Some(timeout) => tokio::time::timeout(timeout, body.frame())
+        let frame = match window {
+            Some((end, _)) => tokio::time::timeout_at(end, body.frame())
                 .await
                 .map_err(|_| {
                     std::io::Error::new(
                         std::io::ErrorKind::TimedOut,
-                        "no data of the body arrived within the idle timeout",
+                        "the body made no progress within the idle timeout",
                     )
                 })?,
             None => body.frame().await,
@@ -88,6 +89,12 @@
         let Ok(data) = frame.map_err(std::io::Error::other)?.into_data() else {
             continue;
         };
+        if let (Some((end, received)), Some(timeout)) = (&mut window, idle_timeout) {
+            *received += data.len();
+            if *received >= MIN_WINDOW_BYTES {
+                (*end, *received) = (tokio::time::Instant::now() + timeout, 0);
+            }
+        }
         let len = bytes.len() + data.len();
         if len > max_bytes {
             return Err(std::io::Error::new(
@@ -117,6 +124,10 @@
         })
 }
 
+/// Minimum number of bytes that arrive within an idle timeout while a body makes progress, far fewer than a narrow link
+/// carries.
+const MIN_WINDOW_BYTES: usize = 1024;
+
 fn unreachable_error(it: convert::Infallible) -> std::io::Error {
     match it {}
 }
--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -313,7 +313,7 @@
         Ok(Response::from_parts(parts, bytes))
     }
 
-    /// Reads the complete body as [`Self::read`] does, but fails only if no data arrives for `idle_timeout`.
+    /// Reads the complete body as [`Self::read`] does, but fails only if it makes no progress for `idle_timeout`.
     ///
     /// # Errors
     ///
--- a/crates/httpio/tests/endless.rs
+++ b/crates/httpio/tests/endless.rs
@@ -19,6 +19,9 @@
 /// Number of frames of a body, each of which is a part of a larger buffer.
 const FRAME_COUNT: usize = 1000;
 
+/// Time without progress after which a body is an error.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Number of turns that another task takes while data without end is received.
 const TURN_COUNT: usize = 10;
 
@@ -161,3 +164,31 @@
         "{written} bytes were received while another task ran {TURN_COUNT} times"
     );
 }
+
+/// Guards against a store or an origin whose body arrives byte by byte and is awaited for as long as it does.
+#[test]
+fn a_body_that_makes_no_progress_is_an_error() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let mut socket = listener.accept().unwrap().0;
+        let head = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n";
+        socket.write_all(head.as_bytes()).unwrap();
+        // Fails when the client closes the connection.
+        while socket.write_all(b"x").is_ok() {
+            std::thread::sleep(IDLE_TIMEOUT / 20);
+        }
+    });
+    let result = current_thread().block_on(async {
+        let client = HttpClient::new(None, WAIT_TIMEOUT);
+        let request = Request::builder().uri("/").body(httpio::empty()).unwrap();
+        let response = client.send(address, request).await.unwrap();
+        let read = response.read_with_idle_timeout(&client, 100_000, IDLE_TIMEOUT);
+        tokio::time::timeout(WAIT_TIMEOUT, read).await
+    });
+    let failure = result.expect("a result in time").map(|it| it.status());
+    assert_eq!(
+        failure.map_err(|it| it.kind()),
+        Err(std::io::ErrorKind::TimedOut)
+    );
+}
