The cost of a stream does not grow with an event that never ends

What callers would see: an entry that answers nothing for many seconds, then 503 `no_config` to everybody, while one replica sends a stream in chunks of a byte that never complete an event; and a stream that counts as served, and is not continued elsewhere, while its replica sends comments only.

Cause: `StreamCursor::push` searched everything that it had buffered for the end of an event with each frame, up to 256 KiB. Any block that a blank line ends counted as an event, comments too.

`comments_are_not_events` on the code before returned `": wait\n\n", last None` as events.

Change: only new bytes are searched. Comments are passed on with the event that follows them, or with the end of the stream.

--- a/crates/fleet/src/stream_cursor.rs
+++ b/crates/fleet/src/stream_cursor.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct StreamCursor {
     buffer: Vec<u8>,
+    /// Length of the part of the buffer that consists of comments and blank lines only, which ends with a blank line.
+    comment_len: usize,
     last_id: Option<u64>,
     /// Whether the current replica has sent a complete event.
     segment_has_events: bool,
@@ -51,6 +53,7 @@
     /// Prepares for the events of another replica. Discards what the last one sent of an incomplete event.
     pub fn start_segment(&mut self) {
         self.buffer.clear();
+        self.comment_len = 0;
         self.segment_has_events = false;
     }
 
@@ -70,17 +73,33 @@
         if !end_is_marked && !self.segment_has_events {
             return Err(StreamError::NoEvent);
         }
+        self.comment_len = 0;
         Ok(std::mem::take(&mut self.buffer))
     }
 
     /// Buffers bytes from a replica and returns all events that are complete.
     ///
+    /// Comments between events are returned with the event that follows them, so that a replica which sends nothing else
+    /// is not taken for one that serves the stream. The cost of a call depends on the size of `bytes` only, however
+    /// many calls it takes to complete an event.
+    ///
     /// # Errors
     ///
     /// [`StreamError`] if the events do not follow the last forwarded one or an event is too large.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<EventBatch>, StreamError> {
+        // The bytes that are buffered already contain no end, but may contain its beginning.
+        let unsearched = self.buffer.len().saturating_sub(MAX_END_BYTES - 1);
+        let search_start = unsearched.max(self.comment_len);
         self.buffer.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.buffer) else {
+        let end = last_event_end(&self.buffer[search_start..]).map(|it| search_start + it);
+        let end = end.filter(|it| {
+            let has_event = is_inside_event(&self.buffer[self.comment_len..*it]);
+            if !has_event {
+                self.comment_len = *it;
+            }
+            has_event
+        });
+        let Some(end) = end else {
             if self.buffer.len() > MAX_EVENT_BYTES {
                 return Err(StreamError::TooLarge);
             }
@@ -88,6 +107,7 @@
         };
         let partial = self.buffer.split_off(end);
         let events = std::mem::replace(&mut self.buffer, partial);
+        self.comment_len = 0;
         for id in event_ids(&events) {
             if self.last_id.is_some_and(|last| id != last + 1) {
                 return Err(StreamError::Order);
@@ -128,5 +148,8 @@
         .filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
 }
 
-/// Maximum size of an event in bytes; language models do not produce larger ones.
+/// Maximum size of the end of an event in bytes.
+const MAX_END_BYTES: usize = 4;
+
+/// Maximum size of an event in bytes, together with the comments before it; language models do not produce larger ones.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
--- a/crates/fleet/tests/streams.rs
+++ b/crates/fleet/tests/streams.rs
@@ -1,7 +1,7 @@
 //! Complete events of streams, in order.
 
 use expect_test::{Expect, expect};
-use fleet::StreamCursor;
+use fleet::{StreamCursor, StreamError};
 
 fn check(last: Option<u64>, chunks: &[&str], expected: &Expect) {
     let mut cursor = StreamCursor::new(last);
@@ -55,6 +55,35 @@
     );
 }
 
+/// Guards against a replica that sends comments only and is taken for one that serves the stream.
+#[test]
+fn comments_are_not_events() {
+    check(
+        None,
+        &[
+            ": wait\n\n",
+            "\n: wait\r\n\r\n",
+            ": wait",
+            "\n\nid: 1\ndata: a\n\n: wait\n\n",
+            ": wait\n\nid: 2\n",
+            "data: b\n",
+            "\n",
+        ],
+        &expect![[r#"
+            incomplete, last None
+            incomplete, last None
+            incomplete, last None
+            ": wait\n\n\n: wait\r\n\r\n: wait\n\nid: 1\ndata: a\n\n: wait\n\n", last Some(1)
+            incomplete, last Some(1)
+            incomplete, last Some(1)
+            ": wait\n\nid: 2\ndata: b\n\n", last Some(2)
+        "#]],
+    );
+    let mut cursor = StreamCursor::new(None);
+    let failure = (0..20_000).find_map(|_| cursor.push(b": wait without end\n\n").err());
+    assert_eq!(failure, Some(StreamError::TooLarge));
+}
+
 #[test]
 fn partial_events_are_dropped_before_a_resume() {
     let mut cursor = StreamCursor::new(None);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -42,8 +42,9 @@
 pub use rate_limiter::RateLimiter;
 pub use run_counters::{RunCount, RunCounters};
 pub use site::{
-    RawConnection, RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, ReplicaFaults,
-    ReplicaKind, RunCounts, SiteHost, SiteOrigin, SitePorts, SiteReplica, SiteStore, SiteWeights,
+    EndlessBytes, RawConnection, RawEnd, RawFraming, RawReplica, RawRequest, RawResponse,
+    ReplicaFaults, ReplicaKind, RunCounts, SiteHost, SiteOrigin, SitePorts, SiteReplica, SiteStore,
+    SiteWeights,
 };
 pub use standin_runtime::StandinRuntime;
 pub use table::{TableCounters, TableFaults, TableService};
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -1,5 +1,6 @@
 //! A simulated site of the users' platform with its published protocol: the store, replicas and the origin of weights.
 
+mod endless_bytes;
 mod raw_replica;
 mod site_origin;
 mod site_replica;
@@ -7,6 +8,7 @@
 mod site_store;
 mod site_weights;
 
+pub use endless_bytes::EndlessBytes;
 pub use raw_replica::{
     RawConnection, RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts,
 };
