Responses that are read completely share a budget of memory

What callers would see: an entry that is killed for its memory while servers in trouble send large bodies that do not end. An entry may have 260 MB, and each response could take 8 MiB of it until its deadline.

Cause: the limit of a body was the only one, so the memory grew with the number of connections.

A body that finds the budget exhausted is broken off like one that is too large.

The bound of the test, 130000 kB, is half of the memory of the smallest entry.

--- a/crates/fulmarline/tests/platform_endless.rs
+++ b/crates/fulmarline/tests/platform_endless.rs
@@ -14,6 +14,12 @@
     EndlessBytes, RawConnection, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts,
 };
 
+/// Number of requests that are answered without end at the same time.
+const CONCURRENT_REQUESTS: usize = 40;
+
+/// Peak memory of an entry in kilobytes, half of what the smallest deployment gives it.
+const MAX_PEAK_KB: u64 = 130_000;
+
 /// End of a complete response in chunks.
 const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
 
@@ -164,6 +170,30 @@
     assert!(all.is_empty(), "{}", all.join("\n"));
 }
 
+/// Guards against an entry that runs out of memory because each response that it buffers may be large.
+#[test]
+fn memory_is_bounded_while_many_responses_have_no_end() {
+    let (site, _, replicas) = start_site("platform-endless-memory", 214, 1);
+    for kind in [EndlessBytes::BulkTrickle, EndlessBytes::TinyChunks] {
+        std::thread::scope(|scope| {
+            for index in 0..CONCURRENT_REQUESTS {
+                let caller = site.caller();
+                let prefix = ["/keyed/", "/once/"][usize::from(index % 4 == 0)];
+                let path = format!("{prefix}{ALWAYS}{}", kind.name());
+                scope.spawn(move || {
+                    let id = format!("{}-{index}", kind.name());
+                    let response = caller.call(0, Method::POST, &path, &id, "key-1");
+                    let response = response.expect("a response");
+                    assert!(!response.status.is_success(), "{}", response.status);
+                });
+            }
+        });
+        wait_for_closed_connections(&site, &replicas, &kind.name());
+    }
+    let peak_kb = peak_memory_kb(site.entries[0].id());
+    assert!(peak_kb < MAX_PEAK_KB, "the entry used {peak_kb} kB");
+}
+
 /// Guards against streams of valid events without end that are forwarded after their deadline, because the next event is
 /// always there.
 #[test]
@@ -190,3 +220,10 @@
     }
     wait_for_closed_connections(&site, &replicas, "events without end");
 }
+
+fn peak_memory_kb(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+    let value = line.and_then(|it| it.trim().strip_suffix(" kB"));
+    value.and_then(|it| it.parse().ok()).expect("a peak in kB")
+}
--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -7,6 +7,8 @@
 use http_body_util::{BodyExt, Empty, Full, combinators};
 use hyper::body;
 
+use crate::buffer_budget::{BufferBudget, BufferShare};
+
 /// The body type of responses and of outgoing requests.
 pub type HttpBody = combinators::BoxBody<Bytes, std::io::Error>;
 
@@ -35,7 +37,26 @@
     B: body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    within_timeout(timeout, read_frames(pin!(body), max_bytes, None)).await
+    within_timeout(timeout, read_frames(pin!(body), max_bytes, None, None)).await
+}
+
+/// Reads a complete body as [`read_limited`] does, in memory that it shares with other bodies.
+///
+/// # Errors
+///
+/// Returns the errors of [`read_limited`], and `QuotaExceeded` if `budget` is exhausted.
+pub async fn read_within_budget<B>(
+    body: B,
+    max_bytes: usize,
+    timeout: time::Duration,
+    budget: &BufferBudget,
+) -> std::io::Result<Bytes>
+where
+    B: body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let share = Some(budget.empty_share());
+    within_timeout(timeout, read_frames(pin!(body), max_bytes, None, share)).await
 }
 
 /// Reads a complete body of at most `max_bytes`; fails if it neither ends nor makes progress for `idle_timeout`.
@@ -55,7 +76,7 @@
     B: body::Body<Data = Bytes> + Unpin,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    read_frames(body, max_bytes, Some(idle_timeout)).await
+    read_frames(body, max_bytes, Some(idle_timeout), None).await
 }
 
 /// Copies the frames of a body to one buffer. A small frame may keep the much larger buffer of its connection alive, so
@@ -64,6 +85,7 @@
     mut body: B,
     max_bytes: usize,
     idle_timeout: Option<time::Duration>,
+    mut share: Option<BufferShare>,
 ) -> std::io::Result<Bytes>
 where
     B: body::Body<Data = Bytes> + Unpin,
@@ -104,6 +126,12 @@
         }
         if len > bytes.capacity() {
             let capacity = len.max((2 * bytes.capacity()).min(max_bytes));
+            if share.as_mut().is_some_and(|it| !it.extend_to(capacity)) {
+                return Err(std::io::Error::new(
+                    std::io::ErrorKind::QuotaExceeded,
+                    "the memory for bodies is exhausted",
+                ));
+            }
             bytes.reserve_exact(capacity - bytes.len());
         }
         bytes.extend_from_slice(&data);
--- a/crates/ingress/src/buffered_relay.rs
+++ b/crates/ingress/src/buffered_relay.rs
@@ -32,9 +32,15 @@
         failed => return RelayOutcome::from_failed_send(&failed),
     };
     let status = pooled_response.response.status();
-    let (response, sender, address) = pooled_response.into_parts();
+    let (response, connection, address) = pooled_response.into_parts();
     let (parts, body) = response.into_parts();
-    let bytes = match httpio::read_limited(body, MAX_RESPONSE_BYTES, call.time_remaining()).await {
+    let read = httpio::read_within_budget(
+        body,
+        MAX_RESPONSE_BYTES,
+        call.time_remaining(),
+        &shared.response_budget,
+    );
+    let bytes = match read.await {
         Ok(bytes) => bytes,
         Err(err) => {
             if shared.may_log(LogKind::Failed) {
@@ -48,7 +54,7 @@
             return RelayOutcome::Unknown;
         }
     };
-    return_connection(shared, sender, address, &metadata);
+    return_connection(shared, connection, address, &metadata);
     let is_failure = status == StatusCode::INTERNAL_SERVER_ERROR;
     if is_failure && call.route.is_retryable() && may_retry(shared, call, true) {
         // The retry was already deducted from the budget here; the caller's loop must not deduct another one.
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -9,7 +9,7 @@
     ConfigFreshness, FeedMirror, FeedTable, HealthTable, LoadTable, LogKind, LogRateLimiter,
     PeerRecord, PeerTable, ReplicaCatalog, RetryBudget, RouteTable, StoreClock, VersionTable,
 };
-use httpio::HttpClient;
+use httpio::{BufferBudget, HttpClient};
 use platform::{NodeSettings, StoreClient};
 use slog::{Logger, warn};
 use tokio::sync::Notify;
@@ -58,6 +58,8 @@
     log_limiter: Mutex<LogRateLimiter>,
     pub(crate) store: StoreClient,
     pub(crate) replica_client: HttpClient,
+    /// Memory for the bodies of responses that are read completely before they are forwarded.
+    pub(crate) response_budget: BufferBudget,
     /// Wakes the task that sends this entry's state to other entries, for a change that they must receive at once.
     pub(crate) urgent_change: Notify,
     /// Wakes the task that announces declared weights to agents.
@@ -104,6 +106,7 @@
             log_limiter: Mutex::new(LogRateLimiter::new(Instant::now())),
             store,
             replica_client,
+            response_budget: BufferBudget::new(RESPONSE_BUDGET_BYTES),
             urgent_change: Notify::new(),
             versions_changed: Notify::new(),
             feed_changed: Notify::new(),
@@ -253,3 +256,7 @@
 
 /// Added to the window of the retry budget, because a request is counted slightly before it arrives at a replica.
 const WINDOW_RESERVE: Duration = Duration::from_millis(500);
+
+/// Memory for the bodies of responses, of which a few kilobytes each are not counted; an eighth of what the smallest
+/// entry has.
+const RESPONSE_BUDGET_BYTES: usize = 32 * 1024 * 1024;
