A replica whose bodies break off is held in poor health

What callers would see: requests that go on failing at a replica that sends valid heads and then bodies that do not end, are too large or break off, although another replica would serve them.

Cause: the outcome of a whole response was recorded with its head, as served, which also ended any ejection of the replica. A failure to read the body was only logged.

Evidence: `a_replica_whose_bodies_have_no_end_is_avoided` on the code before: 15 of 40 requests went to the replica that had failed (19 of 40 in a second run; bound 8).

Change: the outcome of a whole response is recorded when its body has been read.

Result: the test passes. Streams are recorded as before: as served with their head, and as broken off later.

--- a/crates/fulmarline/tests/platform_endless.rs
+++ b/crates/fulmarline/tests/platform_endless.rs
@@ -20,6 +20,9 @@
 /// Peak memory of an entry in kilobytes, half of what the smallest deployment gives it.
 const MAX_PEAK_KB: u64 = 130_000;
 
+/// Number of requests after the first one that a replica has failed.
+const FOLLOWING_REQUESTS: usize = 40;
+
 /// End of a complete response in chunks.
 const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
 
@@ -227,3 +230,32 @@
     let value = line.and_then(|it| it.trim().strip_suffix(" kB"));
     value.and_then(|it| it.parse().ok()).expect("a peak in kB")
 }
+
+/// Guards against a replica that stays in use because the heads of its responses are valid and only their bodies are not.
+#[test]
+fn a_replica_whose_bodies_have_no_end_is_avoided() {
+    let (site, runs, _replicas) = start_site("platform-endless-health", 216, 1);
+    let endless = RawReplica::start_raw("plain-x", [127, 0, 1, 217], &runs, |request, socket| {
+        EndlessBytes::Chunks.write(request.id(), socket)?;
+        Ok(RawConnection::Close)
+    })
+    .unwrap();
+    site.store
+        .put("servers", endless.id(), &endless.row("plain", "a"));
+    let path = format!("/keyed/{COMPLETE}");
+    let send = |id: &str| {
+        let response = site.call(0, Method::POST, &path, id, "key-1");
+        response.expect("a response").status
+    };
+    // The first request that the replica fails shows that it is in use.
+    site.wait("a failed request", |_| {
+        (send("first") == StatusCode::BAD_GATEWAY).then_some(())
+    });
+    let failures = (0..FOLLOWING_REQUESTS)
+        .filter(|it| send(&format!("following-{it}")) != StatusCode::OK)
+        .count();
+    assert!(
+        failures <= FOLLOWING_REQUESTS / 5,
+        "{failures} of {FOLLOWING_REQUESTS} requests went to the replica that had failed"
+    );
+}
--- a/crates/ingress/src/buffered_relay.rs
+++ b/crates/ingress/src/buffered_relay.rs
@@ -1,8 +1,9 @@
 //! Relays responses that are read completely before they are forwarded.
 
 use std::sync::Arc;
+use std::time::Instant;
 
-use fleet::{ChosenReplica, LogKind};
+use fleet::{ChosenReplica, LogKind, ReplicaOutcome};
 use httpio::{Response, StatusCode};
 use slog::info;
 
@@ -43,6 +44,7 @@
     let bytes = match read.await {
         Ok(bytes) => bytes,
         Err(err) => {
+            record_body(shared, chosen, ReplicaOutcome::Unreachable);
             if shared.may_log(LogKind::Failed) {
                 info!(
                     shared.log, "reading the response failed";
@@ -54,6 +56,9 @@
             return RelayOutcome::Unknown;
         }
     };
+    if !status.is_server_error() {
+        record_body(shared, chosen, ReplicaOutcome::Served);
+    }
     return_connection(shared, connection, address, &metadata);
     let is_failure = status == StatusCode::INTERNAL_SERVER_ERROR;
     if is_failure && call.route.is_retryable() && may_retry(shared, call, true) {
@@ -65,6 +70,13 @@
     RelayOutcome::Response(build_response(parts, bytes))
 }
 
+/// Records the outcome of an attempt whose response had a valid head.
+fn record_body(shared: &EntryShared, chosen: &ChosenReplica, outcome: ReplicaOutcome) {
+    let id = &chosen.replica.id;
+    let mut state = shared.state();
+    state.health.record_outcome(id, outcome, Instant::now());
+}
+
 /// Sends a request that failed at a replica to another one; returns `None` if that returns no response either.
 async fn retry_elsewhere(
     shared: &Arc<EntryShared>,
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{ChosenReplica, LogKind, ReplicaCatalog, ReplicaOutcome};
+use fleet::{CallKind, ChosenReplica, LogKind, ReplicaCatalog, ReplicaOutcome};
 use httpio::{ClientConnection, ClientError, PooledResponse, Request, StatusCode};
 use platform::{ForwardMetadata, ResponseMetadata};
 use slog::info;
@@ -158,19 +158,25 @@
         SendOutcome::Response(pooled_response, _)
             if pooled_response.response.status().is_server_error() =>
         {
-            ("failed", ReplicaOutcome::Failed)
+            ("failed", Some(ReplicaOutcome::Failed))
+        }
+        // A whole response is recorded when its body has been read.
+        SendOutcome::Response(..) if call.route.kind != CallKind::Stream => ("answered", None),
+        SendOutcome::Response(..) => ("answered", Some(ReplicaOutcome::Served)),
+        SendOutcome::NotRun(NotRunReason::NotSent) => {
+            ("not_sent", Some(ReplicaOutcome::Unreachable))
+        }
+        SendOutcome::NotRun(NotRunReason::Refused) => ("refused", Some(ReplicaOutcome::Refused)),
+        SendOutcome::NotRun(NotRunReason::Misdirected) => {
+            ("misdirected", Some(ReplicaOutcome::Refused))
         }
-        SendOutcome::Response(..) => ("answered", ReplicaOutcome::Served),
-        SendOutcome::NotRun(NotRunReason::NotSent) => ("not_sent", ReplicaOutcome::Unreachable),
-        SendOutcome::NotRun(NotRunReason::Refused) => ("refused", ReplicaOutcome::Refused),
-        SendOutcome::NotRun(NotRunReason::Misdirected) => ("misdirected", ReplicaOutcome::Refused),
         SendOutcome::Unknown(reason @ ("connection_lost" | "no_answer")) => {
-            (*reason, ReplicaOutcome::Unreachable)
+            (*reason, Some(ReplicaOutcome::Unreachable))
         }
-        SendOutcome::Unknown(reason) => (*reason, ReplicaOutcome::Failed),
+        SendOutcome::Unknown(reason) => (*reason, Some(ReplicaOutcome::Failed)),
     };
     let mut state = shared.state();
-    let ejected_for = state.health.record_outcome(id, replica_outcome, now);
+    let ejected_for = replica_outcome.and_then(|it| state.health.record_outcome(id, it, now));
     if matches!(outcome, SendOutcome::NotRun(NotRunReason::Misdirected)) {
         record_misdirected(&mut state.catalog, call, chosen);
     }
