--- a/crates/httpio/tests/framing.rs
+++ b/crates/httpio/tests/framing.rs
@@ -1,11 +1,11 @@
 //! Tests that a response which breaks off never looks complete, on either side of a connection.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
 use bytes::Bytes;
-use httpio::{BodySender, HttpServer, Response, ServerLimits};
+use httpio::{BodySender, HttpClient, HttpServer, Request, Response, ServerLimits};
 
 /// Timeout of every read, well above what a loaded machine needs.
 const READ_TIMEOUT: Duration = Duration::from_secs(60);
@@ -82,3 +82,52 @@
     let expected = ("event".to_owned(), Some(ErrorKind::ConnectionReset));
     assert_eq!(read_response("1.0", early_return), expected);
 }
+
+/// Guards against a response whose last chunk or trailers are cut off and that counts as complete, wherever it breaks off.
+#[test]
+fn a_response_that_breaks_off_anywhere_is_not_complete() {
+    let responses = [
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nevent",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nevent\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-End\r\n\r\n5;a=b\r\nevent\r\n0\r\nX-End: 1\r\n\r\n",
+    ];
+    for response in responses {
+        for sent in 0..=response.len() {
+            let is_complete = read_with_client(&response[..sent]);
+            assert_eq!(
+                is_complete,
+                sent == response.len(),
+                "{:?}",
+                &response[..sent]
+            );
+        }
+    }
+}
+
+/// Returns whether a client takes `bytes`, after which the connection ends in order, for a complete response.
+fn read_with_client(bytes: &str) -> bool {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let bytes = bytes.to_owned();
+    let server = std::thread::spawn(move || {
+        let mut socket = listener.accept().unwrap().0;
+        let mut request = [0; 1024];
+        while !request.ends_with(b"\r\n\r\n") {
+            request.rotate_left(1);
+            socket.read_exact(&mut request[1023..]).unwrap();
+        }
+        socket.write_all(bytes.as_bytes()).unwrap();
+    });
+    let client = HttpClient::new(None, READ_TIMEOUT);
+    let request = Request::builder().uri("/").body(httpio::empty()).unwrap();
+    let response = runtime.block_on(async {
+        let pooled_response = client.send(address, request).await.ok()?;
+        pooled_response.read(&client, 1024, READ_TIMEOUT).await.ok()
+    });
+    server.join().unwrap();
+    response.is_some_and(|it| it.body() == "event")
+}
