An object that exceeds the size limit is an error

What callers would see: nothing at once; whoever reads an object from a store in trouble gets its first 64 MiB as the whole object. JSON responses were safe, since half of one cannot be decoded.

Cause: `take` ends a response at the limit as if it were complete.

Change: a byte beyond the limit is an error, with an unknown outcome like a response that broke off.

--- a/crates/upstream/src/http_transport.rs
+++ b/crates/upstream/src/http_transport.rs
@@ -128,9 +128,14 @@
     response
         .into_body()
         .into_reader()
-        .take(MAX_RESPONSE_BYTES)
+        .take(MAX_RESPONSE_BYTES + 1)
         .read_to_end(&mut body)
         .map_err(|err| CallError::NoResponse(err.to_string()))?;
+    if body.len() as u64 > MAX_RESPONSE_BYTES {
+        return Err(CallError::NoResponse(
+            "the response exceeds the size limit".to_owned(),
+        ));
+    }
     Ok(CallResponse { status, body })
 }
 
@@ -150,7 +155,7 @@
     }
 }
 
-/// Maximum size of a response body that is read. The largest responses are the manifests of large models.
+/// Maximum size of a response body; a larger one is an error. The largest responses are the manifests of large models.
 const MAX_RESPONSE_BYTES: u64 = 64 << 20;
 
 /// Maximum number of characters of a response body that are included in an error message.
