--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -1,11 +1,14 @@
 //! Request and response bodies that are empty or buffered, and how bodies are read.
 
+use std::pin::pin;
 use std::{convert, time};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Full, combinators};
 use hyper::body;
 
+use crate::buffer_budget::{BufferBudget, BufferShare};
+
 /// The body type of responses and of outgoing requests.
 pub type HttpBody = combinators::BoxBody<Bytes, std::io::Error>;
 
@@ -34,31 +37,38 @@
     B: body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let limited = http_body_util::Limited::new(body, max_bytes);
-    match tokio::time::timeout(timeout, limited.collect()).await {
-        Err(_) => Err(std::io::Error::new(
-            std::io::ErrorKind::TimedOut,
-            "the body was not complete in time",
-        )),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => Err(std::io::Error::new(
-            std::io::ErrorKind::InvalidData,
-            "the body exceeds the size limit",
-        )),
-        Ok(Err(err)) => Err(std::io::Error::other(err)),
-    }
+    within_timeout(timeout, read_frames(pin!(body), max_bytes, None, None)).await
+}
+
+/// Reads a complete body as [`read_limited`] does, in memory that it shares with other bodies.
+///
+/// # Errors
+///
+/// Returns the errors of [`read_limited`], and `QuotaExceeded` if `budget` is exhausted.
+pub async fn read_within_budget<B>(
+    body: B,
+    max_bytes: usize,
+    timeout: time::Duration,
+    budget: &BufferBudget,
+) -> std::io::Result<Bytes>
+where
+    B: body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let share = Some(budget.empty_share());
+    within_timeout(timeout, read_frames(pin!(body), max_bytes, None, share)).await
 }
 
-/// Reads a complete body of at most `max_bytes`; fails if no data arrives for `idle_timeout`.
+/// Reads a complete body of at most `max_bytes`; fails if it neither ends nor makes progress for `idle_timeout`.
 ///
-/// There is no limit on the total time, because a large body takes long over a slow link, and retrying the
+/// A server that sends a byte now and then makes no progress. There is no limit on the total time, because a large body takes long over a slow link, and retrying the
 /// request would only add the traffic of another copy to that link.
 ///
 /// # Errors
 ///
 /// Returns the same errors as [`read_limited`].
 pub async fn read_with_idle_timeout<B>(
-    mut body: B,
+    body: B,
     max_bytes: usize,
     idle_timeout: time::Duration,
 ) -> std::io::Result<Bytes>
@@ -66,31 +76,86 @@
     B: body::Body<Data = Bytes> + Unpin,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let mut bytes = bytes::BytesMut::new();
+    read_frames(body, max_bytes, Some(idle_timeout), None).await
+}
+
+/// Copies the frames of a body to one buffer. A small frame may keep the much larger buffer of its connection alive, so
+/// frames must not be collected.
+async fn read_frames<B>(
+    mut body: B,
+    max_bytes: usize,
+    idle_timeout: Option<time::Duration>,
+    mut share: Option<BufferShare>,
+) -> std::io::Result<Bytes>
+where
+    B: body::Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut bytes = Vec::new();
+    let mut window = idle_timeout.map(|it| (tokio::time::Instant::now() + it, 0));
     loop {
-        let frame = match tokio::time::timeout(idle_timeout, body.frame()).await {
-            Err(_) => {
-                return Err(std::io::Error::new(
-                    std::io::ErrorKind::TimedOut,
-                    "no data of the body arrived within the idle timeout",
-                ));
-            }
-            Ok(None) => return Ok(bytes.freeze()),
-            Ok(Some(frame)) => frame.map_err(std::io::Error::other)?,
+        let frame = match window {
+            Some((end, _)) => tokio::time::timeout_at(end, body.frame())
+                .await
+                .map_err(|_| {
+                    std::io::Error::new(
+                        std::io::ErrorKind::TimedOut,
+                        "the body made no progress within the idle timeout",
+                    )
+                })?,
+            None => body.frame().await,
+        };
+        let Some(frame) = frame else {
+            return Ok(bytes.into());
         };
-        let Ok(data) = frame.into_data() else {
+        let Ok(data) = frame.map_err(std::io::Error::other)?.into_data() else {
             continue;
         };
-        if bytes.len() + data.len() > max_bytes {
+        if let (Some((end, received)), Some(timeout)) = (&mut window, idle_timeout) {
+            *received += data.len();
+            if *received >= MIN_WINDOW_BYTES {
+                (*end, *received) = (tokio::time::Instant::now() + timeout, 0);
+            }
+        }
+        let len = bytes.len() + data.len();
+        if len > max_bytes {
             return Err(std::io::Error::new(
                 std::io::ErrorKind::InvalidData,
                 "the body exceeds the size limit",
             ));
         }
+        if len > bytes.capacity() {
+            let capacity = len.max((2 * bytes.capacity()).min(max_bytes));
+            if share.as_mut().is_some_and(|it| !it.extend_to(capacity)) {
+                return Err(std::io::Error::new(
+                    std::io::ErrorKind::QuotaExceeded,
+                    "the memory for bodies is exhausted",
+                ));
+            }
+            bytes.reserve_exact(capacity - bytes.len());
+        }
         bytes.extend_from_slice(&data);
     }
 }
 
+async fn within_timeout(
+    timeout: time::Duration,
+    read: impl Future<Output = std::io::Result<Bytes>>,
+) -> std::io::Result<Bytes> {
+    tokio::time::timeout(timeout, read)
+        .await
+        .unwrap_or_else(|_| {
+            Err(std::io::Error::new(
+                std::io::ErrorKind::TimedOut,
+                "the body was not complete in time",
+            ))
+        })
+}
+
+/// Minimum number of bytes that arrive within an idle timeout while a body makes progress, far fewer than a narrow link
+/// carries.
+const MIN_WINDOW_BYTES: usize = 1024;
+
 fn unreachable_error(it: convert::Infallible) -> std::io::Error {
     match it {}
 }
--- a/crates/httpio/src/client_stream.rs
+++ b/crates/httpio/src/client_stream.rs
@@ -1,17 +1,34 @@
 //! The socket of a client connection, which can be closed with a TCP reset.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Weak};
+use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// A TCP stream that is closed either gracefully or with a reset.
-#[derive(Debug)]
 pub(crate) struct ClientStream {
-    socket: TcpStream,
+    socket: Arc<TcpStream>,
+    awaits_head: Arc<AtomicBool>,
     reset_on_close: bool,
+    /// Number of bytes that were read since the task last waited.
+    read_without_wait: usize,
+    /// Lets other tasks run before the next read.
+    pause: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
+    /// Number of bytes that were read since the last write.
+    read_since_write: usize,
+}
+
+/// What the owner of a connection sees of its socket, which the task of the connection reads and writes.
+#[derive(Clone, Debug)]
+pub(crate) struct SocketView {
+    /// Does not keep the socket open after the task has ended.
+    socket: Weak<TcpStream>,
+    awaits_head: Arc<AtomicBool>,
 }
 
 impl ClientStream {
@@ -25,29 +42,94 @@
             socket2::SockRef::from(&socket).set_linger(Some(std::time::Duration::ZERO))?;
         }
         Ok(Self {
-            socket,
+            socket: Arc::new(socket),
+            awaits_head: Arc::default(),
             reset_on_close,
+            read_without_wait: 0,
+            pause: None,
+            read_since_write: 0,
         })
     }
+
+    /// Returns a view of the socket.
+    pub(crate) fn view(&self) -> SocketView {
+        SocketView {
+            socket: Arc::downgrade(&self.socket),
+            awaits_head: self.awaits_head.clone(),
+        }
+    }
+
+    /// Counts received bytes, and fails if they are too many for the head of a response.
+    fn count_read(&mut self, count: usize) -> io::Result<()> {
+        self.read_without_wait += count;
+        self.read_since_write += count;
+        if self.awaits_head.load(Ordering::Relaxed) && self.read_since_write > MAX_HEAD_BYTES {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "the head of the response exceeds the size limit",
+            ));
+        }
+        Ok(())
+    }
+}
+
+impl SocketView {
+    /// Returns whether the connection is open and nothing has been received that the task has not read.
+    ///
+    /// Asks the operating system, because the task may not have been scheduled since data arrived.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let Some(socket) = self.socket.upgrade() else {
+            return false;
+        };
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(&*socket).peek(&mut byte);
+        peeked.is_err_and(|it| it.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Sets whether the connection waits for the head of a response, whose size is limited together with the interim
+    /// responses before it.
+    pub(crate) fn set_awaits_head(&self, awaits_head: bool) {
+        self.awaits_head.store(awaits_head, Ordering::Relaxed);
+    }
 }
 
 impl AsyncRead for ClientStream {
+    /// Reads from the socket, but pauses after [`MAX_READ_WITHOUT_WAIT`], so that other tasks run while a peer sends
+    /// faster than its data can be decoded.
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(cx, buffer)
+        if self.read_without_wait >= MAX_READ_WITHOUT_WAIT {
+            self.read_without_wait = 0;
+            self.pause = Some(Box::pin(tokio::task::yield_now()));
+        }
+        if let Some(pause) = &mut self.pause {
+            ready!(pause.as_mut().poll(cx));
+            self.pause = None;
+        }
+        loop {
+            if self.socket.poll_read_ready(cx)?.is_pending() {
+                self.read_without_wait = 0;
+                return Poll::Pending;
+            }
+            match self.socket.try_read_buf(buffer) {
+                Ok(count) => return Poll::Ready(self.count_read(count)),
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                Err(err) => return Poll::Ready(Err(err)),
+            }
+        }
     }
 }
 
 impl AsyncWrite for ClientStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, bytes)
+        self.poll_write_vectored(cx, &[io::IoSlice::new(bytes)])
     }
 
     fn poll_write_vectored(
@@ -55,24 +137,43 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(cx, slices)
+        self.read_since_write = 0;
+        loop {
+            ready!(self.socket.poll_write_ready(cx))?;
+            match self.socket.try_write_vectored(slices) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
     /// Does nothing if the connection is to be reset, which happens when the socket is dropped. A graceful
     /// shutdown would make the kernel retransmit the unacknowledged request together with the FIN until both
     /// arrive.
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.reset_on_close {
             return Poll::Ready(Ok(()));
         }
-        Pin::new(&mut self.socket).poll_shutdown(cx)
+        let shutdown = socket2::SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Write);
+        Poll::Ready(match shutdown {
+            // The peer has closed the connection already.
+            Err(err) if err.kind() == io::ErrorKind::NotConnected => Ok(()),
+            result => result,
+        })
     }
 }
+
+/// Maximum size of the head of a response together with the interim responses before it. The part of a body that may
+/// arrive before the head is processed is smaller.
+const MAX_HEAD_BYTES: usize = 1024 * 1024;
+
+/// Number of bytes that are read before other tasks run.
+const MAX_READ_WITHOUT_WAIT: usize = 128 * 1024;
--- a/crates/ingress/src/buffered_relay.rs
+++ b/crates/ingress/src/buffered_relay.rs
@@ -1,8 +1,9 @@
 //! Relays responses that are read completely before they are forwarded.
 
 use std::sync::Arc;
+use std::time::Instant;
 
-use fleet::{ChosenReplica, LogKind};
+use fleet::{ChosenReplica, LogKind, ReplicaOutcome};
 use httpio::{Response, StatusCode};
 use slog::info;
 
@@ -32,11 +33,18 @@
         failed => return RelayOutcome::from_failed_send(&failed),
     };
     let status = pooled_response.response.status();
-    let (response, sender, address) = pooled_response.into_parts();
+    let (response, connection, address) = pooled_response.into_parts();
     let (parts, body) = response.into_parts();
-    let bytes = match httpio::read_limited(body, MAX_RESPONSE_BYTES, call.time_remaining()).await {
+    let read = httpio::read_within_budget(
+        body,
+        MAX_RESPONSE_BYTES,
+        call.time_remaining(),
+        &shared.response_budget,
+    );
+    let bytes = match read.await {
         Ok(bytes) => bytes,
         Err(err) => {
+            record_body(shared, chosen, ReplicaOutcome::Unreachable);
             if shared.may_log(LogKind::Failed) {
                 info!(
                     shared.log, "reading the response failed";
@@ -48,7 +56,10 @@
             return RelayOutcome::Unknown;
         }
     };
-    return_connection(shared, sender, address, &metadata);
+    if !status.is_server_error() {
+        record_body(shared, chosen, ReplicaOutcome::Served);
+    }
+    return_connection(shared, connection, address, &metadata);
     let is_failure = status == StatusCode::INTERNAL_SERVER_ERROR;
     if is_failure && call.route.is_retryable() && acquire_retry(shared, call, true).is_ok() {
         // The retry was already deducted from the budget here; the caller's loop must not deduct another one.
@@ -59,6 +70,13 @@
     RelayOutcome::Response(build_response(parts, bytes))
 }
 
+/// Records the outcome of an attempt whose response had a valid head.
+fn record_body(shared: &EntryShared, chosen: &ChosenReplica, outcome: ReplicaOutcome) {
+    let id = &chosen.replica.id;
+    let mut state = shared.state();
+    state.health.record_outcome(id, outcome, Instant::now());
+}
+
 /// Sends a request that failed at a replica to another one; returns `None` if that returns no response either.
 async fn retry_elsewhere(
     shared: &Arc<EntryShared>,
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -6,8 +6,7 @@
 
 use bytes::Bytes;
 use fleet::{CallKind, ChosenReplica, LogKind, ReplicaCatalog, ReplicaOutcome};
-use httpio::{ClientError, HttpBody, PooledResponse, Request, StatusCode};
-use hyper::client::conn::http1::SendRequest;
+use httpio::{ClientConnection, ClientError, PooledResponse, Request, StatusCode};
 use platform::{ForwardMetadata, ResponseMetadata};
 use slog::info;
 
@@ -64,10 +63,11 @@
     *request.uri_mut() = call.target.clone();
     *request.headers_mut() = platform::forwarded_request_headers(&call.headers, &metadata);
 
-    // A non-idempotent request is never sent on a reused connection, which may be closing or may still deliver the
-    // response to an earlier request.
+    // A reused connection may be closing or may still deliver the response to an earlier request. That loses a request
+    // which may not be repeated, and shows only in the id of the request.
+    let needs_new_connection = !call.route.is_retryable() || call.metadata.id.is_none();
     let exchange = async {
-        if call.route.kind == CallKind::NonIdempotent {
+        if needs_new_connection {
             shared
                 .replica_client
                 .send_on_new_connection(replica.address, request)
@@ -92,17 +92,17 @@
 /// Returns a connection to the pool after its response has been read to the end.
 pub(crate) fn return_connection(
     shared: &EntryShared,
-    sender: SendRequest<HttpBody>,
+    connection: ClientConnection,
     address: SocketAddr,
     metadata: &ResponseMetadata,
 ) {
     match metadata.keep_alive_timeout {
         Some(idle) => shared.replica_client.recycle_with_max_idle_age(
-            sender,
+            connection,
             address,
             idle.mul_f64(IDLE_TIMEOUT_FRACTION),
         ),
-        None => shared.replica_client.recycle(sender, address),
+        None => shared.replica_client.recycle(connection, address),
     }
 }
 
@@ -116,6 +116,18 @@
 fn classify_head(call: &ClientCall, pooled_response: PooledResponse) -> SendOutcome {
     let metadata = platform::decode_response_headers(pooled_response.response.headers());
     let status = pooled_response.response.status();
+    if !(200..600).contains(&status.as_u16()) {
+        return SendOutcome::Unknown("invalid_status");
+    }
+    // A late duplicate response to an earlier request contains that request's id, or none. Only the first response on a
+    // connection needs no id, as a server that refuses everything may not read the request.
+    let is_foreign = match &metadata.request_id {
+        Some(id) => call.metadata.id.as_ref() != Some(id),
+        None => pooled_response.is_reused(),
+    };
+    if is_foreign {
+        return SendOutcome::Unknown("foreign_answer");
+    }
     let is_refusal = metadata.not_executed
         && matches!(
             status,
@@ -129,10 +141,6 @@
     if is_refusal {
         return SendOutcome::NotRun(NotRunReason::Refused);
     }
-    // A late duplicate response to an earlier request contains that request's id.
-    if metadata.request_id.is_some() && metadata.request_id != call.metadata.id {
-        return SendOutcome::Unknown("foreign_answer");
-    }
     if status.is_success()
         && (!metadata.signed || metadata.request_id.is_none() || metadata.encoded)
     {
@@ -153,19 +161,25 @@
         SendOutcome::Response(pooled_response, _)
             if pooled_response.response.status().is_server_error() =>
         {
-            ("failed", ReplicaOutcome::Failed)
+            ("failed", Some(ReplicaOutcome::Failed))
+        }
+        // A whole response is recorded when its body has been read.
+        SendOutcome::Response(..) if call.route.kind != CallKind::Stream => ("answered", None),
+        SendOutcome::Response(..) => ("answered", Some(ReplicaOutcome::Served)),
+        SendOutcome::NotRun(NotRunReason::NotSent) => {
+            ("not_sent", Some(ReplicaOutcome::Unreachable))
+        }
+        SendOutcome::NotRun(NotRunReason::Refused) => ("refused", Some(ReplicaOutcome::Refused)),
+        SendOutcome::NotRun(NotRunReason::Misdirected) => {
+            ("misdirected", Some(ReplicaOutcome::Refused))
         }
-        SendOutcome::Response(..) => ("answered", ReplicaOutcome::Served),
-        SendOutcome::NotRun(NotRunReason::NotSent) => ("not_sent", ReplicaOutcome::Unreachable),
-        SendOutcome::NotRun(NotRunReason::Refused) => ("refused", ReplicaOutcome::Refused),
-        SendOutcome::NotRun(NotRunReason::Misdirected) => ("misdirected", ReplicaOutcome::Refused),
         SendOutcome::Unknown(reason @ ("connection_lost" | "no_answer")) => {
-            (*reason, ReplicaOutcome::Unreachable)
+            (*reason, Some(ReplicaOutcome::Unreachable))
         }
-        SendOutcome::Unknown(reason) => (*reason, ReplicaOutcome::Failed),
+        SendOutcome::Unknown(reason) => (*reason, Some(ReplicaOutcome::Failed)),
     };
     let mut state = shared.state();
-    let ejected_for = state.health.record_outcome(id, replica_outcome, now);
+    let ejected_for = replica_outcome.and_then(|it| state.health.record_outcome(id, it, now));
     if matches!(outcome, SendOutcome::NotRun(NotRunReason::Misdirected)) {
         record_misdirected(&mut state.catalog, call, chosen);
     }
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -1,5 +1,6 @@
 //! A simulated site of the users' platform with its published protocol: the store, replicas and the origin of weights.
 
+mod endless_bytes;
 mod raw_replica;
 mod silence_switch;
 mod site_origin;
@@ -8,8 +9,9 @@
 mod site_store;
 mod site_weights;
 
+pub use endless_bytes::EndlessBytes;
 pub use raw_replica::{
-    RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts, RunStart,
+    RawConnection, RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts, RunStart,
 };
 pub use silence_switch::SilenceSwitch;
 pub use site_origin::SiteOrigin;
--- a/crates/standin/src/site/raw_replica.rs
+++ b/crates/standin/src/site/raw_replica.rs
@@ -1,8 +1,9 @@
-//! A replica that writes its responses to the socket itself, with any framing and any end.
+//! A replica that writes its responses to the socket itself, with any framing, any end and any number of them.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -54,6 +55,15 @@
     Reset,
 }
 
+/// What a replica does with a connection after it has responded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RawConnection {
+    /// It waits for the next request.
+    KeepOpen,
+    /// It closes the connection.
+    Close,
+}
+
 /// The head of a received request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RawRequest {
@@ -92,6 +102,14 @@
 pub struct RawReplica {
     id: String,
     address: SocketAddr,
+    open_count: Arc<AtomicUsize>,
+}
+
+impl RawRequest {
+    /// Returns the id of the request, or an empty string if it has none.
+    pub fn id(&self) -> &str {
+        self.headers.get("request-id").map_or("", String::as_str)
+    }
 }
 
 impl RunCounts {
@@ -143,6 +161,45 @@
         }
     }
 
+    /// Writes the response of `replica` to the request with the id `id`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the I/O error if the entry has closed the connection.
+    pub fn write(&self, id: &str, replica: &str, socket: &TcpStream) -> std::io::Result<()> {
+        self.write_and_record(id, replica, socket, || {})
+    }
+
+    /// Writes the response as [`Self::write`] does. Calls `record_start` once the head has been sent
+    /// and any silence after it is over, if the connection is still open.
+    fn write_and_record(
+        &self,
+        id: &str,
+        replica: &str,
+        mut socket: &TcpStream,
+        record_start: impl FnOnce(),
+    ) -> std::io::Result<()> {
+        let (bytes, first_part, last_part) = self.encode(id, replica);
+        let mut sent = 0;
+        if !self.first_pause.is_zero() {
+            socket.write_all(&bytes[..first_part])?;
+            sent = first_part;
+            std::thread::sleep(self.first_pause);
+        }
+        if is_closed(socket)? {
+            return Ok(());
+        }
+        record_start();
+        socket.write_all(&bytes[sent..last_part])?;
+        std::thread::sleep(self.pause);
+        socket.write_all(&bytes[last_part..])?;
+        if self.end == RawEnd::Reset {
+            std::thread::sleep(RESET_DELAY);
+            socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO))?;
+        }
+        Ok(())
+    }
+
     /// Returns the bytes to send and the positions of the first and the last part in them.
     fn encode(&self, id: &str, replica: &str) -> (Vec<u8>, usize, usize) {
         let framing = match self.framing {
@@ -197,17 +254,43 @@
         ip: [u8; 4],
         runs: &RunCounts,
         respond: impl Fn(&RawRequest) -> RawResponse + Send + Sync + 'static,
+    ) -> std::io::Result<Self> {
+        let (replica, counts) = (id.to_owned(), runs.clone());
+        Self::start_raw(id, ip, runs, move |request, socket| {
+            let record_start = || counts.record_start(request.id(), &replica);
+            respond(request).write_and_record(request.id(), &replica, socket, record_start)?;
+            Ok(RawConnection::Close)
+        })
+    }
+
+    /// Starts a replica that passes each request to `serve`, which writes to the socket itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns the I/O error if the address cannot be bound.
+    pub fn start_raw(
+        id: &str,
+        ip: [u8; 4],
+        runs: &RunCounts,
+        serve: impl Fn(&RawRequest, &TcpStream) -> std::io::Result<RawConnection>
+        + Send
+        + Sync
+        + 'static,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(SocketAddr::from((ip, 0)))?;
         let address = listener.local_addr()?;
-        let respond = Arc::new(respond);
-        let (replica, runs) = (id.to_owned(), runs.clone());
+        let open_count = Arc::new(AtomicUsize::new(0));
+        let serve = Arc::new(serve);
+        let (runs, count) = (runs.clone(), open_count.clone());
         std::thread::spawn(move || {
             for socket in listener.incoming() {
-                let (respond, replica, runs) = (respond.clone(), replica.clone(), runs.clone());
-                // The connection fails if the entry closes it first, which needs no handling.
+                let (serve, runs, count) = (serve.clone(), runs.clone(), count.clone());
                 std::thread::spawn(move || {
-                    let _ = serve(&socket?, &replica, &runs, &*respond);
+                    let socket = socket?;
+                    count.fetch_add(1, Ordering::Relaxed);
+                    // The connection fails if the entry closes it first, which needs no handling.
+                    let _ = serve_connection(&socket, &runs, &*serve);
+                    count.fetch_sub(1, Ordering::Relaxed);
                     Ok::<_, std::io::Error>(())
                 });
             }
@@ -215,9 +298,15 @@
         Ok(Self {
             id: id.to_owned(),
             address,
+            open_count,
         })
     }
 
+    /// Returns the number of connections that neither side has closed.
+    pub fn open_connections(&self) -> usize {
+        self.open_count.load(Ordering::Relaxed)
+    }
+
     /// Returns the id under which the replica registers.
     pub fn id(&self) -> &str {
         &self.id
@@ -234,40 +323,18 @@
     }
 }
 
-fn serve(
+fn serve_connection(
     socket: &TcpStream,
-    replica: &str,
     runs: &RunCounts,
-    respond: &dyn Fn(&RawRequest) -> RawResponse,
+    serve: &dyn Fn(&RawRequest, &TcpStream) -> std::io::Result<RawConnection>,
 ) -> std::io::Result<()> {
-    let mut request = read_request(socket)?;
-    let id = request
-        .headers
-        .get("request-id")
-        .cloned()
-        .unwrap_or_default();
-    request.earlier_runs = runs.record(&id);
-    let response = respond(&request);
-    let mut writer = socket;
-    let (bytes, first_part, last_part) = response.encode(&id, replica);
-    let mut sent = 0;
-    if !response.first_pause.is_zero() {
-        writer.write_all(&bytes[..first_part])?;
-        sent = first_part;
-        std::thread::sleep(response.first_pause);
-    }
-    if is_closed(socket)? {
-        return Ok(());
-    }
-    runs.record_start(&id, replica);
-    writer.write_all(&bytes[sent..last_part])?;
-    std::thread::sleep(response.pause);
-    writer.write_all(&bytes[last_part..])?;
-    if response.end == RawEnd::Reset {
-        std::thread::sleep(RESET_DELAY);
-        socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO))?;
+    loop {
+        let mut request = read_request(socket)?;
+        request.earlier_runs = runs.record(request.id());
+        if serve(&request, socket)? == RawConnection::Close {
+            return Ok(());
+        }
     }
-    Ok(())
 }
 
 /// Returns whether the entry has closed or reset the connection.
@@ -285,7 +352,9 @@
     let mut reader = BufReader::new(socket);
     let mut request = RawRequest::default();
     let mut line = String::new();
-    reader.read_line(&mut line)?;
+    if reader.read_line(&mut line)? == 0 {
+        return Err(ErrorKind::UnexpectedEof.into());
+    }
     request.path = line.split(' ').nth(1).unwrap_or_default().to_owned();
     loop {
         line.clear();
