A failed attempt is followed by one further attempt, and no other replica counts as silent for it

What callers would see: on routes with three attempts or more, a stream that a replica failed with an error response ran at two further replicas at once. The retry budget paid for both, and the second replica was ejected for 250 ms or more although it had just been asked. The same befell a replica that had refused the request beside a silent one, and a newer attempt when an older one failed.

Cause: every failed attempt was handled as if the silence of the newest attempt had just passed, also when that attempt had begun with the failure or was the failed one. A replica to which no connection could be opened then used up an attempt as well.

The cases of the refusing replica, the older attempt and the connection that is not opened were only read.

Change: the failure of the newest attempt asks one other replica if silent attempts are left, without a silence on record; the failure of an older one leaves the newer one its time. A serving replica that goes on after another was asked is recorded as such, one that breaks off is not.

--- a/crates/fulmarline/tests/platform_pauses.rs
+++ b/crates/fulmarline/tests/platform_pauses.rs
@@ -28,12 +28,25 @@
 /// Part of the path of a request at which only the first replica that receives it falls silent, for good.
 const FIRST_ONLY: &str = "first-";
 
+/// Path of requests that the first replica fails with an error response; the next one is slower than that, but sound.
+const FAILED_ONCE: &str = "failed-once";
+
+/// Time that a sound replica takes until the head of its response.
+const HEAD_TIME: Duration = Duration::from_millis(300);
+
 fn respond(request: &RawRequest) -> RawResponse {
     let header = |name: &str| request.headers.get(name).cloned().unwrap_or_default();
     let id = header("request-id");
     let sent = header("last-event-id").parse().unwrap_or(0);
     let events = events(&id).split_off(sent);
     let mut response = RawResponse::complete(RawFraming::Chunked, events);
+    if request.path.ends_with(FAILED_ONCE) {
+        if request.earlier_runs == 0 {
+            response.status = "500 Internal Server Error";
+            return response;
+        }
+        std::thread::sleep(HEAD_TIME);
+    }
     let is_for_good = request.path.contains(FIRST_ONLY);
     if is_for_good && request.earlier_runs > 0 {
         return response;
@@ -151,3 +164,22 @@
         assert_eq!(runs.get(&id), 2, "{id}");
     }
 }
+
+/// Guards against a replica that counts as silent as soon as it is asked, because the one before it has failed.
+#[test]
+fn a_stream_that_a_replica_has_failed_is_sent_to_one_other_replica() {
+    let runs = RunCounts::default();
+    let mut site = start_site("platform-pauses-failed", 20, 3, &runs);
+    let mut route = route("/thrice/", true);
+    route["maxAttempts"] = json!(3);
+    site.configure(&json!([self::route("/once/", false), route]));
+    site.wait("the route with three attempts", |it| {
+        let response = it.call(0, Method::POST, "/thrice/warm", "warm-thrice", "key-1")?;
+        (response.status == StatusCode::OK).then_some(())
+    });
+    for index in 0..5 {
+        let id = format!("{FAILED_ONCE}-{index}");
+        check_whole(&site, &format!("/thrice/{FAILED_ONCE}"), &id);
+        assert_eq!(runs.get(&id), 2, "{id}");
+    }
+}
--- a/crates/ingress/src/stream_attempts.rs
+++ b/crates/ingress/src/stream_attempts.rs
@@ -70,8 +70,8 @@
     Responded(Box<StreamSegment>, SegmentRead),
     /// The replica responded with an error.
     Error(Box<StreamSegment>),
-    /// There is no usable response.
-    Failed(SendOutcome),
+    /// The replica with this id has sent no usable response.
+    Failed(String, SendOutcome),
 }
 
 /// What happens next to the attempts.
@@ -168,18 +168,21 @@
 
     fn handle_read(&mut self, read: SegmentRead) -> Option<StreamRead> {
         let segment = self.serving.take()?;
-        if self.is_silent {
+        // Other attempts are made only while the serving one is silent.
+        let was_silent = self.is_silent || !self.starting.is_empty();
+        if was_silent && !matches!(read, SegmentRead::Interrupted(_)) {
             self.record_return(&segment);
         }
         self.continue_with(segment, read)
     }
 
     fn handle_start(&mut self, start: AttemptStart) -> Option<StreamRead> {
-        match start {
+        let failed = match start {
             AttemptStart::Responded(segment, SegmentRead::Interrupted(interruption)) => {
                 segment.record_interruption(&self.shared, &self.call, interruption);
                 self.may_have_run = true;
                 self.has_arrived = true;
+                segment.chosen.replica.id
             }
             AttemptStart::Responded(mut segment, read) => {
                 if self.has_events {
@@ -199,17 +202,26 @@
                     return Some(StreamRead::Error(segment));
                 }
                 self.may_have_run = true;
+                segment.chosen.replica.id
             }
-            AttemptStart::Failed(outcome) => match outcome {
-                SendOutcome::NotRun(reason) => self.has_arrived = reason.has_arrived(),
-                SendOutcome::Unknown(_) | SendOutcome::Response(..) => {
-                    self.may_have_run = true;
-                    self.has_arrived = true;
+            AttemptStart::Failed(id, outcome) => {
+                match outcome {
+                    SendOutcome::NotRun(reason) => self.has_arrived = reason.has_arrived(),
+                    SendOutcome::Unknown(_) | SendOutcome::Response(..) => {
+                        self.may_have_run = true;
+                        self.has_arrived = true;
+                    }
                 }
-            },
+                id
+            }
+        };
+        let is_left = self.serving.is_some() || !self.starting.is_empty();
+        // Any older attempts that are left are silent already, while a newer one has its own time to start.
+        if is_left && self.tried.last() == Some(&failed) {
+            self.newest = None;
+            self.is_silent = true;
+            self.ask_beside_silent();
         }
-        // The attempts that are left are silent already.
-        self.ask_at = Some(Instant::now());
         None
     }
 
@@ -260,9 +272,14 @@
 
     /// Asks another replica, while the silent one may still go on.
     fn handle_silence(&mut self) {
-        self.ask_at = None;
         self.has_arrived = true;
         self.record_silence();
+        self.ask_beside_silent();
+    }
+
+    /// Asks another replica in addition to the attempts that are left, or later if that may be possible then.
+    fn ask_beside_silent(&mut self) {
+        self.ask_at = None;
         if let Err(denial) = self.ask_replica() {
             log_denial(&self.shared, &self.call, denial, &self.tried);
             if !denial.is_final() {
@@ -370,7 +387,7 @@
 ) -> AttemptStart {
     let mut segment = match StreamSegment::open(&shared, &call, &chosen, last_event_id).await {
         Ok(segment) => segment,
-        Err(outcome) => return AttemptStart::Failed(outcome),
+        Err(outcome) => return AttemptStart::Failed(chosen.replica.id, outcome),
     };
     if !segment.status().is_success() {
         return AttemptStart::Error(Box::new(segment));
