A comment of another replica does not end the attempt at a silent one

What callers would see: a resumable stream was cut at its deadline although its replica went on, if the replica that was asked to continue it sent a comment first and then nothing. And a serving replica that sent comments but no events cancelled the attempt at the other one.

Cause: any complete batch of lines counted as the first events of an attempt, also one with comments only.

Evidence: the new test failed on the code before; the response ended after event 3 and ": waiting" with `complete: false`. That comments of the serving replica cancel the other attempt was only read.

Change: an attempt that continues a stream takes over with its first event; comments before it are discarded. Comments of the serving replica leave other attempts alone. Streams whose events have no ids are handled as before.

--- a/crates/fulmarline/tests/platform_pauses.rs
+++ b/crates/fulmarline/tests/platform_pauses.rs
@@ -31,6 +31,12 @@
 /// Path of requests that the first replica fails with an error response; the next one is slower than that, but sound.
 const FAILED_ONCE: &str = "failed-once";
 
+/// Path of requests whose first replica falls silent and goes on, while the next one sends a comment and then nothing.
+const COMMENTED: &str = "commented";
+
+/// A comment, which belongs to no event.
+const COMMENT: &str = ": waiting\n\n";
+
 /// Time that a sound replica takes until the head of its response.
 const HEAD_TIME: Duration = Duration::from_millis(300);
 
@@ -47,6 +53,16 @@
         }
         std::thread::sleep(HEAD_TIME);
     }
+    if request.path.ends_with(COMMENTED) {
+        let is_first = request.earlier_runs == 0;
+        response.pause = if is_first { PAUSE } else { ENDLESS_PAUSE };
+        if !is_first {
+            let rest = response.parts.concat();
+            response.parts = vec![COMMENT.to_owned(), rest];
+            response.sent_bytes += COMMENT.len();
+        }
+        return response;
+    }
     let is_for_good = request.path.contains(FIRST_ONLY);
     if is_for_good && request.earlier_runs > 0 {
         return response;
@@ -183,3 +199,12 @@
         assert_eq!(runs.get(&id), 2, "{id}");
     }
 }
+
+/// Guards against a silent replica that is given up for another one that has sent a comment but no event.
+#[test]
+fn a_comment_does_not_replace_a_silent_replica() {
+    let runs = RunCounts::default();
+    let site = start_site("platform-pauses-comment", 24, 2, &runs);
+    check_whole(&site, &format!("/again/{COMMENTED}"), COMMENTED);
+    assert_eq!(runs.get(COMMENTED), 2);
+}
--- a/crates/ingress/src/stream_attempts.rs
+++ b/crates/ingress/src/stream_attempts.rs
@@ -229,14 +229,18 @@
     fn continue_with(&mut self, segment: StreamSegment, read: SegmentRead) -> Option<StreamRead> {
         match read {
             SegmentRead::Events(bytes) => {
-                self.starting.clear();
-                self.is_silent = false;
-                self.has_events = true;
-                // Comments do not interrupt a silence.
-                if segment.last_event_id() != self.last_event_id {
-                    self.last_event_id = segment.last_event_id();
+                let last_event_id = segment.last_event_id();
+                // Comments do not interrupt a silence. Without ids, they cannot be told from events.
+                let has_new_event = last_event_id.is_none() || last_event_id != self.last_event_id;
+                if has_new_event || !self.has_events {
+                    self.starting.clear();
+                    self.is_silent = false;
+                }
+                if last_event_id != self.last_event_id {
+                    self.last_event_id = last_event_id;
                     self.ask_at = None;
                 }
+                self.has_events = true;
                 self.serving = Some(segment);
                 Some(StreamRead::Events(bytes))
             }
@@ -316,6 +320,7 @@
             self.call.clone(),
             chosen,
             self.last_event_id,
+            self.has_events,
         )));
         Ok(())
     }
@@ -378,12 +383,14 @@
     }
 }
 
-/// Sends the request to `chosen` and waits for the first event, or until the weights of the replica are too old.
+/// Sends the request to `chosen` and waits for the first event, or until the weights of the replica are too old. If the
+/// client `has_events` of another replica already, comments before the first event are discarded.
 async fn start_attempt(
     shared: Arc<EntryShared>,
     call: Arc<ClientCall>,
     chosen: ChosenReplica,
     last_event_id: Option<u64>,
+    has_events: bool,
 ) -> AttemptStart {
     let mut segment = match StreamSegment::open(&shared, &call, &chosen, last_event_id).await {
         Ok(segment) => segment,
@@ -392,7 +399,14 @@
     if !segment.status().is_success() {
         return AttemptStart::Error(Box::new(segment));
     }
-    let read = segment.read_first_events().await;
+    let mut read = segment.read_first_events().await;
+    while has_events
+        && last_event_id.is_some()
+        && segment.last_event_id() == last_event_id
+        && matches!(read, SegmentRead::Events(_))
+    {
+        read = segment.read_first_events().await;
+    }
     AttemptStart::Responded(Box::new(segment), read)
 }
 
