A staged piece that is being overwritten no longer counts as staged

What would be seen: an agent that turns from version 2 to version 3 and back could order the load of version 2 with a piece of version 3.

Cause: a write to the replica that is dropped with its transfer, or that gets no response, may still be stored, but the piece of the previous version was removed from the record only after a success. Since that record is used again on a return, and only pieces that were verified over 1.5 s ago are read back before a load.

Evidence: by reading only; no test shows it. It needs a stand-in replica that stores a piece without a response.

Change: the piece is removed from the record of both versions before it is written.

--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -257,6 +257,8 @@
     index: usize,
     bytes: Vec<u8>,
 ) -> bool {
+    // The replica may store the piece even if this future is dropped or the call fails.
+    shared.state().staged_pieces.record_missing(index);
     if let Err(err) = shared
         .replica_client
         .stage_piece(&target.model, index, bytes)
