--- a/crates/httpio/tests/endless.rs
+++ b/crates/httpio/tests/endless.rs
@@ -1,7 +1,7 @@
 //! Tests what responses without end cost the client that receives them.
 
 use std::convert::Infallible;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -172,6 +172,13 @@
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         let mut socket = listener.accept().unwrap().0;
+        // A response that arrives before its request ends the connection.
+        let mut request = Vec::new();
+        while !request.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            socket.read_exact(&mut byte).unwrap();
+            request.extend(byte);
+        }
         let head = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n";
         socket.write_all(head.as_bytes()).unwrap();
         // Fails when the client closes the connection.
