--- a/crates/ingress/src/stream_attempts.rs
+++ b/crates/ingress/src/stream_attempts.rs
@@ -135,6 +135,9 @@
                 && self.starting.is_empty()
                 && let Err(denial) = self.ask_replica()
             {
+                if !self.tried.is_empty() {
+                    log_denial(&self.shared, &self.call, denial, &self.tried);
+                }
                 return StreamRead::Ended(self.refusal(denial));
             }
             let read = match self.next_event().await {
