A stream that does not begin ends with a status before its client leaves

What callers saw: nothing, they left.

Cause: waits for a silent replica until the request's deadline, but clients leave a stream earlier, also before its first event: after 2 s, four objectives or eight pauses, whichever is longest.

Ruled out: a missing reset; the entry resets the connection, which a frozen host does not see before it runs what it has received.

Change: a stream without an event ends with 504 0.15 s before its client would leave. A replica that is silent for a second or two still gets its response through.

--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -90,6 +90,13 @@
         self.is_retryable().then_some(self.max_pause * PAUSE_FACTOR)
     }
 
+    /// Returns the time without an event after which a client leaves a stream, also before its first event.
+    pub fn client_patience(&self) -> Duration {
+        MIN_PATIENCE
+            .max(self.objective * PATIENCE_OBJECTIVES)
+            .max(self.max_pause * PATIENCE_PAUSES)
+    }
+
     /// Selects the service for a request by weight; `random` is uniform in 0..1.
     pub fn target(&self, random: f64) -> &str {
         let total: u32 = self.targets.iter().map(|it| it.weight).sum();
@@ -106,3 +113,13 @@
 
 /// Factor by which a pause may exceed the longest one that is on time. Clients give up after a few times as long.
 const PAUSE_FACTOR: u32 = 3;
+
+/// Minimum time without an event after which clients leave a stream; like the two factors below, from the platform's
+/// documentation of requests.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Number of latency objectives for which clients wait for an event.
+const PATIENCE_OBJECTIVES: u32 = 4;
+
+/// Number of longest pauses for which clients wait for an event.
+const PATIENCE_PAUSES: u32 = 8;
--- a/crates/fleet/tests/routes.rs
+++ b/crates/fleet/tests/routes.rs
@@ -112,3 +112,18 @@
     check(CallKind::Stream, true, Some(1200));
     check(CallKind::Stream, false, None);
 }
+
+#[test]
+fn clients_wait_for_several_objectives_or_pauses() {
+    let check = |objective_ms: u64, max_pause_ms: u64, expected_ms: u64| {
+        let route = Route {
+            objective: Duration::from_millis(objective_ms),
+            max_pause: Duration::from_millis(max_pause_ms),
+            ..route("r", "a.example", "/")
+        };
+        assert_eq!(route.client_patience(), Duration::from_millis(expected_ms));
+    };
+    check(400, 200, 2000);
+    check(600, 200, 2400);
+    check(500, 400, 3200);
+}
--- a/crates/fulmarline/tests/platform_pauses.rs
+++ b/crates/fulmarline/tests/platform_pauses.rs
@@ -3,7 +3,7 @@
 #[path = "support/site.rs"]
 mod site;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use httpio::{Method, StatusCode};
 use serde_json::{Value, json};
@@ -16,6 +16,9 @@
 /// Pause of a replica that falls silent for good; longer than any request may take.
 const ENDLESS_PAUSE: Duration = Duration::from_secs(20);
 
+/// Time after which the site's clients give up a request.
+const DEADLINE: Duration = Duration::from_secs(6);
+
 /// Paths of requests at which replicas fall silent: between two events, after the head of the response and before it.
 const SILENT_PATHS: [&str; 3] = ["long-pause", "late-start", "late-head"];
 
@@ -80,17 +83,26 @@
     response
 }
 
-/// Returns a stream route to the pool of raw replicas.
+/// Returns a stream route to the pool of raw replicas, whose clients wait for each event up to the deadline.
 fn route(prefix: &str, resumable: bool) -> Value {
+    route_with_objective(prefix, resumable, 2000)
+}
+
+/// Returns a stream route whose clients leave after four times `objective_ms` without an event.
+fn route_with_objective(prefix: &str, resumable: bool, objective_ms: u64) -> Value {
     json!({
         "name": prefix, "host": "shop.example", "prefix": prefix, "kind": "stream", "timeoutMs": 6000,
-        "sloMs": 2000, "prio": 1, "service": "pool", "maxAttempts": 2, "public": false, "resumable": resumable,
+        "sloMs": objective_ms, "prio": 1, "service": "pool", "maxAttempts": 2, "public": false, "resumable": resumable,
     })
 }
 
 fn start_site(name: &str, first_index: u8, replicas: u8, runs: &RunCounts) -> TestSite {
     let mut site = TestSite::start(name, first_index, &[]);
-    site.configure(&json!([route("/once/", false), route("/again/", true)]));
+    site.configure(&json!([
+        route("/once/", false),
+        route("/again/", true),
+        route_with_objective("/impatient/", true, 1000),
+    ]));
     for index in 0..replicas {
         let id = format!("pool-{index}");
         let ip = [127, 0, 1, first_index + index];
@@ -207,3 +219,17 @@
     check_whole(&site, &format!("/again/{COMMENTED}"), COMMENTED);
     assert_eq!(runs.get(COMMENTED), 2);
 }
+
+/// Guards against clients that leave a stream without a response, while a replica that may run it later is silent.
+#[test]
+fn a_stream_that_does_not_begin_ends_with_a_status_before_its_client_leaves() {
+    let runs = RunCounts::default();
+    let site = start_site("platform-pauses-impatient", 102, 1, &runs);
+    let id = format!("{FIRST_ONLY}late-head");
+    let sent = Instant::now();
+    let response = site
+        .call(0, Method::POST, &format!("/impatient/{id}"), &id, "key-1")
+        .expect("a response");
+    assert_eq!(response.status, StatusCode::GATEWAY_TIMEOUT, "{response:?}");
+    assert!(sent.elapsed() < DEADLINE, "{:?}", sent.elapsed());
+}
--- a/crates/ingress/src/stream_attempts.rs
+++ b/crates/ingress/src/stream_attempts.rs
@@ -158,8 +158,19 @@
         }
     }
 
+    /// Returns the time at which the stream ends if no event has arrived. The client would leave a stream that has not
+    /// begun soon after, without a response.
+    fn deadline(&self) -> Instant {
+        let deadline = self.call.deadline;
+        if self.has_events {
+            return deadline;
+        }
+        let patience = self.call.route.client_patience();
+        deadline.min(self.call.arrived + patience.saturating_sub(RESPONSE_RESERVE))
+    }
+
     async fn next_event(&mut self) -> AttemptEvent {
-        let deadline = Some(self.call.deadline);
+        let deadline = Some(self.deadline());
         tokio::select! {
             biased;
             read = read_serving(self.serving.as_mut()) => AttemptEvent::Read(read),
@@ -413,3 +424,6 @@
 fn after(delay: Option<Duration>) -> Option<Instant> {
     delay.map(|it| Instant::now() + it)
 }
+
+/// Time in which a final response reaches a client before it leaves; several round trips.
+const RESPONSE_RESERVE: Duration = Duration::from_millis(150);
