Test harness: no process that is being started holds a probed port

Cause: a process that is being started inherits the sockets of the test until it executes its program, also the one with which another test has just found a free port. Evidence: while four threads start processes, 217 and 231 of 2,000 ports that had been found free could not be bound. Ruled out: another listener; the address was used by this fleet only.

Change: ports are probed and processes started under one lock.

--- a/crates/standin/src/harness/child_process.rs
+++ b/crates/standin/src/harness/child_process.rs
@@ -6,6 +6,8 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
+use crate::harness::port_probe;
+
 /// A child process that is killed on drop.
 #[derive(Debug)]
 pub struct ChildProcess {
@@ -47,6 +49,7 @@
 
     fn spawn(mut command: Command, log: &Path) -> io::Result<Self> {
         let output = File::options().create(true).append(true).open(log)?;
+        let _guard = port_probe::lock();
         let child = command
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
--- a/crates/standin/src/harness/fleet_settings.rs
+++ b/crates/standin/src/harness/fleet_settings.rs
@@ -1,13 +1,14 @@
 //! Addresses, settings files and secrets of a fleet.
 
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU16, Ordering};
 
 use serde_json::{Value, json};
 
 use crate::harness::fleet_plan::{AgentPlan, EntryPlan, FleetPlan};
+use crate::harness::port_probe;
 
 /// Bearer token of the operator.
 pub(crate) const OPERATOR_TOKEN: &str = "operator-token-of-the-fleet";
@@ -81,7 +82,7 @@
     let mut addresses = [SocketAddr::new(ip, 0); N];
     let mut ports = LISTEN_PORTS;
     for address in &mut addresses {
-        let free = ports.find(|port| TcpListener::bind(SocketAddr::new(ip, *port)).is_ok());
+        let free = ports.find(|port| port_probe::is_free(SocketAddr::new(ip, *port)));
         let port = free.ok_or(io::ErrorKind::AddrInUse)?;
         *address = SocketAddr::new(ip, port);
     }
--- a/crates/standin/src/harness/mod.rs
+++ b/crates/standin/src/harness/mod.rs
@@ -4,6 +4,7 @@
 mod fleet_calls;
 mod fleet_plan;
 mod fleet_settings;
+pub(crate) mod port_probe;
 mod process_fleet;
 
 pub use child_process::ChildProcess;
--- a/crates/standin/src/site/site_settings.rs
+++ b/crates/standin/src/site/site_settings.rs
@@ -1,8 +1,10 @@
 //! Settings files in the format of the platform.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use crate::harness::port_probe;
+
 /// Ports, which are the same on all hosts of a site.
 #[derive(Clone, Copy, Debug)]
 pub struct SitePorts {
@@ -40,14 +42,10 @@
         let site = std::process::id() as usize + SITE_COUNT.fetch_add(1, Ordering::Relaxed);
         let skipped = site * PORT_COUNT % LISTEN_PORTS.len();
         let ports = LISTEN_PORTS.skip(skipped).chain(LISTEN_PORTS);
-        let listeners = ports
-            .filter_map(|it| TcpListener::bind((Ipv4Addr::LOCALHOST, it)).ok())
-            .take(PORT_COUNT);
-        let listeners: Vec<_> = listeners.collect();
-        let mut ports = listeners
-            .iter()
-            .map(|it| it.local_addr().map(|it| it.port()))
-            .collect::<std::io::Result<Vec<_>>>()?;
+        let mut ports: Vec<u16> = ports
+            .filter(|it| port_probe::is_free((Ipv4Addr::LOCALHOST, *it).into()))
+            .take(PORT_COUNT)
+            .collect();
         ports.sort_unstable();
         let [first, front, ready, directory, last] = ports[..] else {
             return Err(std::io::ErrorKind::AddrInUse.into());
