--- a/crates/fleet/src/stream_cursor.rs
+++ b/crates/fleet/src/stream_cursor.rs
@@ -54,8 +54,9 @@
     /// Checks whether the stream is complete when the replica's response has ended, and returns the blank lines and
     /// comments after its last event.
     ///
-    /// See `docs/ARCHITECTURE.md`, "When a response is complete". `end_is_marked` states whether a length or chunks mark the end of the response. A response with neither ends with
-    /// its connection, which a replica that crashes closes as well; its end therefore counts only after an event.
+    /// See `docs/ARCHITECTURE.md`, "When a response is complete". `end_is_marked` states whether a length or chunks mark the
+    /// end of the response. A response with neither ends with its connection, which a replica that crashes closes as well;
+    /// its end therefore counts only after an event.
     ///
     /// # Errors
     ///
--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -61,8 +61,8 @@
 
 /// Reads a complete body of at most `max_bytes`; fails if it neither ends nor makes progress for `idle_timeout`.
 ///
-/// A server that sends a byte now and then makes no progress. There is no limit on the total time, because a large body takes long over a slow link, and retrying the
-/// request would only add the traffic of another copy to that link.
+/// A server that sends a byte now and then makes no progress. There is no limit on the total time, because a large body
+/// takes long over a slow link, and retrying the request would only add the traffic of another copy to that link.
 ///
 /// # Errors
 ///
