Entries log the shared parts of prompts and whether a replica has ended

The logs could neither confirm nor refute that requests with a common part crash the replicas: no line showed the parts of a prompt, and a reset, a cut link and a crash are the same broken connection.

After a broken connection the entry probes the replica once: a refused connection shows that it has ended.

--- a/crates/ingress/src/client_call.rs
+++ b/crates/ingress/src/client_call.rs
@@ -37,6 +37,12 @@
         self.metadata.id.as_deref().unwrap_or("")
     }
 
+    /// Returns the shared parts of the prompt for logs, separated by commas.
+    pub(crate) fn shared_parts(&self) -> String {
+        let parts = self.metadata.shared_parts.iter();
+        parts.map(ToString::to_string).collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the time until the deadline set by the client or the route.
     pub(crate) fn time_remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -27,6 +27,7 @@
     pub(crate) longest_pause: Histogram,
     pub(crate) stream_segments: IntCounterVec,
     pub(crate) retry_denials: IntCounterVec,
+    pub(crate) broken_connections: IntCounterVec,
     pub(crate) predicted_first_event: Histogram,
     pub(crate) in_flight: IntGauge,
     pub(crate) replicas: IntGaugeVec,
@@ -119,6 +120,11 @@
                 "Requests that were not sent to another replica after a failure or a silence, by reason.",
                 &["why"],
             )?,
+            broken_connections: counters(
+                "fulmarline_broken_connections_total",
+                "Probes of replicas after a connection broke during a request, by result.",
+                &["replica"],
+            )?,
             predicted_first_event: histogram(
                 "fulmarline_predicted_first_event_seconds",
                 "Predicted time from a send to the first event, which includes the wait at the replica.",
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -1,6 +1,6 @@
 //! State, clients and signals shared by all tasks of an entry.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -39,6 +39,8 @@
     pub(crate) loads: LoadTable,
     /// Health of the replicas as observed in requests.
     pub(crate) health: HealthTable,
+    /// Replicas that are being probed after a broken connection.
+    pub(crate) probed_replicas: BTreeSet<String>,
     /// Retry budget of each service.
     pub(crate) retry_budgets: BTreeMap<String, RetryBudget>,
     /// The other entries.
@@ -127,6 +129,7 @@
                 declaration_times_read: false,
                 loads: LoadTable::default(),
                 health: HealthTable::default(),
+                probed_replicas: BTreeSet::new(),
                 retry_budgets: BTreeMap::new(),
                 peers: PeerTable::default(),
             }),
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -11,6 +11,7 @@
 use slog::info;
 
 use crate::client_call::ClientCall;
+use crate::crash_probe;
 use crate::entry_shared::EntryShared;
 
 /// Outcome of a send.
@@ -150,7 +151,7 @@
 }
 
 fn record_outcome(
-    shared: &EntryShared,
+    shared: &Arc<EntryShared>,
     call: &ClientCall,
     chosen: &ChosenReplica,
     outcome: &SendOutcome,
@@ -184,6 +185,9 @@
         record_misdirected(&mut state.catalog, call, chosen);
     }
     drop(state);
+    if matches!(outcome, SendOutcome::Unknown("connection_lost")) {
+        crash_probe::start(shared, &chosen.replica);
+    }
     if !matches!(outcome, SendOutcome::Response(..)) {
         shared
             .replica_client
@@ -197,6 +201,7 @@
             "outcome" => label,
             "out_ms" => ejected_for.map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX)),
             "predicted_ms" => chosen.predicted_ms.round(),
+            "parts" => call.shared_parts(),
         );
     }
     let retry_label = if call.sends() > 1 { "yes" } else { "no" };
--- a/crates/ingress/src/stream_segment.rs
+++ b/crates/ingress/src/stream_segment.rs
@@ -11,6 +11,7 @@
 use slog::info;
 
 use crate::client_call::ClientCall;
+use crate::crash_probe;
 use crate::entry_shared::EntryShared;
 use crate::in_flight_guard::InFlightGuard;
 use crate::replica_send::{SendOutcome, send};
@@ -59,6 +60,14 @@
         }
     }
 
+    /// Returns whether a replica that ends may cause it. Without chunks or a length, a lost connection ends a response.
+    fn may_be_crash(self) -> bool {
+        matches!(
+            self,
+            Self::ConnectionLost | Self::Stream(StreamError::InsideEvent | StreamError::NoEvent)
+        )
+    }
+
     /// Returns what the reason says about the replica, if anything.
     fn replica_outcome(self) -> Option<ReplicaOutcome> {
         match self {
@@ -216,6 +225,7 @@
                 "request" => call.id(),
                 "replica" => id,
                 "replica_zone" => &self.chosen.replica.zone,
+                "parts" => call.shared_parts(),
                 "sent_ms" => (observed * 1000.0).round(),
                 "predicted_ms" => predicted.round(),
                 "ms" => millis(call.arrived.elapsed()),
@@ -234,10 +244,13 @@
     /// Records that the segment broke off.
     pub(crate) fn record_interruption(
         &self,
-        shared: &EntryShared,
+        shared: &Arc<EntryShared>,
         call: &ClientCall,
         interruption: Interruption,
     ) {
+        if interruption.may_be_crash() {
+            crash_probe::start(shared, &self.chosen.replica);
+        }
         // If the request's deadline has passed or is about to, that is not a fault of the replica.
         if call.time_remaining() >= MIN_JUDGED_TIME
             && let Some(outcome) = interruption.replica_outcome()
@@ -259,6 +272,7 @@
             "framing" => self.framing.label(),
             "last_event" => self.cursor.last_id(),
             "partial_bytes" => self.cursor.partial_len(),
+            "parts" => call.shared_parts(),
             "left_ms" => millis(call.time_remaining()),
         );
     }
