A test in which a part of prompts crashes replicas fails

Two entries receive such requests in turn, beside sound ones that share the caller and the other part.

--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -123,6 +123,23 @@
         self.send(entry, method, path, &headers, prompt_tokens, Vec::new())
     }
 
+    /// Sends a request whose prompt consists of `parts`, as `ID:TOKENS` separated by commas, to an entry.
+    pub fn call_with_parts(
+        &self,
+        entry: usize,
+        path: &str,
+        id: &str,
+        parts: &str,
+    ) -> Option<SiteResponse> {
+        let headers = [
+            ("Request-Id", id),
+            ("Authorization", "Token key-1"),
+            ("Prefix-Hash", parts),
+        ];
+        let method = Method::POST;
+        self.send(entry, method, path, &headers, SHORT_PROMPT, Vec::new())
+    }
+
     fn send(
         &self,
         entry: usize,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -42,9 +42,9 @@
 pub use rate_limiter::RateLimiter;
 pub use run_counters::{RunCount, RunCounters};
 pub use site::{
-    EndlessBytes, RawConnection, RawEnd, RawFraming, RawReplica, RawRequest, RawResponse,
-    ReplicaCalls, ReplicaFaults, ReplicaKind, RunCounts, RunStart, SilenceSwitch, SiteHost,
-    SiteOrigin, SitePorts, SiteReplica, SiteStore, SiteWeights,
+    CrashLog, CrashPlan, CrashingReplica, EndlessBytes, RawConnection, RawEnd, RawFraming,
+    RawReplica, RawRequest, RawResponse, ReplicaCalls, ReplicaFaults, ReplicaKind, RunCounts,
+    RunStart, SilenceSwitch, SiteHost, SiteOrigin, SitePorts, SiteReplica, SiteStore, SiteWeights,
 };
 pub use standin_runtime::StandinRuntime;
 pub use table::{TableCounters, TableFaults, TableService};
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -1,5 +1,6 @@
 //! A simulated site of the users' platform with its published protocol: the store, replicas and the origin of weights.
 
+mod crashing_replica;
 mod endless_bytes;
 mod raw_replica;
 mod silence_switch;
@@ -9,6 +10,7 @@
 mod site_store;
 mod site_weights;
 
+pub use crashing_replica::{CrashLog, CrashPlan, CrashingReplica};
 pub use endless_bytes::EndlessBytes;
 pub use raw_replica::{
     RawConnection, RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts, RunStart,
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -35,6 +36,9 @@
     pub drop_responses: bool,
     /// Rejects requests as if there were no capacity.
     pub full: bool,
+    /// Id of a part of prompts. The replica reports a crash when it begins to respond to a request that contains the
+    /// part, unless it is the last one.
+    pub crash_part: Option<&'static str>,
 }
 
 /// The calls that a replica can leave unanswered.
@@ -66,6 +70,8 @@
     last_event: u64,
     event_interval: Duration,
     silences: BTreeMap<ReplicaCalls, SilenceSwitch>,
+    /// Receives a message when a request makes the replica crash.
+    crashes: Option<Sender<()>>,
     state: Mutex<ReplicaState>,
 }
 
@@ -112,6 +118,19 @@
         address: SocketAddr,
         kind: ReplicaKind,
         weights: SiteWeights,
+    ) -> std::io::Result<Self> {
+        Self::start_with_crashes(runtime, id, address, kind, weights, None)
+    }
+
+    /// Starts a replica as [`Self::start`] does. A request that makes it crash is reported to `crashes`; whoever receives
+    /// the message ends the replica by dropping its runtime.
+    pub(crate) fn start_with_crashes(
+        runtime: &StandinRuntime,
+        id: &str,
+        address: SocketAddr,
+        kind: ReplicaKind,
+        weights: SiteWeights,
+        crashes: Option<Sender<()>>,
     ) -> std::io::Result<Self> {
         let version = match kind {
             ReplicaKind::Model { version } => version,
@@ -127,6 +146,7 @@
             silences: ReplicaCalls::ALL
                 .map(|it| (it, SilenceSwitch::default()))
                 .into(),
+            crashes,
             state: Mutex::new(ReplicaState {
                 version,
                 staged: staged.map(|it| (it, weights.piece(version, it))).collect(),
@@ -319,7 +339,8 @@
         .and_then(|it| it.parse::<u64>().ok())
         .unwrap_or(0)
         + 1;
-    let (truncate_after, unframed) = {
+    let parts = header("prefix-hash").unwrap_or_default().to_owned();
+    let (truncate_after, unframed, must_crash) = {
         let mut state = shared.lock();
         let version = state.version.to_string();
         let is_misdirected = header("expect-replica").is_some_and(|it| it != shared.id)
@@ -347,8 +368,18 @@
         (
             state.faults.truncate_next_after.take(),
             state.faults.unframed,
+            state
+                .faults
+                .crash_part
+                .is_some_and(|it| contains_part(&parts, it)),
         )
     };
+    if must_crash && let Some(crashes) = &shared.crashes {
+        tokio::time::sleep(shared.event_interval).await;
+        // The receiver ends the replica before it could respond.
+        let _ = crashes.send(());
+        return std::future::pending().await;
+    }
     let mut response = match shared.kind {
         ReplicaKind::Plain => Response::new(httpio::full(format!("done {id}"))),
         ReplicaKind::Model { .. } => {
@@ -362,6 +393,13 @@
     with_request_id(response, &id)
 }
 
+/// Returns whether the prompt that consists of `parts` contains `part` before its last part.
+pub(crate) fn contains_part(parts: &str, part: &str) -> bool {
+    let shared = parts.rsplit_once(',').map_or("", |it| it.0);
+    let mut ids = shared.split(',').filter_map(|it| it.trim().split_once(':'));
+    ids.any(|(id, _)| id == part)
+}
+
 /// Adds the id of the request, which replicas echo in all their responses.
 fn with_request_id(mut response: Response<HttpBody>, id: &str) -> Response<HttpBody> {
     if let Ok(value) = httpio::HeaderValue::from_str(id) {
