Parts of prompts that crash replicas are refused by all entries

Up to half of the streams were refused for want of replicas.

Cause, as a class: a request that harms its replica was taken for the victim of the replica. A crash was a broken connection like any other: the request was sent to a second replica, the replica was held in poor health, and no entry learned from another one which request it was.

Evidence: logs of the incident (requests without an event at every crash, first attempts that crash seconds later), the failing tests, probes of replicas.

Ruled out: blaming the request that was sent last (others wait beside it), counting crashes per part (sound requests share parts, racks fail), the registration as a sign of a crash (3.6 s, too late), a counter per entry (each sees an eighth of the crashes).

Change: a pure table (`routing::CrashTable`) of crashes, of starts that were survived, and of holds. Entries merge each other's tables, which is commutative, and draw the same conclusions: each part is weighed by crashes with it since the last start that was survived, against the rate of accidents. Two crashes make a part a suspect, whose requests are sent one at a time; conclusive ones hold it back: its requests are refused at once as not run (503), those that have not begun are withdrawn, and nothing is retried. A trial after ten minutes, or on newer weights, may release it.

--- a/crates/ingress/src/buffered_relay.rs
+++ b/crates/ingress/src/buffered_relay.rs
@@ -8,7 +8,7 @@
 use slog::info;
 
 use crate::client_call::ClientCall;
-use crate::crash_probe;
+use crate::crash_guard;
 use crate::entry_shared::EntryShared;
 use crate::in_flight_guard::InFlightGuard;
 use crate::replica_send::{SendOutcome, return_connection, send};
@@ -46,7 +46,7 @@
         Ok(bytes) => bytes,
         Err(err) => {
             record_body(shared, chosen, ReplicaOutcome::Unreachable);
-            crash_probe::start(shared, &chosen.replica);
+            crash_guard::record_break(shared, call, &chosen.replica, true);
             if shared.may_log(LogKind::Failed) {
                 info!(
                     shared.log, "reading the response failed";
--- a/crates/ingress/src/client_call.rs
+++ b/crates/ingress/src/client_call.rs
@@ -1,7 +1,7 @@
 //! A client's request: its route, tenant, deadline and complete body.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -9,8 +9,10 @@
 use httpio::{HeaderMap, Incoming, Method, Request, header};
 use platform::RequestMetadata;
 use rand::RngExt;
+use routing::{PartId, PoolId};
 
 use crate::boot_clock;
+use crate::crash_guard::TrialGuard;
 use crate::entry_shared::EntryShared;
 use crate::refusal::Refusal;
 
@@ -23,12 +25,17 @@
     pub(crate) table: Arc<RouteTable>,
     pub(crate) route: Arc<Route>,
     pub(crate) service: String,
+    /// The pool of the service's replicas, to which evidence about crashes applies.
+    pub(crate) pool: PoolId,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) parts: Vec<PartId>,
     pub(crate) tenant: Option<Arc<ApiTenant>>,
     pub(crate) method: Method,
     pub(crate) target: http::Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     sends: AtomicU32,
+    trial: OnceLock<TrialGuard>,
 }
 
 impl ClientCall {
@@ -39,7 +46,7 @@
 
     /// Returns the shared parts of the prompt for logs, separated by commas.
     pub(crate) fn shared_parts(&self) -> String {
-        let parts = self.metadata.shared_parts.iter();
+        let parts = self.parts.iter();
         parts.map(ToString::to_string).collect::<Vec<_>>().join(",")
     }
 
@@ -58,6 +65,17 @@
         self.sends.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Makes the request the only one with a suspected or held part until it ends.
+    pub(crate) fn begin_trial(&self, guard: TrialGuard) {
+        // A request is admitted once.
+        let _ = self.trial.set(guard);
+    }
+
+    /// Returns the suspected or held part that this request is the only one with.
+    pub(crate) fn trial(&self) -> Option<&TrialGuard> {
+        self.trial.get()
+    }
+
     /// Returns whether the client has already waited so long, for example in earlier attempts, that the request can no
     /// longer meet its objective.
     ///
@@ -131,7 +149,14 @@
             _ => Refusal::BadBody,
         })?;
     let service = route.target(rand::rng().random()).to_owned();
+    let pool = PoolId::new(&service);
+    let part = |digest: &u64| PartId {
+        pool,
+        digest: *digest,
+    };
     Ok(ClientCall {
+        pool,
+        parts: metadata.shared_parts.iter().map(part).collect(),
         arrived,
         deadline,
         metadata,
@@ -144,6 +169,7 @@
         table,
         route,
         sends: AtomicU32::new(0),
+        trial: OnceLock::new(),
     })
 }
 
--- a/crates/ingress/src/crash_probe.rs
+++ b/crates/ingress/src/crash_probe.rs
@@ -12,6 +12,7 @@
 use slog::info;
 use tokio::net::TcpStream;
 
+use crate::crash_guard;
 use crate::entry_shared::EntryShared;
 
 /// State of a replica after a connection to it broke.
@@ -36,23 +37,20 @@
     }
 }
 
-/// Probes `replica` after a connection to it broke in the middle of a request, unless a probe is under way.
+/// Probes `replica` after a connection to it broke in the middle of a request.
 pub(crate) fn start(shared: &Arc<EntryShared>, replica: &Replica) {
-    if !shared.state().probed_replicas.insert(replica.id.clone()) {
-        return;
-    }
-    let (shared, id, address) = (shared.clone(), replica.id.clone(), replica.address);
+    let (shared, replica) = (shared.clone(), replica.clone());
     tokio::spawn(async move {
-        let result = probe(address).await;
-        shared.state().probed_replicas.remove(&id);
+        let result = probe(replica.address).await;
         shared
             .metrics
             .broken_connections
             .with_label_values(&[result.label()])
             .inc();
         if shared.may_log(LogKind::Failed) {
-            info!(shared.log, "replica probed after its connection broke"; "replica" => id, "result" => result.label());
+            info!(shared.log, "replica probed after its connection broke"; "replica" => &replica.id, "result" => result.label());
         }
+        crash_guard::record_probe(&shared, &replica, result == ProbeResult::Ended);
     });
 }
 
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -28,6 +28,8 @@
     pub(crate) stream_segments: IntCounterVec,
     pub(crate) retry_denials: IntCounterVec,
     pub(crate) broken_connections: IntCounterVec,
+    pub(crate) part_changes: IntCounterVec,
+    pub(crate) parts: IntGaugeVec,
     pub(crate) predicted_first_event: Histogram,
     pub(crate) in_flight: IntGauge,
     pub(crate) replicas: IntGaugeVec,
@@ -125,6 +127,16 @@
                 "Probes of replicas after a connection broke during a request, by result.",
                 &["replica"],
             )?,
+            part_changes: counters(
+                "fulmarline_part_changes_total",
+                "Parts of prompts that were suspected to crash replicas, cleared, or held back by this entry.",
+                &["change"],
+            )?,
+            parts: int_gauges(
+                "fulmarline_parts",
+                "Parts of prompts that are suspected to crash replicas, or held back.",
+                "state",
+            )?,
             predicted_first_event: histogram(
                 "fulmarline_predicted_first_event_seconds",
                 "Predicted time from a send to the first event, which includes the wait at the replica.",
@@ -203,6 +215,14 @@
     for (label, count) in counts {
         metrics.replicas.with_label_values(&[label]).set(count);
     }
+    let held = state.crashes.holds(now).into_iter().filter(|it| it.is_held);
+    for (label, count) in [
+        ("held", held.count()),
+        ("suspected", state.crashes.suspects().count()),
+    ] {
+        let gauge = metrics.parts.with_label_values(&[label]);
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
     let in_flight = state.loads.own_samples();
     let in_flight: u32 = in_flight.values().map(|it| it.running).sum();
     metrics.in_flight.set(i64::from(in_flight));
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -11,9 +11,11 @@
 };
 use httpio::{BufferBudget, HttpClient};
 use platform::{NodeSettings, StoreClient};
+use routing::{CrashTable, DigestSchedule, PartId};
 use slog::{Logger, warn};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
+use crate::crash_guard::BrokenReplica;
 use crate::entry_metrics::EntryMetrics;
 
 /// The mutable state of an entry. All tasks run on one thread, so its lock is never contended.
@@ -39,8 +41,18 @@
     pub(crate) loads: LoadTable,
     /// Health of the replicas as observed in requests.
     pub(crate) health: HealthTable,
-    /// Replicas that are being probed after a broken connection.
-    pub(crate) probed_replicas: BTreeSet<String>,
+    /// Evidence about requests that crash replicas.
+    pub(crate) crashes: CrashTable,
+    /// Whether another entry has sent its evidence.
+    pub(crate) has_peer_evidence: bool,
+    /// Replicas that are being probed after a broken connection, by id.
+    pub(crate) broken_replicas: BTreeMap<String, BrokenReplica>,
+    /// Suspected and held parts of requests that are under way at this entry.
+    pub(crate) trials: BTreeSet<PartId>,
+    /// Which heartbeats contain the evidence.
+    pub(crate) heartbeat_digest: DigestSchedule,
+    /// Which reports to other zones contain the evidence.
+    pub(crate) report_digest: DigestSchedule,
     /// Retry budget of each service.
     pub(crate) retry_budgets: BTreeMap<String, RetryBudget>,
     /// The other entries.
@@ -72,6 +84,12 @@
     pub(crate) feed_changed: Notify,
     /// Wakes the task that sends this entry's state to other entries when its load on a replica has changed.
     pub(crate) load_changed: Notify,
+    /// Wakes requests that wait for the evidence of other entries.
+    pub(crate) evidence_received: Notify,
+    /// Notifies requests that have not begun when parts may have been held back.
+    pub(crate) holds_changed: watch::Sender<()>,
+    /// When the process started.
+    pub(crate) started_at: Instant,
     /// Wakes the handlers of requests in flight at the end of a planned stop.
     pub(crate) final_responses_due: Notify,
     stop_began_at: Mutex<Option<Instant>>,
@@ -116,6 +134,9 @@
             feed_changed: Notify::new(),
             load_changed: Notify::new(),
             weights_declared: Notify::new(),
+            evidence_received: Notify::new(),
+            holds_changed: watch::Sender::new(()),
+            started_at: Instant::now(),
             final_responses_due: Notify::new(),
             stop_began_at: Mutex::new(None),
             state: Mutex::new(EntryState {
@@ -129,7 +150,12 @@
                 declaration_times_read: false,
                 loads: LoadTable::default(),
                 health: HealthTable::default(),
-                probed_replicas: BTreeSet::new(),
+                crashes: CrashTable::new(&settings.node),
+                has_peer_evidence: false,
+                broken_replicas: BTreeMap::new(),
+                trials: BTreeSet::new(),
+                heartbeat_digest: DigestSchedule::default(),
+                report_digest: DigestSchedule::default(),
                 retry_budgets: BTreeMap::new(),
                 peers: PeerTable::default(),
             }),
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -7,6 +7,7 @@
 mod boot_clock;
 mod buffered_relay;
 mod client_call;
+mod crash_guard;
 mod crash_probe;
 mod declaration_log;
 mod directory;
--- a/crates/ingress/src/peer_exchange.rs
+++ b/crates/ingress/src/peer_exchange.rs
@@ -9,9 +9,11 @@
 use anyhow::Context;
 use fleet::{DeclarationAge, EntryHeartbeat, FleetMessage, LoadSample, PeerRecord, VersionTable};
 use platform::RowWrite;
+use routing::{CrashDigest, DigestSource};
 use slog::{info, warn};
 use tokio::net::UdpSocket;
 
+use crate::crash_guard;
 use crate::entry_shared::EntryShared;
 use crate::zone_exchange::{self, ReportFilter};
 
@@ -107,6 +109,7 @@
             () = tokio::time::sleep(MAX_HEARTBEAT_INTERVAL) => false,
         };
         sequence += 1;
+        crash_guard::review(&shared);
         let heartbeat = own_heartbeat(&shared, sequence);
         let is_due = last_to_listed.is_none_or(|it| it.elapsed() >= MAX_HEARTBEAT_INTERVAL);
         let to_listed = is_urgent || is_due;
@@ -152,12 +155,19 @@
 
 fn own_heartbeat(shared: &EntryShared, sequence: u64) -> EntryHeartbeat {
     let record = shared.own_record();
-    let state = shared.state();
+    let now = Instant::now();
+    let mut state = shared.state();
+    let mut crashes = CrashDigest::default();
+    if state.heartbeat_digest.is_due(now) {
+        crashes = state.crashes.own_digest(now);
+        state.heartbeat_digest.record_sent(now);
+    }
     EntryHeartbeat {
+        crashes,
         record,
         sequence,
         loads: state.loads.own_samples().into_iter().collect(),
-        weights: recent_declarations(&state.versions, Instant::now()),
+        weights: recent_declarations(&state.versions, now),
     }
 }
 
@@ -243,10 +253,15 @@
     let now = Instant::now();
     let loads: BTreeMap<u64, LoadSample> = heartbeat.loads.into_iter().collect();
     record_declarations(shared, &heartbeat.weights, now);
+    crash_guard::merge(shared, &heartbeat.crashes, DigestSource::Entry);
     let mut state = shared.state();
     state.loads.update_peer(&node, loads, now);
     state.loads.expire(now);
     let is_changed = state.peers.record_heartbeat(heartbeat.record, now);
+    if is_changed {
+        state.heartbeat_digest.record_change();
+        state.report_digest.record_change();
+    }
     drop(state);
     if is_changed {
         info!(shared.log, "entry discovered or changed"; "entry" => node);
--- a/crates/ingress/src/refusal.rs
+++ b/crates/ingress/src/refusal.rs
@@ -24,6 +24,10 @@
     Overloaded,
     /// This entry is shutting down; not run.
     Leaving,
+    /// A part of the request crashes replicas and is held back for this time; not run.
+    HeldBack(Duration),
+    /// A part of the request may crash replicas, and another request with it is being tried; not run.
+    Suspected,
     /// All attempts were refused by replicas; not run.
     RefusedByReplicas,
     /// The request was sent, and either it is not known whether it ran or its response was lost.
@@ -46,6 +50,8 @@
             | Self::NoReplica
             | Self::Overloaded
             | Self::Leaving
+            | Self::HeldBack(_)
+            | Self::Suspected
             | Self::RefusedByReplicas
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -64,6 +70,8 @@
             Self::NoReplica => "no_replica",
             Self::Overloaded => "overloaded",
             Self::Leaving => "leaving",
+            Self::HeldBack(_) => "held_back",
+            Self::Suspected => "suspected",
             Self::RefusedByReplicas => "refused_by_replicas",
             Self::Unknown => "unknown_outcome",
             Self::TimedOut => "timed_out",
@@ -77,6 +85,8 @@
             Self::Overloaded | Self::RefusedByReplicas => OVERLOAD_RETRY_MS,
             Self::NoReplica | Self::NoConfig => OUTAGE_RETRY_MS,
             Self::Leaving => LEAVING_RETRY_MS,
+            Self::HeldBack(delay) => return Some(delay),
+            Self::Suspected => TRIAL_RETRY_MS,
             _ => return None,
         };
         Some(Duration::from_millis(
@@ -99,5 +109,8 @@
 /// Range of the retry delay while replicas or the configuration are unavailable, in milliseconds.
 const OUTAGE_RETRY_MS: (u64, u64) = (300, 900);
 
+/// Range of the delay after which a trial of a suspected part has ended, in milliseconds.
+const TRIAL_RETRY_MS: (u64, u64) = (500, 1000);
+
 /// Range of the delay before retrying at another entry, in milliseconds.
 const LEAVING_RETRY_MS: (u64, u64) = (5, 40);
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -11,7 +11,7 @@
 use slog::info;
 
 use crate::client_call::ClientCall;
-use crate::crash_probe;
+use crate::crash_guard;
 use crate::entry_shared::EntryShared;
 
 /// Outcome of a send.
@@ -186,7 +186,7 @@
     }
     drop(state);
     if matches!(outcome, SendOutcome::Unknown("connection_lost")) {
-        crash_probe::start(shared, &chosen.replica);
+        crash_guard::record_break(shared, call, &chosen.replica, true);
     }
     if !matches!(outcome, SendOutcome::Response(..)) {
         shared
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -9,6 +9,7 @@
 use slog::info;
 
 use crate::client_call::{ClientCall, kind_label, read_call};
+use crate::crash_guard;
 use crate::entry_shared::EntryShared;
 use crate::refusal::Refusal;
 use crate::replica_send::{NotRunReason, SendOutcome};
@@ -77,6 +78,7 @@
     if stop::must_refuse(shared, &call) {
         return Err(Refusal::Leaving);
     }
+    crash_guard::admit(shared, &call).await?;
     shared
         .state()
         .retry_budget(&call.service, &shared.settings, call.arrived)
--- a/crates/ingress/src/retry_denial.rs
+++ b/crates/ingress/src/retry_denial.rs
@@ -11,6 +11,8 @@
     Deadline,
     /// The request was sent to as many replicas as its route allows.
     Attempts,
+    /// A part of the request may crash replicas.
+    SuspectedCrash,
     /// The retry budget of the service is used up.
     Budget,
     /// No other replica is registered, healthy and has an allowed version of the weights.
@@ -22,7 +24,10 @@
 impl RetryDenial {
     /// Returns whether a later attempt would be denied as well.
     pub(crate) fn is_final(self) -> bool {
-        matches!(self, Self::NotRepeatable | Self::Deadline | Self::Attempts)
+        matches!(
+            self,
+            Self::NotRepeatable | Self::Deadline | Self::Attempts | Self::SuspectedCrash
+        )
     }
 
     /// Returns the name of the reason in logs and metrics.
@@ -31,6 +36,7 @@
             Self::NotRepeatable => "not_repeatable",
             Self::Deadline => "deadline",
             Self::Attempts => "attempts",
+            Self::SuspectedCrash => "suspected_crash",
             Self::Budget => "budget",
             Self::NoReplica => "no_replica",
             Self::Overloaded => "overloaded",
--- a/crates/ingress/src/stream_attempts.rs
+++ b/crates/ingress/src/stream_attempts.rs
@@ -17,6 +17,7 @@
 use slog::info;
 
 use crate::client_call::ClientCall;
+use crate::crash_guard;
 use crate::entry_shared::EntryShared;
 use crate::refusal::Refusal;
 use crate::replica_send::{SendOutcome, return_connection};
@@ -50,6 +51,8 @@
     may_have_run: bool,
     /// Whether the last attempt that failed had reached its replica.
     has_arrived: bool,
+    /// Whether an attempt broke off at its start, so that the request may have crashed the replica.
+    broke_at_start: bool,
 }
 
 /// Result of reading from the attempts.
@@ -79,6 +82,7 @@
     Read(SegmentRead),
     Started(AttemptStart),
     Silent,
+    HeldBack,
     DeadlinePassed,
 }
 
@@ -98,6 +102,7 @@
             has_events: false,
             may_have_run: false,
             has_arrived: false,
+            broke_at_start: false,
         }
     }
 
@@ -147,6 +152,11 @@
                     self.handle_silence();
                     None
                 }
+                AttemptEvent::HeldBack => {
+                    self.starting.clear();
+                    self.may_have_run = true;
+                    return StreamRead::Ended(self.refusal(RetryDenial::SuspectedCrash));
+                }
                 AttemptEvent::DeadlinePassed => {
                     self.may_have_run = true;
                     return StreamRead::Ended(self.refusal(RetryDenial::Deadline));
@@ -176,6 +186,9 @@
             read = read_serving(self.serving.as_mut()) => AttemptEvent::Read(read),
             Some(start) = self.starting.next() => AttemptEvent::Started(start),
             () = sleep_until(self.ask_at) => AttemptEvent::Silent,
+            () = crash_guard::held_back(&self.shared, &self.call), if !self.has_events => {
+                AttemptEvent::HeldBack
+            }
             () = sleep_until(deadline) => AttemptEvent::DeadlinePassed,
         }
     }
@@ -196,6 +209,7 @@
                 segment.record_interruption(&self.shared, &self.call, interruption);
                 self.may_have_run = true;
                 self.has_arrived = true;
+                self.broke_at_start |= interruption.may_be_crash();
                 segment.chosen.replica.id
             }
             AttemptStart::Responded(mut segment, read) => {
@@ -221,7 +235,12 @@
             AttemptStart::Failed(id, outcome) => {
                 match outcome {
                     SendOutcome::NotRun(reason) => self.has_arrived = reason.has_arrived(),
-                    SendOutcome::Unknown(_) | SendOutcome::Response(..) => {
+                    SendOutcome::Unknown(reason) => {
+                        self.may_have_run = true;
+                        self.has_arrived = true;
+                        self.broke_at_start |= reason == "connection_lost";
+                    }
+                    SendOutcome::Response(..) => {
                         self.may_have_run = true;
                         self.has_arrived = true;
                     }
@@ -240,7 +259,11 @@
     }
 
     /// Makes `segment` the attempt that is relayed, and cancels all others.
-    fn continue_with(&mut self, segment: StreamSegment, read: SegmentRead) -> Option<StreamRead> {
+    fn continue_with(
+        &mut self,
+        mut segment: StreamSegment,
+        read: SegmentRead,
+    ) -> Option<StreamRead> {
         match read {
             SegmentRead::Events(bytes) => {
                 self.starting.clear();
@@ -248,12 +271,13 @@
                 self.has_events = true;
                 self.last_event_id = segment.last_event_id();
                 self.ask_at = None;
+                segment.record_survival(&self.shared, &self.call);
                 self.serving = Some(segment);
                 Some(StreamRead::Events(bytes))
             }
             SegmentRead::Complete(rest) => {
                 self.starting.clear();
-                segment.record_completion(&self.shared);
+                segment.record_completion(&self.shared, &self.call);
                 let head = segment.response_head();
                 let (_, connection, address) = segment.pooled_response.into_parts();
                 return_connection(&self.shared, connection, address, &segment.metadata);
@@ -263,6 +287,7 @@
                 segment.record_interruption(&self.shared, &self.call, interruption);
                 self.may_have_run = true;
                 self.has_arrived = true;
+                self.broke_at_start |= interruption.may_be_crash() && segment.is_starting();
                 None
             }
         }
@@ -307,6 +332,9 @@
         if self.may_have_run && !self.call.route.is_retryable() {
             return Err(RetryDenial::NotRepeatable);
         }
+        if self.is_suspected() {
+            return Err(RetryDenial::SuspectedCrash);
+        }
         let chosen = choose_replica(&self.shared, &self.call, &self.tried, self.last_event_id);
         let chosen = chosen.map_err(|cause| {
             log_no_replica(&self.shared, &self.call, cause, &self.tried);
@@ -331,6 +359,14 @@
         Ok(())
     }
 
+    /// Returns whether a further attempt may crash a further replica.
+    fn is_suspected(&self) -> bool {
+        let may_retry = || crash_guard::may_retry(&self.shared, &self.call);
+        let is_first = self.tried.is_empty();
+        let is_held = || crash_guard::is_held_back(&self.shared, &self.call);
+        (self.broke_at_start && !may_retry()) || (!is_first && is_held())
+    }
+
     /// Returns the response for the client if no attempt is left.
     fn refusal(&self, denial: RetryDenial) -> Refusal {
         let is_expired = denial == RetryDenial::Deadline;
--- a/crates/ingress/src/stream_segment.rs
+++ b/crates/ingress/src/stream_segment.rs
@@ -11,7 +11,7 @@
 use slog::info;
 
 use crate::client_call::ClientCall;
-use crate::crash_probe;
+use crate::crash_guard;
 use crate::entry_shared::EntryShared;
 use crate::in_flight_guard::InFlightGuard;
 use crate::replica_send::{SendOutcome, send};
@@ -25,6 +25,8 @@
     cursor: StreamCursor,
     guard: InFlightGuard,
     sent_at: Instant,
+    first_event_at: Option<Instant>,
+    is_survival_recorded: bool,
 }
 
 /// Result of reading from a segment.
@@ -61,7 +63,7 @@
     }
 
     /// Returns whether a replica that ends may cause it. Without chunks or a length, a lost connection ends a response.
-    fn may_be_crash(self) -> bool {
+    pub(crate) fn may_be_crash(self) -> bool {
         matches!(
             self,
             Self::ConnectionLost | Self::Stream(StreamError::InsideEvent | StreamError::NoEvent)
@@ -112,6 +114,8 @@
                 cursor: StreamCursor::new(last_event_id),
                 guard,
                 sent_at,
+                first_event_at: None,
+                is_survival_recorded: false,
             }),
             failed => Err(failed),
         }
@@ -162,7 +166,10 @@
                 continue;
             };
             match self.cursor.push(&data) {
-                Ok(Some(events)) => return SegmentRead::Events(Bytes::from(events.bytes)),
+                Ok(Some(events)) => {
+                    self.first_event_at.get_or_insert_with(Instant::now);
+                    return SegmentRead::Events(Bytes::from(events.bytes));
+                }
                 Ok(None) => {}
                 Err(err) => return SegmentRead::Interrupted(Interruption::Stream(err)),
             }
@@ -176,6 +183,23 @@
         }
     }
 
+    /// Returns whether the replica was about to begin the response or had just begun it.
+    pub(crate) fn is_starting(&self) -> bool {
+        self.first_event_at
+            .is_none_or(|it| it.elapsed() < START_GRACE)
+    }
+
+    /// Records that the replica survived the start of the response, once it has.
+    pub(crate) fn record_survival(&mut self, shared: &EntryShared, call: &ClientCall) {
+        if self.is_survival_recorded || self.is_starting() {
+            return;
+        }
+        self.is_survival_recorded = true;
+        if let Some(begun_at) = self.first_event_at {
+            crash_guard::record_survival(shared, call, begun_at);
+        }
+    }
+
     /// Records that the replica continues a stream after the event `after`, which says nothing about the time to the
     /// client's first event.
     pub(crate) fn record_resumed(
@@ -237,7 +261,10 @@
     }
 
     /// Records that the segment has completed the stream.
-    pub(crate) fn record_completion(&self, shared: &EntryShared) {
+    pub(crate) fn record_completion(&self, shared: &EntryShared, call: &ClientCall) {
+        if !self.is_survival_recorded {
+            crash_guard::record_survival(shared, call, Instant::now());
+        }
         self.count_end(shared, "complete");
     }
 
@@ -249,7 +276,7 @@
         interruption: Interruption,
     ) {
         if interruption.may_be_crash() {
-            crash_probe::start(shared, &self.chosen.replica);
+            crash_guard::record_break(shared, call, &self.chosen.replica, self.is_starting());
         }
         // If the request's deadline has passed or is about to, that is not a fault of the replica.
         if call.time_remaining() >= MIN_JUDGED_TIME
@@ -292,5 +319,8 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Time after the first event in which a crash of the replica may be due to the request.
+const START_GRACE: Duration = Duration::from_millis(250);
+
 /// Minimum remaining time in which a broken stream still counts as a failure of its replica.
 const MIN_JUDGED_TIME: Duration = Duration::from_millis(100);
--- a/crates/ingress/src/zone_exchange.rs
+++ b/crates/ingress/src/zone_exchange.rs
@@ -7,9 +7,11 @@
 
 use fleet::{AgentStatus, FleetMessage, LoadSample, PeerRecord, RelayScope, ZoneReport};
 use rand::seq::IndexedRandom;
+use routing::{CrashDigest, DigestSource};
 use slog::info;
 use tokio::net::UdpSocket;
 
+use crate::crash_guard;
 use crate::entry_shared::EntryShared;
 use crate::peer_exchange::{recent_declarations, record_declarations};
 
@@ -51,6 +53,7 @@
         let is_due = last_sent
             .as_ref()
             .is_none_or(|(at, sent)| at.elapsed() >= MAX_REPORT_INTERVAL || *sent != loads);
+        let is_due = is_due || shared.state().report_digest.has_change();
         if !is_due {
             continue;
         }
@@ -75,7 +78,12 @@
     let now = Instant::now();
     let own = shared.own_record();
     let zone = &shared.settings.zone;
-    let state = shared.state();
+    let mut state = shared.state();
+    let mut crashes = CrashDigest::default();
+    if state.report_digest.is_due(now) {
+        crashes = state.crashes.zone_digest(now, zone);
+        state.report_digest.record_sent(now);
+    }
     let mut entries: Vec<PeerRecord> = Vec::new();
     if with_roster {
         let alive = state.peers.alive(now).filter(|it| it.zone == *zone);
@@ -90,6 +98,7 @@
         loads,
         weights: recent_declarations(&state.versions, now),
         entries,
+        crashes,
     }
 }
 
@@ -114,6 +123,7 @@
     }
     let now = Instant::now();
     record_declarations(shared, &report.weights, now);
+    crash_guard::merge(shared, &report.crashes, DigestSource::Zone);
     let loads = report.loads.into_iter().collect();
     let mut state = shared.state();
     state.loads.update_zone(&report.zone, loads, now);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,8 +9,13 @@
 mod attempt_race;
 mod call_kind;
 mod concurrency_limit;
+mod crash_digest;
+mod crash_score;
+mod crash_table;
+mod digest_schedule;
 mod fair_queue;
 mod hedge_timer;
+mod hold_table;
 mod in_flight_table;
 mod load_meter;
 mod order_event;
@@ -19,12 +24,14 @@
 mod outlier_table;
 mod overload_tracker;
 mod part_id;
+mod part_ranking;
 mod prefix_table;
 mod queue_backlog;
 mod queue_request;
 mod resumable_stream;
 mod retry_budget;
 mod service_rate;
+mod survival_log;
 mod target_choice;
 mod wait_estimate;
 
@@ -32,8 +39,16 @@
 pub use attempt_race::{AttemptRace, RaceAction};
 pub use call_kind::{CallKind, call_kind};
 pub use concurrency_limit::{ConcurrencyLimit, LatencyTargets};
+pub use crash_digest::{
+    CrashDigest, CrashId, CrashRecord, HoldRecord, SurvivalRecord, TrialRecord,
+};
+pub use crash_table::{
+    CrashConclusion, CrashTable, DigestSource, MergeEffect, PartAdmission, PartChange,
+};
+pub use digest_schedule::DigestSchedule;
 pub use fair_queue::FairQueue;
 pub use hedge_timer::HedgeTimer;
+pub use hold_table::HoldState;
 pub use in_flight_table::InFlightTable;
 pub use load_meter::LoadMeter;
 pub use order_event::{OrderAction, OrderEvent, OrderResponse};
@@ -41,7 +56,7 @@
 pub use order_state_machine::OrderStateMachine;
 pub use outlier_table::OutlierTable;
 pub use overload_tracker::{OverloadState, OverloadTracker, OverloadTransition};
-pub use part_id::PartId;
+pub use part_id::{PartId, PoolId};
 pub use prefix_table::PrefixTable;
 pub use queue_request::{QueueLimits, QueueRefusal, QueueRequest, QueueTicket};
 pub use resumable_stream::{RecoveryAction, ResumableStream, SilenceAction, TokenAction};
