Tests: accidental crashes, a restarted entry and hostile digests

Real processes: nine accidental crashes in series beside sound requests hold no part back, and an entry that is killed and started again refuses at once what the others hold back. Pure: any digest can be merged, released and told again; the counters of holds no longer overflow, which a hostile digest could have used to end an entry of a debug build.

--- a/crates/fulmarline/tests/platform_crashes.rs
+++ b/crates/fulmarline/tests/platform_crashes.rs
@@ -3,6 +3,7 @@
 #[path = "support/site.rs"]
 mod site;
 
+use std::cell::Cell;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
@@ -185,3 +186,62 @@
 fn a_first_part_that_crashes_replicas_is_refused_by_all_entries() {
     check_guilty_part_is_refused("crash-first", 150, "deadbeef:40,bbbb02:60");
 }
+
+// Guards against a started entry sending what the others hold back (incident BUDGET).
+#[test]
+fn a_restarted_entry_refuses_what_others_hold_back() {
+    let mut site = CrashSite::start("crash-restart", 160);
+    let caller = site.site.caller();
+    let send = |entry: usize, id: &str| {
+        let parts = format!("aaaa01:40,{GUILTY_PART}:60,{id}:20");
+        caller.call_with_parts(entry, "/draft/1", id, &parts)
+    };
+    let is_held =
+        |it: &Option<SiteResponse>| it.as_ref().is_some_and(|it| it.body.trim() == "held_back");
+    let sent = Cell::new(0);
+    site.site.wait("a part held back by both entries", |_| {
+        sent.set(sent.get() + 1);
+        let responses = [0, 1].map(|entry| send(entry, &format!("{entry}f{}", sent.get())));
+        responses.iter().all(is_held).then_some(())
+    });
+    site.site.entries[1].kill();
+    site.site.start_entry(1);
+    let response = site
+        .site
+        .wait("a response of the restarted entry", |_| send(1, "ff"));
+    assert!(is_held(&Some(response)), "not held back");
+    assert!(!site.has_run("ff"));
+}
+
+/// Returns the sum of a counter of both entries.
+fn counter(site: &TestSite, name: &str) -> f64 {
+    let metrics = [0, 1].map(|it| site.metrics(it)).concat();
+    let lines = metrics.lines().filter_map(|it| it.strip_prefix(name));
+    lines.filter_map(|it| it.trim().parse::<f64>().ok()).sum()
+}
+
+// Guards against accidental crashes holding back what the requests beside them share.
+#[test]
+fn accidental_crashes_hold_nothing_back() {
+    let site = CrashSite::start("crash-accidents", 170);
+    let stop = AtomicBool::new(false);
+    let requests = std::thread::scope(|scope| {
+        let (caller, stop) = (site.site.caller(), &stop);
+        let sound =
+            scope.spawn(move || send_requests(&caller, "sound", "aaaa01:40,bbbb02:60", stop));
+        for index in 0..9 {
+            std::thread::sleep(Duration::from_millis(300));
+            site.replicas[index % site.replicas.len()].crash();
+        }
+        stop.store(true, Ordering::Relaxed);
+        sound.join().unwrap()
+    });
+    assert!(site.log.times().len() > 5, "too few crashes");
+    let held = counter(&site.site, "fulmarline_part_changes_total{change=\"held\"}");
+    assert!(held < 1.0, "{held} parts were held back");
+    let refused = requests.iter().filter(|it| {
+        let body = it.response.as_ref().map(|it| it.body.trim());
+        body == Some("held_back")
+    });
+    assert_eq!(refused.count(), 0);
+}
--- a/crates/routing/src/hold_table.rs
+++ b/crates/routing/src/hold_table.rs
@@ -52,7 +52,7 @@
             return;
         }
         let hold = Hold {
-            serial: serial + 1,
+            serial: serial.saturating_add(1),
             is_held: true,
             changed_at: now,
             crashes,
@@ -67,10 +67,10 @@
         let Some(hold) = self.holds.get_mut(&part).filter(|it| it.is_held) else {
             return;
         };
-        hold.serial += 1;
+        hold.serial = hold.serial.saturating_add(1);
         hold.changed_at = now;
-        hold.crashes += 1;
-        hold.failed_trials += 1;
+        hold.crashes = hold.crashes.saturating_add(1);
+        hold.failed_trials = hold.failed_trials.saturating_add(1);
         hold.version = version;
     }
 
@@ -79,7 +79,7 @@
         let Some(hold) = self.holds.get_mut(&part).filter(|it| it.is_held) else {
             return false;
         };
-        hold.serial += 1;
+        hold.serial = hold.serial.saturating_add(1);
         hold.is_held = false;
         hold.changed_at = now;
         true
--- a/crates/routing/tests/crashes.rs
+++ b/crates/routing/tests/crashes.rs
@@ -2,9 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+use arbtest::arbitrary::{self, Unstructured};
 use expect_test::{Expect, expect};
 use routing::{
-    CrashDigest, CrashId, CrashTable, DigestSource, PartAdmission, PartChange, PartId, PoolId,
+    CrashDigest, CrashId, CrashRecord, CrashTable, DigestSource, HoldRecord, PartAdmission,
+    PartChange, PartId, PoolId, SurvivalRecord, TrialRecord,
 };
 
 /// What an entry observes.
@@ -366,6 +368,61 @@
     expect!["clear"].assert_eq(&admission(&second, &[1], 1));
 }
 
+/// Returns any digest, also one that no entry would send.
+fn arbitrary_digest(u: &mut Unstructured<'_>) -> arbitrary::Result<CrashDigest> {
+    let mut digest = CrashDigest::default();
+    for _ in 0..u.int_in_range(0..=8)? {
+        let (digest_of_part, age_ms) = (u.int_in_range(0..=3)?, u.arbitrary()?);
+        let part = parts(&[digest_of_part])[0];
+        digest.crashes.push(CrashRecord {
+            id: CrashId::new("replica", Some(u.int_in_range(0..=5)?)),
+            pool: pool(),
+            age_ms,
+            parts: vec![digest_of_part, u.int_in_range(0..=3)?],
+        });
+        digest.survivals.push(SurvivalRecord {
+            part,
+            reporter: u.arbitrary()?,
+            ages_ms: vec![u.arbitrary()?; 6],
+        });
+        digest.trials.push(TrialRecord { part, age_ms });
+        digest.holds.push(HoldRecord {
+            part,
+            serial: u.arbitrary()?,
+            is_held: u.arbitrary()?,
+            age_ms: u.arbitrary()?,
+            crashes: u.arbitrary()?,
+            failed_trials: u.arbitrary()?,
+            version: u.arbitrary()?,
+        });
+    }
+    Ok(digest)
+}
+
+// Guards against a message that ends an entry, or that it would pass on to end others.
+#[test]
+fn any_digest_can_be_merged() {
+    for seed in 0..400 {
+        arbtest::arbtest(|u| {
+            let mut entry = TestEntry::new();
+            for _ in 0..4 {
+                let digest = arbitrary_digest(u)?;
+                entry.table.merge(entry.now, &digest, DigestSource::Entry);
+                entry.apply(&Crash(&[0, 1]));
+                entry.apply(&Survived(&[1]));
+                let part = parts(&[0])[0];
+                entry.table.record_failed_trial(entry.now, part, None);
+                entry.table.release(entry.now, part);
+                admission(&entry, &[0, 1, 2, 3], 1);
+            }
+            let told = entry.table.zone_digest(entry.now, "a");
+            assert!(told.holds.len() <= 64 && told.crashes.len() <= 32);
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
 // Guards against callers that invent parts filling the memory of an entry.
 #[test]
 fn invented_parts_are_bounded() {
