Own interface: prompts, orders and lookups that crash their targets are held back

A lost attempt was the target's fault, and neither the request nor the other entries kept anything of it.

Ruled out: taking every lost connection for a crash; a lost host says nothing about its requests. The agent probes its engine or service, so only an end that the host outlives counts.

Change: entries keep the same table as on the platform, for the messages of a prompt, and for the path and the body of calls to services. They exchange it with their summaries, refuse with the new code 210 held-back, and list parts in 'show parts'. A recorded outcome of an order is still returned.

Measured: crashing_prompts passes, at most 8 engines crash and both entries refuse in the end. Not tested with real processes: a service that crashes on an order or a lookup.

--- a/crates/agent/src/control/control_server.rs
+++ b/crates/agent/src/control/control_server.rs
@@ -10,12 +10,13 @@
 use tarpc::server::{BaseChannel, Channel};
 use wire::{AgentControl, RevokeOutcome, WireCounters, context};
 
-use crate::gate::SharedGate;
+use crate::gate::{BackEndProbe, SharedGate};
 
 /// Starts the listener for control calls.
 pub(crate) async fn serve(
     settings: &Arc<AgentSettings>,
     gate: Arc<SharedGate>,
+    probe: Arc<BackEndProbe>,
     counters: WireCounters,
     log: Logger,
 ) -> anyhow::Result<()> {
@@ -23,10 +24,10 @@
         .await
         .with_context(|| format!("cannot listen on {}", settings.listen.control))?;
     let settings = settings.clone();
+    let server = AgentServer { gate, probe };
     tokio::spawn(async move {
         let serve_connection = move |transport| {
-            let calls = BaseChannel::with_defaults(transport)
-                .execute(RevokeServer { gate: gate.clone() }.serve());
+            let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
             tokio::spawn(calls.for_each(|call| async {
                 tokio::spawn(call);
             }));
@@ -44,11 +45,12 @@
 }
 
 #[derive(Clone)]
-struct RevokeServer {
+struct AgentServer {
     gate: Arc<SharedGate>,
+    probe: Arc<BackEndProbe>,
 }
 
-impl AgentControl for RevokeServer {
+impl AgentControl for AgentServer {
     async fn revoke(
         self,
         _: context::Context,
@@ -57,4 +59,8 @@
     ) -> RevokeOutcome {
         self.gate.revoke(attempt, incarnation)
     }
+
+    async fn back_end_ended_at(self, _: context::Context) -> Option<u64> {
+        self.probe.ended_at().await
+    }
 }
--- a/crates/agent/src/gate/gate_server.rs
+++ b/crates/agent/src/gate/gate_server.rs
@@ -15,6 +15,7 @@
 use slog::{Logger, warn};
 
 use crate::gate::admitted_attempt::AdmittedAttempt;
+use crate::gate::back_end_probe::BackEndProbe;
 use crate::gate::response_relay;
 use crate::gate::shared_gate::SharedGate;
 
@@ -22,6 +23,7 @@
 pub(crate) fn serve(
     settings: &Arc<AgentSettings>,
     gate: Arc<SharedGate>,
+    probe: Arc<BackEndProbe>,
     log: Logger,
 ) -> anyhow::Result<httpio::ServerHandle> {
     let limits = httpio::ServerLimits {
@@ -35,6 +37,7 @@
         .with_context(|| format!("cannot listen on {}", settings.listen.gate))?;
     let forwarder = Forwarder {
         gate,
+        probe,
         token: SecretText::new(wire::gate_token(settings.shared_key.reveal())),
         settings: settings.clone(),
         back_end: crate::back_end_address(&settings.target),
@@ -50,6 +53,7 @@
 #[derive(Clone)]
 struct Forwarder {
     gate: Arc<SharedGate>,
+    probe: Arc<BackEndProbe>,
     token: SecretText,
     settings: Arc<AgentSettings>,
     back_end: SocketAddr,
@@ -149,6 +153,7 @@
                 );
             }
         };
+        self.probe.record_alive();
         let (response, _sender, _address) = pooled_response.into_parts();
         if admitted.kind() == CallKind::Completion && response.status() == ENGINE_REFUSAL_STATUS {
             return error_response(ResultCode::TargetRefused, "the engine refused the request");
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -22,7 +22,7 @@
 use slog::{Logger, info, warn};
 
 use crate::control::{AgentView, ControlThread};
-use crate::gate::SharedGate;
+use crate::gate::{BackEndProbe, SharedGate};
 use crate::transfer::{ChunkStore, SharedPacer, TransferContext};
 
 /// Runs an agent until a planned stop has finished. `stop` completes when a planned stop is requested.
@@ -54,9 +54,17 @@
     let view = Arc::new(AgentView::new(incarnation));
 
     runtime.block_on(async {
-        let gate_listener = gate::serve(&settings, gate.clone(), log.clone())?;
+        let probe = Arc::new(BackEndProbe::new(back_end_address(&settings.target)));
+        let gate_listener = gate::serve(&settings, gate.clone(), probe.clone(), log.clone())?;
         let _peer_listener = transfer::serve(&settings, store.clone(), pacer.clone())?;
-        control::serve(&settings, gate.clone(), counters.clone(), log.clone()).await?;
+        control::serve(
+            &settings,
+            gate.clone(),
+            probe,
+            counters.clone(),
+            log.clone(),
+        )
+        .await?;
         operators::serve(
             settings.clone(),
             view.clone(),
--- a/crates/control/src/language/table_name.rs
+++ b/crates/control/src/language/table_name.rs
@@ -96,6 +96,10 @@
     Leases = "leases" {
         lease: Text, holder: Text, fencing: Number, left_ms: Number, state: Text,
     }
+    /// One row for each part of requests that is suspected to crash targets, held back, or was released lately.
+    Parts = "parts" {
+        part: Text, state: Text, crashes: Number, age_s: Number, trial_s: Number, failed_trials: Number,
+    }
     /// One row for each entry and agent process.
     Processes = "processes" {
         role: Text, host: Text, zone: Text, control: Text, incarnation: Text, state: Text,
--- a/crates/entry/src/calls/attempt_plan.rs
+++ b/crates/entry/src/calls/attempt_plan.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use model::{HostName, TargetKind, VersionDigest};
-use routing::CallKind;
+use routing::{CallKind, PartId};
 
 use crate::calls::target_response::TargetResponse;
 
@@ -25,6 +25,8 @@
     pub(crate) tokens_before_response: u32,
     /// Digest of the prompt prefix, for cache affinity.
     pub(crate) prefix_digest: Option<u64>,
+    /// Parts that other requests may share, to which evidence about crashes refers.
+    pub(crate) parts: Vec<PartId>,
     /// Hosts that further attempts avoid; shared between a lookup and its hedge.
     pub(crate) tried_hosts: Arc<Mutex<BTreeSet<HostName>>>,
     /// Hosts of attempts that are still running; a further attempt beside them must run elsewhere.
@@ -52,6 +54,7 @@
             cost: 1,
             tokens_before_response: 0,
             prefix_digest: None,
+            parts: Vec::new(),
             tried_hosts: Arc::default(),
             running_hosts: BTreeSet::new(),
         }
--- a/crates/entry/src/calls/call_server.rs
+++ b/crates/entry/src/calls/call_server.rs
@@ -14,6 +14,7 @@
 use crate::calls::call_context::{self, CallContext};
 use crate::calls::call_counters::CallCounters;
 use crate::calls::call_error::{self, CallError};
+use crate::calls::crash_guard::CrashGuard;
 use crate::calls::directory;
 use crate::calls::dispatcher::Dispatcher;
 use crate::calls::slot_scheduler::SlotScheduler;
@@ -39,10 +40,11 @@
         snapshots: Arc<SnapshotCell>,
         table: TableClient,
         counters: Arc<CallCounters>,
+        guard: Arc<CrashGuard>,
         log: Logger,
     ) -> Self {
         let scheduler = SlotScheduler::new(settings.clone(), snapshots.clone(), counters.clone());
-        let dispatcher = Dispatcher::new(settings.clone(), Arc::new(scheduler), log.clone());
+        let dispatcher = Dispatcher::new(settings.clone(), Arc::new(scheduler), guard, log.clone());
         Self {
             settings,
             snapshots,
--- a/crates/entry/src/calls/dispatch_race.rs
+++ b/crates/entry/src/calls/dispatch_race.rs
@@ -112,9 +112,15 @@
 
     async fn on_lost(&mut self, attempt: AttemptId) -> RaceAction {
         let row = self.running.remove(&attempt);
-        let scheduler = &self.dispatcher.scheduler;
+        let (scheduler, guard) = (&self.dispatcher.scheduler, &self.dispatcher.guard);
+        let parts = &self.plan.parts;
         let in_time = Instant::now() < self.call.deadline;
-        let action = self.race.on_lost(in_time, || scheduler.try_acquire_retry());
+        let action = self.race.on_lost(in_time, || {
+            guard.may_retry(parts) && scheduler.try_acquire_retry()
+        });
+        if let Some(row) = &row {
+            guard.record_lost(row, parts);
+        }
         if let Some(action) = action {
             return action;
         }
--- a/crates/entry/src/calls/dispatcher.rs
+++ b/crates/entry/src/calls/dispatcher.rs
@@ -13,6 +13,7 @@
 use crate::calls::attempt_plan::{AttemptOutcome, AttemptPlan};
 use crate::calls::call_context::CallContext;
 use crate::calls::call_error::CallError;
+use crate::calls::crash_guard::CrashGuard;
 use crate::calls::dispatch_race::DispatchRace;
 use crate::calls::dispatch_state::SlotRequest;
 use crate::calls::slot_scheduler::SlotScheduler;
@@ -24,6 +25,7 @@
 pub(crate) struct Dispatcher {
     settings: Arc<EntrySettings>,
     pub(crate) scheduler: Arc<SlotScheduler>,
+    pub(crate) guard: Arc<CrashGuard>,
     client: HttpClient,
     /// Authenticates the entry to the gates.
     authorization: HeaderValue,
@@ -35,6 +37,7 @@
     pub(crate) fn new(
         settings: Arc<EntrySettings>,
         scheduler: Arc<SlotScheduler>,
+        guard: Arc<CrashGuard>,
         log: Logger,
     ) -> Self {
         let token = wire::gate_token(settings.shared_key.reveal());
@@ -44,6 +47,7 @@
         Self {
             settings,
             scheduler,
+            guard,
             client: HttpClient::new(None, CONNECT_TIMEOUT),
             authorization,
             counters: WireCounters::default(),
@@ -65,6 +69,7 @@
         call: &CallContext,
         plan: &AttemptPlan,
     ) -> Result<TargetResponse, CallError> {
+        self.guard.admit(&plan.parts)?;
         DispatchRace::new(self, call, plan).run().await
     }
 
--- a/crates/entry/src/calls/mod.rs
+++ b/crates/entry/src/calls/mod.rs
@@ -5,6 +5,7 @@
 mod call_counters;
 mod call_error;
 mod call_server;
+mod crash_guard;
 mod directory;
 mod dispatch_race;
 mod dispatch_state;
@@ -24,3 +25,4 @@
 
 pub(crate) use call_counters::CallCounters;
 pub(crate) use call_server::CallServer;
+pub(crate) use crash_guard::CrashGuard;
--- a/crates/entry/src/calls/model_request.rs
+++ b/crates/entry/src/calls/model_request.rs
@@ -38,6 +38,12 @@
         Some(u64::from_le_bytes(*head))
     }
 
+    /// Returns the texts that the prompt consists of, which other requests may share.
+    pub(crate) fn texts(&self) -> impl Iterator<Item = &str> {
+        let messages = self.messages.iter().filter_map(|it| it.content.as_deref());
+        self.prompt.as_deref().into_iter().chain(messages)
+    }
+
     /// Returns the number of tokens that the request may generate.
     pub(crate) fn estimated_tokens(&self) -> u32 {
         self.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1)
--- a/crates/entry/src/calls/order_driver.rs
+++ b/crates/entry/src/calls/order_driver.rs
@@ -161,13 +161,22 @@
     slot: TargetSlot,
     attempt: AttemptId,
 ) -> OrderEvent {
-    match dispatcher.send_attempt(call, plan, slot, attempt).await {
-        AttemptOutcome::Response(response) => match read_outcome(*response, call).await {
-            Ok(outcome) => OrderEvent::Responded(outcome),
-            Err(_) => OrderEvent::ConnectionLost,
-        },
-        AttemptOutcome::NotRun(code) => OrderEvent::Refused(code),
-        AttemptOutcome::Unknown => OrderEvent::ConnectionLost,
+    let row = slot.row.clone();
+    let outcome = match dispatcher.send_attempt(call, plan, slot, attempt).await {
+        AttemptOutcome::Response(response) => read_outcome(*response, call).await.ok(),
+        AttemptOutcome::NotRun(code) => return OrderEvent::Refused(code),
+        AttemptOutcome::Unknown => None,
+    };
+    match outcome {
+        Some(outcome) => {
+            let guard = &dispatcher.guard;
+            guard.record_survival(&plan.parts, Instant::now().into_std());
+            OrderEvent::Responded(outcome)
+        }
+        None => {
+            dispatcher.guard.record_lost(&row, &plan.parts);
+            OrderEvent::ConnectionLost
+        }
     }
 }
 
--- a/crates/entry/src/calls/service_call.rs
+++ b/crates/entry/src/calls/service_call.rs
@@ -14,6 +14,7 @@
 use crate::calls::call_context::CallContext;
 use crate::calls::call_counters::CallGuard;
 use crate::calls::call_error::CallError;
+use crate::calls::crash_guard;
 use crate::calls::dispatcher::{self, Dispatcher};
 use crate::calls::model_call;
 use crate::calls::order_driver::{self, OrderDriver};
@@ -47,7 +48,12 @@
         .map(|it| it.service(&service))
         .unwrap_or_default();
     let kind = routing::call_kind(call.method.as_str(), config.orders);
-    let plan = AttemptPlan::new(target, kind);
+    // The path and the body stand for themselves: a service may crash on either.
+    let texts = [call.path.as_bytes(), &call.body].into_iter();
+    let plan = AttemptPlan {
+        parts: crash_guard::parts(&target, texts.filter(|it| !it.is_empty())),
+        ..AttemptPlan::new(target, kind)
+    };
     dispatcher.scheduler.on_request();
     if kind == CallKind::Lookup {
         return hedged_lookup(dispatcher, &call, &plan).await;
@@ -60,7 +66,13 @@
         }
         None => {
             let response = dispatcher.dispatch(&call, &plan).await?;
-            model_call::read_response(response, &call).await
+            let result = model_call::read_response(response, &call).await;
+            if result.is_ok() {
+                dispatcher
+                    .guard
+                    .record_survival(&plan.parts, Instant::now());
+            }
+            result
         }
     }
 }
@@ -76,7 +88,13 @@
     let attempt = || async {
         let response = dispatcher.dispatch(call, plan).await?;
         plan.mark_tried(&response.slot.row.host);
-        model_call::read_response(response, call).await
+        let result = model_call::read_response(response, call).await;
+        if result.is_ok() {
+            dispatcher
+                .guard
+                .record_survival(&plan.parts, Instant::now());
+        }
+        result
     };
     let primary = std::pin::pin!(attempt());
     let Some(delay) = dispatcher.scheduler.hedge_delay(plan.kind, time_remaining) else {
@@ -113,6 +131,9 @@
     retention: Duration,
     guard: CallGuard,
 ) -> CallResult {
+    if let Err(error) = dispatcher.guard.admit(&plan.parts) {
+        return recorded_outcome(&table, &call, error).await;
+    }
     let slot_request = dispatcher.slot_request(&call, &plan);
     let slot = match dispatcher
         .scheduler
@@ -155,7 +176,7 @@
     }
 }
 
-/// Returns the recorded outcome of an order for which no slot is available, or `error` if no row can be read.
+/// Returns the recorded outcome of an order that cannot be sent, or `error` if no row can be read.
 async fn recorded_outcome(table: &OrderTable, call: &CallContext, error: CallError) -> CallResult {
     let routing::OrderEvent::Read(Some((row, _))) = table.read().await else {
         return Err(error);
--- a/crates/entry/src/calls/stream_attempts.rs
+++ b/crates/entry/src/calls/stream_attempts.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::future;
 use std::task::Poll;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use model::{AttemptId, HostName};
@@ -17,6 +18,9 @@
     pub(crate) id: AttemptId,
     pub(crate) response: TargetResponse,
     pub(crate) decoder: EventDecoder,
+    /// When its first token arrived.
+    begun_at: Option<Instant>,
+    is_survival_taken: bool,
 }
 
 /// Attempts in the order in which they last sent data.
@@ -32,8 +36,29 @@
             id: dispatcher::new_attempt_id(),
             response,
             decoder: EventDecoder::default(),
+            begun_at: None,
+            is_survival_taken: false,
         }
     }
+
+    /// Records that a token of the attempt was delivered.
+    pub(crate) fn record_token(&mut self) {
+        self.begun_at.get_or_insert_with(Instant::now);
+    }
+
+    /// Returns whether the target was about to begin the response or had just begun it.
+    pub(crate) fn is_starting(&self) -> bool {
+        self.begun_at.is_none_or(|it| it.elapsed() < START_GRACE)
+    }
+
+    /// Returns when the response began, once its start counts as survived and not more than once.
+    pub(crate) fn take_survival(&mut self) -> Option<Instant> {
+        if self.is_survival_taken || self.is_starting() {
+            return None;
+        }
+        self.is_survival_taken = true;
+        self.begun_at
+    }
 }
 
 impl StreamAttempts {
@@ -72,3 +97,6 @@
         hosts.cloned().collect()
     }
 }
+
+/// Time after the first token in which a crash of the target may be due to the request.
+const START_GRACE: Duration = Duration::from_millis(250);
--- a/crates/entry/src/calls/stream_relay.rs
+++ b/crates/entry/src/calls/stream_relay.rs
@@ -135,12 +135,18 @@
                     version,
                     is_last,
                 } => match state.stream.on_token(attempt.id, index, version, is_last) {
-                    TokenAction::Deliver => raw,
+                    TokenAction::Deliver => {
+                        attempt.record_token();
+                        raw
+                    }
                     TokenAction::Drop => continue,
                     TokenAction::Reject => return self.on_lost(state, attempt),
                 },
                 StreamEvent::Done(raw) if state.stream.is_finished() => {
                     let sent = self.send(raw).await;
+                    self.dispatcher
+                        .guard
+                        .record_survival(&self.plan.parts, Instant::now());
                     attempt.response.recycle();
                     return Some(
                         sent.map_or(RelayEnd::CallerDisconnected, |()| RelayEnd::Completed),
@@ -156,12 +162,21 @@
                 return Some(RelayEnd::CallerDisconnected);
             }
         }
+        if let Some(begun_at) = attempt.take_survival() {
+            self.dispatcher
+                .guard
+                .record_survival(&self.plan.parts, begun_at);
+        }
         state.attempts.push(attempt);
         None
     }
 
     fn on_lost(&self, state: &mut RelayState, attempt: StreamAttempt) -> Option<RelayEnd> {
-        let host = attempt.response.slot.row.host.clone();
+        let row = attempt.response.slot.row.clone();
+        let host = row.host.clone();
+        if attempt.is_starting() {
+            self.dispatcher.guard.record_lost(&row, &self.plan.parts);
+        }
         self.plan.mark_tried(&host);
         self.dispatcher.scheduler.on_failure(&host);
         let in_time = Instant::now() < self.call.deadline;
--- a/crates/entry/src/control/control_server.rs
+++ b/crates/entry/src/control/control_server.rs
@@ -16,6 +16,7 @@
 use tarpc::server::{BaseChannel, Channel};
 use wire::{ChunkReportReply, EntryControl, EntrySummary, HeartbeatReply, WireCounters, context};
 
+use crate::calls::CrashGuard;
 use crate::control::control_event::ControlEvent;
 use crate::control::control_snapshot::{ControlSnapshot, SnapshotCell};
 use crate::control::exchange_loop;
@@ -27,6 +28,7 @@
     events: Sender<ControlEvent>,
     snapshots: Arc<SnapshotCell>,
     trackers: Arc<TrackerSet>,
+    guard: Arc<CrashGuard>,
     counters: WireCounters,
     log: Logger,
 ) -> anyhow::Result<()> {
@@ -38,6 +40,7 @@
         events,
         snapshots,
         trackers,
+        guard,
         counters: counters.clone(),
     };
     tokio::spawn(async move {
@@ -64,6 +67,7 @@
     events: Sender<ControlEvent>,
     snapshots: Arc<SnapshotCell>,
     trackers: Arc<TrackerSet>,
+    guard: Arc<CrashGuard>,
     counters: WireCounters,
 }
 
@@ -116,8 +120,9 @@
     async fn exchange(self, _: context::Context, summary: EntrySummary) -> EntrySummary {
         self.counters.add_message();
         let snapshot = self.snapshots.load();
+        self.guard.merge(&summary.crashes);
         let _ = self.events.send(ControlEvent::Exchange(Box::new(summary)));
-        exchange_loop::summary_without_targets(&snapshot)
+        exchange_loop::summary_without_targets(&snapshot, &self.guard)
     }
 
     async fn config(
--- a/crates/entry/src/control/exchange_loop.rs
+++ b/crates/entry/src/control/exchange_loop.rs
@@ -13,6 +13,7 @@
 use slog::{Logger, debug};
 use wire::{EntryControlClient, EntrySummary, WireCounters, context};
 
+use crate::calls::CrashGuard;
 use crate::control::control_event::ControlEvent;
 use crate::control::control_snapshot::{ControlSnapshot, SnapshotCell};
 
@@ -32,6 +33,8 @@
     leaving: bool,
     overloaded: bool,
     permits: Vec<SwitchPermit>,
+    /// Number of changes of the evidence about crashes.
+    crash_changes: u64,
 }
 
 /// Exchanges views with the other entries until the runtime shuts down.
@@ -43,6 +46,7 @@
 pub(crate) async fn exchange_loop(
     settings: Arc<EntrySettings>,
     snapshots: Arc<SnapshotCell>,
+    guard: Arc<CrashGuard>,
     events: Sender<ControlEvent>,
     counters: WireCounters,
     log: Logger,
@@ -59,8 +63,10 @@
         }
         let addresses = other_entries(&settings, &snapshot);
         peers.retain(|it, _| addresses.contains(it));
-        let summary = summary_without_targets(&snapshot);
-        let urgent = urgent_state(&summary);
+        guard.draw_conclusions();
+        let crash_changes = guard.changes();
+        let summary = summary_without_targets(&snapshot, &guard);
+        let urgent = urgent_state(&summary, crash_changes);
         let direct = snapshot.targets.values().filter(|it| it.is_direct());
         let rows = direct.map(|it| &it.row);
         let idle_interval = idle_exchange_interval(addresses.len());
@@ -98,6 +104,7 @@
             match outcome.reply {
                 Some(reply) => {
                     peer.sync.acknowledge(&outcome.update);
+                    guard.merge(&reply.crashes);
                     let _ = events.send(ControlEvent::Exchange(Box::new(reply)));
                 }
                 None => peer.sync.reset(),
@@ -113,8 +120,12 @@
 }
 
 /// Returns a summary of this entry's view without the targets.
-pub(crate) fn summary_without_targets(snapshot: &ControlSnapshot) -> EntrySummary {
+pub(crate) fn summary_without_targets(
+    snapshot: &ControlSnapshot,
+    guard: &CrashGuard,
+) -> EntrySummary {
     EntrySummary {
+        crashes: guard.digest(),
         entry: snapshot.own.clone().unwrap_or_else(missing_own_row),
         targets: Vec::new(),
         revisions: Vec::new(),
@@ -229,8 +240,9 @@
     }
 }
 
-fn urgent_state(summary: &EntrySummary) -> UrgentState {
+fn urgent_state(summary: &EntrySummary, crash_changes: u64) -> UrgentState {
     UrgentState {
+        crash_changes,
         ready: summary.entry.ready,
         leaving: summary.entry.leaving,
         overloaded: summary.entry.overloaded_ms.is_some(),
--- a/crates/entry/src/control/operator_server.rs
+++ b/crates/entry/src/control/operator_server.rs
@@ -15,6 +15,7 @@
 use upstream::{HostListClient, SourceClient, TableClient};
 use wire::WireCounters;
 
+use crate::calls::CrashGuard;
 use crate::control::command_outcome::CommandOutcome;
 use crate::control::command_runner::{CommandRunner, SubmittedCommand, parse_statement};
 use crate::control::control_event::ControlEvent;
@@ -28,6 +29,7 @@
     pub(crate) settings: Arc<EntrySettings>,
     pub(crate) snapshots: Arc<SnapshotCell>,
     pub(crate) table: TableClient,
+    pub(crate) guard: Arc<CrashGuard>,
     pub(crate) events: Sender<ControlEvent>,
     pub(crate) counters: WireCounters,
     pub(crate) log: Logger,
@@ -133,7 +135,7 @@
             Statement::Change(it) => it,
             Statement::Query(query) => {
                 let hosts = runner.hosts.as_ref();
-                let rows = collect_rows(query.table, &snapshot, &self.table, hosts);
+                let rows = collect_rows(query.table, &snapshot, &self.table, hosts, &self.guard);
                 return Ok(CommandOutcome::query_result(control::evaluate_query(
                     &query, rows,
                 )));
--- a/crates/entry/src/control/query_rows.rs
+++ b/crates/entry/src/control/query_rows.rs
@@ -9,6 +9,7 @@
 };
 use upstream::{HostListClient, ListedHostState, TableClient};
 
+use crate::calls::CrashGuard;
 use crate::control::control_snapshot::ControlSnapshot;
 use crate::control::rollout_driver::{LEASE_KEY, LeaseRow};
 
@@ -18,6 +19,7 @@
     snapshot: &ControlSnapshot,
     client: &TableClient,
     hosts: Option<&HostListClient>,
+    guard: &CrashGuard,
 ) -> Vec<Vec<Cell>> {
     let default = FleetConfig::default();
     let config = snapshot.config.as_deref().unwrap_or(&default);
@@ -31,10 +33,29 @@
         TableName::Organisations => organisation_rows(config),
         TableName::Config => config_rows(config),
         TableName::Leases => lease_rows(client),
+        TableName::Parts => part_rows(guard),
         TableName::Processes => process_rows(snapshot),
     }
 }
 
+fn part_rows(guard: &CrashGuard) -> Vec<Vec<Cell>> {
+    let (holds, suspects) = guard.states();
+    let held = holds.iter().map(|it| {
+        vec![
+            Cell::text(it.part),
+            Cell::text(if it.is_held { "held" } else { "released" }),
+            Cell::count(it.crashes),
+            Cell::count(it.age.as_secs()),
+            Cell::count(it.time_to_trial.as_secs()),
+            Cell::count(it.failed_trials),
+        ]
+    });
+    let suspected = suspects
+        .iter()
+        .map(|it| vec![Cell::text(it), Cell::text("suspected")]);
+    held.chain(suspected).collect()
+}
+
 fn target_rows(snapshot: &ControlSnapshot, config: &FleetConfig) -> Vec<Vec<Cell>> {
     let row = |target: &KnownTarget| {
         let it = &target.row;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,7 +19,7 @@
 use slog::{Logger, info, warn};
 use upstream::TableClient;
 
-use crate::calls::{CallCounters, CallServer};
+use crate::calls::{CallCounters, CallServer, CrashGuard};
 use crate::control::{ControlThread, SnapshotCell};
 use crate::tracker::TrackerSet;
 
@@ -46,6 +46,12 @@
     let tracker = Arc::new(TrackerSet::new(settings.clone()));
     let table = TableClient::new(settings.platform.table, TABLE_TIMEOUT);
 
+    let guard = Arc::new(CrashGuard::new(
+        settings.clone(),
+        snapshots.clone(),
+        counters.clone(),
+        log.clone(),
+    ));
     let control = ControlThread::start(
         settings.clone(),
         new_incarnation(),
@@ -57,6 +63,7 @@
         settings: settings.clone(),
         snapshots: snapshots.clone(),
         table: table.clone(),
+        guard: guard.clone(),
         events: control.sender(),
         counters: counters.clone(),
         log: log.clone(),
@@ -69,9 +76,9 @@
         let report =
             metrics::report_loop(metrics, snapshots.clone(), table.clone(), counters.clone());
         tokio::spawn(report);
-        control::serve(&settings, events.clone(), snapshots.clone(), tracker.clone(), counters.clone(), log.clone())
+        control::serve(&settings, events.clone(), snapshots.clone(), tracker.clone(), guard.clone(), counters.clone(), log.clone())
             .await?;
-        let server = CallServer::new(settings.clone(), snapshots.clone(), table.clone(), calls.clone(), log.clone());
+        let server = CallServer::new(settings.clone(), snapshots.clone(), table.clone(), calls.clone(), guard.clone(), log.clone());
         let listener = server.start()?;
         // Outgoing connections use ephemeral ports. They start after the listeners are bound, so that they
         // cannot occupy a listener's port.
@@ -89,7 +96,7 @@
             control.sender(),
             log.clone(),
         )?;
-        tokio::spawn(control::exchange_loop(settings.clone(), snapshots.clone(), events, counters, log.clone()));
+        tokio::spawn(control::exchange_loop(settings.clone(), snapshots.clone(), guard, events, counters, log.clone()));
         tokio::spawn(tracker::offer_loop(
             settings.clone(),
             snapshots.clone(),
--- /dev/null
+++ b/crates/fulmarline/tests/crashing_prompts.rs
@@ -0,0 +1,75 @@
+//! Prompts on the own interface that crash the engines that they run on.
+
+mod support;
+
+use std::path::Path;
+use std::time::Duration;
+
+use standin::{EngineFaults, FleetPlan, ProcessFleet};
+
+/// Text that crashes every engine that begins to respond to a prompt with it.
+const CRASHING_TEXT: &str = "the sheet that crashes";
+
+/// Number of engines that one prompt may crash.
+const MAX_CRASHES: usize = 8;
+
+/// Number of requests with the crashing prompt.
+const REQUESTS: usize = 12;
+
+/// Timeout of every wait, well above what a loaded machine needs.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Plans a fleet with two zones, each with one entry and two engines.
+fn two_zone_plan(dir: &Path) -> FleetPlan {
+    support::plan(dir, 2)
+}
+
+/// Starts the engines that have crashed again and waits until all serve; returns how many had crashed.
+fn restart_engines(fleet: &ProcessFleet) -> usize {
+    let crashed: Vec<_> = fleet
+        .engines
+        .values()
+        .filter(|it| it.serving().is_none())
+        .collect();
+    for engine in &crashed {
+        engine.restart().unwrap();
+    }
+    fleet
+        .wait_for("v1 on every engine", WAIT_TIMEOUT, |it| {
+            it.all_engines_serve("v1", &[]).then_some(())
+        })
+        .unwrap();
+    fleet
+        .wait_for("open targets", WAIT_TIMEOUT, |it| {
+            it.entries_see_targets(it.plan().agents.len()).then_some(())
+        })
+        .unwrap();
+    crashed.len()
+}
+
+// Guards against a prompt that crashes each engine being sent to further ones (class of the incident BUDGET).
+#[test]
+fn a_prompt_that_crashes_engines_is_refused_by_all_entries() {
+    let fleet = support::start_serving_fleet("crashing-prompts", two_zone_plan);
+    for engine in fleet.engines.values() {
+        engine.set_faults(EngineFaults {
+            crash_on: Some(CRASHING_TEXT.to_owned()),
+            ..EngineFaults::default()
+        });
+    }
+    let mut crashes = 0;
+    let mut results = Vec::new();
+    for index in 0..REQUESTS {
+        let entry = index % 2;
+        results.push(support::send_completion(&fleet, entry, CRASHING_TEXT, 8).result);
+        crashes += restart_engines(&fleet);
+        let sound = support::send_completion(&fleet, entry, &format!("sound {index}"), 8);
+        assert_eq!(sound.status, 200, "{sound:?}");
+    }
+    assert!(
+        crashes <= MAX_CRASHES,
+        "engines crashed too often: {crashes}"
+    );
+    let last = &results[REQUESTS - 2..];
+    assert!(last.iter().all(|it| it == "210 held-back"), "{results:?}");
+}
--- a/crates/model/src/result_code.rs
+++ b/crates/model/src/result_code.rs
@@ -100,6 +100,8 @@
     VersionMismatch = 208, "version-mismatch", 409, NotRun, true;
     /// The target refused the request or failed before it started the work.
     TargetRefused = 209, "target-refused", 502, NotRun, true;
+    /// A part of the request crashes the targets that run it, or may do so.
+    HeldBack = 210, "held-back", 503, NotRun, true;
     /// The same order is in progress.
     OrderInProgress = 300, "order-in-progress", 409, Unknown, true;
     /// The outcome of the order is unknown. The order is never run again under this key.
--- a/crates/standin/src/engine/engine_faults.rs
+++ b/crates/standin/src/engine/engine_faults.rs
@@ -15,6 +15,8 @@
     pub pause_tokens: bool,
     /// Whether load orders fail after the weights were fetched.
     pub fail_loads: bool,
+    /// Text that crashes the engine when it begins to respond to a prompt that contains it.
+    pub crash_on: Option<String>,
     /// Number of following requests that are refused with status 503.
     pub refuse_next: u32,
     /// Number of following responses that are truncated after their third token.
@@ -37,6 +39,7 @@
             hang: false,
             pause_tokens: false,
             fail_loads: false,
+            crash_on: None,
             refuse_next: 0,
             cut_next: 0,
             unframed: false,
--- a/crates/standin/src/engine/engine_shared.rs
+++ b/crates/standin/src/engine/engine_shared.rs
@@ -5,13 +5,13 @@
 use std::time::{Duration, Instant};
 
 use httpio::{HttpBody, Incoming, Method, Request, Response, ServerHandle, StatusCode, header};
-use model::{VERSION_HEADER, VersionDigest};
+use model::{FencingNumber, VERSION_HEADER, VersionDigest};
 use serde::Deserialize;
 use serde_json::json;
 use tokio::runtime::Handle;
 
 use crate::engine::batch_queue::BatchQueue;
-use crate::engine::engine_inner::{EngineInner, KvSnapshot, StopReason};
+use crate::engine::engine_inner::{EngineInner, EnginePhase, KvSnapshot, StopReason};
 use crate::engine::engine_load::{self, LoadOrder};
 use crate::engine::engine_options::EngineOptions;
 use crate::engine::engine_request::CompletionRequest;
@@ -158,6 +158,10 @@
             Err(StopReason::Crashed) => return http_util::aborted(),
             Err(_) => return http_util::text(StatusCode::SERVICE_UNAVAILABLE, "request aborted"),
         };
+        if self.must_crash(&admitted.request.prompt) {
+            self.crash();
+            return http_util::aborted();
+        }
         let version = admitted.version;
         if admitted.request.stream {
             let (sender, body) = httpio::stream(STREAM_BUFFER_EVENTS);
@@ -195,6 +199,26 @@
         response
     }
 
+    fn must_crash(&self, prompt: &str) -> bool {
+        let inner = self.inner();
+        let text = inner.faults.crash_on.as_deref();
+        text.is_some_and(|it| prompt.contains(it))
+    }
+
+    /// Closes all connections and drops the loaded weights, the prefix cache and the fencing number.
+    pub(crate) fn crash(&self) {
+        if let Some(server) = self.server().take() {
+            server.stop();
+        }
+        let mut inner = self.inner();
+        inner.load_generation += 1;
+        inner.stop_all(StopReason::Crashed);
+        inner.phase = EnginePhase::Empty;
+        inner.serving = None;
+        inner.fencing = FencingNumber::default();
+        inner.cache.clear();
+    }
+
     fn admit(
         self: &Arc<Self>,
         request: CompletionRequest,
--- a/crates/wire/src/entry_summary.rs
+++ b/crates/wire/src/entry_summary.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use model::{ConfigRevision, EntryRow, HostName, HostRevision, SwitchPermit, TargetRow};
+use routing::CrashDigest;
 use serde::{Deserialize, Serialize};
 
 /// The part of an entry's view that it sends to another entry in an exchange.
@@ -26,4 +27,6 @@
     pub entry_addresses: Vec<SocketAddr>,
     /// The revision in force at the sender.
     pub revision: ConfigRevision,
+    /// What the sender knows about crashes of engines and services.
+    pub crashes: CrashDigest,
 }
