--- a/crates/emulator/src/crash_simulation.rs
+++ b/crates/emulator/src/crash_simulation.rs
@@ -476,7 +476,7 @@
     }
 
     fn send(&mut self, targets: &[usize], digest: &CrashDigest, source: DigestSource, relay: bool) {
-        let bytes = serde_json::to_vec(digest).map_or(0, |it| it.len());
+        let bytes = postcard::to_allocvec(digest).map_or(0, |it| it.len());
         for target in targets {
             self.outcome.datagrams += 1;
             self.outcome.bytes += bytes as u64;
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -5,6 +5,7 @@
 mod bench_control;
 mod bench_control_report;
 mod bench_control_sample;
+mod bench_crashes;
 mod bench_requests;
 mod bench_spread;
 mod capacity;
@@ -33,6 +34,11 @@
         summary: "measures requests under load and faults, with baselines in the same run",
         run: bench_requests::run,
     },
+    Task {
+        name: &["bench", "crashes"],
+        summary: "emulates requests that crash replicas; a number N runs N seeds of each scenario",
+        run: bench_crashes::run,
+    },
     Task {
         name: &["bench", "control"],
         summary: "measures the control plane at growing fleet sizes; a number N runs only the N smallest sizes",
