Trials go to the least loaded replica, and a started entry waits for real evidence

A request with a suspected or held part went to a random sample's best replica, with the streams that run there; now all replicas are compared. A started entry took the first message of another one for its evidence, also if it contained none; now messages say whether they contain it.

--- a/crates/fleet/src/fleet_message.rs
+++ b/crates/fleet/src/fleet_message.rs
@@ -45,8 +45,8 @@
     pub loads: Vec<(u64, LoadSample)>,
     /// Declared versions of weights that have not taken effect yet, and the newest one that has.
     pub weights: Vec<DeclarationAge>,
-    /// What the entry knows about crashes of replicas; empty if it has not changed lately.
-    pub crashes: CrashDigest,
+    /// What the entry knows about crashes of replicas. Not every heartbeat contains it, since it changes rarely.
+    pub crashes: Option<CrashDigest>,
 }
 
 /// State of all entries of a zone, as one of them sends it to the other zones.
@@ -67,7 +67,7 @@
     /// The live entries of the zone. Not every report contains them, since they change rarely.
     pub entries: Vec<PeerRecord>,
     /// What the entries of the zone know about crashes of replicas, as in [`EntryHeartbeat::crashes`].
-    pub crashes: CrashDigest,
+    pub crashes: Option<CrashDigest>,
 }
 
 /// Age of a declared version of weights, for entries that have just started or read the store late.
--- a/crates/ingress/src/peer_exchange.rs
+++ b/crates/ingress/src/peer_exchange.rs
@@ -9,7 +9,7 @@
 use anyhow::Context;
 use fleet::{DeclarationAge, EntryHeartbeat, FleetMessage, LoadSample, PeerRecord, VersionTable};
 use platform::RowWrite;
-use routing::{CrashDigest, DigestSource};
+use routing::DigestSource;
 use slog::{info, warn};
 use tokio::net::UdpSocket;
 
@@ -157,11 +157,11 @@
     let record = shared.own_record();
     let now = Instant::now();
     let mut state = shared.state();
-    let mut crashes = CrashDigest::default();
-    if state.heartbeat_digest.is_due(now) {
-        crashes = state.crashes.own_digest(now);
+    let is_due = state.heartbeat_digest.is_due(now);
+    let crashes = is_due.then(|| {
         state.heartbeat_digest.record_sent(now);
-    }
+        state.crashes.own_digest(now)
+    });
     EntryHeartbeat {
         crashes,
         record,
@@ -253,7 +253,9 @@
     let now = Instant::now();
     let loads: BTreeMap<u64, LoadSample> = heartbeat.loads.into_iter().collect();
     record_declarations(shared, &heartbeat.weights, now);
-    crash_guard::merge(shared, &heartbeat.crashes, DigestSource::Entry);
+    if let Some(crashes) = &heartbeat.crashes {
+        crash_guard::merge(shared, crashes, DigestSource::Entry);
+    }
     let mut state = shared.state();
     state.loads.update_peer(&node, loads, now);
     state.loads.expire(now);
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -269,7 +269,11 @@
         max_first_event_ms: max_first_event_time.as_secs_f64() * 1000.0,
         tolerated_delay_ms: IDLE_DELAY_MS,
         random: rand::rng().random(),
-        entries: state.peers.alive(now).count() + 1,
+        entries: match call.trial() {
+            // A request that may crash its replica goes to the least loaded of all replicas.
+            Some(_) => 1,
+            None => state.peers.alive(now).count() + 1,
+        },
         latest_start: (call.route.kind != CallKind::Stream).then(|| call.time_remaining()),
     };
     fleet::choose_replica(&request, &state.catalog, &state.loads, &state.health, now)
--- a/crates/ingress/src/zone_exchange.rs
+++ b/crates/ingress/src/zone_exchange.rs
@@ -7,7 +7,7 @@
 
 use fleet::{AgentStatus, FleetMessage, LoadSample, PeerRecord, RelayScope, ZoneReport};
 use rand::seq::IndexedRandom;
-use routing::{CrashDigest, DigestSource};
+use routing::DigestSource;
 use slog::info;
 use tokio::net::UdpSocket;
 
@@ -79,11 +79,11 @@
     let own = shared.own_record();
     let zone = &shared.settings.zone;
     let mut state = shared.state();
-    let mut crashes = CrashDigest::default();
-    if state.report_digest.is_due(now) {
-        crashes = state.crashes.zone_digest(now, zone);
+    let is_due = state.report_digest.is_due(now);
+    let crashes = is_due.then(|| {
         state.report_digest.record_sent(now);
-    }
+        state.crashes.zone_digest(now, zone)
+    });
     let mut entries: Vec<PeerRecord> = Vec::new();
     if with_roster {
         let alive = state.peers.alive(now).filter(|it| it.zone == *zone);
@@ -123,7 +123,9 @@
     }
     let now = Instant::now();
     record_declarations(shared, &report.weights, now);
-    crash_guard::merge(shared, &report.crashes, DigestSource::Zone);
+    if let Some(crashes) = &report.crashes {
+        crash_guard::merge(shared, crashes, DigestSource::Zone);
+    }
     let loads = report.loads.into_iter().collect();
     let mut state = shared.state();
     state.loads.update_zone(&report.zone, loads, now);
