The evidence about crashes is split into files of one job

Read as a newcomer would: conclusions, admissions and the ranking of parts have files of their own, the emulator's traffic, events and datagrams too, evaluate is three short steps, and comments say what the code does. An operator's hold that no command could reach is removed. Behaviour is unchanged: the tests of routing, emulator pass.

--- a/crates/emulator/src/crash_simulation.rs
+++ b/crates/emulator/src/crash_simulation.rs
@@ -1,5 +1,7 @@
 //! Emulates entries, replicas and datagrams in virtual time.
 
+mod exchange;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::{Duration, Instant};
@@ -7,13 +9,16 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use routing::{
-    CrashConclusion, CrashDigest, CrashId, DigestSource, PartAdmission, PartChange, PartId, PoolId,
+    CrashConclusion, CrashDigest, CrashId, DigestSource, PartAdmission, PartChange, PartId,
 };
 
 use crate::crash_outcome::CrashOutcome;
 use crate::crash_scenario::CrashScenario;
+use crate::crash_simulation::exchange::HEARTBEAT_INTERVAL;
 use crate::simulated_entry::SimulatedEntry;
 use crate::simulated_pool::{RunningRequest, SimulatedPool};
+use crate::simulated_traffic::{self, GUILTY_PARTS, part_id, pool_id};
+use crate::simulation_event::{SimulatedRequest, SimulationEvent};
 
 /// An emulation, which a seed determines.
 pub struct CrashSimulation {
@@ -37,57 +42,6 @@
     outcome: CrashOutcome,
 }
 
-/// A request of a client.
-#[derive(Clone, Debug)]
-struct SimulatedRequest {
-    entry: usize,
-    parts: Vec<PartId>,
-    guilty: Option<u64>,
-    attempts: u32,
-    trial: Option<PartId>,
-}
-
-#[derive(Clone, Debug)]
-enum SimulationEvent {
-    SoundRequest,
-    GuiltyRequest(u64),
-    Accident {
-        replicas: usize,
-    },
-    /// The replica begins to respond.
-    Begin {
-        replica: usize,
-        life: u64,
-        request: u64,
-    },
-    /// The start of the response was survived.
-    Survived {
-        replica: usize,
-        life: u64,
-        request: u64,
-    },
-    End {
-        replica: usize,
-        life: u64,
-        request: u64,
-    },
-    /// An entry notices that a replica has ended.
-    Noticed {
-        entry: usize,
-        crash: CrashId,
-        parts: Vec<PartId>,
-        lost: Vec<u64>,
-    },
-    Heartbeats,
-    Reports,
-    Received {
-        entry: usize,
-        digest: Box<CrashDigest>,
-        source: DigestSource,
-        relay: bool,
-    },
-}
-
 impl CrashSimulation {
     /// Creates an emulation of `scenario`.
     pub fn new(scenario: CrashScenario, seed: u64) -> Self {
@@ -150,14 +104,14 @@
     fn handle(&mut self, event: SimulationEvent) {
         match event {
             SimulationEvent::SoundRequest => {
-                let parts = self.sound_parts();
+                let parts = simulated_traffic::sound_parts(&mut self.random);
                 self.receive(parts, None);
                 let pause = 1.0 / self.scenario.requests_per_second as f64;
                 let pause = Duration::from_secs_f64(pause * self.random.random_range(0.0..2.0));
                 self.schedule(pause, SimulationEvent::SoundRequest);
             }
             SimulationEvent::GuiltyRequest(part) => {
-                let parts = self.guilty_parts(part);
+                let parts = simulated_traffic::guilty_parts(part, &mut self.random);
                 self.receive(parts, Some(part));
                 let pause = 1.0 / self.scenario.guilty_per_second as f64;
                 let pause = Duration::from_secs_f64(pause * self.random.random_range(0.0..2.0));
@@ -214,28 +168,6 @@
         }
     }
 
-    /// Parts of a sound request: one of the first parts, mostly one that requests share, and often a further one.
-    fn sound_parts(&mut self) -> Vec<PartId> {
-        let first = self.random.random_range(0..FIRST_PARTS);
-        let middle = self.random.random_range(0..MIDDLE_PARTS);
-        let mut parts = vec![part_id(first)];
-        if self.random.random_bool(0.5) {
-            parts.push(part_id(FIRST_PARTS + middle));
-        }
-        parts
-    }
-
-    /// Parts of a request with a guilty part, which share the others with sound requests.
-    fn guilty_parts(&mut self, guilty: u64) -> Vec<PartId> {
-        let guilty = part_id(GUILTY_PARTS + guilty);
-        let mut parts = vec![part_id(self.random.random_range(0..GUILTY_FIRST_PARTS))];
-        let middle = FIRST_PARTS + self.random.random_range(0..MIDDLE_PARTS);
-        parts.push(part_id(middle));
-        let position = self.random.random_range(0..=parts.len());
-        parts.insert(position, guilty);
-        parts
-    }
-
     fn receive(&mut self, parts: Vec<PartId>, guilty: Option<u64>) {
         let entry = self.random.random_range(0..self.entries.len());
         self.outcome.sound += u64::from(guilty.is_none());
@@ -428,75 +360,6 @@
         self.requests.remove(&id);
     }
 
-    fn send_heartbeats(&mut self) {
-        self.schedule(HEARTBEAT_INTERVAL, SimulationEvent::Heartbeats);
-        let now = self.instant();
-        for entry in 0..self.entries.len() {
-            let replicas = self.scenario.replicas;
-            let state = &mut self.entries[entry];
-            if state.table.is_unsettled() {
-                let conclusions = state.conclude(now, replicas);
-                self.note(entry, &conclusions);
-            }
-            let state = &mut self.entries[entry];
-            if !state.to_zone.is_due(now) {
-                continue;
-            }
-            state.to_zone.record_sent(now);
-            let digest = state.table.own_digest(now);
-            if !digest.is_empty() {
-                let peers = self.peers_of(entry);
-                self.send(&peers, &digest, DigestSource::Entry, false);
-            }
-        }
-    }
-
-    fn send_reports(&mut self) {
-        self.schedule(self.report_interval(), SimulationEvent::Reports);
-        let now = self.instant();
-        let zones = self.scenario.zones;
-        for zone in 0..zones {
-            // Entries are numbered by zone in turn, so the first one of a zone has its number.
-            let reporter = zone as usize;
-            let state = &mut self.entries[reporter];
-            if !state.to_others.is_due(now) {
-                continue;
-            }
-            state.to_others.record_sent(now);
-            let digest = state.table.zone_digest(now, &zone.to_string());
-            if digest.is_empty() {
-                continue;
-            }
-            let others = (0..zones).filter(|it| *it != zone);
-            let targets = others.flat_map(|it| [it, it + zones]);
-            let targets = targets.map(|it| it as usize);
-            let targets: Vec<usize> = targets.filter(|it| *it < self.entries.len()).collect();
-            self.send(&targets, &digest, DigestSource::Zone, true);
-        }
-    }
-
-    fn send(&mut self, targets: &[usize], digest: &CrashDigest, source: DigestSource, relay: bool) {
-        let bytes = postcard::to_allocvec(digest).map_or(0, |it| it.len());
-        for target in targets {
-            self.outcome.datagrams += 1;
-            self.outcome.bytes += bytes as u64;
-            if self.random.random_bool(self.scenario.loss) {
-                continue;
-            }
-            let delay = Duration::from_millis(self.random.random_range(1..8));
-            // Only the first entry of a zone passes reports on.
-            let relay = relay && (*target as u64) < self.scenario.zones;
-            let digest = Box::new(digest.clone());
-            let event = SimulationEvent::Received {
-                entry: *target,
-                digest,
-                source,
-                relay,
-            };
-            self.schedule(delay, event);
-        }
-    }
-
     fn merge(&mut self, entry: usize, digest: &CrashDigest, source: DigestSource) {
         let (now, replicas) = (self.instant(), self.scenario.replicas);
         let conclusions = self.entries[entry].merge(now, digest, source, replicas);
@@ -534,18 +397,6 @@
         }
     }
 
-    fn peers_of(&self, entry: usize) -> Vec<usize> {
-        let zone = self.entries[entry].zone;
-        let peers = (0..self.entries.len()).filter(|it| *it != entry);
-        peers.filter(|it| self.entries[*it].zone == zone).collect()
-    }
-
-    /// Returns the interval of reports, which grows with the number of zones.
-    fn report_interval(&self) -> Duration {
-        let scale = (self.scenario.zones - 1).div_ceil(ZONES_AT_MIN_INTERVAL);
-        REPORT_INTERVAL * u32::try_from(scale.max(1)).unwrap_or(u32::MAX)
-    }
-
     fn instant(&self) -> Instant {
         self.epoch + self.now
     }
@@ -558,29 +409,6 @@
     }
 }
 
-fn pool_id() -> PoolId {
-    PoolId::new("pool")
-}
-
-fn part_id(digest: u64) -> PartId {
-    PartId {
-        pool: pool_id(),
-        digest,
-    }
-}
-
-/// Number of first parts of sound requests; the platform's sheets have as many.
-const FIRST_PARTS: u64 = 180;
-
-/// Number of further parts of sound requests.
-const MIDDLE_PARTS: u64 = 400;
-
-/// Number of first parts that guilty requests share with sound ones.
-const GUILTY_FIRST_PARTS: u64 = 3;
-
-/// Digest of the first guilty part.
-const GUILTY_PARTS: u64 = 1_000_000;
-
 /// Time of the first guilty request.
 const GUILTY_FROM: Duration = Duration::from_secs(6);
 
@@ -600,10 +428,3 @@
 
 /// Maximum number of replicas that a request is sent to.
 const MAX_ATTEMPTS: u32 = 2;
-
-/// Interval of heartbeats under load, and of reports between zones.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(25);
-const REPORT_INTERVAL: Duration = Duration::from_millis(150);
-
-/// Number of other zones up to which reports are sent at this interval.
-const ZONES_AT_MIN_INTERVAL: u64 = 5;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -8,6 +8,8 @@
 mod crash_simulation;
 mod simulated_entry;
 mod simulated_pool;
+mod simulated_traffic;
+mod simulation_event;
 
 pub use crash_outcome::CrashOutcome;
 pub use crash_scenario::CrashScenario;
--- a/crates/ingress/src/crash_guard.rs
+++ b/crates/ingress/src/crash_guard.rs
@@ -88,7 +88,7 @@
     if is_held {
         info!(shared.log, "trial with a held part"; "request" => call.id(), "part" => part.to_string());
     } else {
-        tell_others(shared);
+        notify_peers(shared);
     }
     let guard = TrialGuard {
         shared: shared.clone(),
@@ -228,10 +228,10 @@
     }
 }
 
-/// Draws conclusions from news and tells the other entries.
+/// Draws conclusions from news and notifies the other entries.
 fn handle_news(shared: &EntryShared) {
     draw_conclusions(shared);
-    tell_others(shared);
+    notify_peers(shared);
 }
 
 /// Draws conclusions while some are pending.
@@ -242,7 +242,8 @@
     }
 }
 
-fn tell_others(shared: &EntryShared) {
+/// Makes the next messages to other entries contain the evidence.
+fn notify_peers(shared: &EntryShared) {
     let mut state = shared.state();
     state.heartbeat_digest.record_change();
     state.report_digest.record_change();
--- a/crates/routing/src/crash_digest.rs
+++ b/crates/routing/src/crash_digest.rs
@@ -90,3 +90,23 @@
     /// Weights on which the replicas crashed, if the pool has any.
     pub version: Option<u64>,
 }
+
+/// Who has sent a digest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DigestSource {
+    /// An entry of the same zone.
+    Entry,
+    /// The reporter of another zone.
+    Zone,
+}
+
+/// What a digest has added to a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MergeEffect {
+    /// Nothing.
+    Nothing,
+    /// Starts that were survived.
+    Survivals,
+    /// Crashes or holds, about which other entries may not know either.
+    News,
+}
--- a/crates/routing/src/crash_score.rs
+++ b/crates/routing/src/crash_score.rs
@@ -38,7 +38,7 @@
             crashes: 0,
             onset: None,
         };
-        // Older survivals may be missing, so crashes from that time on may not be compared with them.
+        // Survivals before this time may be missing, so crashes before it are left out.
         let known_since = self.survivals.iter().rev().nth(KEPT_SURVIVALS - 1);
         let onsets = self.crashes.iter().enumerate();
         for (index, onset) in onsets.filter(|it| Some(it.1) > known_since) {
--- a/crates/routing/src/crash_table.rs
+++ b/crates/routing/src/crash_table.rs
@@ -7,11 +7,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use crate::crash_digest::{CrashDigest, CrashId, CrashRecord, SurvivalRecord, TrialRecord};
+use crate::crash_conclusion::{CrashConclusion, PartChange};
+use crate::crash_digest::{
+    CrashDigest, CrashId, CrashRecord, DigestSource, MergeEffect, SurvivalRecord, TrialRecord,
+};
 use crate::crash_score::PartEvidence;
 use crate::hold_table::{HoldState, HoldTable};
+use crate::part_admission::PartAdmission;
 use crate::part_id::{PartId, PoolId, fnv1a};
-use crate::part_ranking::PartRanking;
+use crate::part_ranking::{PartRanking, RankedPart};
 use crate::survival_log::SurvivalLog;
 
 /// Evidence and holds as known to one entry.
@@ -37,65 +41,6 @@
     pub(crate) parts: BTreeSet<PartId>,
 }
 
-/// A change of what the table concludes, for logs and metrics.
-#[derive(Clone, Debug, PartialEq)]
-pub struct CrashConclusion {
-    /// The part.
-    pub part: PartId,
-    /// What changed.
-    pub change: PartChange,
-    /// Crashes at different moments that implicate the part.
-    pub crashes: u32,
-    /// Weight of the evidence; the natural logarithm of a likelihood ratio.
-    pub weight: f64,
-    /// Probability of an accident that the weight is based on.
-    pub accident: f64,
-}
-
-/// A change of what is concluded about a part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PartChange {
-    /// Its requests are sent one at a time from now on.
-    Suspected,
-    /// A start was survived, so its requests are sent as usual again.
-    Cleared,
-    /// Its requests are refused from now on.
-    Held,
-}
-
-/// Who has sent a digest.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DigestSource {
-    /// An entry of the same zone.
-    Entry,
-    /// The reporter of another zone.
-    Zone,
-}
-
-/// What a digest has added to a table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum MergeEffect {
-    /// Nothing.
-    Nothing,
-    /// Starts that were survived.
-    Survivals,
-    /// Crashes or holds, about which other entries may not know either.
-    News,
-}
-
-/// Whether a request may be sent to a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PartAdmission {
-    /// Nothing is known against its parts.
-    Clear,
-    /// A part is suspected to crash replicas.
-    Suspected(PartId),
-    /// A part is held back for about this time.
-    Held(PartId, Duration),
-    /// A part is held back, and the next request with it tests whether that is still necessary.
-    TrialDue(PartId),
-}
-
 impl CrashTable {
     /// Creates the table of the entry `own`.
     pub fn new(own: &str) -> Self {
@@ -186,54 +131,36 @@
         let mut conclusions = Vec::new();
         let mut suspects = BTreeSet::new();
         for pool in pools {
-            let crashes = self.crashes.values().filter(|it| it.pool == pool);
-            let unexplained =
-                crashes.filter(|it| !it.parts.iter().any(|it| self.holds.is_held(*it)));
-            let scored = PartRanking {
-                survivals: &self.survivals,
-                replicas: replicas(pool),
-                now,
-            }
-            .rank(unexplained.collect());
-            for scored in scored {
-                let change = match scored.is_conclusive {
-                    true => PartChange::Held,
-                    false if self.suspects.contains(&scored.part) => {
-                        suspects.insert(scored.part);
-                        continue;
-                    }
-                    false => PartChange::Suspected,
-                };
-                if change == PartChange::Held {
-                    self.holds
-                        .hold(now, scored.part, scored.score.crashes, version(pool));
-                } else {
-                    suspects.insert(scored.part);
+            for ranked in self.rank(pool, replicas(pool), now) {
+                let part = ranked.part;
+                if ranked.is_conclusive {
+                    let crashes = ranked.score.crashes;
+                    self.holds.hold(now, part, crashes, version(pool));
+                    conclusions.push(ranked.conclusion(PartChange::Held));
+                } else if suspects.insert(part) && !self.suspects.contains(&part) {
+                    conclusions.push(ranked.conclusion(PartChange::Suspected));
                 }
-                conclusions.push(CrashConclusion {
-                    part: scored.part,
-                    change,
-                    crashes: scored.score.crashes,
-                    weight: scored.score.weight,
-                    accident: scored.accident,
-                });
-            }
-        }
-        for part in self.suspects.difference(&suspects) {
-            if !self.holds.is_held(*part) {
-                conclusions.push(CrashConclusion {
-                    part: *part,
-                    change: PartChange::Cleared,
-                    crashes: 0,
-                    weight: 0.0,
-                    accident: 0.0,
-                });
             }
         }
+        let cleared = self.suspects.difference(&suspects);
+        let cleared = cleared.filter(|it| !self.holds.is_held(**it));
+        conclusions.extend(cleared.map(|it| CrashConclusion::cleared(*it)));
         self.suspects = suspects;
         conclusions
     }
 
+    /// Returns the suspicious parts of the crashes of `pool` that no held part explains.
+    fn rank(&self, pool: PoolId, replicas: usize, now: Instant) -> Vec<RankedPart> {
+        let crashes = self.crashes.values().filter(|it| it.pool == pool);
+        let is_explained = |it: &&Crash| it.parts.iter().any(|it| self.holds.is_held(*it));
+        let ranking = PartRanking {
+            survivals: &self.survivals,
+            replicas,
+            now,
+        };
+        ranking.rank(crashes.filter(|it| !is_explained(it)).collect())
+    }
+
     /// Returns whether conclusions may change without news, because the evidence has just arrived.
     pub fn is_unsettled(&self) -> bool {
         !self.suspects.is_empty()
@@ -270,7 +197,7 @@
     }
 
     /// Returns whether a request with `parts`, whose replica just crashed at its start, may be sent to another one: if
-    /// no part has been in an earlier crash since the last start that was survived.
+    /// no part is suspected, or was in two crashes since the last start that a replica survived.
     pub fn may_retry(&self, parts: &[PartId]) -> bool {
         let is_clear = |part: &PartId| {
             !self.holds.is_held(*part) && !self.suspects.contains(part) && {
@@ -293,11 +220,6 @@
         self.holds.record_failed_trial(now, part, version);
     }
 
-    /// Holds a part back although the evidence does not demand it, as an operator may decide.
-    pub fn hold(&mut self, now: Instant, part: PartId, version: Option<u64>) {
-        self.holds.hold(now, part, 0, version);
-    }
-
     /// Returns whether a part is held back.
     pub fn is_held(&self, parts: &[PartId]) -> bool {
         parts.iter().any(|it| self.holds.is_held(*it))
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt_race;
 mod call_kind;
 mod concurrency_limit;
+mod crash_conclusion;
 mod crash_digest;
 mod crash_score;
 mod crash_table;
@@ -23,6 +24,7 @@
 mod order_state_machine;
 mod outlier_table;
 mod overload_tracker;
+mod part_admission;
 mod part_id;
 mod part_ranking;
 mod prefix_table;
@@ -39,12 +41,12 @@
 pub use attempt_race::{AttemptRace, RaceAction};
 pub use call_kind::{CallKind, call_kind};
 pub use concurrency_limit::{ConcurrencyLimit, LatencyTargets};
+pub use crash_conclusion::{CrashConclusion, PartChange};
 pub use crash_digest::{
-    CrashDigest, CrashId, CrashRecord, HoldRecord, SurvivalRecord, TrialRecord,
-};
-pub use crash_table::{
-    CrashConclusion, CrashTable, DigestSource, MergeEffect, PartAdmission, PartChange,
+    CrashDigest, CrashId, CrashRecord, DigestSource, HoldRecord, MergeEffect, SurvivalRecord,
+    TrialRecord,
 };
+pub use crash_table::CrashTable;
 pub use digest_schedule::DigestSchedule;
 pub use fair_queue::FairQueue;
 pub use hedge_timer::HedgeTimer;
@@ -56,6 +58,7 @@
 pub use order_state_machine::OrderStateMachine;
 pub use outlier_table::OutlierTable;
 pub use overload_tracker::{OverloadState, OverloadTracker, OverloadTransition};
+pub use part_admission::PartAdmission;
 pub use part_id::{PartId, PoolId};
 pub use prefix_table::PrefixTable;
 pub use queue_request::{QueueLimits, QueueRefusal, QueueRequest, QueueTicket};
--- a/crates/routing/src/part_ranking.rs
+++ b/crates/routing/src/part_ranking.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
+use crate::crash_conclusion::{CrashConclusion, PartChange};
 use crate::crash_score::{
     PartEvidence, PartScore, accident_probability, is_conclusive, is_decisive, is_recurrent,
     is_suspicious,
@@ -30,6 +31,19 @@
     pub(crate) is_conclusive: bool,
 }
 
+impl RankedPart {
+    /// Returns the conclusion `change` about the part.
+    pub(crate) fn conclusion(self, change: PartChange) -> CrashConclusion {
+        CrashConclusion {
+            part: self.part,
+            change,
+            crashes: self.score.crashes,
+            weight: self.score.weight,
+            accident: self.accident,
+        }
+    }
+}
+
 impl PartRanking<'_> {
     /// Returns the conclusive parts, then the suspicious ones, each most suspicious first. A crash that one of them
     /// explains is no evidence against others: parts that only accompany a guilty one stay clear.
--- a/crates/routing/src/survival_log.rs
+++ b/crates/routing/src/survival_log.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use crate::crash_digest::SurvivalRecord;
+use crate::crash_digest::{DigestSource, SurvivalRecord};
 use crate::crash_score::KEPT_SURVIVALS;
-use crate::crash_table::{DigestSource, age_ms};
+use crate::crash_table::age_ms;
 use crate::part_id::PartId;
 
 /// The latest survived starts by part, of this entry and of others.
