Own interface: a retry waits for the evidence of the crash that it follows

In a new test, orders whose path crashes a service crashed it 12 times of 12.

Cause: a request without an answer went on to the next target before the agent of the first one was asked whether its engine had ended, so one request could crash all four engines at one moment, which counts once. And an agent that is asked after its service was started again did not remember its end.

Evidence: the entry's log has no 'crash recorded' line for the orders, and with the agent's memory one for each of the 12, 6 ms apart, since the stand-in started again without a pause; it now pauses 300 ms, as a process would.

Change: the retry waits up to 150 ms for the agent's answer.

--- a/crates/agent/src/gate/gate_server.rs
+++ b/crates/agent/src/gate/gate_server.rs
@@ -147,6 +147,8 @@
             }
             Err(err) => {
                 warn!(self.log, "connection to the back end was lost"; "reason" => %err);
+                // Noticed at once, because the back end may be started again before an entry asks.
+                self.probe.ended_at().await;
                 return error_response(
                     ResultCode::TargetLost,
                     "the connection to the back end was lost",
--- a/crates/entry/src/calls/crash_guard.rs
+++ b/crates/entry/src/calls/crash_guard.rs
@@ -13,6 +13,7 @@
 };
 use settings::EntrySettings;
 use slog::{Logger, info, warn};
+use tokio::task::JoinHandle;
 use wire::{WireCounters, context};
 
 use crate::calls::call_error::CallError;
@@ -75,20 +76,37 @@
     }
 
     /// Returns whether a request with `parts`, whose target just failed at its start, may be sent to another one.
-    pub(crate) fn may_retry(&self, parts: &[PartId]) -> bool {
+    fn may_retry(&self, parts: &[PartId]) -> bool {
         parts.is_empty() || self.table().may_retry(parts)
     }
 
     /// Records that the attempt at the target of `row` was lost at the start of a request with `parts`, if the target's
-    /// engine or service has ended.
-    pub(crate) fn record_lost(self: &Arc<Self>, row: &TargetRow, parts: &[PartId]) {
+    /// engine or service has ended. The returned task ends when that is known.
+    pub(crate) fn record_lost(
+        self: &Arc<Self>,
+        row: &TargetRow,
+        parts: &[PartId],
+    ) -> JoinHandle<()> {
         let (guard, row, parts) = (self.clone(), row.clone(), parts.to_vec());
         tokio::spawn(async move {
             let ended_at = tokio::time::timeout(PROBE_TIMEOUT, guard.back_end_ended_at(&row)).await;
             if let Ok(Some(ended_at)) = ended_at {
                 guard.record_crash(&row, ended_at, &parts);
             }
-        });
+        })
+    }
+
+    /// Records a lost attempt as [`Self::record_lost`] does, and returns whether the request may be sent to another target.
+    /// Without waiting for the evidence, a request would crash one target after the other before the first crash counts.
+    pub(crate) async fn may_retry_lost(
+        self: &Arc<Self>,
+        row: &TargetRow,
+        parts: &[PartId],
+    ) -> bool {
+        let evidence = self.record_lost(row, parts);
+        // If the host does not answer, it is gone, and the retry must not wait for it.
+        let _ = tokio::time::timeout(EVIDENCE_WAIT, evidence).await;
+        self.may_retry(parts)
     }
 
     async fn back_end_ended_at(&self, row: &TargetRow) -> Option<u64> {
@@ -247,5 +265,8 @@
 /// Timeout for asking the agent of a target whether the engine or service has ended.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which a retry waits for that answer; many times what a call to a live agent takes.
+const EVIDENCE_WAIT: Duration = Duration::from_millis(150);
+
 /// Number of parts of a request that are considered.
 const MAX_PARTS: usize = 32;
--- a/crates/entry/src/calls/dispatch_race.rs
+++ b/crates/entry/src/calls/dispatch_race.rs
@@ -113,14 +113,14 @@
     async fn on_lost(&mut self, attempt: AttemptId) -> RaceAction {
         let row = self.running.remove(&attempt);
         let (scheduler, guard) = (&self.dispatcher.scheduler, &self.dispatcher.guard);
-        let parts = &self.plan.parts;
+        let may_retry = match &row {
+            Some(row) => guard.may_retry_lost(row, &self.plan.parts).await,
+            None => true,
+        };
         let in_time = Instant::now() < self.call.deadline;
-        let action = self.race.on_lost(in_time, || {
-            guard.may_retry(parts) && scheduler.try_acquire_retry()
-        });
-        if let Some(row) = &row {
-            guard.record_lost(row, parts);
-        }
+        let action = self
+            .race
+            .on_lost(in_time, || may_retry && scheduler.try_acquire_retry());
         if let Some(action) = action {
             return action;
         }
--- a/crates/entry/src/calls/model_call.rs
+++ b/crates/entry/src/calls/model_call.rs
@@ -96,15 +96,14 @@
         let host = response.slot.row.host.clone();
         let row = response.slot.row.clone();
         let result = read_completion(response, call).await;
-        match &result {
-            Ok(_) => dispatcher
-                .guard
-                .record_survival(&plan.parts, Instant::now()),
-            Err(_) => dispatcher.guard.record_lost(&row, &plan.parts),
+        let guard = &dispatcher.guard;
+        if result.is_ok() {
+            guard.record_survival(&plan.parts, Instant::now());
+            return result;
         }
+        let may_retry = guard.may_retry_lost(&row, &plan.parts).await;
         let in_time = Instant::now() < call.deadline;
-        let may_retry = in_time && dispatcher.guard.may_retry(&plan.parts);
-        if result.is_ok() || !may_retry || !dispatcher.scheduler.try_acquire_retry() {
+        if !in_time || !may_retry || !dispatcher.scheduler.try_acquire_retry() {
             return result;
         }
         plan.mark_tried(&host);
--- a/crates/fulmarline/tests/crashing_prompts.rs
+++ b/crates/fulmarline/tests/crashing_prompts.rs
@@ -1,11 +1,11 @@
-//! Prompts on the own interface that crash the engines that they run on.
+//! Prompts and orders on the own interface that crash the targets that they run on.
 
 mod support;
 
 use std::path::Path;
 use std::time::Duration;
 
-use standin::{EngineFaults, FleetPlan, ProcessFleet};
+use standin::{EngineFaults, FleetPlan, ProcessFleet, ServiceFaults};
 
 /// Text that crashes every engine that begins to respond to a prompt with it.
 const CRASHING_TEXT: &str = "the sheet that crashes";
@@ -16,6 +16,9 @@
 /// Number of requests with the crashing prompt.
 const REQUESTS: usize = 12;
 
+/// Time that a crashed service takes to start again.
+const RESTART_TIME: Duration = Duration::from_millis(300);
+
 /// Timeout of every wait, well above what a loaded machine needs.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -73,3 +76,40 @@
     let last = &results[REQUESTS - 2..];
     assert!(last.iter().all(|it| it == "210 held-back"), "{results:?}");
 }
+
+// Guards against orders whose path crashes a service being sent to it again and again (class of the incident BUDGET).
+#[test]
+fn orders_that_crash_a_service_are_refused() {
+    let fleet = support::start_serving_fleet("crashing-orders", support::single_zone_plan);
+    let service = &fleet.services["orders-1"];
+    service.set_faults(ServiceFaults {
+        crash_on: Some("crashing".to_owned()),
+        ..ServiceFaults::default()
+    });
+    let mut crashes = 0;
+    let mut results = Vec::new();
+    for index in 0..REQUESTS {
+        let key = format!("crashing-{index}");
+        results.push(support::send_order(&fleet, 0, "crashing", &key).result);
+        if service.has_crashed() {
+            crashes += 1;
+            std::thread::sleep(RESTART_TIME);
+            service.restart().unwrap();
+        }
+        let sound = fleet.wait_for("a sound order", WAIT_TIMEOUT, |it| {
+            let key = format!("sound-{index}-{:?}", std::time::Instant::now());
+            let response = support::send_order(it, 0, "reserve", &key);
+            (response.status == 200).then_some(())
+        });
+        sound.unwrap();
+    }
+    assert!(
+        crashes <= MAX_CRASHES,
+        "services crashed too often: {crashes}"
+    );
+    assert_eq!(
+        results.last().map(String::as_str),
+        Some("210 held-back"),
+        "{results:?}"
+    );
+}
--- a/crates/standin/src/plain_service.rs
+++ b/crates/standin/src/plain_service.rs
@@ -8,6 +8,7 @@
 use httpio::{HttpBody, Incoming, Method, Request, Response, ServerHandle, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tokio::runtime::Handle;
 
 use crate::http_util::{self, PartEnd};
 use crate::run_counters::{RunCount, RunCounters};
@@ -19,7 +20,8 @@
 #[derive(Clone, Debug)]
 pub struct PlainService {
     shared: Arc<Mutex<ServiceInner>>,
-    server: ServerHandle,
+    address: SocketAddr,
+    handle: Handle,
 }
 
 /// Faults injected into a service. The default is no faults.
@@ -38,12 +40,16 @@
     pub unframed: bool,
     /// Whether every call is rejected with status 503 before it runs.
     pub refuse: bool,
+    /// Text that crashes the service when it runs a call whose path contains it.
+    pub crash_on: Option<String>,
 }
 
 #[derive(Debug)]
 struct ServiceInner {
     name: String,
     faults: ServiceFaults,
+    /// The listener; `None` after a crash.
+    server: Option<ServerHandle>,
     by_key: RunCounters,
     by_request: RunCounters,
     by_path: RunCounters,
@@ -94,21 +100,48 @@
         let shared = Arc::new(Mutex::new(ServiceInner {
             name: name.to_owned(),
             faults: ServiceFaults::default(),
+            server: None,
             by_key: RunCounters::default(),
             by_request: RunCounters::default(),
             by_path: RunCounters::default(),
         }));
-        let server_shared = shared.clone();
-        let server = standin_runtime::serve(runtime.handle(), address, move |request, _| {
-            let shared = server_shared.clone();
-            async move { handle_request(shared, request).await }
-        })?;
-        Ok(Self { shared, server })
+        let mut service = Self {
+            shared,
+            address,
+            handle: runtime.handle().clone(),
+        };
+        service.address = service.listen()?;
+        Ok(service)
     }
 
     /// Returns the address of the service.
     pub fn address(&self) -> SocketAddr {
-        self.server.address()
+        self.address
+    }
+
+    /// Returns whether the service has crashed and was not restarted.
+    pub fn has_crashed(&self) -> bool {
+        lock(&self.shared).server.is_none()
+    }
+
+    /// Restarts a crashed service on the same address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the I/O error if the address cannot be bound.
+    pub fn restart(&self) -> std::io::Result<()> {
+        self.listen().map(drop)
+    }
+
+    fn listen(&self) -> std::io::Result<SocketAddr> {
+        let shared = self.shared.clone();
+        let server = standin_runtime::serve(&self.handle, self.address, move |request, _| {
+            let shared = shared.clone();
+            async move { handle_request(shared, request).await }
+        })?;
+        let address = server.address();
+        lock(&self.shared).server = Some(server);
+        Ok(address)
     }
 
     /// Replaces all faults.
@@ -197,6 +230,13 @@
     tokio::time::sleep(delay).await;
     let mut inner = lock(&shared);
     inner.finish(&keys);
+    let crash_on = inner.faults.crash_on.as_deref();
+    if crash_on.is_some_and(|it| keys.path.contains(it)) {
+        if let Some(server) = inner.server.take() {
+            server.stop();
+        }
+        return None;
+    }
     if inner.faults.lose_next > 0 && (keys.key.is_some() || !inner.faults.lose_keyed_only) {
         inner.faults.lose_next -= 1;
         return None;
