Entries and agents decode and log the limits that replicas name

Adds the decoding (one decimal number; other values set and lift nothing), a log line for begin, change and end at entries and agents, and counters of heads and of the agent's calls. No decision uses them.

--- a/crates/fulmarline/tests/wire_names.rs
+++ b/crates/fulmarline/tests/wire_names.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 /// Names of calls, headers and fields of the platform's protocol that have no other use in fulmarline.
-const WIRE_NAMES: [&str; 20] = [
+const WIRE_NAMES: [&str; 21] = [
     "rows-tx",
     "rows-get",
     "rows-feed",
@@ -14,6 +14,7 @@
     "expect-replica",
     "not-executed",
     "weight-versions",
+    "server-limit",
     "token-count",
     "prefix-hash",
     "expectrev",
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -28,6 +28,7 @@
     pub(crate) stream_segments: IntCounterVec,
     pub(crate) retry_denials: IntCounterVec,
     pub(crate) broken_connections: IntCounterVec,
+    pub(crate) response_heads: IntCounterVec,
     pub(crate) part_changes: IntCounterVec,
     pub(crate) parts: IntGaugeVec,
     pub(crate) predicted_first_event: Histogram,
@@ -127,6 +128,11 @@
                 "Probes of replicas after a connection broke during a request, by result.",
                 &["replica"],
             )?,
+            response_heads: counters(
+                "fulmarline_response_heads_total",
+                "Heads of replicas' responses, by whether they name a limit.",
+                &["limit"],
+            )?,
             part_changes: counters(
                 "fulmarline_part_changes_total",
                 "Parts of prompts that were suspected to crash replicas, cleared, or held back by this entry.",
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -11,7 +11,7 @@
 };
 use httpio::{BufferBudget, HttpClient};
 use platform::{NodeSettings, StoreClient};
-use routing::{CrashTable, DigestSchedule, PartId};
+use routing::{CrashTable, DigestSchedule, PartId, RequestRate};
 use slog::{Logger, warn};
 use tokio::sync::{Notify, watch};
 
@@ -49,6 +49,8 @@
     pub(crate) broken_replicas: BTreeMap<String, BrokenReplica>,
     /// Suspected and held parts of requests that are under way at this entry.
     pub(crate) trials: BTreeSet<PartId>,
+    /// Limits that replicas name, by their ids.
+    pub(crate) named_limits: BTreeMap<String, RequestRate>,
     /// Which heartbeats contain the evidence.
     pub(crate) heartbeat_digest: DigestSchedule,
     /// Which reports to other zones contain the evidence.
@@ -154,6 +156,7 @@
                 has_peer_evidence: false,
                 broken_replicas: BTreeMap::new(),
                 trials: BTreeSet::new(),
+                named_limits: BTreeMap::new(),
                 heartbeat_digest: DigestSchedule::default(),
                 report_digest: DigestSchedule::default(),
                 retry_budgets: BTreeMap::new(),
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -16,6 +16,7 @@
 mod feed_loop;
 mod feed_relay;
 mod in_flight_guard;
+mod limit_guard;
 mod operator_rows;
 mod peer_exchange;
 mod refusal;
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -13,6 +13,7 @@
 use crate::client_call::ClientCall;
 use crate::crash_guard;
 use crate::entry_shared::EntryShared;
+use crate::limit_guard;
 
 /// Outcome of a send.
 #[derive(Debug)]
@@ -77,8 +78,15 @@
             shared.replica_client.send(replica.address, request).await
         }
     };
+    let sent_at = Instant::now();
     let outcome = match tokio::time::timeout(wait, exchange).await {
-        Ok(Ok(pooled_response)) => classify_head(call, pooled_response),
+        Ok(Ok(pooled_response)) => {
+            let metadata = platform::decode_response_headers(pooled_response.response.headers());
+            if !is_foreign(call, &pooled_response, &metadata) {
+                limit_guard::record_head(shared, replica, metadata.named_limit, sent_at);
+            }
+            classify_head(call, pooled_response, metadata)
+        }
         Ok(Err(ClientError::NotSent(_))) => SendOutcome::NotRun(NotRunReason::NotSent),
         Ok(Err(ClientError::NoResponse(_))) => SendOutcome::Unknown("connection_lost"),
         Err(_) if chosen.must_start_within.is_some_and(|it| wait >= it) => {
@@ -114,19 +122,29 @@
     httpio::full(bytes.clone())
 }
 
-fn classify_head(call: &ClientCall, pooled_response: PooledResponse) -> SendOutcome {
-    let metadata = platform::decode_response_headers(pooled_response.response.headers());
+/// Returns whether the response belongs to an earlier request. A late duplicate contains that request's id, or none. Only
+/// the first response on a connection needs no id, as a server that refuses everything may not read the request.
+fn is_foreign(
+    call: &ClientCall,
+    pooled_response: &PooledResponse,
+    metadata: &ResponseMetadata,
+) -> bool {
+    match &metadata.request_id {
+        Some(id) => call.metadata.id.as_ref() != Some(id),
+        None => pooled_response.is_reused(),
+    }
+}
+
+fn classify_head(
+    call: &ClientCall,
+    pooled_response: PooledResponse,
+    metadata: ResponseMetadata,
+) -> SendOutcome {
     let status = pooled_response.response.status();
     if !(200..600).contains(&status.as_u16()) {
         return SendOutcome::Unknown("invalid_status");
     }
-    // A late duplicate response to an earlier request contains that request's id, or none. Only the first response on a
-    // connection needs no id, as a server that refuses everything may not read the request.
-    let is_foreign = match &metadata.request_id {
-        Some(id) => call.metadata.id.as_ref() != Some(id),
-        None => pooled_response.is_reused(),
-    };
-    if is_foreign {
+    if is_foreign(call, &pooled_response, &metadata) {
         return SendOutcome::Unknown("foreign_answer");
     }
     let is_refusal = metadata.not_executed
--- /dev/null
+++ b/crates/routing/src/request_rate.rs
@@ -0,0 +1,47 @@
+//! Rates of requests.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// A rate of requests, in thousandths of a request per second.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RequestRate(u32);
+
+impl RequestRate {
+    /// No requests.
+    pub const ZERO: Self = Self(0);
+
+    /// Creates a rate of `count` requests in 1,000 seconds.
+    pub fn per_kilosecond(count: u32) -> Self {
+        Self(count)
+    }
+
+    /// Parses a decimal number of requests per second, such as `2.3`. Digits after the third decimal are dropped, and
+    /// rates beyond the largest one are reduced to it.
+    pub fn parse(text: &str) -> Option<Self> {
+        let text = text.trim();
+        let (whole, fraction) = text.split_once('.').unwrap_or((text, ""));
+        let is_number = |digits: &str| digits.bytes().all(|it| it.is_ascii_digit());
+        if !is_number(whole) || !is_number(fraction) || (whole.is_empty() && fraction.is_empty()) {
+            return None;
+        }
+        let fraction: String = fraction.chars().chain("000".chars()).take(3).collect();
+        let digits = format!("{}{fraction}", whole.trim_start_matches('0'));
+        // Only digits are left, so the sole possible error is an overflow.
+        Some(Self(digits.parse().unwrap_or(u32::MAX)))
+    }
+
+    /// Returns the number of requests per second.
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1000.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.per_second())
+    }
+}
--- a/crates/stager/src/agent_metrics.rs
+++ b/crates/stager/src/agent_metrics.rs
@@ -13,6 +13,7 @@
     registry: Registry,
     pub(crate) pieces: IntCounterVec,
     pub(crate) orders: IntCounterVec,
+    pub(crate) replica_calls: IntCounterVec,
     pub(crate) version: IntGauge,
 }
 
@@ -33,17 +34,26 @@
             ),
             &["outcome"],
         )?;
+        let replica_calls = IntCounterVec::new(
+            Opts::new(
+                "fulmarline_replica_calls_total",
+                "Requests for the replica's report and orders to it, by whether the replica names a limit.",
+            ),
+            &["call", "limited"],
+        )?;
         let version = IntGauge::new(
             "fulmarline_weights_version",
             "Version that the replica serves.",
         )?;
         registry.register(Box::new(pieces.clone()))?;
         registry.register(Box::new(orders.clone()))?;
+        registry.register(Box::new(replica_calls.clone()))?;
         registry.register(Box::new(version.clone()))?;
         Ok(Self {
             registry,
             pieces,
             orders,
+            replica_calls,
             version,
         })
     }
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -9,6 +9,7 @@
 use fleet::{FeedMirror, FeedTable, LoadedModel, SwitchDeadlines};
 use httpio::HttpClient;
 use platform::{NodeSettings, ReplicaClient, StoreClient};
+use routing::RequestRate;
 use slog::Logger;
 use tokio::sync::{Notify, Semaphore};
 
@@ -62,6 +63,8 @@
     pub(crate) unsettled_order: Option<UnsettledOrder>,
     /// Weights that the replica serves, as reported to entries, or `None` until the replica has first been polled.
     pub(crate) serving: Option<Vec<LoadedModel>>,
+    /// Limit that the replica names in its reports.
+    pub(crate) named_limit: Option<RequestRate>,
 }
 
 /// State, clients and limits that all tasks of an agent share.
@@ -143,6 +146,7 @@
                 ordered_version: None,
                 unsettled_order: None,
                 serving: None,
+                named_limit: None,
             }),
             settings,
             log,
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -6,6 +6,7 @@
 use fleet::LoadedModel;
 use platform::{CallError, LoadOrder, OrderResponse, ReplicaReport};
 use rand::RngExt;
+use routing::NamedLimit;
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, UnsettledOrder, WeightTarget};
@@ -21,6 +22,7 @@
         // A notification and the timeout are handled alike.
         let _ = tokio::time::timeout(POLL_INTERVAL, shared.target_changed.notified()).await;
         let polled_at = Instant::now();
+        count_call(&shared, "report");
         let report = match shared.replica_client.report().await {
             Ok(it) => it,
             // A sound replica may be silent for a moment, and goes on with its requests afterwards.
@@ -36,6 +38,7 @@
             }
         };
         silent_since = None;
+        record_limit(&shared, report.named_limit);
         if incarnation != Some(report.started_ms) {
             info!(shared.log, "replica started"; "born_ms" => report.started_ms, "models" => report.models.len());
             incarnation = Some(report.started_ms);
@@ -154,6 +157,7 @@
         orders_started: order.orders_started,
         sent_at: Instant::now(),
     });
+    count_call(shared, "order");
     let response = shared.replica_client.load(&order).await;
     let mut state = shared.state();
     match &response {
@@ -317,6 +321,31 @@
         .any(|it| it.name == target.model && it.version == target.version)
 }
 
+/// Counts a call to the replica.
+fn count_call(shared: &AgentShared, call: &str) {
+    let is_limited = shared.state().named_limit.is_some();
+    let limited = if is_limited { "yes" } else { "no" };
+    let calls = &shared.metrics.replica_calls;
+    calls.with_label_values(&[call, limited]).inc();
+}
+
+/// Records the limit that the replica names in a report.
+fn record_limit(shared: &AgentShared, named: NamedLimit) {
+    let limit = match named {
+        NamedLimit::None => None,
+        NamedLimit::Limit(rate) => Some(rate),
+        NamedLimit::Unreadable => return,
+    };
+    let before = std::mem::replace(&mut shared.state().named_limit, limit);
+    if before != limit {
+        info!(
+            shared.log, "limit of the replica changed";
+            "before" => before.map(|it| it.to_string()),
+            "limit" => limit.map(|it| it.to_string()),
+        );
+    }
+}
+
 /// Reports the served weights to entries if they have changed.
 fn report_serving(shared: &AgentShared, models: &[LoadedModel], error: Option<&CallError>) {
     let mut state = shared.state();
