A test in which four entries exceed the limit of a replica fails

Four entries, four model replicas with agents, 80 streams a second; one replica names a limit of 1 a second in all its responses.

--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use httpio::{HeaderMap, HttpBody, Incoming, Method, Request, Response, ServerHandle, StatusCode};
 use serde_json::{Value, json};
@@ -39,6 +39,9 @@
     /// Id of a part of prompts. The replica reports a crash when it begins to respond to a request that contains the
     /// part, unless it is the last one.
     pub crash_part: Option<&'static str>,
+    /// Requests a second that the replica claims to take from all hosts together, as the value of the header that all
+    /// its responses contain.
+    pub named_limit: Option<&'static str>,
 }
 
 /// The calls that a replica can leave unanswered.
@@ -89,6 +92,8 @@
     forbidden_headers: Vec<String>,
     /// Number of received calls, answered or not.
     received: BTreeMap<ReplicaCalls, u64>,
+    /// When the calls that a named limit applies to were received.
+    limited_calls: Vec<Instant>,
 }
 
 impl ReplicaCalls {
@@ -205,6 +210,11 @@
         state.received.get(&calls).copied().unwrap_or(0)
     }
 
+    /// Returns when clients' requests and requests for reports were received, to which a named limit applies.
+    pub fn limited_calls(&self) -> Vec<Instant> {
+        self.shared.lock().limited_calls.clone()
+    }
+
     /// Returns the received headers that must not be forwarded to a replica.
     pub fn forbidden_headers(&self) -> Vec<String> {
         self.shared.lock().forbidden_headers.clone()
@@ -243,6 +253,15 @@
     row
 }
 
+impl ReplicaState {
+    fn record_call(&mut self, calls: ReplicaCalls) {
+        *self.received.entry(calls).or_default() += 1;
+        if matches!(calls, ReplicaCalls::Requests | ReplicaCalls::Reports) {
+            self.limited_calls.push(Instant::now());
+        }
+    }
+}
+
 impl ReplicaShared {
     fn lock(&self) -> MutexGuard<'_, ReplicaState> {
         self.state
@@ -256,14 +275,20 @@
     request: Request<Incoming>,
 ) -> Response<HttpBody> {
     let calls = ReplicaCalls::of(request.uri().path());
-    *shared.lock().received.entry(calls).or_default() += 1;
+    shared.lock().record_call(calls);
     let work = handle_request(shared.clone(), request);
-    if calls == ReplicaCalls::Requests {
+    let mut response = if calls == ReplicaCalls::Requests {
         let response = work.await;
         shared.silences[&calls].wait().await;
-        return response;
+        response
+    } else {
+        shared.silences[&calls].handle(work).await
+    };
+    if let Some(limit) = shared.lock().faults.named_limit {
+        let limit = httpio::HeaderValue::from_static(limit);
+        response.headers_mut().insert("server-limit", limit);
     }
-    shared.silences[&calls].handle(work).await
+    response
 }
 
 async fn handle_request(
