--- a/crates/entry/src/calls/crash_guard.rs
+++ b/crates/entry/src/calls/crash_guard.rs
@@ -8,7 +8,7 @@
 
 use model::{ResultCode, TargetKind, TargetRow};
 use routing::{
-    CrashDigest, CrashId, CrashTable, DigestSource, HoldState, MergeEffect, PartAdmission,
+    CrashDigest, CrashTable, DigestSource, HoldState, LifetimeId, MergeEffect, PartAdmission,
     PartChange, PartId, PoolId,
 };
 use settings::EntrySettings;
@@ -123,7 +123,7 @@
 
     fn record_crash(&self, row: &TargetRow, ended_at: u64, parts: &[PartId]) {
         let now = Instant::now();
-        let id = CrashId::new(row.host.as_str(), Some(ended_at));
+        let id = LifetimeId::new(row.host.as_str(), Some(ended_at));
         let mut table = self.table();
         let held = parts.iter().filter(|it| {
             matches!(
--- a/crates/fleet/src/fleet_message.rs
+++ b/crates/fleet/src/fleet_message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use routing::CrashDigest;
+use routing::{CrashDigest, LimitDigest, RequestRate};
 use serde::{Deserialize, Serialize};
 
 use crate::load_table::LoadSample;
@@ -47,6 +47,8 @@
     pub weights: Vec<DeclarationAge>,
     /// What the entry knows about crashes of replicas. Not every heartbeat contains it, since it changes rarely.
     pub crashes: Option<CrashDigest>,
+    /// What the entry knows about limits of replicas, if any have one, beside [`Self::crashes`].
+    pub limits: Option<LimitDigest>,
 }
 
 /// State of all entries of a zone, as one of them sends it to the other zones.
@@ -68,6 +70,8 @@
     pub entries: Vec<PeerRecord>,
     /// What the entries of the zone know about crashes of replicas, as in [`EntryHeartbeat::crashes`].
     pub crashes: Option<CrashDigest>,
+    /// What the reporter knows about limits of replicas, as in [`EntryHeartbeat::limits`].
+    pub limits: Option<LimitDigest>,
 }
 
 /// Age of a declared version of weights, for entries that have just started or read the store late.
@@ -102,4 +106,17 @@
     pub models: Vec<LoadedModel>,
     /// Whom the receiver passes the message on to.
     pub relay: RelayScope,
+    /// What the replica last said about a limit.
+    pub limit: ReportedLimit,
+}
+
+/// What a replica said about its limit in a report to its agent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedLimit {
+    /// Start time of the replica in Unix milliseconds, if reported.
+    pub started_ms: Option<u64>,
+    /// Requests a second that it takes from all hosts together, or `None` if it names no limit.
+    pub limit: Option<RequestRate>,
+    /// Time since the agent requested the report, in milliseconds.
+    pub age_ms: u32,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,7 +40,7 @@
 pub use fetch_plan::{CLASSES, FetchPlan, ManifestSource, PiecePeer, piece_class};
 pub use fleet_message::{
     AgentStatus, DeclarationAge, DeclaredWeights, EntryHeartbeat, FleetMessage, RelayScope,
-    ZoneReport,
+    ReportedLimit, ZoneReport,
 };
 pub use freshness::ConfigFreshness;
 pub use load_table::{LoadSample, LoadTable, ReplicaLoad};
--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -1,5 +1,6 @@
 //! Replica selection for a request, with refusal under overload.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::engine_profile::{BatchLoad, EngineProfile, RequestSize};
@@ -37,6 +38,9 @@
     /// Time after which no replica starts the request any more, if its start cannot be observed: it cannot be withdrawn
     /// when the weights become too old, because it may have started. `None` if it can be.
     pub latest_start: Option<Duration>,
+    /// Ids of the replicas that have a limit for all entries together, and whether this entry may send a request to each
+    /// of them now.
+    pub turns: &'a BTreeMap<String, bool>,
 }
 
 /// The replica selected for a request.
@@ -51,6 +55,8 @@
     /// Time within which the replica must start the request, because its weights are too old afterwards. A prediction
     /// cannot guarantee that, so the request must be withdrawn if it has not started by then.
     pub must_start_within: Option<Duration>,
+    /// Number of other replicas that their limits ruled out.
+    pub limited: usize,
 }
 
 impl ChosenReplica {
@@ -71,6 +77,8 @@
     NoneUsable,
     /// The predicted time to the first event of the best replica is too long, in milliseconds.
     Overloaded(f64),
+    /// All replicas that could serve the request have a limit, and this entry has no turn at any of them.
+    Limited,
 }
 
 /// Selects the replica with the shortest predicted time to the first event.
@@ -90,6 +98,13 @@
         .filter(|it| !request.tried.contains(&it.id))
         .filter(|it| has_allowed_version(request, it))
         .collect();
+    let has_turn = |it: &&Replica| request.turns.get(&it.id) != Some(&false);
+    let candidate_count = candidates.len();
+    let candidates: Vec<&Replica> = candidates.into_iter().filter(has_turn).collect();
+    let limited = candidate_count - candidates.len();
+    if candidates.is_empty() && limited > 0 {
+        return Err(NoReplica::Limited);
+    }
     let is_healthy = |it: &&&Replica| health.is_usable(&it.id, now);
     // If all replicas are ejected, trying one of them is better than refusing the request.
     let usable: Vec<&Replica> = if candidates.iter().any(|it| is_healthy(&it)) {
@@ -123,12 +138,14 @@
         must_start_within: request
             .time_to_switch(replica)
             .filter(|_| request.latest_start.is_none()),
+        limited,
     })
 }
 
 /// Returns a random sample of the replicas, which is smaller the more entries there are.
 ///
-/// If all entries compared all replicas with equally old load information, they would all select the same one.
+/// If all entries compared all replicas with equally old load information, they would all select the same one. The turns
+/// at replicas with a limit are this entry's own, so these replicas are always part of the sample.
 fn sample<'a>(request: &ChoiceRequest<'_>, usable: &[&'a Replica]) -> Vec<&'a Replica> {
     let share = 1.0 / (request.entries.max(1) as f64).sqrt();
     let size = ((usable.len() as f64 * share).ceil() as usize).max(MIN_SAMPLE);
@@ -138,7 +155,9 @@
         .map(|(index, replica)| (mix(request.random, index), *replica))
         .collect();
     order.sort_unstable_by_key(|it| it.0);
-    order.into_iter().take(size).map(|it| it.1).collect()
+    let order = order.into_iter().map(|it| it.1).enumerate();
+    let is_sampled = |(index, it): &(usize, &Replica)| *index < size || request.has_turn(it);
+    order.filter(is_sampled).map(|it| it.1).collect()
 }
 
 /// Derives a pseudorandom number per replica from `random` (finalizer of SplitMix64).
@@ -164,9 +183,14 @@
         .map(|(predicted, replica)| {
             let in_zone = replica.zone == request.zone;
             let zone_penalty = if in_zone { 0.0 } else { OTHER_ZONE_PENALTY_MS };
+            let turn_benefit = if request.has_turn(replica) {
+                TURN_BENEFIT_MS
+            } else {
+                0.0
+            };
             let failure_penalty = health.failure_share(&replica.id, now) * FAILURE_PENALTY_MS;
             (
-                predicted + zone_penalty + failure_penalty,
+                predicted + zone_penalty + failure_penalty - turn_benefit,
                 predicted,
                 replica,
             )
@@ -201,6 +225,11 @@
 }
 
 impl ChoiceRequest<'_> {
+    /// Returns whether `replica` has a limit and this entry may send a request to it.
+    fn has_turn(&self, replica: &Replica) -> bool {
+        self.turns.get(&replica.id) == Some(&true)
+    }
+
     /// Returns the time until the weights of `replica` become too old, if a newer version has been declared.
     fn time_to_switch(&self, replica: &Replica) -> Option<Duration> {
         let loaded = replica.version_of(&self.engine?.model);
@@ -248,6 +277,10 @@
 /// Penalty of a replica in another zone: the cost of traffic between regions, as equivalent delay of the first event.
 const OTHER_ZONE_PENALTY_MS: f64 = 60.0;
 
+/// Benefit of a turn at a replica with a limit, which lapses if it is not used: it relieves the others even if it is in
+/// another zone.
+const TURN_BENEFIT_MS: f64 = 100.0;
+
 /// Penalty of a replica that fails all requests; a certain failure is worse than any delay within the objective.
 const FAILURE_PENALTY_MS: f64 = 1000.0;
 
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -59,6 +59,8 @@
     pending: &'a [(u64, u64)],
     /// Time after which the request does not start any more, in milliseconds, if its start cannot be observed.
     latest_start: Option<u64>,
+    /// Replicas with a limit, and whether the entry has a turn.
+    turns: &'a [(&'a str, bool)],
 }
 
 impl Default for Case<'_> {
@@ -71,6 +73,7 @@
             failed: &[],
             pending: &[],
             latest_start: None,
+            turns: &[],
         }
     }
 }
@@ -127,6 +130,11 @@
         tolerated_delay_ms: 100.0,
         random: 0.0,
         entries: 1,
+        turns: &case
+            .turns
+            .iter()
+            .map(|it| (it.0.to_owned(), it.1))
+            .collect(),
         latest_start: case.latest_start.map(Duration::from_millis),
     };
     let text = match choose_replica(&request, &catalog, &loads, &health, now) {
@@ -145,6 +153,7 @@
             )
         }
         Err(NoReplica::NoneUsable) => "none usable".to_owned(),
+        Err(NoReplica::Limited) => "limited".to_owned(),
         Err(NoReplica::Overloaded(predicted)) => format!("overloaded, {predicted:.0} ms"),
     };
     expected.assert_eq(&text);
--- a/crates/fulmarline/tests/platform_named_limits.rs
+++ b/crates/fulmarline/tests/platform_named_limits.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use httpio::StatusCode;
-use serde_json::json;
+
 use site::{SiteResponse, TestSite};
 use standin::{ReplicaFaults, SiteReplica};
 
--- a/crates/ingress/src/buffered_relay.rs
+++ b/crates/ingress/src/buffered_relay.rs
@@ -12,7 +12,7 @@
 use crate::entry_shared::EntryShared;
 use crate::in_flight_guard::InFlightGuard;
 use crate::replica_send::{SendOutcome, return_connection, send};
-use crate::request_handler::{RelayOutcome, acquire_retry};
+use crate::request_handler::{self, RelayOutcome, acquire_retry};
 
 /// Sends `call` to `chosen` and reads the complete response, so that a truncated response never reaches the client.
 pub(crate) async fn relay(
@@ -87,9 +87,8 @@
 ) -> Option<RelayOutcome> {
     let tried = [failed.replica.id.clone()];
     let other =
-        crate::request_handler::choose_replica(shared, call, &tried, call.metadata.last_event_id)
-            .ok()?;
-    call.record_send();
+        request_handler::choose_replica(shared, call, &tried, call.metadata.last_event_id).ok()?;
+    request_handler::begin_send(shared, call, &other);
     match Box::pin(relay(shared, call, &other)).await {
         RelayOutcome::Response(response) => Some(RelayOutcome::Response(response)),
         RelayOutcome::NotRun(_) | RelayOutcome::Unknown => None,
--- a/crates/ingress/src/crash_guard.rs
+++ b/crates/ingress/src/crash_guard.rs
@@ -7,7 +7,7 @@
 
 use fleet::{LogKind, Replica, ReplicaState, RouteTable};
 use routing::{
-    CrashConclusion, CrashDigest, CrashId, DigestSource, MergeEffect, PartAdmission, PartChange,
+    CrashConclusion, CrashDigest, DigestSource, LifetimeId, MergeEffect, PartAdmission, PartChange,
     PartId, PoolId,
 };
 use slog::{info, warn};
@@ -48,11 +48,10 @@
 /// # Errors
 ///
 /// Returns the refusal if a part of its prompt is held back, or is suspected and another request with it is under way.
-pub(crate) async fn admit(shared: &Arc<EntryShared>, call: &ClientCall) -> Result<(), Refusal> {
+pub(crate) fn admit(shared: &Arc<EntryShared>, call: &ClientCall) -> Result<(), Refusal> {
     if call.parts.is_empty() {
         return Ok(());
     }
-    wait_for_evidence(shared).await;
     let now = Instant::now();
     let mut state = shared.state();
     let version = pool_version(&state, call.pool, now);
@@ -99,19 +98,6 @@
     Ok(())
 }
 
-/// Waits until a started entry has received the evidence of another one, but not for longer than others take to send it.
-async fn wait_for_evidence(shared: &EntryShared) {
-    loop {
-        let received = shared.evidence_received.notified();
-        let age = shared.started_at.elapsed();
-        if shared.state().has_peer_evidence || age >= EVIDENCE_WAIT {
-            return;
-        }
-        // A time-out ends the wait in the next round.
-        let _ = tokio::time::timeout(EVIDENCE_WAIT - age, received).await;
-    }
-}
-
 /// Returns whether a request that broke off at its start may be sent to another replica.
 pub(crate) fn may_retry(shared: &EntryShared, call: &ClientCall) -> bool {
     call.parts.is_empty() || shared.state().crashes.may_retry(&call.parts)
@@ -171,7 +157,7 @@
     if !has_ended {
         return;
     }
-    let id = CrashId::new(&replica.id, replica.started_ms);
+    let id = LifetimeId::new(&replica.id, replica.started_ms);
     let (at, pool) = (broken.broke_at, broken.pool);
     let version = pool_version(&state, pool, now);
     let mut is_changed = state.crashes.record_crash(at, id, pool, &broken.parts);
@@ -215,12 +201,8 @@
 /// Adds what an entry of the zone or another zone knows.
 pub(crate) fn merge(shared: &EntryShared, digest: &CrashDigest, source: DigestSource) {
     let mut state = shared.state();
-    let is_first = !std::mem::replace(&mut state.has_peer_evidence, true);
     let effect = state.crashes.merge(Instant::now(), digest, source);
     drop(state);
-    if is_first {
-        shared.evidence_received.notify_waiters();
-    }
     match effect {
         MergeEffect::Nothing => {}
         MergeEffect::Survivals => draw_conclusions(shared),
@@ -318,6 +300,3 @@
 
 /// Longest delay that a client with a held part is told to wait; it would not come back later than that.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(60);
-
-/// Time after the start of an entry in which it receives the evidence of others: two heartbeats, one of which may be lost.
-const EVIDENCE_WAIT: Duration = Duration::from_millis(1000);
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -29,6 +29,10 @@
     pub(crate) retry_denials: IntCounterVec,
     pub(crate) broken_connections: IntCounterVec,
     pub(crate) response_heads: IntCounterVec,
+    pub(crate) limit_changes: IntCounterVec,
+    pub(crate) limited_requests: IntCounterVec,
+    pub(crate) limits: IntGauge,
+    pub(crate) limit_turns: IntGaugeVec,
     pub(crate) part_changes: IntCounterVec,
     pub(crate) parts: IntGaugeVec,
     pub(crate) predicted_first_event: Histogram,
@@ -133,6 +137,22 @@
                 "Heads of replicas' responses, by whether they name a limit.",
                 &["limit"],
             )?,
+            limit_changes: counters(
+                "fulmarline_limit_changes_total",
+                "Limits of replicas that began, changed or ended as this entry learned.",
+                &["change"],
+            )?,
+            limited_requests: counters(
+                "fulmarline_limited_requests_total",
+                "Requests sent with a turn at a replica with a limit, sent elsewhere because one had no turn, refused for limits, or sent beyond one.",
+                &["outcome"],
+            )?,
+            limits: gauge("fulmarline_limits", "Replicas whose limits are in force.")?,
+            limit_turns: int_gauges(
+                "fulmarline_limit_turns",
+                "Turns of this entry at replicas whose limits are in force: usable now, used and lapsed since the limits began.",
+                "state",
+            )?,
             part_changes: counters(
                 "fulmarline_part_changes_total",
                 "Parts of prompts that were suspected to crash replicas, cleared, or held back by this entry.",
@@ -221,6 +241,16 @@
     for (label, count) in counts {
         metrics.replicas.with_label_values(&[label]).set(count);
     }
+    let limits = state.limits.states(shared.suspend_aware_now());
+    metrics.limits.set(to_gauge_value(limits.len() as u64));
+    for (label, count) in [
+        ("usable", limits.iter().map(|it| it.turns as u64).sum()),
+        ("used", limits.iter().map(|it| it.used).sum()),
+        ("lapsed", limits.iter().map(|it| it.lapsed).sum()),
+    ] {
+        let gauge = metrics.limit_turns.with_label_values(&[label]);
+        gauge.set(to_gauge_value(count));
+    }
     let held = state.crashes.holds(now).into_iter().filter(|it| it.is_held);
     for (label, count) in [
         ("held", held.count()),
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -11,10 +11,11 @@
 };
 use httpio::{BufferBudget, HttpClient};
 use platform::{NodeSettings, StoreClient};
-use routing::{CrashTable, DigestSchedule, PartId, RequestRate};
+use routing::{CrashTable, DigestSchedule, LimitTable, PartId};
 use slog::{Logger, warn};
 use tokio::sync::{Notify, watch};
 
+use crate::boot_clock;
 use crate::crash_guard::BrokenReplica;
 use crate::entry_metrics::EntryMetrics;
 
@@ -49,8 +50,8 @@
     pub(crate) broken_replicas: BTreeMap<String, BrokenReplica>,
     /// Suspected and held parts of requests that are under way at this entry.
     pub(crate) trials: BTreeSet<PartId>,
-    /// Limits that replicas name, by their ids.
-    pub(crate) named_limits: BTreeMap<String, RequestRate>,
+    /// Limits that replicas name for all entries together.
+    pub(crate) limits: LimitTable,
     /// Which heartbeats contain the evidence.
     pub(crate) heartbeat_digest: DigestSchedule,
     /// Which reports to other zones contain the evidence.
@@ -92,6 +93,8 @@
     pub(crate) holds_changed: watch::Sender<()>,
     /// When the process started.
     pub(crate) started_at: Instant,
+    /// Time since the host was booted at the start of the process.
+    boot_age_at_start: Duration,
     /// Wakes the handlers of requests in flight at the end of a planned stop.
     pub(crate) final_responses_due: Notify,
     stop_began_at: Mutex<Option<Instant>>,
@@ -120,6 +123,7 @@
             .bounds
             .version_switch
             .saturating_sub(SWITCH_RESERVE);
+        let started_at = Instant::now();
         let incarnation = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
@@ -138,7 +142,8 @@
             weights_declared: Notify::new(),
             evidence_received: Notify::new(),
             holds_changed: watch::Sender::new(()),
-            started_at: Instant::now(),
+            started_at,
+            boot_age_at_start: boot_clock::now(),
             final_responses_due: Notify::new(),
             stop_began_at: Mutex::new(None),
             state: Mutex::new(EntryState {
@@ -156,7 +161,7 @@
                 has_peer_evidence: false,
                 broken_replicas: BTreeMap::new(),
                 trials: BTreeSet::new(),
-                named_limits: BTreeMap::new(),
+                limits: LimitTable::new(started_at, &settings.node),
                 heartbeat_digest: DigestSchedule::default(),
                 report_digest: DigestSchedule::default(),
                 retry_budgets: BTreeMap::new(),
@@ -183,6 +188,12 @@
         decision.allowed
     }
 
+    /// Returns the current time of a clock that, unlike that of `Instant`, advances while the host is suspended. Its times
+    /// are comparable with each other only.
+    pub(crate) fn suspend_aware_now(&self) -> Instant {
+        self.started_at + boot_clock::now().saturating_sub(self.boot_age_at_start)
+    }
+
     /// Locks the state; never held across an await.
     pub(crate) fn state(&self) -> MutexGuard<'_, EntryState> {
         self.state
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -18,6 +18,7 @@
 mod in_flight_guard;
 mod limit_guard;
 mod operator_rows;
+mod peer_evidence;
 mod peer_exchange;
 mod refusal;
 mod replica_rows;
--- a/crates/ingress/src/limit_guard.rs
+++ b/crates/ingress/src/limit_guard.rs
@@ -1,14 +1,20 @@
-//! Records the limits that replicas name in their responses.
+//! Keeps the requests to replicas within the limits that these name for all entries together.
+//!
+//! Limits and turns are those of [`routing::LimitTable`]; see `docs/decisions/0046-named-limits.md`.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
-use fleet::{LogKind, Replica};
-use routing::NamedLimit;
-use slog::info;
+use fleet::{ChosenReplica, LogKind, Replica, ReportedLimit};
+use routing::{LifetimeId, LimitChange, LimitDigest, LimitRecord, NamedLimit, PoolId, RequestRate};
+use slog::{info, warn};
 
-use crate::entry_shared::EntryShared;
+use crate::client_call::ClientCall;
+use crate::entry_shared::{EntryShared, EntryState};
+use crate::refusal::Refusal;
 
-/// Records what the head of a response says about the limit of `replica`. The request was sent at `sent_at`.
+/// Records what the head of a response says about the limit of `replica`. The request was sent at `sent_at` by the clock
+/// of [`EntryShared::suspend_aware_now`].
 pub(crate) fn record_head(
     shared: &EntryShared,
     replica: &Replica,
@@ -22,29 +28,146 @@
     };
     let heads = &shared.metrics.response_heads;
     heads.with_label_values(&[label]).inc();
-    if named == NamedLimit::Unreadable {
-        if shared.may_log(LogKind::Failed) {
-            info!(shared.log, "limit of a replica cannot be read"; "replica" => &replica.id);
-        }
+    if named == NamedLimit::Unreadable && shared.may_log(LogKind::Failed) {
+        info!(shared.log, "limit of a replica cannot be read"; "replica" => &replica.id);
+    }
+    let now = shared.suspend_aware_now();
+    let id = lifetime(replica);
+    let change = shared.state().limits.record_head(now, id, named, sent_at);
+    handle_changes(shared, change.as_slice(), "response");
+}
+
+/// Records what an agent reports about the limit of `replica`.
+pub(crate) fn record_report(shared: &EntryShared, replica: &Replica, reported: ReportedLimit) {
+    if reported.started_ms != replica.started_ms {
         return;
     }
-    let mut state = shared.state();
-    let before = match named {
-        NamedLimit::Limit(rate) => state.named_limits.insert(replica.id.clone(), rate),
-        _ => state.named_limits.remove(&replica.id),
+    let record = LimitRecord {
+        replica: lifetime(replica),
+        limit: reported.limit,
+        age_ms: reported.age_ms,
     };
+    let now = shared.suspend_aware_now();
+    let changes = shared.state().limits.merge_records(now, &[record]);
+    handle_changes(shared, &changes, "agent");
+}
+
+/// Adds what another entry knows.
+pub(crate) fn merge(shared: &EntryShared, digest: &LimitDigest) {
+    let now = shared.suspend_aware_now();
+    let changes = shared.state().limits.merge(now, digest);
+    handle_changes(shared, &changes, "entry");
+}
+
+/// Updates the entries among which turns are divided, and forgets limits that have ended.
+pub(crate) fn review(shared: &EntryShared) {
+    let (now, peer_now) = (shared.suspend_aware_now(), Instant::now());
+    let mut state = shared.state();
+    let state = &mut *state;
+    let mut alive = state.peers.alive(peer_now).map(|it| it.node.as_str());
+    state.limits.update_members(now, &mut alive);
+    let catalog = &state.catalog;
+    let is_listed = |id| catalog.all().any(|it| lifetime(it) == id);
+    state.limits.expire(now, &is_listed);
+}
+
+/// Returns the replicas of the service of `call` that have a limit, and whether this entry may send a request to each now.
+pub(crate) fn turns(
+    shared: &EntryShared,
+    state: &mut EntryState,
+    call: &ClientCall,
+) -> BTreeMap<String, bool> {
+    if state.limits.is_empty() {
+        return BTreeMap::new();
+    }
+    let now = shared.suspend_aware_now();
+    let of_service = state.catalog.ready(&call.service, Instant::now());
+    let limits = &mut state.limits;
+    let turn = |it: &Replica| Some((it.id.clone(), limits.has_turn(now, lifetime(it))?));
+    of_service.filter_map(turn).collect()
+}
+
+/// Uses a turn for a request that is sent to `chosen`, if the replica has a limit.
+pub(crate) fn take_turn(shared: &EntryShared, call: &ClientCall, chosen: &ChosenReplica) {
+    let now = shared.suspend_aware_now();
+    let mut state = shared.state();
+    if chosen.limited > 0 {
+        let requests = &shared.metrics.limited_requests;
+        requests.with_label_values(&["elsewhere"]).inc();
+    }
+    let is_limited = state
+        .limits
+        .has_turn(now, lifetime(&chosen.replica))
+        .is_some();
+    if !is_limited {
+        return;
+    }
+    let is_taken = state.limits.take_turn(now, lifetime(&chosen.replica));
+    drop(state);
+    let outcome = if is_taken { "turn" } else { "beyond" };
+    let requests = &shared.metrics.limited_requests;
+    requests.with_label_values(&[outcome]).inc();
+    if !is_taken {
+        warn!(shared.log, "request sent beyond a limit"; "request" => call.id(), "replica" => &chosen.replica.id);
+    }
+}
+
+/// Returns the refusal of a request for which only replicas without a turn are left.
+pub(crate) fn refuse(shared: &EntryShared, call: &ClientCall) -> Refusal {
+    let requests = &shared.metrics.limited_requests;
+    requests.with_label_values(&["refused"]).inc();
+    let now = shared.suspend_aware_now();
+    let mut state = shared.state();
+    let state = &mut *state;
+    let of_service = state.catalog.ready(&call.service, Instant::now());
+    let mut replicas = of_service.map(lifetime);
+    let pool = PoolId::new(&call.service);
+    Refusal::Limited(state.limits.return_delay(now, pool, &mut replicas))
+}
+
+/// Returns the id of the lifetime of `replica`.
+pub(crate) fn lifetime(replica: &Replica) -> LifetimeId {
+    LifetimeId::new(&replica.id, replica.started_ms)
+}
+
+fn handle_changes(shared: &EntryShared, changes: &[LimitChange], source: &'static str) {
+    if changes.is_empty() {
+        return;
+    }
+    let mut state = shared.state();
+    state.heartbeat_digest.record_change();
+    state.report_digest.record_change();
     drop(state);
-    let now = match named {
-        NamedLimit::Limit(rate) => Some(rate),
-        _ => None,
+    shared.urgent_change.notify_one();
+    for change in changes {
+        log_change(shared, change, source);
+    }
+}
+
+fn log_change(shared: &EntryShared, change: &LimitChange, source: &'static str) {
+    let label = match (change.before, change.after) {
+        (None, _) => "began",
+        (_, None) => "ended",
+        _ => "changed",
     };
-    if before != now {
-        info!(
-            shared.log, "limit of a replica changed";
-            "replica" => &replica.id,
-            "before" => before.map(|it| it.to_string()),
-            "limit" => now.map(|it| it.to_string()),
-            "sent_ms" => u64::try_from(sent_at.elapsed().as_millis()).unwrap_or(u64::MAX),
-        );
+    let changes = &shared.metrics.limit_changes;
+    changes.with_label_values(&[label]).inc();
+    if !shared.may_log(LogKind::Failed) {
+        return;
     }
+    let state = shared.state();
+    let replica = state
+        .catalog
+        .all()
+        .find(|it| lifetime(it) == change.replica);
+    let replica = replica.map(|it| it.id.clone());
+    drop(state);
+    let text = |it: Option<RequestRate>| it.map(|it| it.to_string());
+    info!(
+        shared.log, "limit of a replica {}", label;
+        "replica" => replica,
+        "before" => text(change.before),
+        "limit" => text(change.after),
+        "source" => source,
+    );
 }
--- a/crates/ingress/src/peer_exchange.rs
+++ b/crates/ingress/src/peer_exchange.rs
@@ -13,9 +13,9 @@
 use slog::{info, warn};
 use tokio::net::UdpSocket;
 
-use crate::crash_guard;
 use crate::entry_shared::EntryShared;
 use crate::zone_exchange::{self, ReportFilter};
+use crate::{crash_guard, limit_guard, peer_evidence};
 
 /// Store table in which entries register.
 pub(crate) const ENTRY_TABLE: &str = "entries";
@@ -110,6 +110,7 @@
         };
         sequence += 1;
         crash_guard::review(&shared);
+        limit_guard::review(&shared);
         let heartbeat = own_heartbeat(&shared, sequence);
         let is_due = last_to_listed.is_none_or(|it| it.elapsed() >= MAX_HEARTBEAT_INTERVAL);
         let to_listed = is_urgent || is_due;
@@ -162,8 +163,10 @@
         state.heartbeat_digest.record_sent(now);
         state.crashes.own_digest(now)
     });
+    let limits = is_due.then(|| state.limits.digest(shared.suspend_aware_now()));
     EntryHeartbeat {
         crashes,
+        limits: limits.flatten(),
         record,
         sequence,
         loads: state.loads.own_samples().into_iter().collect(),
@@ -253,9 +256,8 @@
     let now = Instant::now();
     let loads: BTreeMap<u64, LoadSample> = heartbeat.loads.into_iter().collect();
     record_declarations(shared, &heartbeat.weights, now);
-    if let Some(crashes) = &heartbeat.crashes {
-        crash_guard::merge(shared, crashes, DigestSource::Entry);
-    }
+    let (crashes, limits) = (heartbeat.crashes.as_ref(), heartbeat.limits.as_ref());
+    peer_evidence::merge(shared, crashes, limits, DigestSource::Entry);
     let mut state = shared.state();
     state.loads.update_peer(&node, loads, now);
     state.loads.expire(now);
--- a/crates/ingress/src/refusal.rs
+++ b/crates/ingress/src/refusal.rs
@@ -28,6 +28,8 @@
     HeldBack(Duration),
     /// A part of the request may crash replicas, and another request with it is being tried; not run.
     Suspected,
+    /// The replicas' limits leave no room before this time has passed; not run.
+    Limited(Duration),
     /// All attempts were refused by replicas; not run.
     RefusedByReplicas,
     /// The request was sent, and either it is not known whether it ran or its response was lost.
@@ -52,6 +54,7 @@
             | Self::Leaving
             | Self::HeldBack(_)
             | Self::Suspected
+            | Self::Limited(_)
             | Self::RefusedByReplicas
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -72,6 +75,7 @@
             Self::Leaving => "leaving",
             Self::HeldBack(_) => "held_back",
             Self::Suspected => "suspected",
+            Self::Limited(_) => "limited",
             Self::RefusedByReplicas => "refused_by_replicas",
             Self::Unknown => "unknown_outcome",
             Self::TimedOut => "timed_out",
@@ -85,7 +89,7 @@
             Self::Overloaded | Self::RefusedByReplicas => OVERLOAD_RETRY_MS,
             Self::NoReplica | Self::NoConfig => OUTAGE_RETRY_MS,
             Self::Leaving => LEAVING_RETRY_MS,
-            Self::HeldBack(delay) => return Some(delay),
+            Self::HeldBack(delay) | Self::Limited(delay) => return Some(delay),
             Self::Suspected => TRIAL_RETRY_MS,
             _ => return None,
         };
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -78,7 +78,7 @@
             shared.replica_client.send(replica.address, request).await
         }
     };
-    let sent_at = Instant::now();
+    let sent_at = shared.suspend_aware_now();
     let outcome = match tokio::time::timeout(wait, exchange).await {
         Ok(Ok(pooled_response)) => {
             let metadata = platform::decode_response_headers(pooled_response.response.headers());
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -11,10 +11,11 @@
 use crate::client_call::{ClientCall, kind_label, read_call};
 use crate::crash_guard;
 use crate::entry_shared::EntryShared;
+use crate::limit_guard;
 use crate::refusal::Refusal;
 use crate::replica_send::{NotRunReason, SendOutcome};
 use crate::retry_denial::RetryDenial;
-use crate::{buffered_relay, stop, stream_relay};
+use crate::{buffered_relay, peer_evidence, stop, stream_relay};
 
 /// Handles one request of a client.
 pub(crate) async fn handle(
@@ -78,7 +79,8 @@
     if stop::must_refuse(shared, &call) {
         return Err(Refusal::Leaving);
     }
-    crash_guard::admit(shared, &call).await?;
+    peer_evidence::wait(shared).await;
+    crash_guard::admit(shared, &call)?;
     shared
         .state()
         .retry_budget(&call.service, &shared.settings, call.arrived)
@@ -98,12 +100,10 @@
             Ok(it) => it,
             Err(cause) => {
                 log_no_replica(shared, &call, cause, &tried);
-                return Err(refusal_for(cause, &tried, may_have_run));
+                return Err(refusal_for(shared, &call, cause, &tried, may_have_run));
             }
         };
-        call.record_send();
-        let predicted = chosen.predicted_ms / 1000.0;
-        shared.metrics.predicted_first_event.observe(predicted);
+        begin_send(shared, &call, &chosen);
         tried.push(chosen.replica.id.clone());
         let has_arrived = match buffered_relay::relay(shared, &call, &chosen).await {
             RelayOutcome::Response(response) => return Ok(response),
@@ -126,12 +126,19 @@
 }
 
 /// Returns the refusal for the client if no replica was chosen.
-fn refusal_for(cause: NoReplica, tried: &[String], may_have_run: bool) -> Refusal {
+fn refusal_for(
+    shared: &EntryShared,
+    call: &ClientCall,
+    cause: NoReplica,
+    tried: &[String],
+    may_have_run: bool,
+) -> Refusal {
     match cause {
         _ if may_have_run => Refusal::Unknown,
         _ if !tried.is_empty() => Refusal::RefusedByReplicas,
         NoReplica::NoneUsable => Refusal::NoReplica,
         NoReplica::Overloaded(_) => Refusal::Overloaded,
+        NoReplica::Limited => limit_guard::refuse(shared, call),
     }
 }
 
@@ -146,7 +153,7 @@
         return;
     }
     let predicted_ms = match cause {
-        NoReplica::NoneUsable => None,
+        NoReplica::NoneUsable | NoReplica::Limited => None,
         NoReplica::Overloaded(predicted) => Some(predicted.round()),
     };
     let state = shared.state();
@@ -159,6 +166,7 @@
         "best_predicted_ms" => predicted_ms,
         "objective_ms" => u64::try_from(call.route.objective.as_millis()).unwrap_or(u64::MAX),
         "left_ms" => u64::try_from(call.time_remaining().as_millis()).unwrap_or(u64::MAX),
+        "limited" => cause == NoReplica::Limited,
         "late" => call.is_late(),
         "prompt" => call.metadata.size.prompt_tokens,
         "ready" => ready,
@@ -238,6 +246,14 @@
     }
 }
 
+/// Records that `call` is about to be sent to `chosen`. No other task may run between the choice and this.
+pub(crate) fn begin_send(shared: &EntryShared, call: &ClientCall, chosen: &ChosenReplica) {
+    call.record_send();
+    limit_guard::take_turn(shared, call, chosen);
+    let predicted = chosen.predicted_ms / 1000.0;
+    shared.metrics.predicted_first_event.observe(predicted);
+}
+
 /// Chooses a replica for `call`.
 pub(crate) fn choose_replica(
     shared: &EntryShared,
@@ -250,7 +266,8 @@
         .service(&call.service)
         .and_then(|it| it.engine.as_ref());
     let now = Instant::now();
-    let state = shared.state();
+    let mut state = shared.state();
+    let turns = limit_guard::turns(shared, &mut state, call);
     let objective = call.route.objective.saturating_sub(call.arrived.elapsed());
     let max_first_event_time = if engine.is_none() || last_event_id.is_some() || !tried.is_empty() {
         call.time_remaining()
@@ -275,6 +292,7 @@
             None => state.peers.alive(now).count() + 1,
         },
         latest_start: (call.route.kind != CallKind::Stream).then(|| call.time_remaining()),
+        turns: &turns,
     };
     fleet::choose_replica(&request, &state.catalog, &state.loads, &state.health, now)
 }
--- a/crates/ingress/src/retry_denial.rs
+++ b/crates/ingress/src/retry_denial.rs
@@ -19,6 +19,8 @@
     NoReplica,
     /// Even the best other replica is predicted to respond too late.
     Overloaded,
+    /// The other replicas have limits that leave no room now.
+    Limited,
 }
 
 impl RetryDenial {
@@ -40,6 +42,7 @@
             Self::Budget => "budget",
             Self::NoReplica => "no_replica",
             Self::Overloaded => "overloaded",
+            Self::Limited => "limited",
         }
     }
 }
@@ -49,6 +52,7 @@
         match cause {
             NoReplica::NoneUsable => Self::NoReplica,
             NoReplica::Overloaded(_) => Self::Overloaded,
+            NoReplica::Limited => Self::Limited,
         }
     }
 }
--- a/crates/ingress/src/stream_attempts.rs
+++ b/crates/ingress/src/stream_attempts.rs
@@ -19,10 +19,11 @@
 use crate::client_call::ClientCall;
 use crate::crash_guard;
 use crate::entry_shared::EntryShared;
+use crate::limit_guard;
 use crate::refusal::Refusal;
 use crate::replica_send::{SendOutcome, return_connection};
 use crate::request_handler::{
-    MIN_SEND_TIME, acquire_retry, choose_replica, log_denial, log_no_replica,
+    MIN_SEND_TIME, acquire_retry, begin_send, choose_replica, log_denial, log_no_replica,
 };
 use crate::retry_denial::RetryDenial;
 use crate::stream_segment::{SegmentRead, StreamSegment, millis};
@@ -343,9 +344,7 @@
         if !self.tried.is_empty() {
             acquire_retry(&self.shared, &self.call, self.has_arrived)?;
         }
-        self.call.record_send();
-        let predicted = chosen.predicted_ms / 1000.0;
-        self.shared.metrics.predicted_first_event.observe(predicted);
+        begin_send(&self.shared, &self.call, &chosen);
         self.tried.push(chosen.replica.id.clone());
         self.newest = Some(chosen.clone());
         self.is_silent = false;
@@ -376,6 +375,7 @@
             _ if is_expired => Refusal::Expired,
             _ if !self.tried.is_empty() => Refusal::RefusedByReplicas,
             RetryDenial::Overloaded => Refusal::Overloaded,
+            RetryDenial::Limited => limit_guard::refuse(&self.shared, &self.call),
             _ => Refusal::NoReplica,
         }
     }
--- a/crates/ingress/src/stream_segment.rs
+++ b/crates/ingress/src/stream_segment.rs
@@ -253,6 +253,7 @@
                 "sent_ms" => (observed * 1000.0).round(),
                 "predicted_ms" => predicted.round(),
                 "ms" => millis(call.arrived.elapsed()),
+                "limited" => self.chosen.limited,
                 "version" => self.metadata.version,
                 "framing" => self.framing.label(),
                 "config" => call.table.version(),
--- a/crates/ingress/src/zone_exchange.rs
+++ b/crates/ingress/src/zone_exchange.rs
@@ -11,8 +11,9 @@
 use slog::info;
 use tokio::net::UdpSocket;
 
-use crate::crash_guard;
 use crate::entry_shared::EntryShared;
+use crate::limit_guard;
+use crate::peer_evidence;
 use crate::peer_exchange::{recent_declarations, record_declarations};
 
 /// Drops reports that arrive late or twice, since several entries may pass on the same one.
@@ -84,6 +85,7 @@
         state.report_digest.record_sent(now);
         state.crashes.zone_digest(now, zone)
     });
+    let limits = is_due.then(|| state.limits.digest(shared.suspend_aware_now()));
     let mut entries: Vec<PeerRecord> = Vec::new();
     if with_roster {
         let alive = state.peers.alive(now).filter(|it| it.zone == *zone);
@@ -99,6 +101,7 @@
         weights: recent_declarations(&state.versions, now),
         entries,
         crashes,
+        limits: limits.flatten(),
     }
 }
 
@@ -123,9 +126,8 @@
     }
     let now = Instant::now();
     record_declarations(shared, &report.weights, now);
-    if let Some(crashes) = &report.crashes {
-        crash_guard::merge(shared, crashes, DigestSource::Zone);
-    }
+    let (crashes, limits) = (report.crashes.as_ref(), report.limits.as_ref());
+    peer_evidence::merge(shared, crashes, limits, DigestSource::Zone);
     let loads = report.loads.into_iter().collect();
     let mut state = shared.state();
     state.loads.update_zone(&report.zone, loads, now);
@@ -164,6 +166,14 @@
             "version" => status.models.first().map(|it| it.version),
         );
     }
+    let replica = {
+        let state = shared.state();
+        let mut replicas = state.catalog.all();
+        replicas.find(|it| it.address == status.replica).cloned()
+    };
+    if let Some(replica) = replica {
+        limit_guard::record_report(shared, &replica, status.limit);
+    }
     let relay = status.relay;
     if relay == RelayScope::AllZones {
         // The agent repeats its status; a random choice makes up for an entry that has just died.
--- a/crates/routing/src/crash_digest.rs
+++ b/crates/routing/src/crash_digest.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::part_id::{PartId, PoolId, fnv1a};
+use crate::lifetime_id::LifetimeId;
+use crate::part_id::{PartId, PoolId};
 
 /// What an entry or a zone knows about recent crashes. Digests can be merged in any order and more than once.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,25 +26,11 @@
     }
 }
 
-/// Identifies the end of one lifetime of a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct CrashId(u64);
-
-impl CrashId {
-    /// Creates the id for the replica `replica` that was started at `started_ms`.
-    pub fn new(replica: &str, started_ms: Option<u64>) -> Self {
-        let started = started_ms.unwrap_or_default().to_le_bytes();
-        let bytes = replica.bytes().chain(started);
-        // A collision would only join two crashes.
-        Self(fnv1a(bytes))
-    }
-}
-
 /// The crash of a replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
     /// Which crash.
-    pub id: CrashId,
+    pub id: LifetimeId,
     /// Pool of the replica.
     pub pool: PoolId,
     /// Time since the crash, in milliseconds.
--- a/crates/routing/src/crash_table.rs
+++ b/crates/routing/src/crash_table.rs
@@ -9,10 +9,11 @@
 
 use crate::crash_conclusion::{CrashConclusion, PartChange};
 use crate::crash_digest::{
-    CrashDigest, CrashId, CrashRecord, DigestSource, MergeEffect, SurvivalRecord, TrialRecord,
+    CrashDigest, CrashRecord, DigestSource, MergeEffect, SurvivalRecord, TrialRecord,
 };
 use crate::crash_score::PartEvidence;
 use crate::hold_table::{HoldState, HoldTable};
+use crate::lifetime_id::LifetimeId;
 use crate::part_admission::PartAdmission;
 use crate::part_id::{PartId, PoolId, fnv1a};
 use crate::part_ranking::{PartRanking, RankedPart};
@@ -23,7 +24,7 @@
 pub struct CrashTable {
     /// Digest of the name of this entry.
     own: u64,
-    crashes: BTreeMap<CrashId, Crash>,
+    crashes: BTreeMap<LifetimeId, Crash>,
     survivals: SurvivalLog,
     /// Parts with enough crashes that their requests are sent one at a time.
     suspects: BTreeSet<PartId>,
@@ -59,7 +60,7 @@
     pub fn record_crash(
         &mut self,
         now: Instant,
-        id: CrashId,
+        id: LifetimeId,
         pool: PoolId,
         parts: &[PartId],
     ) -> bool {
@@ -257,7 +258,7 @@
     }
 
     fn digest(&self, now: Instant, survivals: Vec<SurvivalRecord>) -> CrashDigest {
-        let mut crashes: Vec<(&CrashId, &Crash)> = self.crashes.iter().collect();
+        let mut crashes: Vec<(&LifetimeId, &Crash)> = self.crashes.iter().collect();
         crashes.sort_by_key(|it| std::cmp::Reverse(it.1.at));
         let records = crashes.into_iter().take(MAX_SENT_CRASHES);
         CrashDigest {
@@ -284,7 +285,7 @@
 
     fn insert_crash(
         &mut self,
-        id: CrashId,
+        id: LifetimeId,
         at: Instant,
         pool: PoolId,
         parts: impl Iterator<Item = PartId>,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,7 +18,12 @@
 mod hedge_timer;
 mod hold_table;
 mod in_flight_table;
+mod lifetime_id;
+mod limit_change;
+mod limit_digest;
+mod limit_table;
 mod load_meter;
+mod member_table;
 mod named_limit;
 mod order_event;
 mod order_row;
@@ -37,6 +42,7 @@
 mod service_rate;
 mod survival_log;
 mod target_choice;
+mod turn_schedule;
 mod wait_estimate;
 
 pub use admission_gate::{AdmissionGate, AdmissionRefusal, AdmissionRequest, RevokeReply};
@@ -45,8 +51,7 @@
 pub use concurrency_limit::{ConcurrencyLimit, LatencyTargets};
 pub use crash_conclusion::{CrashConclusion, PartChange};
 pub use crash_digest::{
-    CrashDigest, CrashId, CrashRecord, DigestSource, HoldRecord, MergeEffect, SurvivalRecord,
-    TrialRecord,
+    CrashDigest, CrashRecord, DigestSource, HoldRecord, MergeEffect, SurvivalRecord, TrialRecord,
 };
 pub use crash_table::CrashTable;
 pub use digest_schedule::DigestSchedule;
@@ -54,6 +59,10 @@
 pub use hedge_timer::HedgeTimer;
 pub use hold_table::HoldState;
 pub use in_flight_table::InFlightTable;
+pub use lifetime_id::LifetimeId;
+pub use limit_change::{LimitChange, LimitState};
+pub use limit_digest::{LimitDigest, LimitRecord};
+pub use limit_table::LimitTable;
 pub use load_meter::LoadMeter;
 pub use named_limit::NamedLimit;
 pub use order_event::{OrderAction, OrderEvent, OrderResponse};
--- /dev/null
+++ b/crates/routing/src/limit_digest.rs
@@ -0,0 +1,26 @@
+//! What entries tell each other about limits of replicas.
+
+use serde::{Deserialize, Serialize};
+
+use crate::lifetime_id::LifetimeId;
+use crate::request_rate::RequestRate;
+
+/// What an entry knows about limits. Digests can be merged in any order and more than once.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitDigest {
+    /// Age of the time base of turns, in milliseconds.
+    pub base_age_ms: u64,
+    /// Limits that are in force or have ended lately. Not every digest contains all of them.
+    pub records: Vec<LimitRecord>,
+}
+
+/// The limit of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitRecord {
+    /// The replica.
+    pub replica: LifetimeId,
+    /// Its limit, or `None` if it no longer names one.
+    pub limit: Option<RequestRate>,
+    /// Time since the response that this rests on, in milliseconds.
+    pub age_ms: u32,
+}
--- /dev/null
+++ b/crates/routing/src/limit_table.rs
@@ -0,0 +1,350 @@
+//! Limits that replicas name for all entries together, and the turns of one entry.
+//!
+//! A replica names the requests per second that it takes from all hosts. Every entry has a table and merges those of the
+//! others into it. From the limits, the entries and a shared time base each entry works out which turns are its own, so that no
+//! message is needed for a request. See [decision 46](../../../docs/decisions/0046-named-limits.md).
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use crate::crash_table::age_ms;
+use crate::lifetime_id::LifetimeId;
+use crate::limit_change::{LimitChange, LimitState};
+use crate::limit_digest::{LimitDigest, LimitRecord};
+use crate::member_table::MemberTable;
+use crate::named_limit::NamedLimit;
+use crate::part_id::PoolId;
+use crate::request_rate::RequestRate;
+use crate::turn_schedule::TurnSchedule;
+
+/// Limits and turns as known to one entry.
+#[derive(Clone, Debug)]
+pub struct LimitTable {
+    started_at: Instant,
+    /// Age of the time base of turns at the start of this entry.
+    base_offset: Duration,
+    members: MemberTable,
+    limits: BTreeMap<LifetimeId, ReplicaLimit>,
+    /// Times up to which refused clients were told to come back.
+    returns: BTreeMap<PoolId, Instant>,
+    /// The record after which the next digest begins, if not all fit into one.
+    digest_after: Option<LifetimeId>,
+}
+
+/// The limit of one replica.
+#[derive(Clone, Debug)]
+struct ReplicaLimit {
+    /// `None` if the limit has ended.
+    limit: Option<RequestRate>,
+    /// Arrival of the response that this rests on.
+    seen_at: Instant,
+    /// When the limit took this value at this entry.
+    changed_at: Instant,
+    /// The first turn whose owner was not determined yet.
+    next_turn: Option<u64>,
+    /// Times of the turns of this entry that may be used, in terms of the time base.
+    turns: VecDeque<Duration>,
+    used: u64,
+    lapsed: u64,
+}
+
+impl LimitTable {
+    /// Creates the table of the entry `own`, which starts at `now`.
+    pub fn new(now: Instant, own: &str) -> Self {
+        Self {
+            started_at: now,
+            base_offset: Duration::ZERO,
+            members: MemberTable::new(now, own),
+            limits: BTreeMap::new(),
+            returns: BTreeMap::new(),
+            digest_after: None,
+        }
+    }
+
+    /// Returns whether no limit is in force.
+    pub fn is_empty(&self) -> bool {
+        self.limits.values().all(|it| it.limit.is_none())
+    }
+
+    /// Records what the head of a response of `replica` says about its limit. The request was sent at `sent_at`.
+    ///
+    /// A head without a limit ends one only if the request was sent after the newest head with it had arrived, as
+    /// responses may overtake each other.
+    pub fn record_head(
+        &mut self,
+        now: Instant,
+        replica: LifetimeId,
+        named: NamedLimit,
+        sent_at: Instant,
+    ) -> Option<LimitChange> {
+        let known = self.limits.get(&replica);
+        let limit = match named {
+            NamedLimit::Limit(rate) => Some(rate),
+            NamedLimit::None if known.is_some_and(|it| sent_at > it.seen_at) => None,
+            NamedLimit::None | NamedLimit::Unreadable => return None,
+        };
+        self.set(now, replica, limit, now)
+    }
+
+    /// Records which other entries are alive. Expected in each heartbeat.
+    pub fn update_members(&mut self, now: Instant, alive: &mut dyn Iterator<Item = &str>) {
+        self.members.update(now, alive);
+    }
+
+    /// Adds what another entry knows. Returns the changes, of which other entries may not know either.
+    pub fn merge(&mut self, now: Instant, digest: &LimitDigest) -> Vec<LimitChange> {
+        self.merge_base(now, Duration::from_millis(digest.base_age_ms));
+        self.merge_records(now, &digest.records)
+    }
+
+    /// Adds records of another entry or an agent. Returns the changes.
+    pub fn merge_records(&mut self, now: Instant, records: &[LimitRecord]) -> Vec<LimitChange> {
+        let mut changes = Vec::new();
+        for record in records.iter().take(MAX_SENT_RECORDS) {
+            let age = Duration::from_millis(u64::from(record.age_ms));
+            // The clock may have begun less than `age` ago.
+            let seen_at = now.checked_sub(age).unwrap_or(now);
+            let is_applicable = match self.limits.get(&record.replica) {
+                // What has ended is of use only to those that know the limit.
+                None => record.limit.is_some(),
+                Some(known) => known.is_superseded_by(record.limit, seen_at),
+            };
+            if is_applicable {
+                changes.extend(self.set(now, record.replica, record.limit, seen_at));
+            }
+        }
+        changes
+    }
+
+    /// Returns what this entry tells others, or `None` if it knows of no limit.
+    pub fn digest(&mut self, now: Instant) -> Option<LimitDigest> {
+        if self.limits.is_empty() {
+            return None;
+        }
+        let is_recent =
+            |it: &ReplicaLimit| now.saturating_duration_since(it.changed_at) < NEWS_TIME;
+        let record = |(replica, it): (&LifetimeId, &ReplicaLimit)| LimitRecord {
+            replica: *replica,
+            limit: it.limit,
+            age_ms: age_ms(now, it.seen_at),
+        };
+        let recent = self.limits.iter().filter(|it| is_recent(it.1));
+        let mut records: Vec<LimitRecord> = recent.map(record).take(MAX_SENT_RECORDS).collect();
+        let room = MAX_SENT_RECORDS - records.len();
+        let older: Vec<_> = self.limits.iter().filter(|it| !is_recent(it.1)).collect();
+        let start = older.partition_point(|it| Some(*it.0) <= self.digest_after);
+        let in_turn = older[start..].iter().chain(&older[..start]);
+        let others: Vec<LimitRecord> = in_turn.take(room).map(|it| record(*it)).collect();
+        self.digest_after = others.last().map(|it| it.replica);
+        records.extend(others);
+        let base_age = self.base_age(now).as_millis();
+        Some(LimitDigest {
+            base_age_ms: u64::try_from(base_age).unwrap_or(u64::MAX),
+            records,
+        })
+    }
+
+    /// Returns whether a request may be sent to `replica` now, or `None` if it has no limit.
+    pub fn has_turn(&mut self, now: Instant, replica: LifetimeId) -> Option<bool> {
+        self.limits.get(&replica)?.limit?;
+        self.refresh(now, replica);
+        let state = self.limits.get(&replica)?;
+        Some(!state.turns.is_empty())
+    }
+
+    /// Uses a turn for a request that is sent to `replica`. Returns `false` if there is none.
+    pub fn take_turn(&mut self, now: Instant, replica: LifetimeId) -> bool {
+        match self.has_turn(now, replica) {
+            None => true,
+            Some(false) => false,
+            Some(true) => self.limits.get_mut(&replica).is_some_and(|it| {
+                it.used += 1;
+                it.turns.pop_front().is_some()
+            }),
+        }
+    }
+
+    /// Returns the delay after which a client that was refused for the limits of `replicas` may come back. The clients of
+    /// one pool are told times at the rate of this entry's turns.
+    pub fn return_delay(
+        &mut self,
+        now: Instant,
+        pool: PoolId,
+        replicas: &mut dyn Iterator<Item = LifetimeId>,
+    ) -> Duration {
+        let limits = replicas.filter_map(|it| self.schedule(it));
+        let rate: f64 = limits.map(|it| it.rate()).sum();
+        let own_rate = rate / self.members.owner_count() as f64;
+        let interval = Duration::try_from_secs_f64(1.0 / own_rate).unwrap_or(MAX_RETURN_DELAY);
+        let last = self.returns.get(&pool).copied().unwrap_or(now).max(now);
+        let next = (last + interval).min(now + MAX_RETURN_DELAY);
+        self.returns.insert(pool, next);
+        next.saturating_duration_since(now)
+    }
+
+    /// Returns the limits in force, for operators.
+    pub fn states(&mut self, now: Instant) -> Vec<LimitState> {
+        let replicas: Vec<LifetimeId> = self.limits.keys().copied().collect();
+        for replica in replicas {
+            self.refresh(now, replica);
+        }
+        let limits = self.limits.iter();
+        let states = limits.filter_map(|(replica, it)| {
+            Some(LimitState {
+                replica: *replica,
+                limit: it.limit?,
+                since: now.saturating_duration_since(it.changed_at),
+                confirmed: now.saturating_duration_since(it.seen_at),
+                turns: it.turns.len(),
+                used: it.used,
+                lapsed: it.lapsed,
+            })
+        });
+        states.collect()
+    }
+
+    /// Removes limits that have ended and those of replicas that are not `listed` any more.
+    pub fn expire(&mut self, now: Instant, listed: &dyn Fn(LifetimeId) -> bool) {
+        self.limits.retain(|replica, it| {
+            let age = now.saturating_duration_since(it.seen_at.max(it.changed_at));
+            age < RECORD_TIME || (it.limit.is_some() && listed(*replica))
+        });
+        self.returns.retain(|_, it| *it > now);
+    }
+
+    fn set(
+        &mut self,
+        now: Instant,
+        replica: LifetimeId,
+        limit: Option<RequestRate>,
+        seen_at: Instant,
+    ) -> Option<LimitChange> {
+        self.make_room(replica);
+        let state = self.limits.entry(replica).or_insert(ReplicaLimit {
+            limit: None,
+            seen_at,
+            changed_at: now,
+            next_turn: None,
+            turns: VecDeque::new(),
+            used: 0,
+            lapsed: 0,
+        });
+        state.seen_at = state.seen_at.max(seen_at);
+        let before = std::mem::replace(&mut state.limit, limit);
+        if before == limit {
+            return None;
+        }
+        state.changed_at = now;
+        state.next_turn = None;
+        state.turns.clear();
+        if before.is_none() {
+            (state.used, state.lapsed) = (0, 0);
+        }
+        Some(LimitChange {
+            replica,
+            before,
+            after: limit,
+        })
+    }
+
+    fn make_room(&mut self, replica: LifetimeId) {
+        if self.limits.len() < MAX_LIMITS || self.limits.contains_key(&replica) {
+            return;
+        }
+        let oldest = self.limits.iter().min_by_key(|it| it.1.seen_at);
+        if let Some(oldest) = oldest.map(|it| *it.0) {
+            self.limits.remove(&oldest);
+        }
+    }
+
+    /// Determines the owners of the turns up to `now`, and drops those that may not be used any more.
+    fn refresh(&mut self, now: Instant, replica: LifetimeId) {
+        let base_now = self.base_age(now);
+        let may_use = self.members.may_use_turns(now);
+        let Some(schedule) = self.schedule(replica) else {
+            return;
+        };
+        let Some(state) = self.limits.get_mut(&replica) else {
+            return;
+        };
+        let end = schedule.first_after(base_now);
+        let oldest = base_now.saturating_sub(schedule.lifetime());
+        let first = schedule.first_after(oldest);
+        let next = state.next_turn.replace(end);
+        for turn in next.unwrap_or(end).max(first)..end {
+            if self.members.owns(schedule.turn_digest(turn)) {
+                state.turns.push_back(schedule.time_of(turn));
+            }
+        }
+        let owned = state.turns.len();
+        state.turns.retain(|it| may_use && *it > oldest);
+        state.lapsed += (owned - state.turns.len()) as u64;
+    }
+
+    fn schedule(&self, replica: LifetimeId) -> Option<TurnSchedule> {
+        let limit = self.limits.get(&replica)?.limit?;
+        Some(TurnSchedule::new(replica, limit))
+    }
+
+    fn base_age(&self, now: Instant) -> Duration {
+        self.base_offset + now.saturating_duration_since(self.started_at)
+    }
+
+    /// Adopts the time base of another entry if it is older. The delay of a message makes a base look too young, so all
+    /// entries come to agree on the oldest one.
+    fn merge_base(&mut self, now: Instant, age: Duration) {
+        let known = self.base_age(now);
+        if age <= known || age > MAX_BASE_AGE {
+            return;
+        }
+        self.base_offset += age - known;
+        if age - known > BASE_TOLERANCE {
+            for state in self.limits.values_mut() {
+                state.next_turn = None;
+                state.turns.clear();
+            }
+        }
+    }
+}
+
+impl ReplicaLimit {
+    /// Returns whether `limit`, in a response that arrived at `seen_at`, is newer. Times that another entry tells are
+    /// inexact; of two values that may be equally new the lower one applies.
+    fn is_superseded_by(&self, limit: Option<RequestRate>, seen_at: Instant) -> bool {
+        if limit == self.limit {
+            return seen_at > self.seen_at;
+        }
+        if seen_at > self.seen_at + TIME_TOLERANCE {
+            return true;
+        }
+        let is_lower = match (limit, self.limit) {
+            (Some(new), Some(known)) => new < known,
+            (new, known) => new.is_some() && known.is_none(),
+        };
+        is_lower && seen_at + TIME_TOLERANCE > self.seen_at
+    }
+}
+
+/// Time for which a limit that has ended, or whose replica is gone, is kept: until all messages about it have arrived.
+const RECORD_TIME: Duration = Duration::from_secs(60);
+
+/// Time for which a change is part of every digest.
+const NEWS_TIME: Duration = Duration::from_secs(3);
+
+/// Difference between the times of two responses up to which they may be equally new.
+const TIME_TOLERANCE: Duration = Duration::from_millis(30);
+
+/// Change of the time base up to which turns are kept.
+const BASE_TOLERANCE: Duration = Duration::from_millis(50);
+
+/// Age of a time base beyond which it cannot be valid.
+const MAX_BASE_AGE: Duration = Duration::from_secs(10 * 365 * 86_400);
+
+/// Longest delay that a refused client is told.
+const MAX_RETURN_DELAY: Duration = Duration::from_secs(60);
+
+/// Maximum number of limits in the table.
+const MAX_LIMITS: usize = 4096;
+
+/// Maximum number of records in a digest, which has to fit into a datagram beside other contents.
+const MAX_SENT_RECORDS: usize = 64;
--- /dev/null
+++ b/crates/routing/src/member_table.rs
@@ -0,0 +1,134 @@
+//! The entries among which turns are divided.
+//!
+//! Two entries must not use the same turns although they learn of starts, ends and network partitions at different times. So an entry uses
+//! its turns only after all others have had the time to learn of it, the turns of an entry that is not heard lapse for a while before others
+//! take them over, and an entry that is cut off from most others stops before that. See
+//! [decision 46](../../../docs/decisions/0046-named-limits.md).
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::part_id::fnv1a;
+
+/// The entries among which turns are divided, as known to one of them.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberTable {
+    own: u64,
+    /// When each other entry was last heard.
+    last_heard: BTreeMap<u64, Instant>,
+    /// Entries that own turns, including this one.
+    owners: Vec<u64>,
+    /// From when on this entry may use its turns.
+    usable_from: Instant,
+    updated_at: Instant,
+    /// Since when this entry hears less than half of the entries.
+    cut_off_since: Option<Instant>,
+}
+
+impl MemberTable {
+    /// Creates the table of the entry `own`, which starts at `now`.
+    pub(crate) fn new(now: Instant, own: &str) -> Self {
+        let own = fnv1a(own.bytes());
+        Self {
+            own,
+            last_heard: BTreeMap::new(),
+            owners: vec![own],
+            usable_from: now + JOIN_DELAY,
+            updated_at: now,
+            cut_off_since: None,
+        }
+    }
+
+    /// Records which other entries are alive, which is expected at least every [`MAX_UPDATE_INTERVAL`].
+    pub(crate) fn update(&mut self, now: Instant, alive: &mut dyn Iterator<Item = &str>) {
+        let since_update = now.saturating_duration_since(self.updated_at);
+        if since_update < MIN_UPDATE_INTERVAL {
+            return;
+        }
+        if since_update > MAX_UPDATE_INTERVAL {
+            // The process was stopped meanwhile, and others may have taken its turns over.
+            self.usable_from = self.usable_from.max(now + REJOIN_DELAY);
+        }
+        self.updated_at = now;
+        for name in alive {
+            self.last_heard.insert(fnv1a(name.bytes()), now);
+        }
+        let silence = |heard_at: &Instant| now.saturating_duration_since(*heard_at);
+        let known = self.last_heard.len() + 1;
+        let is_heard = |it: &&Instant| silence(it) < HEARD_TIME;
+        let heard = self.last_heard.values().filter(is_heard).count() + 1;
+        let has_majority = heard * 2 > known;
+        if has_majority {
+            self.last_heard.retain(|_, it| silence(it) < FORGET_TIME);
+        }
+        self.update_cut_off(now, heard * 2 < known);
+        let others = self.last_heard.iter();
+        let owning = others.filter(|(_, it)| !has_majority || silence(it) < HOLD_TIME);
+        self.owners = owning.map(|it| *it.0).collect();
+        self.owners.push(self.own);
+    }
+
+    fn update_cut_off(&mut self, now: Instant, is_cut_off: bool) {
+        if is_cut_off {
+            self.cut_off_since.get_or_insert(now);
+        } else if let Some(since) = self.cut_off_since.take()
+            && now.saturating_duration_since(since) >= CUT_OFF_DELAY
+        {
+            self.usable_from = self.usable_from.max(now + REJOIN_DELAY);
+        }
+    }
+
+    /// Returns whether this entry may use its turns.
+    pub(crate) fn may_use_turns(&self, now: Instant) -> bool {
+        let cut_off = |since| now.saturating_duration_since(since);
+        // If the others have not returned for so long, they have most likely ended.
+        let is_void = |it| (CUT_OFF_DELAY..FORGET_TIME).contains(&cut_off(it));
+        now >= self.usable_from && !self.cut_off_since.is_some_and(is_void)
+    }
+
+    /// Returns the number of entries that own turns.
+    pub(crate) fn owner_count(&self) -> usize {
+        self.owners.len()
+    }
+
+    /// Returns whether this entry owns the turn with the digest `turn`. Entries that know the same others agree, and
+    /// an owner that comes or goes changes no other owner's turns.
+    pub(crate) fn owns(&self, turn: u64) -> bool {
+        let rank = |owner: u64| (mix(owner ^ turn), owner);
+        let own = rank(self.own);
+        self.owners.iter().all(|it| rank(*it) <= own)
+    }
+}
+
+/// Mixes the bits of `value` (finalizer of SplitMix64).
+pub(crate) fn mix(value: u64) -> u64 {
+    let mixed = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+/// Time after the start of an entry in which all others learn of it: several reports between zones, some of which may be
+/// lost.
+const JOIN_DELAY: Duration = Duration::from_secs(3);
+
+/// Time in which all others learn that an entry is back which they know already.
+const REJOIN_DELAY: Duration = Duration::from_secs(2);
+
+/// Shortest time between two updates that are worth their effort.
+const MIN_UPDATE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest time between two updates while the process runs; heartbeats are sent more often.
+const MAX_UPDATE_INTERVAL: Duration = Duration::from_millis(1500);
+
+/// Time without a message after which an entry does not count as heard.
+const HEARD_TIME: Duration = Duration::from_millis(2500);
+
+/// Time for which an entry that hears less than half of the others goes on: shorter cuts and restarts cost nothing.
+const CUT_OFF_DELAY: Duration = Duration::from_secs(3);
+
+/// Time for which the turns of an entry that is not heard lapse. An entry that is cut off has stopped by then, after
+/// [`HEARD_TIME`] and [`CUT_OFF_DELAY`].
+const HOLD_TIME: Duration = Duration::from_secs(10);
+
+/// Time after which an entry that is not heard is considered gone.
+const FORGET_TIME: Duration = Duration::from_secs(60);
--- a/crates/routing/tests/crashes.rs
+++ b/crates/routing/tests/crashes.rs
@@ -5,7 +5,7 @@
 use arbtest::arbitrary::{self, Unstructured};
 use expect_test::{Expect, expect};
 use routing::{
-    CrashDigest, CrashId, CrashRecord, CrashTable, DigestSource, HoldRecord, PartAdmission,
+    CrashDigest, CrashRecord, CrashTable, DigestSource, HoldRecord, LifetimeId, PartAdmission,
     PartChange, PartId, PoolId, SurvivalRecord, TrialRecord,
 };
 
@@ -62,7 +62,7 @@
 
     fn crash(&mut self, digests: &[u64]) {
         self.crashes += 1;
-        let id = CrashId::new("replica", Some(self.crashes));
+        let id = LifetimeId::new("replica", Some(self.crashes));
         self.table
             .record_crash(self.now, id, pool(), &parts(digests));
     }
@@ -375,7 +375,7 @@
         let (digest_of_part, age_ms) = (u.int_in_range(0..=3)?, u.arbitrary()?);
         let part = parts(&[digest_of_part])[0];
         digest.crashes.push(CrashRecord {
-            id: CrashId::new("replica", Some(u.int_in_range(0..=5)?)),
+            id: LifetimeId::new("replica", Some(u.int_in_range(0..=5)?)),
             pool: pool(),
             age_ms,
             parts: vec![digest_of_part, u.int_in_range(0..=3)?],
@@ -433,7 +433,7 @@
     }
     for crash in 0..500_u64 {
         let digests: Vec<u64> = (0..100).map(|it| crash * 100 + it).collect();
-        let id = CrashId::new("replica", Some(crash));
+        let id = LifetimeId::new("replica", Some(crash));
         entry
             .table
             .record_crash(entry.now, id, pool(), &parts(&digests));
--- /dev/null
+++ b/crates/routing/tests/limits.rs
@@ -0,0 +1,350 @@
+//! Limits that replicas name for all entries together: records, their merging, and turns.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use arbtest::arbitrary::{self, Unstructured};
+use expect_test::{Expect, expect};
+use routing::{LifetimeId, LimitDigest, LimitTable, NamedLimit, PoolId, RequestRate};
+
+/// Step of the virtual time.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Span in which requests at a replica are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+fn replica() -> LifetimeId {
+    LifetimeId::new("replica", Some(1))
+}
+
+fn rate(text: &str) -> RequestRate {
+    RequestRate::parse(text).unwrap()
+}
+
+fn named(text: &str) -> NamedLimit {
+    match text {
+        "" => NamedLimit::None,
+        "?" => NamedLimit::Unreadable,
+        text => NamedLimit::Limit(rate(text)),
+    }
+}
+
+/// Entries that exchange digests in each step, unless they are cut off.
+struct Entries {
+    now: Instant,
+    tables: BTreeMap<String, LimitTable>,
+    /// Entries that are cut off from all others.
+    cut_off: Vec<String>,
+    /// Entries that do not run.
+    frozen: Vec<String>,
+    /// When requests were sent to the replica.
+    sent: Vec<Instant>,
+}
+
+impl Entries {
+    fn new(count: usize) -> Self {
+        let now = Instant::now();
+        let names = (0..count).map(|it| format!("edge-{it}"));
+        let tables = names.map(|it| (it.clone(), LimitTable::new(now, &it)));
+        let mut entries = Self {
+            now,
+            tables: tables.collect(),
+            cut_off: Vec::new(),
+            frozen: Vec::new(),
+            sent: Vec::new(),
+        };
+        entries.run(Duration::from_secs(5));
+        entries
+    }
+
+    fn add(&mut self, name: &str) {
+        let table = LimitTable::new(self.now, name);
+        self.tables.insert(name.to_owned(), table);
+    }
+
+    fn name_limit(&mut self, entry: &str, limit: &str) {
+        let now = self.now;
+        let table = self.tables.get_mut(entry).unwrap();
+        table.record_head(now, replica(), named(limit), now);
+    }
+
+    fn is_heard(&self, from: &str, to: &str) -> bool {
+        let is_apart = |name: &str| self.cut_off.iter().any(|it| it == name);
+        let is_frozen = |name: &str| self.frozen.iter().any(|it| it == name);
+        is_apart(from) == is_apart(to) && !is_frozen(from) && !is_frozen(to)
+    }
+
+    /// Lets every entry send a request to the replica whenever it has a turn.
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        let names: Vec<String> = self.tables.keys().cloned().collect();
+        while self.now < end {
+            self.now += STEP;
+            let now = self.now;
+            let digests: Vec<(String, LimitDigest)> = self
+                .tables
+                .iter_mut()
+                .filter_map(|(name, table)| Some((name.clone(), table.digest(now)?)))
+                .collect();
+            for to in names.iter().filter(|it| !self.frozen.contains(it)) {
+                let peers = names.iter().filter(|from| *from != to);
+                let peers: Vec<&str> = peers
+                    .filter(|from| self.is_heard(from, to))
+                    .map(String::as_str)
+                    .collect();
+                let heard: Vec<&LimitDigest> = digests
+                    .iter()
+                    .filter(|it| peers.contains(&it.0.as_str()))
+                    .map(|it| &it.1)
+                    .collect();
+                let table = self.tables.get_mut(to).unwrap();
+                table.update_members(now, &mut peers.into_iter());
+                for digest in heard {
+                    table.merge(now, digest);
+                }
+                if table.has_turn(now, replica()) == Some(true) {
+                    assert!(table.take_turn(now, replica()));
+                    self.sent.push(now);
+                }
+            }
+        }
+    }
+
+    /// Returns the number of requests since `from` and the most in any [`WINDOW`].
+    fn count(&self, from: Instant) -> (usize, usize) {
+        let sent: Vec<Instant> = self.sent.iter().copied().filter(|it| *it >= from).collect();
+        let in_window = |start: &Instant| {
+            let in_span = sent
+                .iter()
+                .filter(|it| *it >= start && **it < *start + WINDOW);
+            in_span.count()
+        };
+        (sent.len(), sent.iter().map(in_window).max().unwrap_or(0))
+    }
+}
+
+/// Checks that `entries` entries use a limit for 40 s, and not more than it.
+fn check_use(entries: usize, limit: &str, expected: &Expect) {
+    let mut entries = Entries::new(entries);
+    entries.name_limit("edge-0", limit);
+    let from = entries.now;
+    entries.run(Duration::from_secs(40));
+    let (sent, most) = entries.count(from);
+    let per_second = rate(limit).per_second();
+    assert!(
+        most as f64 <= WINDOW.as_secs_f64() * per_second + 2.0,
+        "{most} in 4 s"
+    );
+    expected.assert_eq(&format!("{sent} in 40 s, at most {most} in 4 s"));
+}
+
+// Guards against each entry keeping a limit for itself alone (incident LIMIT).
+#[test]
+fn entries_use_a_limit_together() {
+    check_use(1, "2", &expect!["68 in 40 s, at most 7 in 4 s"]);
+    check_use(8, "1", &expect!["34 in 40 s, at most 4 in 4 s"]);
+    check_use(8, "2.3", &expect!["78 in 40 s, at most 8 in 4 s"]);
+    check_use(8, "0.25", &expect!["9 in 40 s, at most 1 in 4 s"]);
+    check_use(8, "30", &expect!["1020 in 40 s, at most 102 in 4 s"]);
+    check_use(40, "1", &expect!["34 in 40 s, at most 4 in 4 s"]);
+    // Single requests find out whether the limit has ended.
+    check_use(8, "0", &expect!["3 in 40 s, at most 1 in 4 s"]);
+}
+
+/// Checks that no more requests are sent than the limit allows while `change` happens and for 40 s after it.
+fn check_change(limit: &str, change: impl Fn(&mut Entries)) -> usize {
+    let mut entries = Entries::new(8);
+    entries.name_limit("edge-0", limit);
+    entries.run(Duration::from_secs(10));
+    let from = entries.now;
+    change(&mut entries);
+    entries.run(Duration::from_secs(40));
+    let (sent, most) = entries.count(from);
+    let per_second = rate(limit).per_second();
+    assert!(
+        most as f64 <= WINDOW.as_secs_f64() * per_second + 2.0,
+        "{most} in 4 s"
+    );
+    sent
+}
+
+// Guards against an entry that has just started using turns of others that do not know of it.
+#[test]
+fn an_added_entry_takes_part_without_exceeding_the_limit() {
+    let sent = check_change("5", |it| it.add("edge-8"));
+    assert!(sent > 140, "{sent}");
+}
+
+// Guards against a restarted entry using turns before it knows of limits.
+#[test]
+fn a_restarted_entry_does_not_exceed_the_limit() {
+    let sent = check_change("5", |it| {
+        it.add("edge-0");
+        it.add("edge-1");
+    });
+    assert!(sent > 140, "{sent}");
+}
+
+// Guards against an entry that wakes using the turns that others have taken over.
+#[test]
+fn a_frozen_entry_does_not_exceed_the_limit_after_it_wakes() {
+    for seconds in [1, 5, 20] {
+        check_change("5", |it| {
+            it.frozen = vec!["edge-3".to_owned(), "edge-4".to_owned()];
+            it.run(Duration::from_secs(seconds));
+            it.frozen.clear();
+        });
+    }
+}
+
+// Guards against both sides of a cut using the whole limit.
+#[test]
+fn two_sides_of_a_cut_keep_within_the_limit() {
+    for count in 1..=4 {
+        for seconds in [1, 5, 30] {
+            check_change("5", |it| {
+                it.cut_off = (0..count).map(|it| format!("edge-{it}")).collect();
+                it.run(Duration::from_secs(seconds));
+                it.cut_off.clear();
+            });
+        }
+    }
+}
+
+#[test]
+fn turns_of_an_entry_that_is_gone_are_taken_over() {
+    let sent = check_change("5", |it| {
+        it.tables.remove("edge-7");
+        it.tables.remove("edge-6");
+    });
+    assert!(sent > 140, "{sent}");
+}
+
+/// Applies heads of responses, each as the time of its request, its arrival and its limit, at one entry.
+fn check_heads(heads: &[(u64, u64, &str)], expected: &Expect) {
+    let start = Instant::now();
+    let mut table = LimitTable::new(start, "edge-0");
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut changes = Vec::new();
+    for (sent_ms, arrived_ms, limit) in heads {
+        let change = table.record_head(at(*arrived_ms), replica(), named(limit), at(*sent_ms));
+        let text = |it: Option<RequestRate>| it.map_or("none".to_owned(), |it| it.to_string());
+        changes.extend(change.map(|it| format!("{}->{}", text(it.before), text(it.after))));
+    }
+    expected.assert_eq(&changes.join(" "));
+}
+
+#[test]
+fn a_limit_ends_with_a_later_response_without_it() {
+    check_heads(&[(0, 10, "")], &expect![[""]]);
+    check_heads(&[(0, 10, "2"), (0, 20, "2")], &expect!["none->2"]);
+    check_heads(&[(0, 10, "2"), (20, 30, "")], &expect!["none->2 2->none"]);
+    check_heads(
+        &[(0, 10, "2"), (20, 30, "3"), (31, 40, "")],
+        &expect!["none->2 2->3 3->none"],
+    );
+    // The request was sent before the response with the limit arrived, so the response may be older.
+    check_heads(&[(0, 10, "2"), (5, 30, "")], &expect!["none->2"]);
+    check_heads(
+        &[(0, 10, "?"), (20, 30, "2"), (40, 50, "?")],
+        &expect!["none->2"],
+    );
+}
+
+/// Merges the records of random heads at random entries in random order.
+fn merge_in_any_order(u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+    let start = Instant::now();
+    let mut tables: Vec<LimitTable> = (0..3)
+        .map(|it| LimitTable::new(start, &format!("edge-{it}")))
+        .collect();
+    let mut now = start;
+    for _ in 0..u.int_in_range(1..=8)? {
+        now += Duration::from_millis(u.int_in_range(40..=400)?);
+        let table = &mut tables[u.choose_index(3)?];
+        let limit = [NamedLimit::None, named("1"), named("2")][u.choose_index(3)?];
+        table.record_head(now, replica(), limit, now);
+    }
+    // Each order of six exchanges between all pairs, and repeated ones.
+    for _ in 0..3 {
+        for _ in 0..6 {
+            let (from, to) = (u.choose_index(3)?, u.choose_index(3)?);
+            exchange(&mut tables, now, from, to);
+        }
+        for from in 0..3 {
+            for to in 0..3 {
+                exchange(&mut tables, now, from, to);
+            }
+        }
+    }
+    let states: Vec<_> = tables.iter_mut().map(|it| limit_of(it, now)).collect();
+    assert!(states.windows(2).all(|it| it[0] == it[1]), "{states:?}");
+    Ok(())
+}
+
+fn exchange(tables: &mut [LimitTable], now: Instant, from: usize, to: usize) {
+    if let Some(digest) = tables[from].digest(now) {
+        tables[to].merge(now, &digest);
+    }
+}
+
+fn limit_of(table: &mut LimitTable, now: Instant) -> Option<RequestRate> {
+    table.states(now).first().map(|it| it.limit)
+}
+
+#[test]
+fn entries_agree_in_whatever_order_they_exchange_records() {
+    for seed in 0..200 {
+        arbtest::arbtest(merge_in_any_order)
+            .seed(seed << 32 | 0x40)
+            .run();
+    }
+}
+
+// Guards against a message that makes a table grow without bound or panic.
+#[test]
+fn any_digest_can_be_merged() {
+    let check = |u: &mut Unstructured<'_>| {
+        let mut now = Instant::now();
+        let mut table = LimitTable::new(now, "edge-0");
+        for _ in 0..20 {
+            let records = (0..u.int_in_range(0..=300)?)
+                .map(|_| {
+                    Ok(routing::LimitRecord {
+                        replica: LifetimeId::new("r", Some(u.arbitrary()?)),
+                        limit: u
+                            .arbitrary::<Option<u32>>()?
+                            .map(RequestRate::per_kilosecond),
+                        age_ms: u.arbitrary()?,
+                    })
+                })
+                .collect::<arbitrary::Result<_>>()?;
+            let digest = LimitDigest {
+                base_age_ms: u.arbitrary()?,
+                records,
+            };
+            now += Duration::from_millis(u.int_in_range(0..=5000)?);
+            table.update_members(now, &mut ["a", "b"].into_iter());
+            table.merge(now, &digest);
+            let states = table.states(now);
+            assert!(states.len() <= 4096);
+            assert!(table.digest(now).is_none_or(|it| it.records.len() <= 64));
+        }
+        Ok(())
+    };
+    for seed in 0..40 {
+        arbtest::arbtest(check).seed(seed << 32 | 0x4000).run();
+    }
+}
+
+#[test]
+fn refused_clients_are_told_times_at_the_rate_of_the_turns() {
+    let now = Instant::now();
+    let mut table = LimitTable::new(now, "edge-0");
+    table.record_head(now, replica(), named("2"), now);
+    let mut delays = Vec::new();
+    for _ in 0..4 {
+        let delay = table.return_delay(now, PoolId::new("pool"), &mut [replica()].into_iter());
+        delays.push(delay.as_millis().to_string());
+    }
+    expect!["588 1176 1764 2352"].assert_eq(&delays.join(" "));
+}
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -8,7 +8,7 @@
 use anyhow::Context;
 use fleet::{FeedMirror, FeedTable, LoadedModel, SwitchDeadlines};
 use httpio::HttpClient;
-use platform::{NodeSettings, ReplicaClient, StoreClient};
+use platform::{NodeSettings, ReplicaClient, ReplicaReport, StoreClient};
 use routing::RequestRate;
 use slog::Logger;
 use tokio::sync::{Notify, Semaphore};
@@ -63,6 +63,10 @@
     pub(crate) unsettled_order: Option<UnsettledOrder>,
     /// Weights that the replica serves, as reported to entries, or `None` until the replica has first been polled.
     pub(crate) serving: Option<Vec<LoadedModel>>,
+    /// When the replica was last ordered to load weights.
+    pub(crate) ordered_at: Option<Instant>,
+    /// The last report of the replica, and when it was requested.
+    pub(crate) last_report: Option<(ReplicaReport, Instant)>,
     /// Limit that the replica names in its reports.
     pub(crate) named_limit: Option<RequestRate>,
 }
@@ -146,6 +150,8 @@
                 ordered_version: None,
                 unsettled_order: None,
                 serving: None,
+                ordered_at: None,
+                last_report: None,
                 named_limit: None,
             }),
             settings,
--- a/crates/stager/src/status_loop.rs
+++ b/crates/stager/src/status_loop.rs
@@ -1,4 +1,4 @@
-//! Sends entries the status of the replica when the weights that it serves change.
+//! Sends entries the status of the replica when the weights that it serves or its limit change.
 //!
 //! The registration of the replica in the store contains the same information, but is updated later.
 
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fleet::{AgentStatus, FleetMessage, PeerRecord, RelayScope};
+use fleet::{AgentStatus, FleetMessage, PeerRecord, RelayScope, ReportedLimit};
 use platform::CallError;
 use slog::warn;
 use tokio::net::UdpSocket;
@@ -87,6 +87,7 @@
         relay: RelayScope::AllZones,
         replica: shared.replica_address,
         models,
+        limit: reported_limit(shared),
     };
     let bytes = postcard::to_allocvec(&FleetMessage::Agent(status))
         .expect("a status message is always encodable");
@@ -94,6 +95,19 @@
     let _ = socket.try_send_to(&bytes, entry);
 }
 
+/// Returns what the replica said about its limit in its last report.
+fn reported_limit(shared: &AgentShared) -> ReportedLimit {
+    let state = shared.state();
+    let Some((report, polled_at)) = &state.last_report else {
+        return ReportedLimit::default();
+    };
+    ReportedLimit {
+        started_ms: report.started_ms,
+        limit: state.named_limit,
+        age_ms: u32::try_from(polled_at.elapsed().as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
 /// Store table that contains the records of all entries.
 const ENTRY_TABLE: &str = "entries";
 
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -22,8 +22,7 @@
         // A notification and the timeout are handled alike.
         let _ = tokio::time::timeout(POLL_INTERVAL, shared.target_changed.notified()).await;
         let polled_at = Instant::now();
-        count_call(&shared, "report");
-        let report = match shared.replica_client.report().await {
+        let report = match current_report(&shared).await {
             Ok(it) => it,
             // A sound replica may be silent for a moment, and goes on with its requests afterwards.
             Err(CallError::TimedOut)
@@ -33,12 +32,12 @@
                 continue;
             }
             Err(err) => {
+                shared.state().last_report = None;
                 report_serving(&shared, &[], Some(&err));
                 continue;
             }
         };
         silent_since = None;
-        record_limit(&shared, report.named_limit);
         if incarnation != Some(report.started_ms) {
             info!(shared.log, "replica started"; "born_ms" => report.started_ms, "models" => report.models.len());
             incarnation = Some(report.started_ms);
@@ -74,6 +73,31 @@
     }
 }
 
+/// Returns the replica's report. A replica with a limit is not asked again while its last report is recent, because its
+/// limit applies to these requests too.
+async fn current_report(shared: &AgentShared) -> Result<ReplicaReport, CallError> {
+    let is_limited = shared.state().named_limit.is_some();
+    let last = shared.state().last_report.clone().filter(|_| is_limited);
+    if let Some((report, polled_at)) = last {
+        let is_loading = report.load_in_progress || shared.state().ordered_at > Some(polled_at);
+        if is_loading {
+            // Only a new report shows the outcome of the order.
+            tokio::time::sleep(LOADING_POLL_INTERVAL.saturating_sub(polled_at.elapsed())).await;
+        } else if polled_at.elapsed() < LIMITED_POLL_INTERVAL {
+            return Ok(report);
+        }
+    }
+    let polled_at = Instant::now();
+    if let Some(last) = &mut shared.state().last_report {
+        last.1 = polled_at;
+    }
+    count_call(shared, "report");
+    let report = shared.replica_client.report().await?;
+    shared.state().last_report = Some((report.clone(), polled_at));
+    record_limit(shared, report.named_limit);
+    Ok(report)
+}
+
 /// Counts the failed attempts to fetch the manifest of a version.
 #[derive(Debug, Default)]
 struct ManifestAttempts {
@@ -158,6 +182,7 @@
         sent_at: Instant::now(),
     });
     count_call(shared, "order");
+    shared.state().ordered_at = Some(Instant::now());
     let response = shared.replica_client.load(&order).await;
     let mut state = shared.state();
     match &response {
@@ -343,6 +368,7 @@
             "before" => before.map(|it| it.to_string()),
             "limit" => limit.map(|it| it.to_string()),
         );
+        shared.serving_changed.notify_one();
     }
 }
 
@@ -368,6 +394,12 @@
 /// Interval at which the replica is polled, which is cheap because it runs on the same host.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Interval at which a replica with a limit is polled: once in the span in which requests at it are counted.
+const LIMITED_POLL_INTERVAL: Duration = Duration::from_millis(4100);
+
+/// Interval at which a replica with a limit is polled while it loads weights, when entries send it no requests.
+const LOADING_POLL_INTERVAL: Duration = Duration::from_millis(1000);
+
 /// Time without a report after which a replica that accepts connections counts as failed. Sound replicas are silent for
 /// up to about two seconds.
 const MAX_REPORT_SILENCE: Duration = Duration::from_millis(3000);
