An emulator of entries that keep within limits of replicas

Virtual time, the decisions of routing::LimitTable, datagrams that are lost, and entries that are restarted, added, frozen or cut off, beside baselines (limits ignored, each entry alone, equal shares). The event queue and the plan of datagrams are those of the emulator of crashes, split out of it.

--- a/crates/emulator/src/crash_simulation.rs
+++ b/crates/emulator/src/crash_simulation.rs
@@ -2,19 +2,19 @@
 
 mod exchange;
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use routing::{
-    CrashConclusion, CrashDigest, CrashId, DigestSource, PartAdmission, PartChange, PartId,
+    CrashConclusion, CrashDigest, DigestSource, LifetimeId, PartAdmission, PartChange, PartId,
 };
 
 use crate::crash_outcome::CrashOutcome;
 use crate::crash_scenario::CrashScenario;
-use crate::crash_simulation::exchange::HEARTBEAT_INTERVAL;
+use crate::event_queue::EventQueue;
+use crate::exchange_plan::{ExchangePlan, HEARTBEAT_INTERVAL};
 use crate::simulated_entry::SimulatedEntry;
 use crate::simulated_pool::{RunningRequest, SimulatedPool};
 use crate::simulated_traffic::{self, GUILTY_PARTS, part_id, pool_id};
@@ -27,9 +27,8 @@
     /// Instant of the virtual time 0.
     epoch: Instant,
     now: Duration,
-    queue: BinaryHeap<Reverse<(Duration, u64)>>,
-    events: BTreeMap<u64, SimulationEvent>,
-    event_count: u64,
+    queue: EventQueue<SimulationEvent>,
+    exchange: ExchangePlan,
     entries: Vec<SimulatedEntry>,
     pool: SimulatedPool,
     requests: BTreeMap<u64, SimulatedRequest>,
@@ -45,16 +44,15 @@
 impl CrashSimulation {
     /// Creates an emulation of `scenario`.
     pub fn new(scenario: CrashScenario, seed: u64) -> Self {
-        let entries = (0..scenario.entries).map(|it| SimulatedEntry::new(it, scenario.zones));
+        let entries = (0..scenario.entries).map(SimulatedEntry::new);
         Self {
             scenario,
             random: StdRng::seed_from_u64(seed),
             // Ages must not reach before the start of the clock.
             epoch: Instant::now() + Duration::from_secs(36_000),
             now: Duration::ZERO,
-            queue: BinaryHeap::new(),
-            events: BTreeMap::new(),
-            event_count: 0,
+            queue: EventQueue::new(),
+            exchange: ExchangePlan::new(scenario.zones, scenario.loss),
             entries: entries.collect(),
             pool: SimulatedPool::new(scenario.replicas),
             requests: BTreeMap::new(),
@@ -68,16 +66,20 @@
 
     /// Runs the emulation to its end.
     pub fn run(mut self) -> CrashOutcome {
-        self.schedule(Duration::ZERO, SimulationEvent::SoundRequest);
-        self.schedule(HEARTBEAT_INTERVAL, SimulationEvent::Heartbeats);
-        self.schedule(self.report_interval(), SimulationEvent::Reports);
+        self.queue
+            .schedule(Duration::ZERO, SimulationEvent::SoundRequest);
+        self.queue
+            .schedule(HEARTBEAT_INTERVAL, SimulationEvent::Heartbeats);
+        self.queue
+            .schedule(self.exchange.report_interval(), SimulationEvent::Reports);
         for part in 0..self.scenario.guilty_parts {
-            self.schedule(GUILTY_FROM, SimulationEvent::GuiltyRequest(part));
+            self.queue
+                .schedule(GUILTY_FROM, SimulationEvent::GuiltyRequest(part));
         }
         let accidents = (self.scenario.accident_share * self.scenario.replicas as f64).round();
         let accidents = accidents as usize;
         if accidents > 0 {
-            self.schedule(
+            self.queue.schedule(
                 ACCIDENT_AT,
                 SimulationEvent::Accident {
                     replicas: accidents,
@@ -86,16 +88,12 @@
         }
         for index in 0..accidents.min(MAX_SERIES) {
             let delay = ACCIDENT_INTERVAL * u32::try_from(index + 1).unwrap_or(u32::MAX);
-            self.schedule(SERIES_AT + delay, SimulationEvent::Accident { replicas: 1 });
+            self.queue
+                .schedule(SERIES_AT + delay, SimulationEvent::Accident { replicas: 1 });
         }
-        while let Some(Reverse((time, number))) = self.queue.pop() {
-            if time > self.scenario.duration {
-                break;
-            }
-            self.now = time;
-            if let Some(event) = self.events.remove(&number) {
-                self.handle(event);
-            }
+        while let Some(event) = self.queue.next(self.scenario.duration) {
+            self.now = self.queue.now();
+            self.handle(event);
         }
         self.outcome.sound_parts_held = self.held_sound.len() as u64;
         self.outcome
@@ -108,14 +106,15 @@
                 self.receive(parts, None);
                 let pause = 1.0 / self.scenario.requests_per_second as f64;
                 let pause = Duration::from_secs_f64(pause * self.random.random_range(0.0..2.0));
-                self.schedule(pause, SimulationEvent::SoundRequest);
+                self.queue.schedule(pause, SimulationEvent::SoundRequest);
             }
             SimulationEvent::GuiltyRequest(part) => {
                 let parts = simulated_traffic::guilty_parts(part, &mut self.random);
                 self.receive(parts, Some(part));
                 let pause = 1.0 / self.scenario.guilty_per_second as f64;
                 let pause = Duration::from_secs_f64(pause * self.random.random_range(0.0..2.0));
-                self.schedule(pause, SimulationEvent::GuiltyRequest(part));
+                self.queue
+                    .schedule(pause, SimulationEvent::GuiltyRequest(part));
             }
             SimulationEvent::Accident { replicas } => {
                 for _ in 0..replicas {
@@ -161,7 +160,7 @@
             } => {
                 self.merge(entry, &digest, source);
                 if relay {
-                    let peers = self.peers_of(entry);
+                    let peers = self.exchange.peers_of(entry, self.entries.len());
                     self.send(&peers, &digest, source, false);
                 }
             }
@@ -230,7 +229,7 @@
             begins_at: self.now + wait,
         };
         self.pool.replicas[replica].running.push(running);
-        self.schedule(
+        self.queue.schedule(
             wait,
             SimulationEvent::Begin {
                 replica,
@@ -268,7 +267,7 @@
             }
             None => {
                 self.outcome.sound_first_attempt += u64::from(request.attempts == 1);
-                self.schedule(
+                self.queue.schedule(
                     START_TIME,
                     SimulationEvent::Survived {
                         replica,
@@ -277,7 +276,7 @@
                     },
                 );
                 let time = Duration::from_millis(self.random.random_range(500..2000));
-                self.schedule(
+                self.queue.schedule(
                     time,
                     SimulationEvent::End {
                         replica,
@@ -308,7 +307,7 @@
     }
 
     fn crash(&mut self, replica: usize) {
-        let crash = CrashId::new(&replica.to_string(), Some(self.pool.replicas[replica].life));
+        let crash = LifetimeId::new(&replica.to_string(), Some(self.pool.replicas[replica].life));
         let lost = self.pool.crash(replica, self.now);
         let mut by_entry: BTreeMap<usize, Vec<RunningRequest>> = BTreeMap::new();
         for request in lost {
@@ -322,7 +321,7 @@
             let parts = requests.flat_map(|it| it.parts.iter().copied()).collect();
             let lost = lost.iter().map(|it| it.id).collect();
             let delay = Duration::from_millis(self.random.random_range(5..20));
-            self.schedule(
+            self.queue.schedule(
                 delay,
                 SimulationEvent::Noticed {
                     entry,
@@ -334,7 +333,7 @@
         }
     }
 
-    fn notice(&mut self, entry: usize, crash: CrashId, parts: &[PartId], lost: Vec<u64>) {
+    fn notice(&mut self, entry: usize, crash: LifetimeId, parts: &[PartId], lost: Vec<u64>) {
         let (now, replicas) = (self.instant(), self.scenario.replicas);
         if self.scenario.is_guarded {
             let state = &mut self.entries[entry];
@@ -400,13 +399,6 @@
     fn instant(&self) -> Instant {
         self.epoch + self.now
     }
-
-    fn schedule(&mut self, delay: Duration, event: SimulationEvent) {
-        self.event_count += 1;
-        self.queue
-            .push(Reverse((self.now + delay, self.event_count)));
-        self.events.insert(self.event_count, event);
-    }
 }
 
 /// Time of the first guilty request.
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,11 +1,19 @@
-//! An emulator, in virtual time, of entries that exchange evidence about requests which crash replicas.
+//! Emulators, in virtual time, of entries that exchange what they know: evidence about requests which crash replicas, and
+//! limits that replicas name.
 //!
-//! It drives the decisions of `routing` as entries do, with replicas, traffic and datagrams that a seed determines. This crate is
+//! They drive the decisions of `routing` as entries do, with replicas, traffic and datagrams that a seed determines. This crate is
 //! not shipped.
 
 mod crash_outcome;
 mod crash_scenario;
 mod crash_simulation;
+mod event_queue;
+mod exchange_plan;
+mod limit_outcome;
+mod limit_scenario;
+mod limit_simulation;
+mod limited_entry;
+mod limited_replica;
 mod simulated_entry;
 mod simulated_pool;
 mod simulated_traffic;
@@ -14,3 +22,6 @@
 pub use crash_outcome::CrashOutcome;
 pub use crash_scenario::CrashScenario;
 pub use crash_simulation::CrashSimulation;
+pub use limit_outcome::LimitOutcome;
+pub use limit_scenario::{EntryFault, LimitPolicy, LimitScenario};
+pub use limit_simulation::LimitSimulation;
--- a/crates/emulator/src/simulated_entry.rs
+++ b/crates/emulator/src/simulated_entry.rs
@@ -8,18 +8,16 @@
 
 /// An entry with its evidence.
 pub(crate) struct SimulatedEntry {
-    pub(crate) zone: u64,
     pub(crate) table: CrashTable,
     pub(crate) to_zone: DigestSchedule,
     pub(crate) to_others: DigestSchedule,
 }
 
 impl SimulatedEntry {
-    pub(crate) fn new(index: u64, zones: u64) -> Self {
+    pub(crate) fn new(index: u64) -> Self {
         let name = format!("edge-{index}");
         Self {
             table: CrashTable::new(&name),
-            zone: index % zones,
             to_zone: DigestSchedule::default(),
             to_others: DigestSchedule::default(),
         }
--- a/crates/emulator/src/simulation_event.rs
+++ b/crates/emulator/src/simulation_event.rs
@@ -1,6 +1,6 @@
 //! Events of an emulation.
 
-use routing::{CrashDigest, CrashId, DigestSource, PartId};
+use routing::{CrashDigest, DigestSource, LifetimeId, PartId};
 
 /// A request of a client.
 #[derive(Clone, Debug)]
@@ -40,7 +40,7 @@
     /// An entry notices that a replica has ended.
     Noticed {
         entry: usize,
-        crash: CrashId,
+        crash: LifetimeId,
         parts: Vec<PartId>,
         lost: Vec<u64>,
     },
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod bench_control_report;
 mod bench_control_sample;
 mod bench_crashes;
+mod bench_limits;
 mod bench_requests;
 mod bench_spread;
 mod capacity;
@@ -39,6 +40,11 @@
         summary: "emulates requests that crash replicas; a number N runs N seeds of each scenario",
         run: bench_crashes::run,
     },
+    Task {
+        name: &["bench", "limits"],
+        summary: "emulates requests that crash replicas; a number N runs N seeds of each scenario",
+        run: bench_limits::run,
+    },
     Task {
         name: &["bench", "control"],
         summary: "measures the control plane at growing fleet sizes; a number N runs only the N smallest sizes",
