Entries tell each other limits at a bounded cost, and hold turns of lost ones while others hear them

Now each entry tells its own news, the first two of a zone repeat, and a discovered entry gets all records.

Where two zones lose each other but not a third, both took over the other's turns; entries now ask for those that they have lost, and whoever hears them vouches for them.

Agents request reports at a share of the limit.

--- a/crates/emulator/src/limit_scenario.rs
+++ b/crates/emulator/src/limit_scenario.rs
@@ -30,6 +30,8 @@
     Cut,
     /// The entries of one zone do not reach those of the others for a while.
     ZoneCut,
+    /// The entries of two zones do not reach each other for a while, but those of the others.
+    LinkCut,
 }
 
 /// Size, traffic, limits and faults of an emulation.
--- a/crates/emulator/src/limit_simulation.rs
+++ b/crates/emulator/src/limit_simulation.rs
@@ -6,7 +6,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use routing::{LimitDigest, NamedLimit};
+use routing::{LimitDigest, NamedLimit, RequestRate};
 
 use crate::event_queue::EventQueue;
 use crate::exchange_plan::{ExchangePlan, HEARTBEAT_INTERVAL};
@@ -25,6 +25,8 @@
     exchange: ExchangePlan,
     entries: Vec<LimitedEntry>,
     replicas: Vec<LimitedReplica>,
+    /// Until when the first two zones do not reach each other.
+    link_cut_until: Duration,
     end_known_at: Option<Duration>,
     outcome: LimitOutcome,
 }
@@ -76,9 +78,10 @@
             queue: EventQueue::new(),
             exchange: ExchangePlan::new(scenario.zones, scenario.loss),
             entries: (0..scenario.entries as usize)
-                .map(|it| LimitedEntry::new(it, epoch))
+                .map(|it| LimitedEntry::new(it, Duration::ZERO, epoch))
                 .collect(),
             replicas: (0..scenario.limited).map(LimitedReplica::new).collect(),
+            link_cut_until: Duration::ZERO,
             end_known_at: None,
             outcome: LimitOutcome::default(),
         }
@@ -99,7 +102,7 @@
             self.queue.schedule(FAULTS_FROM, LimitEvent::Fault);
         }
         for replica in 0..self.replicas.len() {
-            let delay = AGENT_INTERVAL.mul_f64(self.random.random_range(1.0..2.0));
+            let delay = self.report_interval().mul_f64(self.random.random());
             let event = LimitEvent::Report { replica };
             self.queue.schedule(LIMITED_FROM + delay, event);
         }
@@ -122,7 +125,7 @@
                 let now = self.queue.now();
                 self.replicas[replica].record_call(now);
                 let event = LimitEvent::Report { replica };
-                self.queue.schedule(AGENT_INTERVAL, event);
+                self.queue.schedule(self.report_interval(), event);
             }
             LimitEvent::SetLimits => self.set_limits(),
             LimitEvent::EndLimits => {
@@ -191,7 +194,7 @@
     fn receive_request(&mut self, entry: usize) {
         let (now, instant) = (self.queue.now(), self.instant());
         self.outcome.requests += 1;
-        if self.entries[entry].is_frozen(now) {
+        if !self.entries[entry].is_serving(now) {
             return;
         }
         let first = self.random.random_range(0..self.replicas.len());
@@ -244,13 +247,14 @@
         let until = now + Duration::from_millis(self.random.random_range(500..20_000));
         match self.scenario.fault {
             EntryFault::None => {}
-            EntryFault::Restart => self.entries[entry] = LimitedEntry::new(entry, instant),
+            EntryFault::Restart => self.entries[entry] = LimitedEntry::new(entry, now, instant),
             EntryFault::Addition => {
-                let added = LimitedEntry::new(self.entries.len(), instant);
+                let added = LimitedEntry::new(self.entries.len(), now, instant);
                 self.entries.push(added);
             }
             EntryFault::Freeze => self.entries[entry].frozen_until = until,
             EntryFault::Cut => self.entries[entry].cut_until = until,
+            EntryFault::LinkCut => self.link_cut_until = until,
             EntryFault::ZoneCut => {
                 let zone = self.exchange.zone_of(entry);
                 for other in (0..self.entries.len()).filter(|it| self.exchange.zone_of(*it) == zone)
@@ -268,6 +272,10 @@
         let is_in_zone = self.exchange.zone_of(from) == self.exchange.zone_of(to);
         match self.scenario.fault {
             EntryFault::ZoneCut => is_in_zone || (!is_cut(from) && !is_cut(to)),
+            EntryFault::LinkCut => {
+                let zones = self.exchange.zone_of(from) + self.exchange.zone_of(to);
+                is_in_zone || zones != 1 || now >= self.link_cut_until
+            }
             _ => !is_cut(from) && !is_cut(to),
         }
     }
@@ -315,6 +323,12 @@
         self.outcome
     }
 
+    /// Returns the interval at which the agent of a limited replica requests its report.
+    fn report_interval(&self) -> Duration {
+        let limit = (self.scenario.limit * 1000.0).round();
+        RequestRate::per_kilosecond(limit as u32).report_interval()
+    }
+
     fn instant(&self) -> Instant {
         self.epoch + self.queue.now()
     }
@@ -330,9 +344,6 @@
 /// Interval of changes of limits.
 const CHANGE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval at which the agent of a replica with a limit requests its report.
-const AGENT_INTERVAL: Duration = Duration::from_millis(4100);
-
 /// Time after the first response with a limit from which on all entries keep it, and from which on the users' rule holds.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 const EARLY_TIME: Duration = Duration::from_secs(1);
--- a/crates/emulator/src/limited_entry.rs
+++ b/crates/emulator/src/limited_entry.rs
@@ -18,6 +18,9 @@
     pub(crate) last_heard: BTreeMap<usize, Duration>,
     pub(crate) last_heartbeat: Duration,
     pub(crate) last_report: Duration,
+    started_at: Duration,
+    /// Whether another entry has told of limits.
+    pub(crate) has_evidence: bool,
     pub(crate) frozen_until: Duration,
     pub(crate) cut_until: Duration,
     /// Limits of the baselines by replica, and when this entry may send the next request.
@@ -25,22 +28,30 @@
 }
 
 impl LimitedEntry {
-    pub(crate) fn new(index: usize, now: Instant) -> Self {
+    /// Creates the entry with the number `index`, which starts at `now` by both clocks.
+    pub(crate) fn new(index: usize, now: Duration, instant: Instant) -> Self {
         let name = format!("edge-{index}");
         Self {
-            table: LimitTable::new(now, &name),
+            table: LimitTable::new(instant, &name),
             name,
             to_zone: DigestSchedule::default(),
             to_others: DigestSchedule::default(),
             last_heard: BTreeMap::new(),
             last_heartbeat: Duration::ZERO,
             last_report: Duration::ZERO,
+            started_at: now,
+            has_evidence: false,
             frozen_until: Duration::ZERO,
             cut_until: Duration::ZERO,
             buckets: BTreeMap::new(),
         }
     }
 
+    /// Returns whether the entry sends requests: it runs and has received what others know, or waited for it.
+    pub(crate) fn is_serving(&self, now: Duration) -> bool {
+        !self.is_frozen(now) && (self.has_evidence || now >= self.started_at + EVIDENCE_WAIT)
+    }
+
     pub(crate) fn is_frozen(&self, now: Duration) -> bool {
         now < self.frozen_until
     }
@@ -105,5 +116,8 @@
 /// Time without a message after which an entry is considered dead.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1800);
 
+/// Time for which a started entry waits for what others know.
+const EVIDENCE_WAIT: Duration = Duration::from_secs(1);
+
 /// Lowest rate of a baseline in requests per second, so that intervals are finite.
 const MIN_RATE: f64 = 1e-6;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -61,4 +61,4 @@
 pub use stream_cursor::{EventBatch, StreamCursor, StreamError};
 pub use switch_deadlines::SwitchDeadlines;
 pub use version_table::{PendingSwitch, VersionRequirement, VersionTable};
-pub use zone_exchange::{is_zone_reporter, report_targets};
+pub use zone_exchange::{is_zone_reporter, report_targets, zone_rank};
--- a/crates/fleet/src/zone_exchange.rs
+++ b/crates/fleet/src/zone_exchange.rs
@@ -14,8 +14,13 @@
 /// Returns whether the entry `own` reports for `zone` and passes on the reports of other zones: it is the first live
 /// entry of the zone by name.
 pub fn is_zone_reporter(peers: &PeerTable, own: &str, zone: &str, now: Instant) -> bool {
-    let mut alive = peers.alive(now);
-    !alive.any(|it| it.zone == zone && it.node.as_str() < own)
+    zone_rank(peers, own, zone, now) == 0
+}
+
+/// Returns the number of live entries of `zone` before the entry `own` by name.
+pub fn zone_rank(peers: &PeerTable, own: &str, zone: &str, now: Instant) -> usize {
+    let alive = peers.alive(now).filter(|it| it.zone == zone);
+    alive.filter(|it| it.node.as_str() < own).count()
 }
 
 /// Returns up to `per_zone` entries of each zone other than `zone`, in order of preference.
--- a/crates/ingress/src/limit_guard.rs
+++ b/crates/ingress/src/limit_guard.rs
@@ -34,7 +34,7 @@
     let now = shared.suspend_aware_now();
     let id = lifetime(replica);
     let change = shared.state().limits.record_head(now, id, named, sent_at);
-    handle_changes(shared, change.as_slice(), "response");
+    handle_own_news(shared, change, "response");
 }
 
 /// Records what an agent reports about the limit of `replica`.
@@ -48,15 +48,31 @@
         age_ms: reported.age_ms,
     };
     let now = shared.suspend_aware_now();
-    let changes = shared.state().limits.merge_records(now, &[record]);
-    handle_changes(shared, &changes, "agent");
+    let change = shared.state().limits.record_report(now, &record);
+    handle_own_news(shared, change, "agent");
 }
 
 /// Adds what another entry knows.
 pub(crate) fn merge(shared: &EntryShared, digest: &LimitDigest) {
     let now = shared.suspend_aware_now();
-    let changes = shared.state().limits.merge(now, digest);
-    handle_changes(shared, &changes, "entry");
+    let mut state = shared.state();
+    let changes = state.limits.merge(now, digest);
+    if !changes.is_empty() {
+        // The entries of the zone have received the message, or it is passed on to them.
+        state.report_digest.record_change();
+    }
+    drop(state);
+    for change in changes {
+        log_change(shared, &change, "entry");
+    }
+}
+
+/// Returns what this entry tells others about limits. The first entries of a zone repeat what they know.
+pub(crate) fn digest(shared: &EntryShared, state: &mut EntryState) -> Option<LimitDigest> {
+    let settings = &shared.settings;
+    let rank = fleet::zone_rank(&state.peers, &settings.node, &settings.zone, Instant::now());
+    let now = shared.suspend_aware_now();
+    state.limits.digest(now, rank < REPEATING_ENTRIES)
 }
 
 /// Updates the entries among which turns are divided, and forgets limits that have ended.
@@ -130,18 +146,16 @@
     LifetimeId::new(&replica.id, replica.started_ms)
 }
 
-fn handle_changes(shared: &EntryShared, changes: &[LimitChange], source: &'static str) {
-    if changes.is_empty() {
+fn handle_own_news(shared: &EntryShared, change: Option<LimitChange>, source: &'static str) {
+    let Some(change) = change else {
         return;
-    }
+    };
     let mut state = shared.state();
     state.heartbeat_digest.record_change();
     state.report_digest.record_change();
     drop(state);
     shared.urgent_change.notify_one();
-    for change in changes {
-        log_change(shared, change, source);
-    }
+    log_change(shared, &change, source);
 }
 
 fn log_change(shared: &EntryShared, change: &LimitChange, source: &'static str) {
@@ -171,3 +185,6 @@
         "source" => source,
     );
 }
+
+/// Number of entries of a zone that repeat what is known about limits, so that one of them may end.
+const REPEATING_ENTRIES: usize = 2;
--- a/crates/ingress/src/peer_exchange.rs
+++ b/crates/ingress/src/peer_exchange.rs
@@ -163,7 +163,7 @@
         state.heartbeat_digest.record_sent(now);
         state.crashes.own_digest(now)
     });
-    let limits = is_due.then(|| state.limits.digest(shared.suspend_aware_now()));
+    let limits = is_due.then(|| limit_guard::digest(shared, &mut state));
     EntryHeartbeat {
         crashes,
         limits: limits.flatten(),
@@ -265,6 +265,7 @@
     if is_changed {
         state.heartbeat_digest.record_change();
         state.report_digest.record_change();
+        state.limits.record_discovery();
     }
     drop(state);
     if is_changed {
--- a/crates/ingress/src/zone_exchange.rs
+++ b/crates/ingress/src/zone_exchange.rs
@@ -85,7 +85,7 @@
         state.report_digest.record_sent(now);
         state.crashes.zone_digest(now, zone)
     });
-    let limits = is_due.then(|| state.limits.digest(shared.suspend_aware_now()));
+    let limits = is_due.then(|| limit_guard::digest(shared, &mut state));
     let mut entries: Vec<PeerRecord> = Vec::new();
     if with_roster {
         let alive = state.peers.alive(now).filter(|it| it.zone == *zone);
--- a/crates/routing/src/limit_digest.rs
+++ b/crates/routing/src/limit_digest.rs
@@ -10,6 +10,10 @@
 pub struct LimitDigest {
     /// Age of the time base of turns, in milliseconds.
     pub base_age_ms: u64,
+    /// Digests of the names of entries that the sender does not hear.
+    pub lost: Vec<u64>,
+    /// Of the entries that others do not hear, those that the sender hears.
+    pub vouched: Vec<u64>,
     /// Limits that are in force or have ended lately. Not every digest contains all of them.
     pub records: Vec<LimitRecord>,
 }
--- a/crates/routing/src/limit_table.rs
+++ b/crates/routing/src/limit_table.rs
@@ -29,6 +29,9 @@
     returns: BTreeMap<PoolId, Instant>,
     /// The record after which the next digest begins, if not all fit into one.
     digest_after: Option<LifetimeId>,
+    /// Digests that are still to contain all records, for an entry that has just been discovered.
+    full_digests: u32,
+    expire_at: Instant,
 }
 
 /// The limit of one replica.
@@ -40,6 +43,8 @@
     seen_at: Instant,
     /// When the limit took this value at this entry.
     changed_at: Instant,
+    /// Whether this entry has told others of the value, or is to.
+    is_own_news: bool,
     /// The first turn whose owner was not determined yet.
     next_turn: Option<u64>,
     /// Times of the turns of this entry that may be used, in terms of the time base.
@@ -58,6 +63,8 @@
             limits: BTreeMap::new(),
             returns: BTreeMap::new(),
             digest_after: None,
+            full_digests: 0,
+            expire_at: now,
         }
     }
 
@@ -83,7 +90,25 @@
             NamedLimit::None if known.is_some_and(|it| sent_at > it.seen_at) => None,
             NamedLimit::None | NamedLimit::Unreadable => return None,
         };
-        self.set(now, replica, limit, now)
+        let change = self.set(now, replica, limit, now);
+        if change.is_some() {
+            self.announce(replica);
+        }
+        change
+    }
+
+    /// Adds what the agent of a replica reports. Returns the change, if any.
+    pub fn record_report(&mut self, now: Instant, record: &LimitRecord) -> Option<LimitChange> {
+        let change = self.merge_record(now, record);
+        if change.is_some() {
+            self.announce(record.replica);
+        }
+        change
+    }
+
+    /// Makes the next digests contain all records, since another entry was discovered.
+    pub fn record_discovery(&mut self) {
+        self.full_digests = FULL_DIGESTS;
     }
 
     /// Records which other entries are alive. Expected in each heartbeat.
@@ -91,55 +116,47 @@
         self.members.update(now, alive);
     }
 
-    /// Adds what another entry knows. Returns the changes, of which other entries may not know either.
+    /// Adds what another entry knows. Returns the changes.
     pub fn merge(&mut self, now: Instant, digest: &LimitDigest) -> Vec<LimitChange> {
         self.merge_base(now, Duration::from_millis(digest.base_age_ms));
-        self.merge_records(now, &digest.records)
+        self.members.merge(now, &digest.lost, &digest.vouched);
+        let records = digest.records.iter().take(MAX_FULL_RECORDS);
+        records
+            .filter_map(|it| self.merge_record(now, it))
+            .collect()
     }
 
-    /// Adds records of another entry or an agent. Returns the changes.
-    pub fn merge_records(&mut self, now: Instant, records: &[LimitRecord]) -> Vec<LimitChange> {
-        let mut changes = Vec::new();
-        for record in records.iter().take(MAX_SENT_RECORDS) {
-            let age = Duration::from_millis(u64::from(record.age_ms));
-            // The clock may have begun less than `age` ago.
-            let seen_at = now.checked_sub(age).unwrap_or(now);
-            let is_applicable = match self.limits.get(&record.replica) {
-                // What has ended is of use only to those that know the limit.
-                None => record.limit.is_some(),
-                Some(known) => known.is_superseded_by(record.limit, seen_at),
-            };
-            if is_applicable {
-                changes.extend(self.set(now, record.replica, record.limit, seen_at));
-            }
-        }
-        changes
-    }
-
-    /// Returns what this entry tells others, or `None` if it knows of no limit.
-    pub fn digest(&mut self, now: Instant) -> Option<LimitDigest> {
-        if self.limits.is_empty() {
-            return None;
-        }
-        let is_recent =
-            |it: &ReplicaLimit| now.saturating_duration_since(it.changed_at) < NEWS_TIME;
-        let record = |(replica, it): (&LifetimeId, &ReplicaLimit)| LimitRecord {
-            replica: *replica,
-            limit: it.limit,
-            age_ms: age_ms(now, it.seen_at),
+    /// Returns what this entry tells others, or `None` if there is nothing to tell. Each entry tells its own news. One that
+    /// `repeats` also tells what it knows from others, in several digests if it is much.
+    pub fn digest(&mut self, now: Instant, repeats: bool) -> Option<LimitDigest> {
+        let is_news = |it: &ReplicaLimit| {
+            let is_new = now.saturating_duration_since(it.changed_at) < NEWS_TIME;
+            is_new && (it.is_own_news || repeats)
+        };
+        let max_records = match repeats && self.full_digests > 0 {
+            true => MAX_FULL_RECORDS,
+            false => MAX_SENT_RECORDS,
         };
-        let recent = self.limits.iter().filter(|it| is_recent(it.1));
-        let mut records: Vec<LimitRecord> = recent.map(record).take(MAX_SENT_RECORDS).collect();
-        let room = MAX_SENT_RECORDS - records.len();
-        let older: Vec<_> = self.limits.iter().filter(|it| !is_recent(it.1)).collect();
-        let start = older.partition_point(|it| Some(*it.0) <= self.digest_after);
-        let in_turn = older[start..].iter().chain(&older[..start]);
-        let others: Vec<LimitRecord> = in_turn.take(room).map(|it| record(*it)).collect();
-        self.digest_after = others.last().map(|it| it.replica);
-        records.extend(others);
+        self.full_digests = self.full_digests.saturating_sub(1);
+        let news = self.limits.iter().filter(|it| is_news(it.1));
+        let mut records: Vec<LimitRecord> = news
+            .map(|it| it.1.record(now, *it.0))
+            .take(MAX_FULL_RECORDS)
+            .collect();
+        if repeats {
+            let known = self.limits.iter().filter(|it| !is_news(it.1));
+            let known: Vec<_> = known.map(|it| it.1.record(now, *it.0)).collect();
+            let start = known.partition_point(|it| Some(it.replica) <= self.digest_after);
+            let in_turn = known[start..].iter().chain(&known[..start]);
+            let room = max_records.saturating_sub(records.len());
+            records.extend(in_turn.take(room));
+            self.digest_after = records.last().map(|it| it.replica);
+        }
         let base_age = self.base_age(now).as_millis();
-        Some(LimitDigest {
+        (!records.is_empty()).then(|| LimitDigest {
             base_age_ms: u64::try_from(base_age).unwrap_or(u64::MAX),
+            lost: self.members.lost(now),
+            vouched: self.members.vouched(now),
             records,
         })
     }
@@ -205,6 +222,10 @@
 
     /// Removes limits that have ended and those of replicas that are not `listed` any more.
     pub fn expire(&mut self, now: Instant, listed: &dyn Fn(LifetimeId) -> bool) {
+        if now < self.expire_at {
+            return;
+        }
+        self.expire_at = now + EXPIRE_INTERVAL;
         self.limits.retain(|replica, it| {
             let age = now.saturating_duration_since(it.seen_at.max(it.changed_at));
             age < RECORD_TIME || (it.limit.is_some() && listed(*replica))
@@ -212,6 +233,27 @@
         self.returns.retain(|_, it| *it > now);
     }
 
+    fn merge_record(&mut self, now: Instant, record: &LimitRecord) -> Option<LimitChange> {
+        let age = Duration::from_millis(u64::from(record.age_ms));
+        // The clock may have begun less than `age` ago.
+        let seen_at = now.checked_sub(age).unwrap_or(now);
+        let is_applicable = match self.limits.get(&record.replica) {
+            // What has ended is of use only to those that know the limit.
+            None => record.limit.is_some(),
+            Some(known) => known.is_superseded_by(record.limit, seen_at),
+        };
+        if !is_applicable {
+            return None;
+        }
+        self.set(now, record.replica, record.limit, seen_at)
+    }
+
+    fn announce(&mut self, replica: LifetimeId) {
+        if let Some(state) = self.limits.get_mut(&replica) {
+            state.is_own_news = true;
+        }
+    }
+
     fn set(
         &mut self,
         now: Instant,
@@ -224,6 +266,7 @@
             limit: None,
             seen_at,
             changed_at: now,
+            is_own_news: false,
             next_turn: None,
             turns: VecDeque::new(),
             used: 0,
@@ -235,8 +278,15 @@
             return None;
         }
         state.changed_at = now;
+        state.is_own_news = false;
         state.next_turn = None;
-        state.turns.clear();
+        // A turn that this entry had before an increase stays within the higher limit.
+        if limit < before || before.is_none() {
+            state.turns.truncate(1);
+        }
+        if limit.is_none_or(|it| it == RequestRate::ZERO) {
+            state.turns.clear();
+        }
         if before.is_none() {
             (state.used, state.lapsed) = (0, 0);
         }
@@ -308,6 +358,14 @@
 }
 
 impl ReplicaLimit {
+    fn record(&self, now: Instant, replica: LifetimeId) -> LimitRecord {
+        LimitRecord {
+            replica,
+            limit: self.limit,
+            age_ms: age_ms(now, self.seen_at),
+        }
+    }
+
     /// Returns whether `limit`, in a response that arrived at `seen_at`, is newer. Times that another entry tells are
     /// inexact; of two values that may be equally new the lower one applies.
     fn is_superseded_by(&self, limit: Option<RequestRate>, seen_at: Instant) -> bool {
@@ -346,5 +404,15 @@
 /// Maximum number of limits in the table.
 const MAX_LIMITS: usize = 4096;
 
-/// Maximum number of records in a digest, which has to fit into a datagram beside other contents.
+/// Maximum number of records that are repeated in a digest, next to news.
 const MAX_SENT_RECORDS: usize = 64;
+
+/// Maximum number of records in a digest with news or for an entry that was discovered, which has to fit into a datagram
+/// beside other contents.
+const MAX_FULL_RECORDS: usize = 1700;
+
+/// Digests with all records after another entry was discovered; datagrams may be lost.
+const FULL_DIGESTS: u32 = 3;
+
+/// Interval at which old records are removed.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
--- a/crates/routing/src/member_table.rs
+++ b/crates/routing/src/member_table.rs
@@ -23,6 +23,8 @@
     updated_at: Instant,
     /// Since when this entry hears less than half of the entries.
     cut_off_since: Option<Instant>,
+    /// Entries that others have lost, and when they said so last.
+    lost_by_others: BTreeMap<u64, Instant>,
 }
 
 impl MemberTable {
@@ -36,6 +38,7 @@
             usable_from: now + JOIN_DELAY,
             updated_at: now,
             cut_off_since: None,
+            lost_by_others: BTreeMap::new(),
         }
     }
 
@@ -46,8 +49,8 @@
             return;
         }
         if since_update > MAX_UPDATE_INTERVAL {
-            // The process was stopped meanwhile, and others may have taken its turns over.
-            self.usable_from = self.usable_from.max(now + REJOIN_DELAY);
+            // The process was stopped meanwhile.
+            self.rejoin(now);
         }
         self.updated_at = now;
         for name in alive {
@@ -61,7 +64,12 @@
         if has_majority {
             self.last_heard.retain(|_, it| silence(it) < FORGET_TIME);
         }
-        self.update_cut_off(now, heard * 2 < known);
+        let is_cut_off = heard * 2 < known;
+        if is_cut_off && now < self.usable_from && self.cut_off_since.is_some() {
+            // Others cannot have learned yet that this entry is back.
+            self.usable_from = now + REJOIN_DELAY;
+        }
+        self.update_cut_off(now, is_cut_off);
         let others = self.last_heard.iter();
         let owning = others.filter(|(_, it)| !has_majority || silence(it) < HOLD_TIME);
         self.owners = owning.map(|it| *it.0).collect();
@@ -74,7 +82,47 @@
         } else if let Some(since) = self.cut_off_since.take()
             && now.saturating_duration_since(since) >= CUT_OFF_DELAY
         {
-            self.usable_from = self.usable_from.max(now + REJOIN_DELAY);
+            self.rejoin(now);
+        }
+    }
+
+    /// Waits until others know that this entry is back, since they may have taken its turns over. What it knows of them is
+    /// out of date.
+    fn rejoin(&mut self, now: Instant) {
+        self.usable_from = self.usable_from.max(now + REJOIN_DELAY);
+        let unheard_since = now.checked_sub(HEARD_TIME).unwrap_or(now);
+        for heard_at in self.last_heard.values_mut() {
+            *heard_at = unheard_since.max(*heard_at);
+        }
+    }
+
+    /// Returns the entries that this one does not hear, to ask others for them.
+    pub(crate) fn lost(&self, now: Instant) -> Vec<u64> {
+        let lost = self.last_heard.iter().filter(|it| is_lost(now, *it.1));
+        lost.map(|it| *it.0).take(MAX_LOST).collect()
+    }
+
+    /// Returns the entries that this one hears although another one has lost them.
+    pub(crate) fn vouched(&self, now: Instant) -> Vec<u64> {
+        let asked = self.lost_by_others.iter();
+        let asked = asked.filter(|it| now.saturating_duration_since(*it.1) < ASK_TIME);
+        let is_heard = |it: &u64| self.last_heard.get(it).is_some_and(|it| !is_lost(now, *it));
+        asked.map(|it| *it.0).filter(is_heard).collect()
+    }
+
+    /// Adds what another entry says about those that it has `lost`, and about those that it hears although others have lost
+    /// them. The latter are alive, so their turns are not taken over.
+    pub(crate) fn merge(&mut self, now: Instant, lost: &[u64], vouched: &[u64]) {
+        self.lost_by_others
+            .retain(|_, it| now.saturating_duration_since(*it) < ASK_TIME);
+        for entry in lost.iter().take(MAX_LOST) {
+            self.lost_by_others.insert(*entry, now);
+        }
+        let unheard_since = now.checked_sub(HEARD_TIME).unwrap_or(now);
+        for entry in vouched {
+            if let Some(heard_at) = self.last_heard.get_mut(entry) {
+                *heard_at = unheard_since.max(*heard_at);
+            }
         }
     }
 
@@ -100,6 +148,10 @@
     }
 }
 
+fn is_lost(now: Instant, heard_at: Instant) -> bool {
+    now.saturating_duration_since(heard_at) >= HEARD_TIME
+}
+
 /// Mixes the bits of `value` (finalizer of SplitMix64).
 pub(crate) fn mix(value: u64) -> u64 {
     let mixed = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -107,12 +159,16 @@
     mixed ^ (mixed >> 31)
 }
 
+/// Maximum number of lost entries that an entry asks others for: those of a few zones.
+const MAX_LOST: usize = 128;
+
 /// Time after the start of an entry in which all others learn of it: several reports between zones, some of which may be
 /// lost.
 const JOIN_DELAY: Duration = Duration::from_secs(3);
 
-/// Time in which all others learn that an entry is back which they know already.
-const REJOIN_DELAY: Duration = Duration::from_secs(2);
+/// Time in which all others learn that an entry is back which they know already. Also longer than it takes to notice that
+/// it was cut off again.
+const REJOIN_DELAY: Duration = Duration::from_secs(3);
 
 /// Shortest time between two updates that are worth their effort.
 const MIN_UPDATE_INTERVAL: Duration = Duration::from_millis(100);
@@ -120,8 +176,12 @@
 /// Longest time between two updates while the process runs; heartbeats are sent more often.
 const MAX_UPDATE_INTERVAL: Duration = Duration::from_millis(1500);
 
-/// Time without a message after which an entry does not count as heard.
-const HEARD_TIME: Duration = Duration::from_millis(2500);
+/// Time since the last update with an entry alive after which it does not count as heard. Callers consider an entry alive for
+/// a while after its last message.
+const HEARD_TIME: Duration = Duration::from_millis(700);
+
+/// Time for which an entry answers another one that has lost a third one; several messages fit into it.
+const ASK_TIME: Duration = Duration::from_secs(3);
 
 /// Time for which an entry that hears less than half of the others goes on: shorter cuts and restarts cost nothing.
 const CUT_OFF_DELAY: Duration = Duration::from_secs(3);
--- a/crates/routing/src/request_rate.rs
+++ b/crates/routing/src/request_rate.rs
@@ -1,6 +1,7 @@
 //! Rates of requests.
 
 use std::fmt;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +35,14 @@
         Some(Self(digits.parse().unwrap_or(u32::MAX)))
     }
 
+    /// Returns the interval at which the agent of a replica with this limit requests its report: a small part of the limit,
+    /// and at most once in the span in which requests are counted.
+    pub fn report_interval(self) -> Duration {
+        let interval = 1.0 / (self.per_second() * REPORT_SHARE);
+        let interval = interval.clamp(MIN_REPORT_INTERVAL_S, MAX_REPORT_INTERVAL_S);
+        Duration::from_secs_f64(interval)
+    }
+
     /// Returns the number of requests per second.
     pub fn per_second(self) -> f64 {
         f64::from(self.0) / 1000.0
@@ -45,3 +54,10 @@
         write!(f, "{}", self.per_second())
     }
 }
+
+/// Share of a limit that requests for reports take up.
+const REPORT_SHARE: f64 = 0.15;
+
+/// Shortest and longest interval of requests for reports, in seconds.
+const MIN_REPORT_INTERVAL_S: f64 = 4.1;
+const MAX_REPORT_INTERVAL_S: f64 = 10.0;
--- a/crates/routing/src/turn_schedule.rs
+++ b/crates/routing/src/turn_schedule.rs
@@ -20,7 +20,12 @@
 impl TurnSchedule {
     pub(crate) fn new(replica: LifetimeId, limit: RequestRate) -> Self {
         let limit = limit.per_second().clamp(TRIAL_RATE, MAX_RATE);
-        let rate = limit * USED_SHARE;
+        let used_share = if limit < HIGH_LIMIT {
+            USED_SHARE
+        } else {
+            HIGH_USED_SHARE
+        };
+        let rate = limit * used_share;
         // All turns of a window and those before it that are still usable must fit into the calls of the window, next to
         // one call of the replica's agent.
         let calls = WINDOW_S * limit + WINDOW_RESERVE - 1.0;
@@ -67,7 +72,13 @@
 }
 
 /// Share of the limit that becomes turns. The lower it is, the longer an entry without a request can keep a turn.
-const USED_SHARE: f64 = 0.85;
+const USED_SHARE: f64 = 0.9;
+
+/// Share of a limit of [`HIGH_LIMIT`] or more, whose turns come so often that they would lapse sooner otherwise.
+const HIGH_USED_SHARE: f64 = 0.85;
+
+/// Limit in requests per second from which on the lower share applies.
+const HIGH_LIMIT: f64 = 8.0;
 
 /// Span in which calls at a replica are counted, in seconds.
 const WINDOW_S: f64 = 4.0;
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -76,14 +76,14 @@
 /// Returns the replica's report. A replica with a limit is not asked again while its last report is recent, because its
 /// limit applies to these requests too.
 async fn current_report(shared: &AgentShared) -> Result<ReplicaReport, CallError> {
-    let is_limited = shared.state().named_limit.is_some();
-    let last = shared.state().last_report.clone().filter(|_| is_limited);
-    if let Some((report, polled_at)) = last {
+    let limit = shared.state().named_limit;
+    let last = shared.state().last_report.clone();
+    if let (Some(limit), Some((report, polled_at))) = (limit, last) {
         let is_loading = report.load_in_progress || shared.state().ordered_at > Some(polled_at);
         if is_loading {
             // Only a new report shows the outcome of the order.
             tokio::time::sleep(LOADING_POLL_INTERVAL.saturating_sub(polled_at.elapsed())).await;
-        } else if polled_at.elapsed() < LIMITED_POLL_INTERVAL {
+        } else if polled_at.elapsed() < limit.report_interval() {
             return Ok(report);
         }
     }
@@ -394,9 +394,6 @@
 /// Interval at which the replica is polled, which is cheap because it runs on the same host.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Interval at which a replica with a limit is polled: once in the span in which requests at it are counted.
-const LIMITED_POLL_INTERVAL: Duration = Duration::from_millis(4100);
-
 /// Interval at which a replica with a limit is polled while it loads weights, when entries send it no requests.
 const LOADING_POLL_INTERVAL: Duration = Duration::from_millis(1000);
 
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -42,7 +42,7 @@
     },
     Task {
         name: &["bench", "limits"],
-        summary: "emulates requests that crash replicas; a number N runs N seeds of each scenario",
+        summary: "emulates requests at replicas that name limits; N runs N seeds, a second word only the cases that begin so",
         run: bench_limits::run,
     },
     Task {
