--- a/crates/fulmarline/tests/platform_named_limits.rs
+++ b/crates/fulmarline/tests/platform_named_limits.rs
@@ -26,6 +26,7 @@
 
 /// Requests of one phase of a test.
 struct SentRequest {
+    id: String,
     sent_at: Instant,
     response: Option<SiteResponse>,
 }
@@ -68,10 +69,11 @@
                             let parts = format!("aaaa01:40,{id}:60");
                             let sent_at = Instant::now();
                             let response = caller.call_with_parts(*entry, "/draft/1", &id, &parts);
-                            requests
-                                .lock()
-                                .unwrap()
-                                .push(SentRequest { sent_at, response });
+                            requests.lock().unwrap().push(SentRequest {
+                                id,
+                                sent_at,
+                                response,
+                            });
                         });
                         std::thread::sleep(PAUSE);
                     }
@@ -127,3 +129,87 @@
         served.len()
     );
 }
+
+// Guards against requests that wait for a limit until their deadline, or are told nothing about when to return.
+#[test]
+fn requests_beyond_the_limits_of_all_replicas_are_refused_truthfully() {
+    let site = start_site("named-limit-all", 216, 2);
+    let entries: Vec<usize> = (0..ENTRIES).collect();
+    let mut known_from = Instant::now();
+    let requests = with_load(&site, &entries, || {
+        for replica in &site.models {
+            name_limit(replica, Some("0.5"));
+        }
+        std::thread::sleep(CONTACT_TIME + Duration::from_secs(2));
+        known_from = Instant::now();
+        std::thread::sleep(Duration::from_secs(8));
+    });
+    for replica in &site.models {
+        let most = most_calls(replica, known_from);
+        assert!(most <= 5, "{most} calls in 4 s at a limit of 0.5 a second");
+    }
+    let late = requests.iter().filter(|it| it.sent_at > known_from);
+    let mut refused = 0;
+    for request in late {
+        let response = request.response.as_ref().expect("a response");
+        if response.status.is_success() {
+            continue;
+        }
+        refused += 1;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(response.body.trim(), "limited");
+        let retry_after = response.headers["retry-after"].to_str().unwrap();
+        assert!(retry_after.parse::<f64>().unwrap() > 0.0);
+        let runs = site.models.iter().map(|it| it.runs());
+        let has_run = runs.into_iter().any(|it| it.contains_key(&request.id));
+        assert!(!has_run, "{} was refused and has run", request.id);
+    }
+    assert!(refused > 100, "{refused} requests were refused");
+}
+
+// Guards against a restarted entry sending requests before it knows of limits, and against limits that never end.
+#[test]
+fn a_limit_is_kept_around_a_restart_until_it_ends() {
+    let mut site = start_site("named-limit-end", 232, 4);
+    let mut known_from = Instant::now();
+    with_load(&site, &[0, 2, 3], || {
+        name_limit(&site.models[0], Some("1"));
+        std::thread::sleep(CONTACT_TIME);
+        known_from = Instant::now();
+    });
+    site.entries[1].kill();
+    site.start_entry(1);
+    site.wait("a restarted entry", |it| {
+        (it.ready(1) == Some(StatusCode::OK)).then_some(())
+    });
+    let entries: Vec<usize> = (0..ENTRIES).collect();
+    with_load(&site, &entries, || {
+        std::thread::sleep(Duration::from_secs(6));
+    });
+    let most = most_calls(&site.models[0], known_from);
+    assert!(most <= 7, "{most} calls in 4 s at a limit of 1 a second");
+
+    name_limit(&site.models[0], None);
+    with_load(&site, &entries, || {
+        site.wait("as many requests as before the limit", |it| {
+            let from = Instant::now().checked_sub(Duration::from_secs(2))?;
+            let calls = it.models[0].limited_calls();
+            let recent = calls.iter().filter(|it| **it >= from).count();
+            (recent >= 20).then_some(())
+        });
+    });
+}
+
+// Guards against anything but a replica's response setting a limit.
+#[test]
+fn a_limit_that_a_client_sends_has_no_effect() {
+    let site = TestSite::start("named-limit-client", 248, &[]);
+    let response = site.wait("a served lookup", |it| {
+        let response = it
+            .caller()
+            .call_with_header(0, "/lookup/1", ("Server-Limit", "0"))?;
+        response.status.is_success().then_some(response)
+    });
+    assert!(!response.headers.contains_key("server-limit"));
+    assert!(site.metrics(0).contains("\nfulmarline_limits 0\n"));
+}
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -140,6 +140,22 @@
         self.send(entry, method, path, &headers, SHORT_PROMPT, Vec::new())
     }
 
+    /// Sends a lookup with a further header to an entry.
+    pub fn call_with_header(
+        &self,
+        entry: usize,
+        path: &str,
+        header: (&str, &str),
+    ) -> Option<SiteResponse> {
+        let headers = [
+            ("Request-Id", "with-header"),
+            ("Authorization", "Token key-1"),
+            header,
+        ];
+        let method = Method::GET;
+        self.send(entry, method, path, &headers, SHORT_PROMPT, Vec::new())
+    }
+
     fn send(
         &self,
         entry: usize,
