Own interface: the gate keeps a service or engine within the limit that it names

All requests to a back end of the own interface pass its agent's gate, so the gate keeps the limit for all entries (routing::RateGate): one request may be ahead of the schedule, others are refused as not run, and entries send them to another target or refuse them. The header is fulmarline-limit.

--- a/crates/agent/src/gate/gate_server.rs
+++ b/crates/agent/src/gate/gate_server.rs
@@ -2,14 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use bytes::Bytes;
 use httpio::{HeaderMap, HttpBody, HttpClient, HttpServer, Incoming, Request, Response};
 use hyper::http::request::Parts;
 use model::{AttemptId, Incarnation, ResultCode, VersionDigest};
-use routing::{AdmissionRequest, CallKind};
+use routing::{AdmissionRequest, CallKind, NamedLimit, RequestRate};
 use serde::Deserialize;
 use settings::{AgentSettings, SecretText};
 use slog::{Logger, warn};
@@ -139,6 +139,7 @@
         parts.headers.remove(httpio::header::TRANSFER_ENCODING);
         parts.headers.remove(httpio::header::CONTENT_LENGTH);
         let request = Request::from_parts(parts, httpio::full(body));
+        let sent_at = Instant::now();
         let pooled_response = match self.client.send(self.back_end, request).await {
             Ok(it) => it,
             Err(httpio::ClientError::NotSent(err)) => {
@@ -156,6 +157,8 @@
             }
         };
         self.probe.record_alive();
+        let named = named_limit(pooled_response.response.headers());
+        self.gate.record_limit(named, sent_at);
         let (response, _sender, _address) = pooled_response.into_parts();
         if admitted.kind() == CallKind::Completion && response.status() == ENGINE_REFUSAL_STATUS {
             return error_response(ResultCode::TargetRefused, "the engine refused the request");
@@ -178,6 +181,15 @@
     }
 }
 
+/// Returns what a response of the back end says about its limit.
+fn named_limit(headers: &HeaderMap) -> NamedLimit {
+    let Some(value) = headers.get(model::LIMIT_HEADER) else {
+        return NamedLimit::None;
+    };
+    let rate = value.to_str().ok().and_then(RequestRate::parse);
+    rate.map_or(NamedLimit::Unreadable, NamedLimit::Limit)
+}
+
 fn admission_request(headers: &HeaderMap, attempt: AttemptId) -> AdmissionRequest {
     let time_remaining = header(headers, model::DEADLINE_HEADER)
         .map_or(DEFAULT_TIME_REMAINING, Duration::from_millis);
--- a/crates/agent/src/gate/shared_gate.rs
+++ b/crates/agent/src/gate/shared_gate.rs
@@ -8,7 +8,7 @@
 };
 use routing::{
     AdmissionGate, AdmissionRefusal, AdmissionRequest, CallKind, ConcurrencyLimit, LatencyTargets,
-    LoadMeter, OverloadTracker, OverloadTransition, RevokeReply,
+    LoadMeter, NamedLimit, OverloadTracker, OverloadTransition, RateGate, RevokeReply,
 };
 use serde_json::json;
 use slog::{Logger, info, warn};
@@ -27,6 +27,8 @@
     limit: ConcurrencyLimit,
     meter: LoadMeter,
     overload: OverloadTracker,
+    /// Limit that the back end names.
+    rate: RateGate,
 }
 
 impl SharedGate {
@@ -38,6 +40,7 @@
             limit: ConcurrencyLimit::new(targets, max_in_flight, min, max_in_flight),
             meter: LoadMeter::default(),
             overload: OverloadTracker::default(),
+            rate: RateGate::default(),
         };
         Self {
             inner: Mutex::new(inner),
@@ -52,7 +55,7 @@
         tokens: u32,
     ) -> Result<Option<VersionDigest>, AdmissionRefusal> {
         let mut inner = self.lock();
-        let admitted = inner.admission.admit(unix_time(), request);
+        let admitted = inner.admit(request);
         match admitted {
             Ok(()) => {
                 inner.meter.on_admitted(tokens);
@@ -67,6 +70,15 @@
         }
     }
 
+    /// Records what a response of the back end says about its limit. The request was sent at `sent_at`.
+    pub(crate) fn record_limit(&self, named: NamedLimit, sent_at: Instant) {
+        let mut inner = self.lock();
+        if inner.rate.record_head(Instant::now(), named, sent_at) {
+            let limit = inner.rate.limit().map(|it| it.to_string());
+            info!(self.log, "limit of the back end changed"; "limit" => limit);
+        }
+    }
+
     /// Ends an admitted attempt; `tokens_remaining` of the tokens that it could produce were not produced.
     pub(crate) fn finish(&self, attempt: AttemptId, kind: CallKind, tokens_remaining: u32) {
         let mut inner = self.lock();
@@ -160,11 +172,12 @@
 
     pub(crate) fn dump(&self) -> serde_json::Value {
         let (state, version) = self.state();
-        let (tracked_attempts, drained) = {
+        let (tracked_attempts, drained, limit) = {
             let inner = self.lock();
             (
                 inner.admission.tracked_attempts(),
                 inner.admission.is_drained(),
+                inner.rate.limit().map(|it| it.to_string()),
             )
         };
         json!({
@@ -173,6 +186,7 @@
             "load": self.load(),
             "attempts_remembered": tracked_attempts,
             "drained": drained,
+            "named_limit": limit,
         })
     }
 
@@ -200,6 +214,23 @@
     }
 }
 
+impl GateInner {
+    /// Admits a request if the limit that the back end names leaves room and the gate admits it otherwise.
+    fn admit(&mut self, request: &AdmissionRequest) -> Result<(), AdmissionRefusal> {
+        // The schedule is advanced only if the request is admitted.
+        let mut rate = self.rate.clone();
+        if !rate.try_admit(Instant::now()) {
+            return Err(AdmissionRefusal {
+                code: ResultCode::Overloaded,
+                reason: "the target is at the limit that it names",
+            });
+        }
+        self.admission.admit(unix_time(), request)?;
+        self.rate = rate;
+        Ok(())
+    }
+}
+
 fn unix_time() -> Duration {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -75,6 +75,8 @@
 pub const RESULT_HEADER: &str = "fulmarline-result";
 /// Header with the digest of the model version that produced a response.
 pub const VERSION_HEADER: &str = "x-model-version";
+/// Requests a second that an engine or service takes at present, as a decimal number in its responses.
+pub const LIMIT_HEADER: &str = "fulmarline-limit";
 /// Header with the id of a request, which all attempts share.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Header with the id of one attempt at a request, which the gate uses to deduplicate and revoke the attempt.
--- a/crates/standin/src/plain_service.rs
+++ b/crates/standin/src/plain_service.rs
@@ -42,6 +42,8 @@
     pub refuse: bool,
     /// Text that crashes the service when it runs a call whose path contains it.
     pub crash_on: Option<String>,
+    /// Requests a second that the service claims to take, as the value of the header in its responses.
+    pub named_limit: Option<String>,
 }
 
 #[derive(Debug)]
@@ -76,6 +78,7 @@
     response: ServiceResponse,
     is_truncated: bool,
     unframed: bool,
+    named_limit: Option<String>,
 }
 
 /// The keys under which a call is counted.
@@ -254,11 +257,19 @@
         response,
         is_truncated,
         unframed: inner.faults.unframed,
+        named_limit: inner.faults.named_limit.clone(),
     })
 }
 
 fn encode_result(result: &RunResult) -> Response<HttpBody> {
-    let response = http_util::json(StatusCode::OK, &result.response);
+    let mut response = http_util::json(StatusCode::OK, &result.response);
+    let limit = result
+        .named_limit
+        .as_deref()
+        .map(httpio::HeaderValue::from_str);
+    if let Some(Ok(limit)) = limit {
+        response.headers_mut().insert(model::LIMIT_HEADER, limit);
+    }
     if !result.is_truncated && !result.unframed {
         return response;
     }
