--- a/crates/agent/src/gate/shared_gate.rs
+++ b/crates/agent/src/gate/shared_gate.rs
@@ -8,7 +8,7 @@
 };
 use routing::{
     AdmissionGate, AdmissionRefusal, AdmissionRequest, CallKind, ConcurrencyLimit, LatencyTargets,
-    LoadMeter, NamedLimit, OverloadTracker, OverloadTransition, RateGate, RevokeReply,
+    LoadMeter, NamedLimit, OverloadTracker, OverloadTransition, RateGate, RequestRate, RevokeReply,
 };
 use serde_json::json;
 use slog::{Logger, info, warn};
@@ -164,7 +164,8 @@
             tokens_owed: inner.meter.tokens_owed(),
             first_token_ms: inner.meter.first_token(now).as_millis() as u32,
             token_gap_us: inner.meter.token_gap(now).as_micros() as u32,
-            refused: inner.admission.refused(),
+            named_limit: inner.rate.limit().map(RequestRate::in_kilosecond),
+            refused: inner.admission.refused() + inner.rate.refused(),
             overloaded_ms: overload.map(|it| now.duration_since(it.since).as_millis() as u64),
             overload_cause: overload.map(|it| it.cause),
         }
@@ -220,6 +221,7 @@
         // The schedule is advanced only if the request is admitted.
         let mut rate = self.rate.clone();
         if !rate.try_admit(Instant::now()) {
+            self.rate = rate;
             return Err(AdmissionRefusal {
                 code: ResultCode::Overloaded,
                 reason: "the target is at the limit that it names",
--- a/crates/control/src/language/table_name.rs
+++ b/crates/control/src/language/table_name.rs
@@ -69,7 +69,8 @@
     /// One row for each target and entry, with its load and overload state.
     Load = "load" {
         host: Text, zone: Text, kind: Text, name: Text, in_flight: Number, limit: Number,
-        tokens_owed: Number, first_token_ms: Number, token_gap_ms: Number, refused: Number,
+        tokens_owed: Number, first_token_ms: Number, token_gap_ms: Number, named_limit: Number,
+        refused: Number,
         overloaded: Text, since_s: Number, cause: Text,
     }
     /// One row for each model that has a wanted version.
--- a/crates/entry/src/control/query_rows.rs
+++ b/crates/entry/src/control/query_rows.rs
@@ -176,6 +176,8 @@
             Cell::count(load.tokens_owed),
             Cell::count(load.first_token_ms),
             Cell::Number(f64::from(load.token_gap_us) / 1000.0),
+            load.named_limit
+                .map_or(Cell::None, |it| Cell::Number(f64::from(it) / 1000.0)),
             Cell::count(load.refused),
             Cell::yes_no(load.overloaded_ms.is_some()),
             seconds(load.overloaded_ms.map(|it| it + age_ms)),
@@ -195,6 +197,7 @@
             Cell::None,
             Cell::None,
             Cell::None,
+            Cell::None,
             Cell::yes_no(it.overloaded_ms.is_some()),
             seconds(overloaded_ms),
             Cell::optional_text(it.overload_cause),
--- a/crates/model/src/load_sample.rs
+++ b/crates/model/src/load_sample.rs
@@ -17,7 +17,9 @@
     pub first_token_ms: u32,
     /// Smoothed time between tokens, in microseconds.
     pub token_gap_us: u32,
-    /// The number of requests refused because of the limit since the process started.
+    /// Requests in 1,000 seconds that the engine or service takes by its responses, or `None` if it names no limit.
+    pub named_limit: Option<u32>,
+    /// The number of requests refused because of one of the limits since the process started.
     pub refused: u64,
     /// Milliseconds since the target became overloaded, or `None` while it is not.
     pub overloaded_ms: Option<u64>,
--- a/crates/routing/src/rate_gate.rs
+++ b/crates/routing/src/rate_gate.rs
@@ -13,6 +13,7 @@
     seen_at: Option<Instant>,
     /// Time from which on the next request is on schedule.
     next_at: Option<Instant>,
+    refused: u64,
 }
 
 impl RateGate {
@@ -41,12 +42,18 @@
         let interval = Duration::from_secs_f64(1.0 / rate);
         let scheduled = self.next_at.unwrap_or(now).max(now);
         if scheduled > now + interval {
+            self.refused += 1;
             return false;
         }
         self.next_at = Some(scheduled + interval);
         true
     }
 
+    /// Returns the number of requests that were not admitted.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+
     /// Returns the limit in force.
     pub fn limit(&self) -> Option<RequestRate> {
         self.limit
--- a/crates/routing/src/request_rate.rs
+++ b/crates/routing/src/request_rate.rs
@@ -43,6 +43,11 @@
         Duration::from_secs_f64(interval)
     }
 
+    /// Returns the number of requests in 1,000 seconds.
+    pub fn in_kilosecond(self) -> u32 {
+        self.0
+    }
+
     /// Returns the number of requests per second.
     pub fn per_second(self) -> f64 {
         f64::from(self.0) / 1000.0
