--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,8 +1,8 @@
-//! Emulators, in virtual time, of entries that exchange what they know: evidence about requests which crash replicas, and
-//! limits that replicas name.
+//! Emulators, in virtual time, of entries that exchange what they know: evidence about requests which crash replicas,
+//! and limits that replicas name.
 //!
-//! They drive the decisions of `routing` as entries do, with replicas, traffic and datagrams that a seed determines. This crate is
-//! not shipped.
+//! They drive the decisions of `routing` as entries do, with replicas, traffic and datagrams that a seed determines.
+//! This crate is not shipped.
 
 mod crash_outcome;
 mod crash_scenario;
--- a/crates/emulator/src/limit_simulation.rs
+++ b/crates/emulator/src/limit_simulation.rs
@@ -200,7 +200,7 @@
         let first = self.random.random_range(0..self.replicas.len());
         let count = self.entries.len();
         let state = &mut self.entries[entry];
-        let order = (0..self.replicas.len().min(MAX_CONSIDERED)).map(|it| first + it);
+        let order = (0..self.replicas.len()).map(|it| first + it);
         let mut order = order.map(|it| it % self.replicas.len());
         let chosen = order.find(|index| {
             let id = self.replicas[*index].id;
@@ -344,9 +344,7 @@
 /// Interval of changes of limits.
 const CHANGE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time after the first response with a limit from which on all entries keep it, and from which on the users' rule holds.
+/// Time after the first response with a limit from which on all entries keep it, and from which on the users' rule
+/// holds.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 const EARLY_TIME: Duration = Duration::from_secs(1);
-
-/// Replicas that an entry considers for a request.
-const MAX_CONSIDERED: usize = 40;
--- a/crates/emulator/src/limit_simulation/exchange.rs
+++ b/crates/emulator/src/limit_simulation/exchange.rs
@@ -63,7 +63,8 @@
         }
     }
 
-    /// Returns the number of entries of the zone before `entry` that it considers alive; the first one reports for the zone.
+    /// Returns the number of entries of the zone before `entry` that it considers alive; the first one reports for the
+    /// zone.
     fn zone_rank(&self, entry: usize) -> usize {
         let zone = self.exchange.zone_of(entry);
         let alive = self.entries[entry].alive(self.queue.now()).into_iter();
--- a/crates/emulator/src/limited_replica.rs
+++ b/crates/emulator/src/limited_replica.rs
@@ -49,7 +49,8 @@
         NamedLimit::Limit(RequestRate::per_kilosecond((limit * 1000.0).round() as u32))
     }
 
-    /// Returns the most calls in any window that begins after `from`, less `allowed` as a function of the mean limit in it.
+    /// Returns the most calls in any window that begins after `from`, less `allowed` as a function of the mean limit
+    /// in it.
     pub(crate) fn most_beyond(&self, from: Duration, allowed: impl Fn(f64) -> f64) -> f64 {
         let end = self.limits.iter().find(|it| it.1.is_none());
         let end = end.map_or(Duration::MAX, |it| it.0);
--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -38,8 +38,8 @@
     /// Time after which no replica starts the request any more, if its start cannot be observed: it cannot be withdrawn
     /// when the weights become too old, because it may have started. `None` if it can be.
     pub latest_start: Option<Duration>,
-    /// Ids of the replicas that have a limit for all entries together, and whether this entry may send a request to each
-    /// of them now.
+    /// Ids of the replicas that have a limit for all entries together, and whether this entry may send a request to
+    /// each of them now.
     pub turns: &'a BTreeMap<String, bool>,
 }
 
@@ -144,8 +144,8 @@
 
 /// Returns a random sample of the replicas, which is smaller the more entries there are.
 ///
-/// If all entries compared all replicas with equally old load information, they would all select the same one. The turns
-/// at replicas with a limit are this entry's own, so these replicas are always part of the sample.
+/// If all entries compared all replicas with equally old load information, they would all select the same one. The
+/// turns at replicas with a limit are this entry's own, so these replicas are always part of the sample.
 fn sample<'a>(request: &ChoiceRequest<'_>, usable: &[&'a Replica]) -> Vec<&'a Replica> {
     let share = 1.0 / (request.entries.max(1) as f64).sqrt();
     let size = ((usable.len() as f64 * share).ceil() as usize).max(MIN_SAMPLE);
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -367,3 +367,28 @@
     check(replicas, 2900, &expect!["r2 in 119 ms, version Some(2)"]);
     check(&replicas[..1], 2900, &expect!["none usable"]);
 }
+
+// Guards against a replica that is chosen although its limit leaves no room (incident LIMIT).
+#[test]
+fn replicas_without_a_turn_are_not_chosen_and_those_with_one_are_preferred() {
+    let replicas: &[Row] = &[
+        ("r1", "a", Some(1), 0),
+        ("r2", "b", Some(1), 0),
+        ("r3", "a", Some(1), 4),
+    ];
+    for (turns, expected) in [
+        (&[("r1", false)][..], expect!["r3 in 115 ms, version None"]),
+        (&[("r2", true)][..], expect!["r2 in 113 ms, version None"]),
+        (
+            &[("r1", false), ("r2", false), ("r3", false)][..],
+            expect!["limited"],
+        ),
+    ] {
+        let case = Case {
+            replicas,
+            turns,
+            ..Case::default()
+        };
+        check(&case, &expected);
+    }
+}
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -188,8 +188,8 @@
         decision.allowed
     }
 
-    /// Returns the current time of a clock that, unlike that of `Instant`, advances while the host is suspended. Its times
-    /// are comparable with each other only.
+    /// Returns the current time of a clock that, unlike that of `Instant`, advances while the host is suspended. Its
+    /// times are comparable with each other only.
     pub(crate) fn suspend_aware_now(&self) -> Instant {
         self.started_at + boot_clock::now().saturating_sub(self.boot_age_at_start)
     }
--- a/crates/ingress/src/limit_guard.rs
+++ b/crates/ingress/src/limit_guard.rs
@@ -13,8 +13,8 @@
 use crate::entry_shared::{EntryShared, EntryState};
 use crate::refusal::Refusal;
 
-/// Records what the head of a response says about the limit of `replica`. The request was sent at `sent_at` by the clock
-/// of [`EntryShared::suspend_aware_now`].
+/// Records what the head of a response says about the limit of `replica`. The request was sent at `sent_at` by the
+/// clock of [`EntryShared::suspend_aware_now`].
 pub(crate) fn record_head(
     shared: &EntryShared,
     replica: &Replica,
@@ -87,7 +87,8 @@
     state.limits.expire(now, &is_listed);
 }
 
-/// Returns the replicas of the service of `call` that have a limit, and whether this entry may send a request to each now.
+/// Returns the replicas of the service of `call` that have a limit, and whether this entry may send a request to each
+/// now.
 pub(crate) fn turns(
     shared: &EntryShared,
     state: &mut EntryState,
--- a/crates/ingress/src/peer_evidence.rs
+++ b/crates/ingress/src/peer_evidence.rs
@@ -1,4 +1,5 @@
-//! What a started entry must learn from another one before it sends requests: parts that crash replicas, and limits of replicas.
+//! What a started entry must learn from another one before it sends requests: parts that crash replicas, and limits of
+//! replicas.
 
 use std::time::Duration;
 
@@ -7,7 +8,8 @@
 use crate::entry_shared::EntryShared;
 use crate::{crash_guard, limit_guard};
 
-/// Waits until a started entry has received the evidence of another one, but not for longer than others take to send it.
+/// Waits until a started entry has received the evidence of another one, but not for longer than others take to send
+/// it.
 pub(crate) async fn wait(shared: &EntryShared) {
     loop {
         let received = shared.evidence_received.notified();
@@ -40,5 +42,6 @@
     }
 }
 
-/// Time after the start of an entry in which it receives the evidence of others: two heartbeats, one of which may be lost.
+/// Time after the start of an entry in which it receives the evidence of others: two heartbeats, one of which may be
+/// lost.
 const EVIDENCE_WAIT: Duration = Duration::from_millis(1000);
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -122,8 +122,8 @@
     httpio::full(bytes.clone())
 }
 
-/// Returns whether the response belongs to an earlier request. A late duplicate contains that request's id, or none. Only
-/// the first response on a connection needs no id, as a server that refuses everything may not read the request.
+/// Returns whether the response belongs to an earlier request. A late duplicate contains that request's id, or none.
+/// Only the first response on a connection needs no id, as a server that refuses everything may not read the request.
 fn is_foreign(
     call: &ClientCall,
     pooled_response: &PooledResponse,
--- a/crates/routing/src/limit_table.rs
+++ b/crates/routing/src/limit_table.rs
@@ -1,8 +1,8 @@
 //! Limits that replicas name for all entries together, and the turns of one entry.
 //!
-//! A replica names the requests per second that it takes from all hosts. Every entry has a table and merges those of the
-//! others into it. From the limits, the entries and a shared time base each entry works out which turns are its own, so that no
-//! message is needed for a request. See [decision 46](../../../docs/decisions/0046-named-limits.md).
+//! A replica names the requests per second that it takes from all hosts. Every entry has a table and merges those of
+//! the others into it. From the limits, the entries and a shared time base each entry works out which turns are its
+//! own, so that no message is needed for a request. See [decision 46](../../../docs/decisions/0046-named-limits.md).
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -126,8 +126,8 @@
             .collect()
     }
 
-    /// Returns what this entry tells others, or `None` if there is nothing to tell. Each entry tells its own news. One that
-    /// `repeats` also tells what it knows from others, in several digests if it is much.
+    /// Returns what this entry tells others, or `None` if there is nothing to tell. Each entry tells its own news. One
+    /// that `repeats` also tells what it knows from others, in several digests if it is much.
     pub fn digest(&mut self, now: Instant, repeats: bool) -> Option<LimitDigest> {
         let is_news = |it: &ReplicaLimit| {
             let is_new = now.saturating_duration_since(it.changed_at) < NEWS_TIME;
@@ -181,8 +181,8 @@
         }
     }
 
-    /// Returns the delay after which a client that was refused for the limits of `replicas` may come back. The clients of
-    /// one pool are told times at the rate of this entry's turns.
+    /// Returns the delay after which a client that was refused for the limits of `replicas` may come back. The clients
+    /// of one pool are told times at the rate of this entry's turns.
     pub fn return_delay(
         &mut self,
         now: Instant,
@@ -280,12 +280,11 @@
         state.changed_at = now;
         state.is_own_news = false;
         state.next_turn = None;
-        // A turn that this entry had before an increase stays within the higher limit.
-        if limit < before || before.is_none() {
-            state.turns.truncate(1);
-        }
-        if limit.is_none_or(|it| it == RequestRate::ZERO) {
-            state.turns.clear();
+        match limit {
+            None | Some(RequestRate::ZERO) => state.turns.clear(),
+            Some(_) if limit < before => state.turns.truncate(1),
+            // Turns that this entry had before an increase stay within the higher limit.
+            Some(_) => {}
         }
         if before.is_none() {
             (state.used, state.lapsed) = (0, 0);
@@ -407,8 +406,8 @@
 /// Maximum number of records that are repeated in a digest, next to news.
 const MAX_SENT_RECORDS: usize = 64;
 
-/// Maximum number of records in a digest with news or for an entry that was discovered, which has to fit into a datagram
-/// beside other contents.
+/// Maximum number of records in a digest with news or for an entry that was discovered, which has to fit into a
+/// datagram beside other contents.
 const MAX_FULL_RECORDS: usize = 1700;
 
 /// Digests with all records after another entry was discovered; datagrams may be lost.
--- a/crates/routing/src/member_table.rs
+++ b/crates/routing/src/member_table.rs
@@ -1,9 +1,9 @@
 //! The entries among which turns are divided.
 //!
-//! Two entries must not use the same turns although they learn of starts, ends and network partitions at different times. So an entry uses
-//! its turns only after all others have had the time to learn of it, the turns of an entry that is not heard lapse for a while before others
-//! take them over, and an entry that is cut off from most others stops before that. See
-//! [decision 46](../../../docs/decisions/0046-named-limits.md).
+//! Two entries must not use the same turns although they learn of starts, ends and network partitions at different
+//! times. So an entry uses its turns only after all others have had the time to learn of it, the turns of an entry
+//! that is not heard lapse for a while before others take them over, and an entry that is cut off from most others
+//! stops before that. See [decision 46](../../../docs/decisions/0046-named-limits.md).
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -86,8 +86,8 @@
         }
     }
 
-    /// Waits until others know that this entry is back, since they may have taken its turns over. What it knows of them is
-    /// out of date.
+    /// Waits until others know that this entry is back, since they may have taken its turns over. What it knows of
+    /// them is out of date.
     fn rejoin(&mut self, now: Instant) {
         self.usable_from = self.usable_from.max(now + REJOIN_DELAY);
         let unheard_since = now.checked_sub(HEARD_TIME).unwrap_or(now);
@@ -110,8 +110,8 @@
         asked.map(|it| *it.0).filter(is_heard).collect()
     }
 
-    /// Adds what another entry says about those that it has `lost`, and about those that it hears although others have lost
-    /// them. The latter are alive, so their turns are not taken over.
+    /// Adds what another entry says about those that it has `lost`, and about those that it hears although others have
+    /// lost them. The latter are alive, so their turns are not taken over.
     pub(crate) fn merge(&mut self, now: Instant, lost: &[u64], vouched: &[u64]) {
         self.lost_by_others
             .retain(|_, it| now.saturating_duration_since(*it) < ASK_TIME);
@@ -162,12 +162,12 @@
 /// Maximum number of lost entries that an entry asks others for: those of a few zones.
 const MAX_LOST: usize = 128;
 
-/// Time after the start of an entry in which all others learn of it: several reports between zones, some of which may be
-/// lost.
+/// Time after the start of an entry in which all others learn of it: several reports between zones, some of which may
+/// be lost.
 const JOIN_DELAY: Duration = Duration::from_secs(3);
 
-/// Time in which all others learn that an entry is back which they know already. Also longer than it takes to notice that
-/// it was cut off again.
+/// Time in which all others learn that an entry is back which they know already. Also longer than it takes to notice
+/// that it was cut off again.
 const REJOIN_DELAY: Duration = Duration::from_secs(3);
 
 /// Shortest time between two updates that are worth their effort.
@@ -176,8 +176,8 @@
 /// Longest time between two updates while the process runs; heartbeats are sent more often.
 const MAX_UPDATE_INTERVAL: Duration = Duration::from_millis(1500);
 
-/// Time since the last update with an entry alive after which it does not count as heard. Callers consider an entry alive for
-/// a while after its last message.
+/// Time since the last update with an entry alive after which it does not count as heard. Callers consider an entry
+/// alive for a while after its last message.
 const HEARD_TIME: Duration = Duration::from_millis(700);
 
 /// Time for which an entry answers another one that has lost a third one; several messages fit into it.
--- a/crates/routing/src/rate_gate.rs
+++ b/crates/routing/src/rate_gate.rs
@@ -17,7 +17,8 @@
 }
 
 impl RateGate {
-    /// Records what a response says about the limit; its request was sent at `sent_at`. Returns whether the limit has changed.
+    /// Records what a response says about the limit; its request was sent at `sent_at`. Returns whether the limit has
+    /// changed.
     ///
     /// A response without a limit ends one only if its request was sent after the newest response with it had arrived.
     pub fn record_head(&mut self, now: Instant, named: NamedLimit, sent_at: Instant) -> bool {
@@ -60,5 +61,6 @@
     }
 }
 
-/// Requests per second that are admitted although the limit is lower, because only a response can show that it has ended.
+/// Requests per second that are admitted although the limit is lower, because only a response can show that it has
+/// ended.
 const TRIAL_RATE: f64 = 0.1;
--- a/crates/routing/src/request_rate.rs
+++ b/crates/routing/src/request_rate.rs
@@ -35,8 +35,8 @@
         Some(Self(digits.parse().unwrap_or(u32::MAX)))
     }
 
-    /// Returns the interval at which the agent of a replica with this limit requests its report: a small part of the limit,
-    /// and at most once in the span in which requests are counted.
+    /// Returns the interval at which the agent of a replica with this limit requests its report: a small part of the
+    /// limit, and at most once in the span in which requests are counted.
     pub fn report_interval(self) -> Duration {
         let interval = 1.0 / (self.per_second() * REPORT_SHARE);
         let interval = interval.clamp(MIN_REPORT_INTERVAL_S, MAX_REPORT_INTERVAL_S);
--- a/crates/routing/src/turn_schedule.rs
+++ b/crates/routing/src/turn_schedule.rs
@@ -6,8 +6,8 @@
 use crate::member_table::mix;
 use crate::request_rate::RequestRate;
 
-/// The turns of one replica: single requests at even intervals, counted from a time base that all entries share. Each turn belongs to
-/// one entry and may be used for a while after its time.
+/// The turns of one replica: single requests at even intervals, counted from a time base that all entries share. Each
+/// turn belongs to one entry and may be used for a while after its time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct TurnSchedule {
     digest: u64,
@@ -26,8 +26,8 @@
             HIGH_USED_SHARE
         };
         let rate = limit * used_share;
-        // All turns of a window and those before it that are still usable must fit into the calls of the window, next to
-        // one call of the replica's agent.
+        // All turns of a window and those before it that are still usable must fit into the calls of the window, next
+        // to one call of the replica's agent.
         let calls = WINDOW_S * limit + WINDOW_RESERVE - 1.0;
         let lifetime = calls / rate - WINDOW_S - CLOCK_TOLERANCE_S;
         Self {
--- a/crates/xtask/src/bench_limits/mod.rs
+++ b/crates/xtask/src/bench_limits/mod.rs
@@ -1,5 +1,5 @@
-//! `cargo xtask bench limits`: how far entries keep within the limits that replicas name and use them, in the emulator and
-//! beside it with baselines.
+//! `cargo xtask bench limits`: how far entries keep within the limits that replicas name and use them, in the emulator
+//! and beside it with baselines.
 
 use std::ffi::OsString;
 use std::time::Duration;
@@ -15,8 +15,8 @@
     seed_divisor: u64,
 }
 
-/// Runs the benchmark. Flags are the number of seeds for each scenario at the smallest size and the beginning of the names of the
-/// scenarios to run.
+/// Runs the benchmark. Flags are the number of seeds for each scenario at the smallest size and the beginning of the
+/// names of the scenarios to run.
 pub(crate) fn run(flags: Vec<OsString>) -> anyhow::Result<()> {
     let seeds = match flags.first().and_then(|it| it.to_str()) {
         Some(flag) => flag.parse().context("the number of seeds is not valid")?,
