Emulator: reporters of a zone without known entries ask others in turn, as the product does

Cause: in the emulation, a reporter that knew no live entry of a zone told one at random, which passes nothing on, so entries 0 and 1, the reporters of the two zones, had not met after 9 s, when their link was cut. They did not miss each other's zones, so they asked for none of those entries, whose turns their zones took over 10 s later. The product tells two entries of such a zone in turn (fleet::report_targets), within 2.7 s all of eleven. Ruled out: the hold of lost entries, whose owners did not change before.

--- a/crates/emulator/src/limit_simulation/exchange.rs
+++ b/crates/emulator/src/limit_simulation/exchange.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use rand::RngExt;
 use routing::LimitDigest;
 
 use crate::exchange_plan::HEARTBEAT_INTERVAL;
@@ -50,6 +49,8 @@
                 continue;
             }
             state.last_report = now;
+            let round = state.reports;
+            state.reports += 1;
             let digest = state.to_others.is_due(instant).then(|| {
                 state.to_others.record_sent(instant);
                 state.table.digest(instant, true)
@@ -57,7 +58,7 @@
             let mut roster = state.alive(now);
             roster.retain(|it| self.exchange.zone_of(*it) == zone);
             roster.push(reporter);
-            let targets = self.report_targets(reporter);
+            let targets = self.report_targets(reporter, round);
             let digest = digest.flatten();
             self.send(reporter, &targets, digest.as_ref(), &roster, true);
         }
@@ -72,8 +73,9 @@
         before.count()
     }
 
-    /// Returns two entries of each other zone: the first ones that `reporter` considers alive, or else any.
-    fn report_targets(&mut self, reporter: usize) -> Vec<usize> {
+    /// Returns two entries of each other zone: the first ones that `reporter` considers alive, or else others in each
+    /// `round`.
+    fn report_targets(&self, reporter: usize, round: usize) -> Vec<usize> {
         let alive = self.entries[reporter].alive(self.queue.now());
         let own_zone = self.exchange.zone_of(reporter);
         let mut targets = Vec::new();
@@ -82,8 +84,9 @@
             let live: Vec<usize> = alive.iter().copied().filter(in_zone).take(2).collect();
             if live.is_empty() {
                 let listed: Vec<usize> = (0..self.entries.len()).filter(in_zone).collect();
-                let first = self.random.random_range(0..listed.len());
-                targets.push(listed[first]);
+                let first = round * 2 % listed.len();
+                let in_turn = listed.iter().cycle().skip(first).take(2);
+                targets.extend(in_turn.copied());
             }
             targets.extend(live);
         }
--- a/crates/emulator/src/limited_entry.rs
+++ b/crates/emulator/src/limited_entry.rs
@@ -18,6 +18,8 @@
     pub(crate) last_heard: BTreeMap<usize, Duration>,
     pub(crate) last_heartbeat: Duration,
     pub(crate) last_report: Duration,
+    /// Number of reports that were sent.
+    pub(crate) reports: usize,
     started_at: Duration,
     /// Whether another entry has told of limits.
     pub(crate) has_evidence: bool,
@@ -39,6 +41,7 @@
             last_heard: BTreeMap::new(),
             last_heartbeat: Duration::ZERO,
             last_report: Duration::ZERO,
+            reports: 0,
             started_at: now,
             has_evidence: false,
             frozen_until: Duration::ZERO,
