A request is not sent if its replica names a limit while the connection is opened

Change: HttpClient::send_if asks once more when the connection is open. The request then uses a turn, or is not sent, which is no failure of the replica and no retry, and another replica is chosen. The counter outcome 'late' and a log line show it.

Result: httpio pool, a prevented request leaves no byte on the connection. Not shown with a real delay of a replica's host.

--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -57,6 +57,8 @@
     pub must_start_within: Option<Duration>,
     /// Number of other replicas that their limits ruled out.
     pub limited: usize,
+    /// Whether the replica has a limit, within which the request is sent.
+    pub has_turn: bool,
 }
 
 impl ChosenReplica {
@@ -139,6 +141,7 @@
             .time_to_switch(replica)
             .filter(|_| request.latest_start.is_none()),
         limited,
+        has_turn: request.has_turn(replica),
     })
 }
 
--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -138,12 +138,34 @@
         address: SocketAddr,
         request: Request<HttpBody>,
     ) -> Result<PooledResponse, ClientError> {
-        if self.may_wait_for_window(&request) {
-            return self.send_on_new_connection(address, request).await;
-        }
-        let Some(mut connection) = self.take_idle(address) else {
-            return self.send_on_new_connection(address, request).await;
+        self.send_if(address, request, &|| true).await
+    }
+
+    /// Sends `request` as [`HttpClient::send`] does, if `may_send` returns `true` immediately before. Opening a
+    /// connection takes time, in which the reasons to choose the server may have ceased.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`HttpClient::send`]; [`ClientError::NotSent`] also if `may_send` returns `false`.
+    pub async fn send_if(
+        &self,
+        address: SocketAddr,
+        request: Request<HttpBody>,
+        may_send: &(dyn Fn() -> bool + Sync),
+    ) -> Result<PooledResponse, ClientError> {
+        let idle = match self.may_wait_for_window(&request) {
+            true => None,
+            false => self.take_idle(address),
+        };
+        let Some(mut connection) = idle else {
+            return self
+                .send_on_new_connection_if(address, request, may_send)
+                .await;
         };
+        if !may_send() {
+            self.recycle(connection, address);
+            return Err(ClientError::NotSent(prevented()));
+        }
         let request = with_host_header(request, address);
         match connection.send(request).await {
             Ok(response) => Ok(PooledResponse {
@@ -154,7 +176,10 @@
             }),
             // `hyper` returns the request if none of it was written, because the idle connection had been closed.
             Err(mut err) => match err.take_message() {
-                Some(request) => self.send_on_new_connection(address, request).await,
+                Some(request) => {
+                    self.send_on_new_connection_if(address, request, may_send)
+                        .await
+                }
                 None => Err(ClientError::NoResponse(err.into_error())),
             },
         }
@@ -172,6 +197,21 @@
         &self,
         address: SocketAddr,
         request: Request<HttpBody>,
+    ) -> Result<PooledResponse, ClientError> {
+        self.send_on_new_connection_if(address, request, &|| true)
+            .await
+    }
+
+    /// Sends `request` on a new connection, if `may_send` returns `true` when it is open.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`HttpClient::send_if`].
+    pub async fn send_on_new_connection_if(
+        &self,
+        address: SocketAddr,
+        request: Request<HttpBody>,
+        may_send: &(dyn Fn() -> bool + Sync),
     ) -> Result<PooledResponse, ClientError> {
         let mut request = with_host_header(request, address);
         let mut tcp_user_timeout = self.tcp_user_timeout;
@@ -186,6 +226,9 @@
             .connect(address, tcp_user_timeout)
             .await
             .map_err(ClientError::NotSent)?;
+        if !may_send() {
+            return Err(ClientError::NotSent(prevented()));
+        }
         let response = connection
             .send(request)
             .await
@@ -324,6 +367,10 @@
     }
 }
 
+fn prevented() -> std::io::Error {
+    std::io::Error::other("the caller prevented it when a connection was open")
+}
+
 impl PooledResponse {
     /// Reads the complete body and returns the connection to the pool of `client`.
     ///
--- a/crates/httpio/tests/pool.rs
+++ b/crates/httpio/tests/pool.rs
@@ -163,3 +163,27 @@
     assert_ne!(closing, Err(std::io::ErrorKind::WouldBlock));
     server.join().unwrap();
 }
+
+// Guards against a request being sent although the reason to send it has ceased while a connection was opened.
+#[test]
+fn a_request_that_is_prevented_when_a_connection_is_open_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (received, requests) = mpsc::channel();
+    std::thread::spawn(move || {
+        for socket in listener.incoming() {
+            let mut bytes = Vec::new();
+            // Reads to the end of the connection, which the client closes without a request.
+            let _ = socket.unwrap().read_to_end(&mut bytes);
+            let _ = received.send(bytes);
+        }
+    });
+    let client = HttpClient::new(None, WAIT_TIMEOUT);
+    let result = current_thread().block_on(async {
+        let request = Request::builder().uri("/").body(httpio::empty()).unwrap();
+        client.send_if(address, request, &|| false).await
+    });
+    assert!(matches!(result, Err(httpio::ClientError::NotSent(_))));
+    let bytes = requests.recv_timeout(WAIT_TIMEOUT).unwrap();
+    assert_eq!(String::from_utf8_lossy(&bytes), "");
+}
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -144,7 +144,7 @@
             )?,
             limited_requests: counters(
                 "fulmarline_limited_requests_total",
-                "Requests sent with a turn at a replica with a limit, sent elsewhere because one had no turn, refused for limits, or sent beyond one.",
+                "Requests sent with a turn at a replica with a limit, sent elsewhere because one had no turn, refused for limits, or not sent because a limit began while a connection was opened.",
                 &["outcome"],
             )?,
             limits: gauge("fulmarline_limits", "Replicas whose limits are in force.")?,
--- a/crates/ingress/src/limit_guard.rs
+++ b/crates/ingress/src/limit_guard.rs
@@ -3,11 +3,12 @@
 //! Limits and turns are those of [`routing::LimitTable`]; see `docs/decisions/0046-named-limits.md`.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use fleet::{ChosenReplica, LogKind, Replica, ReportedLimit};
 use routing::{LifetimeId, LimitChange, LimitDigest, LimitRecord, NamedLimit, PoolId, RequestRate};
-use slog::{info, warn};
+use slog::info;
 
 use crate::client_call::ClientCall;
 use crate::entry_shared::{EntryShared, EntryState};
@@ -104,35 +105,87 @@
     of_service.filter_map(turn).collect()
 }
 
-/// Uses a turn for a request that is sent to `chosen`, if the replica has a limit.
-pub(crate) fn take_turn(shared: &EntryShared, call: &ClientCall, chosen: &ChosenReplica) {
-    let now = shared.suspend_aware_now();
-    let mut state = shared.state();
+/// Uses a turn for a request that is about to be sent to `chosen`, if the replica has a limit.
+pub(crate) fn take_turn(shared: &EntryShared, chosen: &ChosenReplica) {
     if chosen.limited > 0 {
-        let requests = &shared.metrics.limited_requests;
-        requests.with_label_values(&["elsewhere"]).inc();
+        count_request(shared, "elsewhere");
     }
-    let is_limited = state
-        .limits
-        .has_turn(now, lifetime(&chosen.replica))
-        .is_some();
-    if !is_limited {
-        return;
+    if chosen.has_turn {
+        let now = shared.suspend_aware_now();
+        let mut state = shared.state();
+        state.limits.take_turn(now, lifetime(&chosen.replica));
+        drop(state);
+        count_request(shared, "turn");
     }
-    let is_taken = state.limits.take_turn(now, lifetime(&chosen.replica));
-    drop(state);
-    let outcome = if is_taken { "turn" } else { "beyond" };
+}
+
+/// Permits a request to be sent when a connection to its replica is open: the replica may have named a limit since it was
+/// chosen.
+#[derive(Debug)]
+pub(crate) struct SendPermit<'a> {
+    shared: &'a EntryShared,
+    call: &'a ClientCall,
+    replica: &'a Replica,
+    /// Whether a turn was used for the request, or none was necessary when it was last checked.
+    is_granted: AtomicBool,
+    /// Whether the request was not to be sent.
+    is_denied: AtomicBool,
+}
+
+impl<'a> SendPermit<'a> {
+    pub(crate) fn new(
+        shared: &'a EntryShared,
+        call: &'a ClientCall,
+        chosen: &'a ChosenReplica,
+    ) -> Self {
+        Self {
+            shared,
+            call,
+            replica: &chosen.replica,
+            is_granted: AtomicBool::new(chosen.has_turn),
+            is_denied: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns whether the request may be sent, and uses a turn for it if the replica has a limit by now.
+    pub(crate) fn check(&self) -> bool {
+        if self.is_granted.load(Ordering::Relaxed) {
+            return true;
+        }
+        let now = self.shared.suspend_aware_now();
+        let mut state = self.shared.state();
+        let is_limited = state.limits.has_turn(now, lifetime(self.replica)).is_some();
+        let is_granted = state.limits.take_turn(now, lifetime(self.replica));
+        drop(state);
+        if is_limited {
+            self.is_granted.store(is_granted, Ordering::Relaxed);
+            count_request(self.shared, if is_granted { "turn" } else { "late" });
+        }
+        self.is_denied.store(!is_granted, Ordering::Relaxed);
+        if !is_granted && self.shared.may_log(LogKind::Failed) {
+            info!(
+                self.shared.log, "request chosen before a limit began is not sent";
+                "request" => self.call.id(),
+                "replica" => &self.replica.id,
+            );
+        }
+        is_granted
+    }
+
+    /// Returns whether the last check has prevented the request.
+    pub(crate) fn is_denied(&self) -> bool {
+        self.is_denied.load(Ordering::Relaxed)
+    }
+}
+
+fn count_request(shared: &EntryShared, outcome: &str) {
     let requests = &shared.metrics.limited_requests;
     requests.with_label_values(&[outcome]).inc();
-    if !is_taken {
-        warn!(shared.log, "request sent beyond a limit"; "request" => call.id(), "replica" => &chosen.replica.id);
-    }
 }
 
 /// Returns the refusal of a request for which only replicas without a turn are left.
 pub(crate) fn refuse(shared: &EntryShared, call: &ClientCall) -> Refusal {
-    let requests = &shared.metrics.limited_requests;
-    requests.with_label_values(&["refused"]).inc();
+    count_request(shared, "refused");
     let now = shared.suspend_aware_now();
     let mut state = shared.state();
     let state = &mut *state;
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -13,7 +13,7 @@
 use crate::client_call::ClientCall;
 use crate::crash_guard;
 use crate::entry_shared::EntryShared;
-use crate::limit_guard;
+use crate::limit_guard::{self, SendPermit};
 
 /// Outcome of a send.
 #[derive(Debug)]
@@ -33,6 +33,8 @@
     NotSent,
     /// The replica refused the request.
     Refused,
+    /// The replica has named a limit since it was chosen, and this entry has no turn.
+    Limited,
     /// Another replica listens at the address, or the replica has another version of the weights.
     Misdirected,
 }
@@ -40,7 +42,7 @@
 impl NotRunReason {
     /// Returns whether a replica received the request, so that sending it again counts as a retry.
     pub(crate) fn has_arrived(self) -> bool {
-        self != Self::NotSent
+        !matches!(self, Self::NotSent | Self::Limited)
     }
 }
 
@@ -68,14 +70,16 @@
     // A reused connection may be closing or may still deliver the response to an earlier request. That loses a request
     // which may not be repeated, and shows only in the id of the request.
     let needs_new_connection = !call.route.is_retryable() || call.metadata.id.is_none();
+    let permit = SendPermit::new(shared, call, chosen);
+    let may_send = || permit.check();
     let exchange = async {
+        let client = &shared.replica_client;
         if needs_new_connection {
-            shared
-                .replica_client
-                .send_on_new_connection(replica.address, request)
+            client
+                .send_on_new_connection_if(replica.address, request, &may_send)
                 .await
         } else {
-            shared.replica_client.send(replica.address, request).await
+            client.send_if(replica.address, request, &may_send).await
         }
     };
     let sent_at = shared.suspend_aware_now();
@@ -87,6 +91,9 @@
             }
             classify_head(call, pooled_response, metadata)
         }
+        Ok(Err(ClientError::NotSent(_))) if permit.is_denied() => {
+            SendOutcome::NotRun(NotRunReason::Limited)
+        }
         Ok(Err(ClientError::NotSent(_))) => SendOutcome::NotRun(NotRunReason::NotSent),
         Ok(Err(ClientError::NoResponse(_))) => SendOutcome::Unknown("connection_lost"),
         Err(_) if chosen.must_start_within.is_some_and(|it| wait >= it) => {
@@ -188,6 +195,7 @@
         SendOutcome::NotRun(NotRunReason::NotSent) => {
             ("not_sent", Some(ReplicaOutcome::Unreachable))
         }
+        SendOutcome::NotRun(NotRunReason::Limited) => ("limited", None),
         SendOutcome::NotRun(NotRunReason::Refused) => ("refused", Some(ReplicaOutcome::Refused)),
         SendOutcome::NotRun(NotRunReason::Misdirected) => {
             ("misdirected", Some(ReplicaOutcome::Refused))
@@ -206,7 +214,11 @@
     if matches!(outcome, SendOutcome::Unknown("connection_lost")) {
         crash_guard::record_break(shared, call, &chosen.replica, true);
     }
-    if !matches!(outcome, SendOutcome::Response(..)) {
+    let is_sound = matches!(
+        outcome,
+        SendOutcome::Response(..) | SendOutcome::NotRun(NotRunReason::Limited)
+    );
+    if !is_sound {
         shared
             .replica_client
             .drop_idle_connections(chosen.replica.address);
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -249,7 +249,7 @@
 /// Records that `call` is about to be sent to `chosen`. No other task may run between the choice and this.
 pub(crate) fn begin_send(shared: &EntryShared, call: &ClientCall, chosen: &ChosenReplica) {
     call.record_send();
-    limit_guard::take_turn(shared, call, chosen);
+    limit_guard::take_turn(shared, chosen);
     let predicted = chosen.predicted_ms / 1000.0;
     shared.metrics.predicted_first_event.observe(predicted);
 }
