Entries send no request to a replica before the time to return that it has named

A paused replica is no candidate; if only limited and paused ones are left, the request is refused with the time to the end of the pause.

--- a/crates/fulmarline/tests/platform_named_limits.rs
+++ b/crates/fulmarline/tests/platform_named_limits.rs
@@ -213,3 +213,49 @@
     assert!(!response.headers.contains_key("server-limit"));
     assert!(site.metrics(0).contains("\nfulmarline_limits 0\n"));
 }
+
+// Guards against requests to a replica that has told the entry when to return (class of the incident LIMIT).
+#[test]
+fn a_replica_that_names_a_time_to_return_gets_no_requests_before() {
+    let site = start_site("named-return", 184, 2);
+    let entries: Vec<usize> = (0..ENTRIES).collect();
+    let mut refused_from = Instant::now();
+    with_load(&site, &entries, || {
+        refused_from = Instant::now();
+        site.models[0].set_faults(ReplicaFaults {
+            full: true,
+            retry_after: Some("20"),
+            ..ReplicaFaults::default()
+        });
+        std::thread::sleep(Duration::from_secs(8));
+    });
+    // Each entry is refused once in the first two seconds, with some requests under way; reports of the agent remain.
+    let from = refused_from + Duration::from_secs(2);
+    let requests = site.models[0].requests_since(from);
+    // Two for each entry are allowed.
+    assert!(
+        requests <= 2 * ENTRIES,
+        "{requests} requests at a replica that named a time to return"
+    );
+}
+
+// Guards against an entry that wakes sending requests with turns that others have taken over (incident LIMIT).
+#[test]
+fn a_limit_is_kept_around_the_freeze_of_an_entry() {
+    let site = start_site("named-limit-freeze", 168, 4);
+    let entries: Vec<usize> = (0..ENTRIES).collect();
+    let mut known_from = Instant::now();
+    with_load(&site, &entries, || {
+        name_limit(&site.models[0], Some("2"));
+        std::thread::sleep(CONTACT_TIME);
+        known_from = Instant::now();
+        for freeze in [Duration::from_millis(1500), Duration::from_secs(5)] {
+            site.entries[1].suspend();
+            std::thread::sleep(freeze);
+            site.entries[1].resume();
+            std::thread::sleep(Duration::from_secs(4));
+        }
+    });
+    let most = most_calls(&site.models[0], known_from);
+    assert!(most <= 11, "{most} calls in 4 s at a limit of 2 a second");
+}
--- a/crates/ingress/src/limit_guard.rs
+++ b/crates/ingress/src/limit_guard.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use fleet::{ChosenReplica, LogKind, Replica, ReportedLimit};
 use routing::{LifetimeId, LimitChange, LimitDigest, LimitRecord, NamedLimit, PoolId, RequestRate};
@@ -13,6 +13,7 @@
 use crate::client_call::ClientCall;
 use crate::entry_shared::{EntryShared, EntryState};
 use crate::refusal::Refusal;
+use crate::stream_segment::millis;
 
 /// Records what the head of a response says about the limit of `replica`. The request was sent at `sent_at` by the
 /// clock of [`EntryShared::suspend_aware_now`].
@@ -38,6 +39,16 @@
     handle_own_news(shared, change, "response");
 }
 
+/// Records that `replica` has rejected a request and wants no further one for `delay`.
+pub(crate) fn record_pause(shared: &EntryShared, replica: &Replica, delay: Duration) {
+    let now = shared.suspend_aware_now();
+    let id = lifetime(replica);
+    shared.state().limits.record_pause(now, id, delay);
+    if shared.may_log(LogKind::Failed) {
+        info!(shared.log, "replica paused by its own words"; "replica" => &replica.id, "ms" => millis(delay));
+    }
+}
+
 /// Records what an agent reports about the limit of `replica`.
 pub(crate) fn record_report(shared: &EntryShared, replica: &Replica, reported: ReportedLimit) {
     if reported.started_ms != replica.started_ms {
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -88,6 +88,9 @@
             let metadata = platform::decode_response_headers(pooled_response.response.headers());
             if !is_foreign(call, &pooled_response, &metadata) {
                 limit_guard::record_head(shared, replica, metadata.named_limit, sent_at);
+                if let Some(delay) = metadata.retry_after.filter(|_| metadata.not_executed) {
+                    limit_guard::record_pause(shared, replica, delay);
+                }
             }
             classify_head(call, pooled_response, metadata)
         }
--- a/crates/routing/src/limit_table.rs
+++ b/crates/routing/src/limit_table.rs
@@ -25,6 +25,8 @@
     base_offset: Duration,
     members: MemberTable,
     limits: BTreeMap<LifetimeId, ReplicaLimit>,
+    /// Times before which replicas want no requests from this entry.
+    pauses: BTreeMap<LifetimeId, Instant>,
     /// Times up to which refused clients were told to come back.
     returns: BTreeMap<PoolId, Instant>,
     /// The record after which the next digest begins, if not all fit into one.
@@ -61,6 +63,7 @@
             base_offset: Duration::ZERO,
             members: MemberTable::new(now, own),
             limits: BTreeMap::new(),
+            pauses: BTreeMap::new(),
             returns: BTreeMap::new(),
             digest_after: None,
             full_digests: 0,
@@ -68,9 +71,9 @@
         }
     }
 
-    /// Returns whether no limit is in force.
+    /// Returns whether no limit is in force and no replica is paused.
     pub fn is_empty(&self) -> bool {
-        self.limits.values().all(|it| it.limit.is_none())
+        self.pauses.is_empty() && self.limits.values().all(|it| it.limit.is_none())
     }
 
     /// Records what the head of a response of `replica` says about its limit. The request was sent at `sent_at`.
@@ -97,6 +100,14 @@
         change
     }
 
+    /// Records that a replica wants no requests from this entry for `delay`. Other entries are not concerned.
+    pub fn record_pause(&mut self, now: Instant, replica: LifetimeId, delay: Duration) {
+        if self.pauses.len() < MAX_LIMITS {
+            self.pauses
+                .insert(replica, now + delay.min(MAX_RETURN_DELAY));
+        }
+    }
+
     /// Adds what the agent of a replica reports. Returns the change, if any.
     pub fn record_report(&mut self, now: Instant, record: &LimitRecord) -> Option<LimitChange> {
         let change = self.merge_record(now, record);
@@ -161,8 +172,11 @@
         })
     }
 
-    /// Returns whether a request may be sent to `replica` now, or `None` if it has no limit.
+    /// Returns whether a request may be sent to `replica` now, or `None` if it has no limit and is not paused.
     pub fn has_turn(&mut self, now: Instant, replica: LifetimeId) -> Option<bool> {
+        if self.pauses.get(&replica).is_some_and(|it| *it > now) {
+            return Some(false);
+        }
         self.limits.get(&replica)?.limit?;
         self.refresh(now, replica);
         let state = self.limits.get(&replica)?;
@@ -189,8 +203,17 @@
         pool: PoolId,
         replicas: &mut dyn Iterator<Item = LifetimeId>,
     ) -> Duration {
-        let limits = replicas.filter_map(|it| self.schedule(it));
-        let rate: f64 = limits.map(|it| it.rate()).sum();
+        let mut rate = 0.0;
+        let mut pause_end = None;
+        for replica in replicas {
+            rate += self.schedule(replica).map_or(0.0, |it| it.rate());
+            let end = self.pauses.get(&replica).filter(|it| **it > now).copied();
+            pause_end = [pause_end, end].into_iter().flatten().min();
+        }
+        if rate == 0.0 {
+            let delay = pause_end.map(|it| it.saturating_duration_since(now));
+            return delay.unwrap_or(MAX_RETURN_DELAY);
+        }
         let own_rate = rate / self.members.owner_count() as f64;
         let interval = Duration::try_from_secs_f64(1.0 / own_rate).unwrap_or(MAX_RETURN_DELAY);
         let last = self.returns.get(&pool).copied().unwrap_or(now).max(now);
@@ -222,6 +245,7 @@
 
     /// Removes limits that have ended and those of replicas that are not `listed` any more.
     pub fn expire(&mut self, now: Instant, listed: &dyn Fn(LifetimeId) -> bool) {
+        self.pauses.retain(|_, it| *it > now);
         if now < self.expire_at {
             return;
         }
--- a/crates/routing/tests/limits.rs
+++ b/crates/routing/tests/limits.rs
@@ -354,3 +354,21 @@
     }
     expect!["555 1111 1666 2222"].assert_eq(&delays.join(" "));
 }
+
+#[test]
+fn a_paused_replica_gets_no_requests_from_the_entry_until_the_pause_ends() {
+    let now = Instant::now();
+    let mut table = LimitTable::new(now, "edge-0");
+    assert_eq!(table.has_turn(now, replica()), None);
+    table.record_pause(now, replica(), Duration::from_secs(2));
+    let later = now + Duration::from_millis(500);
+    assert_eq!(table.has_turn(later, replica()), Some(false));
+    let mut replicas = [replica()].into_iter();
+    let delay = table.return_delay(later, PoolId::new("pool"), &mut replicas);
+    assert_eq!(delay, Duration::from_millis(1500));
+    assert!(table.digest(later, true).is_none(), "told to others");
+    let end = now + Duration::from_secs(2);
+    assert_eq!(table.has_turn(end, replica()), None);
+    table.expire(end, &|_| true);
+    assert!(table.is_empty());
+}
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -36,6 +36,8 @@
     pub drop_responses: bool,
     /// Rejects requests as if there were no capacity.
     pub full: bool,
+    /// Seconds after which clients may return that are rejected for lack of capacity, as the value of the header.
+    pub retry_after: Option<&'static str>,
     /// Id of a part of prompts. The replica reports a crash when it begins to respond to a request that contains the
     /// part, unless it is the last one.
     pub crash_part: Option<&'static str>,
@@ -93,7 +95,7 @@
     /// Number of received calls, answered or not.
     received: BTreeMap<ReplicaCalls, u64>,
     /// When the calls that a named limit applies to were received.
-    limited_calls: Vec<Instant>,
+    limited_calls: Vec<(ReplicaCalls, Instant)>,
 }
 
 impl ReplicaCalls {
@@ -212,7 +214,17 @@
 
     /// Returns when clients' requests and requests for reports were received, to which a named limit applies.
     pub fn limited_calls(&self) -> Vec<Instant> {
-        self.shared.lock().limited_calls.clone()
+        let state = self.shared.lock();
+        state.limited_calls.iter().map(|it| it.1).collect()
+    }
+
+    /// Returns the number of clients' requests that were received since `from`.
+    pub fn requests_since(&self, from: Instant) -> usize {
+        let state = self.shared.lock();
+        let calls = state.limited_calls.iter();
+        calls
+            .filter(|it| it.0 == ReplicaCalls::Requests && it.1 >= from)
+            .count()
     }
 
     /// Returns the received headers that must not be forwarded to a replica.
@@ -257,7 +269,7 @@
     fn record_call(&mut self, calls: ReplicaCalls) {
         *self.received.entry(calls).or_default() += 1;
         if matches!(calls, ReplicaCalls::Requests | ReplicaCalls::Reports) {
-            self.limited_calls.push(Instant::now());
+            self.limited_calls.push((calls, Instant::now()));
         }
     }
 }
@@ -376,9 +388,12 @@
         }
         if state.faults.full || has_no_model {
             let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
-            response
-                .headers_mut()
-                .insert("not-executed", httpio::HeaderValue::from_static("1"));
+            let headers = response.headers_mut();
+            headers.insert("not-executed", httpio::HeaderValue::from_static("1"));
+            if let Some(retry_after) = state.faults.retry_after {
+                let retry_after = httpio::HeaderValue::from_static(retry_after);
+                headers.insert("retry-after", retry_after);
+            }
             return with_request_id(response, &id);
         }
         for name in ["authorization", "path"] {
