The start of an attempt and the kinds of replicas are files of their own

Moves AttemptStart and its function, and the kinds, faults and calls of the stand-in's replicas; nothing else changes.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -4,6 +4,7 @@
 //! Decisions are made in `fleet`; names and formats of the platform are defined in `platform`. This crate must not
 //! depend on the internals of either, nor on anything of the agents except their datagrams.
 
+mod attempt_start;
 mod boot_clock;
 mod buffered_relay;
 mod client_call;
--- a/crates/ingress/src/stream_attempts.rs
+++ b/crates/ingress/src/stream_attempts.rs
@@ -16,6 +16,7 @@
 use httpio::Response;
 use slog::info;
 
+use crate::attempt_start::{AttemptStart, start_attempt};
 use crate::client_call::ClientCall;
 use crate::crash_guard;
 use crate::entry_shared::EntryShared;
@@ -68,16 +69,6 @@
     Ended(Refusal),
 }
 
-/// How an attempt began.
-enum AttemptStart {
-    /// The replica responded with success; contains the first events or the end of the stream.
-    Responded(Box<StreamSegment>, SegmentRead),
-    /// The replica responded with an error.
-    Error(Box<StreamSegment>),
-    /// The replica with this id has sent no usable response.
-    Failed(String, SendOutcome),
-}
-
 /// What happens next to the attempts.
 enum AttemptEvent {
     Read(SegmentRead),
@@ -425,24 +416,6 @@
     }
 }
 
-/// Sends the request to `chosen` and waits for the first event, or until the weights of the replica are too old.
-async fn start_attempt(
-    shared: Arc<EntryShared>,
-    call: Arc<ClientCall>,
-    chosen: ChosenReplica,
-    last_event_id: Option<u64>,
-) -> AttemptStart {
-    let mut segment = match StreamSegment::open(&shared, &call, &chosen, last_event_id).await {
-        Ok(segment) => segment,
-        Err(outcome) => return AttemptStart::Failed(chosen.replica.id, outcome),
-    };
-    if !segment.status().is_success() {
-        return AttemptStart::Error(Box::new(segment));
-    }
-    let read = segment.read_first_events().await;
-    AttemptStart::Responded(Box::new(segment), read)
-}
-
 async fn read_serving(serving: Option<&mut StreamSegment>) -> SegmentRead {
     match serving {
         Some(segment) => segment.read_events(None).await,
--- a/crates/standin/src/site/crashing_replica.rs
+++ b/crates/standin/src/site/crashing_replica.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::StandinRuntime;
-use crate::site::site_replica::{ReplicaFaults, ReplicaKind, SiteReplica};
+use crate::site::replica_faults::{ReplicaFaults, ReplicaKind};
+use crate::site::site_replica::SiteReplica;
 use crate::site::site_store::SiteStore;
 use crate::site::site_weights::SiteWeights;
 
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -3,6 +3,7 @@
 mod crashing_replica;
 mod endless_bytes;
 mod raw_replica;
+mod replica_faults;
 mod silence_switch;
 mod site_origin;
 mod site_replica;
@@ -15,9 +16,10 @@
 pub use raw_replica::{
     RawConnection, RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts, RunStart,
 };
+pub use replica_faults::{ReplicaCalls, ReplicaFaults, ReplicaKind};
 pub use silence_switch::SilenceSwitch;
 pub use site_origin::SiteOrigin;
-pub use site_replica::{ReplicaCalls, ReplicaFaults, ReplicaKind, SiteReplica};
+pub use site_replica::SiteReplica;
 pub use site_settings::{SiteHost, SitePorts};
 pub use site_store::SiteStore;
 pub use site_weights::SiteWeights;
