Bytes by purpose, pages of the store and notices that a replica leaves are logged and counted

What could not be told apart: which bytes fill a link between regions, from which life of the store and between which versions a page is, and what first says that a replica leaves. Responses of the store now carry their era and size, each page with changes is logged, bytes sent and received are counted by purpose, and Server-Leaving is decoded. No decision uses any of it yet.

--- a/crates/fulmarline/tests/wire_names.rs
+++ b/crates/fulmarline/tests/wire_names.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 /// Names of calls, headers and fields of the platform's protocol that have no other use in fulmarline.
-const WIRE_NAMES: [&str; 21] = [
+const WIRE_NAMES: [&str; 23] = [
     "rows-tx",
     "rows-get",
     "rows-feed",
@@ -15,6 +15,8 @@
     "not-executed",
     "weight-versions",
     "server-limit",
+    "server-leaving",
+    "store-era",
     "token-count",
     "prefix-hash",
     "expectrev",
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -22,6 +22,8 @@
     pub(crate) sends: IntCounterVec,
     pub(crate) store_calls: IntCounterVec,
     pub(crate) relayed_reads: IntCounterVec,
+    pub(crate) transferred_bytes: IntCounterVec,
+    pub(crate) leaving_notices: IntCounterVec,
     pub(crate) first_event: Histogram,
     pub(crate) prediction_ratio: Histogram,
     pub(crate) longest_pause: Histogram,
@@ -102,6 +104,16 @@
                 "Readings of the store's tables through entries of the zone, by table and outcome.",
                 &["table", "outcome"],
             )?,
+            transferred_bytes: counters(
+                "fulmarline_transferred_bytes_total",
+                "Bytes exchanged with the store and with other processes, without headers: sent and received, by purpose.",
+                &["direction", "purpose"],
+            )?,
+            leaving_notices: counters(
+                "fulmarline_leaving_notices_total",
+                "First notices that a replica leaves, by what told it.",
+                &["source"],
+            )?,
             first_event: histogram(
                 "fulmarline_first_event_seconds",
                 "Time from a request's arrival to its first event.",
@@ -292,6 +304,24 @@
         .set(to_gauge_value(shared.log_limiter().suppressed_total()));
 }
 
+impl EntryMetrics {
+    /// Counts bytes that were received for `purpose`.
+    pub(crate) fn count_received(&self, purpose: &str, bytes: usize) {
+        let counter = &self.transferred_bytes;
+        counter
+            .with_label_values(&["received", purpose])
+            .inc_by(bytes as u64);
+    }
+
+    /// Counts bytes that were sent for `purpose`.
+    pub(crate) fn count_sent(&self, purpose: &str, bytes: usize) {
+        let counter = &self.transferred_bytes;
+        counter
+            .with_label_values(&["sent", purpose])
+            .inc_by(bytes as u64);
+    }
+}
+
 fn to_gauge_value(count: u64) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
--- a/crates/ingress/src/feed_loop.rs
+++ b/crates/ingress/src/feed_loop.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use fleet::{FeedChange, FeedRead, FeedSource, FeedTable};
-use platform::{CallError, NodeBounds, WatchResponse, table_name};
+use platform::{CallError, NodeBounds, RowPage, WatchResponse, table_name};
 use relay::RelayRequest;
 use slog::{info, warn};
 
@@ -210,6 +210,12 @@
         }
     };
     let received = boot_clock::now();
+    let purpose = match table {
+        FeedTable::Operator => "stored_op",
+        FeedTable::Replicas => "stored_servers",
+    };
+    shared.metrics.count_received(purpose, page.bytes);
+    log_page(shared, table, &page, since, received.saturating_sub(sent));
     let mut state = shared.state();
     let confirmed = state
         .store_clock
@@ -237,6 +243,29 @@
     Ok(Some(FeedUpdate { changes, confirmed }))
 }
 
+/// Logs a page with changes. Quiet long polls are not logged.
+fn log_page(
+    shared: &EntryShared,
+    table: FeedTable,
+    page: &RowPage,
+    since: Option<u64>,
+    elapsed: Duration,
+) {
+    if page.rows.is_empty() {
+        return;
+    }
+    info!(
+        shared.log, "changes read from the store";
+        "table" => table_name(table),
+        "era" => page.era,
+        "since" => since,
+        "version" => page.version,
+        "rows" => page.rows.len(),
+        "bytes" => page.bytes,
+        "ms" => u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+    );
+}
+
 fn apply_update(shared: &EntryShared, table: FeedTable, update: FeedUpdate) {
     match table {
         FeedTable::Operator => operator_rows::apply(shared, &update.changes),
--- a/crates/ingress/src/feed_relay.rs
+++ b/crates/ingress/src/feed_relay.rs
@@ -26,6 +26,11 @@
         Some(feed_response) => {
             let bytes =
                 postcard::to_allocvec(&feed_response).expect("encoding changes cannot fail");
+            let purpose = match feed_request.table {
+                FeedTable::Operator => "relayed_op",
+                FeedTable::Replicas => "relayed_servers",
+            };
+            shared.metrics.count_sent(purpose, bytes.len());
             response.map(|_| httpio::full(bytes))
         }
         None => {
--- a/crates/ingress/src/peer_exchange.rs
+++ b/crates/ingress/src/peer_exchange.rs
@@ -148,6 +148,9 @@
             .collect()
     };
     drop(state);
+    shared
+        .metrics
+        .count_sent("heartbeats", bytes.len() * peers.len());
     for peer in peers {
         // A lost datagram needs no resend: the next one contains the complete state.
         let _ = socket.try_send_to(&bytes, peer);
--- a/crates/ingress/src/replica_rows.rs
+++ b/crates/ingress/src/replica_rows.rs
@@ -58,14 +58,23 @@
             shared.state().health.remove(id);
             info!(shared.log, "replica added"; "replica" => id);
         }
-        CatalogChange::Draining(id) => info!(shared.log, "replica draining"; "replica" => id),
+        CatalogChange::Draining(id) => {
+            count_notice(shared, "row");
+            info!(shared.log, "replica draining"; "replica" => id, "source" => "row");
+        }
         CatalogChange::Updated(id) => debug!(shared.log, "replica updated"; "replica" => id),
         CatalogChange::Gone(id) => {
             shared.state().health.remove(id);
-            info!(shared.log, "replica gone"; "replica" => id);
+            count_notice(shared, "removal");
+            info!(shared.log, "replica gone"; "replica" => id, "source" => "row");
         }
         CatalogChange::Lapsed(id) => {
             info!(shared.log, "row of a replica missing after an outage of the store"; "replica" => id);
         }
     }
 }
+
+fn count_notice(shared: &EntryShared, source: &str) {
+    let notices = &shared.metrics.leaving_notices;
+    notices.with_label_values(&[source]).inc();
+}
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{CallKind, ChosenReplica, LogKind, ReplicaCatalog, ReplicaOutcome};
+use fleet::{CallKind, ChosenReplica, LogKind, Replica, ReplicaCatalog, ReplicaOutcome};
 use httpio::{ClientConnection, ClientError, PooledResponse, Request, StatusCode};
 use platform::{ForwardMetadata, ResponseMetadata};
 use slog::info;
@@ -88,6 +88,7 @@
             let metadata = platform::decode_response_headers(pooled_response.response.headers());
             if !is_foreign(call, &pooled_response, &metadata) {
                 limit_guard::record_head(shared, replica, metadata.named_limit, sent_at);
+                log_leaving(shared, replica, &metadata);
                 if let Some(delay) = metadata.retry_after.filter(|_| metadata.not_executed) {
                     limit_guard::record_pause(shared, replica, delay);
                 }
@@ -108,6 +109,14 @@
     outcome
 }
 
+/// Logs that the response of a replica which the catalog lists as ready says that it is leaving.
+fn log_leaving(shared: &EntryShared, replica: &Replica, metadata: &ResponseMetadata) {
+    if !metadata.leaving || !shared.may_log(LogKind::Failed) {
+        return;
+    }
+    info!(shared.log, "replica says that it is leaving"; "replica" => &replica.id);
+}
+
 /// Returns a connection to the pool after its response has been read to the end.
 pub(crate) fn return_connection(
     shared: &EntryShared,
--- a/crates/ingress/src/zone_exchange.rs
+++ b/crates/ingress/src/zone_exchange.rs
@@ -109,7 +109,11 @@
     let round = usize::try_from(report.sequence).unwrap_or_default();
     let bytes =
         postcard::to_allocvec(&FleetMessage::Zone(report)).expect("encoding a report cannot fail");
-    send_all(socket, &bytes, &other_zones(shared, round).concat());
+    let targets = other_zones(shared, round).concat();
+    shared
+        .metrics
+        .count_sent("zone_reports", bytes.len() * targets.len());
+    send_all(socket, &bytes, &targets);
 }
 
 /// Applies the report of another zone and passes it on if this entry is the reporter of its zone.
