Tests of a store that returns from an older copy, and of replicas that say that they leave, fail

Callers saw CONFIG and DRAIN. The stand-in of the store returns from a copy, names its era in all responses and checks the versions that a transaction expects; the stand-in of a replica says in its responses that it leaves.

--- /dev/null
+++ b/crates/fulmarline/tests/platform_leaving.rs
@@ -0,0 +1,161 @@
+//! A replica that leaves says so in all its responses, before or without any change of its row in the store.
+
+#[path = "support/site.rs"]
+mod site;
+
+use std::time::{Duration, Instant};
+
+use httpio::{Method, StatusCode};
+use site::TestSite;
+use standin::ReplicaFaults;
+
+/// Time in which an entry that has not heard the replica itself learns that it leaves.
+const NOTICE_TIME: Duration = Duration::from_secs(1);
+
+/// Bound of the users' rule on requests to a replica that leaves.
+const DRAIN: Duration = Duration::from_secs(2);
+
+const LEAVING: ReplicaFaults = ReplicaFaults {
+    truncate_next_after: None,
+    unframed: false,
+    drop_responses: false,
+    full: false,
+    retry_after: None,
+    crash_part: None,
+    named_limit: None,
+    leaving: Some("1"),
+};
+
+/// Sends requests to both entries in turn for `time`.
+fn send_for(
+    site: &TestSite,
+    method: &Method,
+    path: &str,
+    prefix: &str,
+    time: Duration,
+) -> Vec<StatusCode> {
+    let caller = site.caller().with_kept_connections();
+    let started = Instant::now();
+    let mut statuses = Vec::new();
+    while started.elapsed() < time {
+        let id = format!("{prefix}-{}", statuses.len());
+        let entry = statuses.len() % 2;
+        let response = caller.call(entry, method.clone(), path, &id, "key-1");
+        statuses.push(response.map_or(StatusCode::IM_A_TEAPOT, |it| it.status));
+    }
+    statuses
+}
+
+fn check_plain(name: &str, first_index: u8, faults: ReplicaFaults) {
+    let site = TestSite::start(name, first_index, &[]);
+    site.orders[0].set_faults(faults);
+    send_for(&site, &Method::GET, "/lookup/1", "before", NOTICE_TIME);
+    let noticed = Instant::now();
+    let statuses = send_for(&site, &Method::POST, "/order/1", "order", DRAIN);
+    let lookups = send_for(&site, &Method::GET, "/lookup/1", "lookup", DRAIN);
+    assert!(
+        statuses
+            .iter()
+            .chain(&lookups)
+            .all(|it| *it == StatusCode::OK)
+    );
+    assert_eq!(
+        site.orders[0].requests_since(noticed),
+        0,
+        "a replica that leaves got requests"
+    );
+    assert!(site.orders[1].requests_since(noticed) > 100);
+}
+
+/// Guards against DRAIN: no line of the code read what a replica says in its responses, so one that leaves without a
+/// change of its row got as many requests as before.
+#[test]
+fn a_replica_that_says_it_leaves_gets_no_new_requests() {
+    check_plain("leaving-plain", 100, LEAVING);
+}
+
+/// Guards against DRAIN on the way of repeats: a replica that refuses requests and leaves was chosen again for others.
+#[test]
+fn a_replica_that_refuses_and_leaves_gets_no_new_requests() {
+    let faults = ReplicaFaults {
+        full: true,
+        ..LEAVING
+    };
+    check_plain("leaving-refuses", 110, faults);
+}
+
+/// Guards against DRAIN for streams, whose heads say it: streams on kept connections and those that resume after another
+/// replica broke off were sent to a replica that leaves.
+#[test]
+fn a_model_replica_that_says_it_leaves_gets_no_further_streams() {
+    let site = TestSite::start("leaving-streams", 120, &[1, 1, 1]);
+    site.wait("a stream", |it| {
+        let response = it.call(0, Method::POST, "/draft/1", "warm", "key-1")?;
+        (response.status == StatusCode::OK).then_some(())
+    });
+    let send = |prefix: &str| {
+        let callers = 0..8;
+        let send = |it| {
+            send_for(
+                &site,
+                &Method::POST,
+                "/draft/1",
+                &format!("{prefix}-{it}"),
+                DRAIN,
+            )
+        };
+        let statuses = std::thread::scope(|scope| {
+            let threads: Vec<_> = callers.map(|it| scope.spawn(move || send(it))).collect();
+            let joined = threads.into_iter().map(|it| it.join().unwrap());
+            joined.flatten().collect::<Vec<_>>()
+        });
+        assert!(
+            statuses.iter().all(|it| *it == StatusCode::OK),
+            "{statuses:?}"
+        );
+    };
+    site.models[0].set_faults(LEAVING);
+    let began = Instant::now();
+    send("before");
+    assert!(
+        site.models[0].requests_since(began) > 0,
+        "no entry can know that the replica leaves"
+    );
+    let broken = ReplicaFaults {
+        truncate_next_after: Some(2),
+        ..ReplicaFaults::default()
+    };
+    site.models[1].set_faults(broken);
+    let noticed = Instant::now();
+    send("after");
+    assert_eq!(
+        site.models[0].requests_since(noticed),
+        0,
+        "a replica that leaves got streams"
+    );
+}
+
+/// Guards against requests that wait until their deadline when all replicas of a service leave: they are refused at once,
+/// with a time to return, and no replica gets them.
+#[test]
+fn requests_are_refused_at_once_when_all_replicas_leave() {
+    let site = TestSite::start("leaving-all", 140, &[]);
+    for replica in &site.orders {
+        replica.set_faults(LEAVING);
+    }
+    send_for(&site, &Method::GET, "/lookup/1", "before", 2 * NOTICE_TIME);
+    let noticed = Instant::now();
+    let response = site
+        .call(0, Method::POST, "/order/1", "refused", "key-1")
+        .unwrap();
+    assert_eq!(
+        response.status,
+        StatusCode::SERVICE_UNAVAILABLE,
+        "all replicas leave"
+    );
+    assert!(response.headers.contains_key("retry-after"));
+    assert!(noticed.elapsed() < NOTICE_TIME);
+    for replica in &site.orders {
+        assert_eq!(replica.requests_since(noticed), 0);
+    }
+}
--- /dev/null
+++ b/crates/fulmarline/tests/platform_returns.rs
@@ -0,0 +1,118 @@
+//! The store returns from a copy that is some seconds old: what was acknowledged since is lost, and its versions are given
+//! out again. The operator and the replicas write their rows again.
+
+#[path = "support/site.rs"]
+mod site;
+
+use std::time::{Duration, Instant};
+
+use httpio::{Method, StatusCode};
+use serde_json::json;
+use site::{TestSite, ZONE_ENTRIES, route};
+
+/// Number of rows that are written between the copy and the return, so that the versions of the new life are below those
+/// of the old one for some time.
+const LOST_WRITES: usize = 60;
+
+/// Time in which what is written after the return must be in force at all entries.
+const CATCH_UP: Duration = Duration::from_secs(4);
+
+/// Writes rows that no process needs, so that the version of the store rises.
+fn raise_version(site: &TestSite, count: usize) {
+    for number in 0..count {
+        site.store.put("other", "row", &json!(number));
+    }
+}
+
+/// Returns the number of lines with `text` in the log of `entry`.
+fn lines(site: &TestSite, entry: usize, text: &str) -> usize {
+    site.entries[entry].log_text().matches(text).count()
+}
+
+/// Guards against CONFIG and DRAIN after the store returned from an older copy: entries compared versions of two lives, so
+/// followers were told nothing of what was written after the return until the count had passed the old one.
+#[test]
+fn rows_written_after_a_return_reach_readers_and_followers() {
+    let mut site = TestSite::start_large_zone("returns-rows", 100);
+    let copy = site.store.copy();
+    raise_version(&site, LOST_WRITES);
+    site.configure(&route("lost"));
+    site.wait_for_route(&ZONE_ENTRIES, "lost");
+
+    for name in ["second", "third"] {
+        site.store.return_from(&copy);
+        let returned = Instant::now();
+        site.configure(&route(name));
+        let row = site.orders[0].row("orders", "a", "draining");
+        site.store.put("servers", "o-0", &row);
+        site.wait_for_route(&ZONE_ENTRIES, name);
+        for entry in ZONE_ENTRIES {
+            site.wait("the draining replica in the log", |it| {
+                (lines(it, entry, "replica draining") > 0).then_some(())
+            });
+        }
+        assert!(
+            returned.elapsed() < CATCH_UP,
+            "{name} in force after {:?}",
+            returned.elapsed()
+        );
+    }
+}
+
+/// Guards against changes that stay missing after the store returned from an older copy: an entry continued from its old
+/// version once the count had passed it, and never read what was written before.
+#[test]
+fn rows_written_before_the_count_passes_the_old_one_are_not_missed() {
+    let mut site = TestSite::start_large_zone("returns-passed", 120);
+    let copy = site.store.copy();
+    raise_version(&site, LOST_WRITES);
+    site.configure(&route("lost"));
+    site.wait_for_route(&ZONE_ENTRIES, "lost");
+
+    // No process reads the store between the return and the time at which the count has passed the old one.
+    site.store.set_down(true);
+    site.store.return_from(&copy);
+    site.configure(&route("early"));
+    raise_version(&site, LOST_WRITES + 20);
+    site.store.set_down(false);
+    let returned = Instant::now();
+    site.wait_for_route(&ZONE_ENTRIES, "early");
+    assert!(
+        returned.elapsed() < CATCH_UP,
+        "in force after {:?}",
+        returned.elapsed()
+    );
+}
+
+/// Guards against DRAIN after the store returned from an older copy: it lists replicas as ready that have left, and
+/// entries took their departures back.
+#[test]
+fn a_departure_is_not_undone_by_an_older_copy() {
+    let site = TestSite::start_large_zone("returns-departure", 140);
+    let copy = site.store.copy();
+    let row = site.orders[0].row("orders", "a", "draining");
+    site.store.put("servers", "o-0", &row);
+    for entry in ZONE_ENTRIES {
+        site.wait("the draining replica in the log", |it| {
+            (lines(it, entry, "replica draining") > 0).then_some(())
+        });
+    }
+    let runs_before = site.orders[0].runs().len();
+    site.store.return_from(&copy);
+    let returned = Instant::now();
+    let mut number = 0;
+    while returned.elapsed() < CATCH_UP {
+        for entry in ZONE_ENTRIES {
+            number += 1;
+            let id = format!("after-{number}");
+            let response = site.call(entry, Method::POST, "/order/1", &id, "key-1");
+            assert_eq!(response.unwrap().status, StatusCode::OK);
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(
+        site.orders[0].runs().len(),
+        runs_before,
+        "a departure was undone"
+    );
+}
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -27,6 +27,18 @@
     piece_bytes: 4096,
 };
 
+/// Indexes of the entries in the zone of [`TestSite::start_large_zone`], ordered by name. The first two of them read the
+/// store, and the others follow them.
+pub const ZONE_ENTRIES: [usize; 7] = [0, 2, 3, 4, 5, 6, 7];
+
+/// Returns the route `name` to a plain service, which needs no key.
+pub fn route(name: &str) -> Value {
+    json!([{
+        "name": name, "host": "shop.example", "prefix": format!("/{name}/"), "kind": "idempotent", "timeoutMs": 1000,
+        "sloMs": 300, "service": "orders", "maxAttempts": 1, "public": true,
+    }])
+}
+
 /// The stand-ins and processes of one test.
 pub struct TestSite {
     pub runtime: StandinRuntime,
@@ -270,6 +282,37 @@
         site
     }
 
+    /// Starts a site with a large zone, and waits until its entries are ready and follow the readers.
+    pub fn start_large_zone(name: &str, first_index: u8) -> Self {
+        let mut site = Self::start(name, first_index, &[]);
+        for index in 2..8 {
+            site.add_entry(first_index + index, "a");
+        }
+        for entry in ZONE_ENTRIES {
+            site.wait("ready entries", |it| {
+                (it.ready(entry) == Some(StatusCode::OK)).then_some(())
+            });
+        }
+        for entry in &ZONE_ENTRIES[2..] {
+            site.wait("followers", |it| {
+                let metric = r#"fulmarline_relayed_reads_total{outcome="ok",table="op"}"#;
+                it.metrics(*entry).contains(metric).then_some(())
+            });
+        }
+        site
+    }
+
+    /// Waits until the route `name` of [`route`] is in force on `entries`.
+    pub fn wait_for_route(&self, entries: &[usize], name: &str) {
+        for entry in entries {
+            self.wait("the new route", |it| {
+                let path = format!("/{name}/1");
+                let response = it.call(*entry, Method::GET, &path, "new", "none")?;
+                (response.status == StatusCode::OK).then_some(())
+            });
+        }
+    }
+
     /// Adds a model replica with an agent on the same host.
     pub fn add_model_replica(&mut self, host_index: u8, version: u64) {
         let index = self.models.len();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -45,6 +45,7 @@
     CrashLog, CrashPlan, CrashingReplica, EndlessBytes, RawConnection, RawEnd, RawFraming,
     RawReplica, RawRequest, RawResponse, ReplicaCalls, ReplicaFaults, ReplicaKind, RunCounts,
     RunStart, SilenceSwitch, SiteHost, SiteOrigin, SitePorts, SiteReplica, SiteStore, SiteWeights,
+    StoreCopy,
 };
 pub use standin_runtime::StandinRuntime;
 pub use table::{TableCounters, TableFaults, TableService};
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -21,5 +21,5 @@
 pub use site_origin::SiteOrigin;
 pub use site_replica::SiteReplica;
 pub use site_settings::{SiteHost, SitePorts};
-pub use site_store::SiteStore;
+pub use site_store::{SiteStore, StoreCopy};
 pub use site_weights::SiteWeights;
--- a/crates/standin/src/site/replica_faults.rs
+++ b/crates/standin/src/site/replica_faults.rs
@@ -31,6 +31,8 @@
     /// Requests a second that the replica claims to take from all hosts together, as the value of the header that all
     /// its responses contain.
     pub named_limit: Option<&'static str>,
+    /// Whether the replica leaves, as the value of the header that all its responses contain.
+    pub leaving: Option<&'static str>,
 }
 
 /// The calls that a replica can leave unanswered.
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -235,9 +235,15 @@
     } else {
         shared.silences[&calls].handle(work).await
     };
-    if let Some(limit) = shared.lock().faults.named_limit {
-        let limit = httpio::HeaderValue::from_static(limit);
-        response.headers_mut().insert("server-limit", limit);
+    let faults = shared.lock().faults;
+    for (name, value) in [
+        ("server-limit", faults.named_limit),
+        ("server-leaving", faults.leaving),
+    ] {
+        if let Some(value) = value {
+            let value = httpio::HeaderValue::from_static(value);
+            response.headers_mut().insert(name, value);
+        }
     }
     response
 }
--- a/crates/standin/src/site/site_store.rs
+++ b/crates/standin/src/site/site_store.rs
@@ -28,14 +28,22 @@
     silence: SilenceSwitch,
 }
 
-#[derive(Debug, Default)]
-struct StoreState {
+/// Content of the store at some time.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
     version: u64,
     rows: BTreeMap<(String, String), (String, u64)>,
     /// Changes in commit order: version, table, key, and the value, or `None` for a removal.
     history: VecDeque<(u64, String, String, Option<String>)>,
     /// Oldest version from which the feed can continue.
     history_start: u64,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    content: StoreCopy,
+    /// Number of times that the store has returned from a copy; sent in all responses.
+    era: u64,
     /// Number of times at which pending feed calls were silenced.
     silences: u64,
     down: bool,
@@ -60,7 +68,10 @@
                 async move {
                     shared.lock().count_call(&request);
                     let work = handle_request(shared.clone(), request);
-                    shared.silence.handle(work).await
+                    let mut response = shared.silence.handle(work).await;
+                    let era = shared.lock().era;
+                    response.headers_mut().insert("store-era", era.into());
+                    response
                 }
             })?;
         Ok(Self { shared, server })
@@ -75,24 +86,52 @@
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         self.shared
             .lock()
+            .content
             .put(table, key, Some(STANDARD.encode(value.to_string())));
         self.shared.changed.notify_waiters();
     }
 
     /// Writes a row whose value is not valid JSON, as a faulty writer could.
     pub fn put_malformed(&self, table: &str, key: &str) {
-        self.shared
-            .lock()
-            .put(table, key, Some(STANDARD.encode([1, 2, 3])));
+        self.put_bytes(table, key, &[1, 2, 3]);
+    }
+
+    /// Writes a row with any content.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        let mut state = self.shared.lock();
+        state.content.put(table, key, Some(STANDARD.encode(value)));
+        drop(state);
         self.shared.changed.notify_waiters();
     }
 
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
-        self.shared.lock().put(table, key, None);
+        self.shared.lock().content.put(table, key, None);
         self.shared.changed.notify_waiters();
     }
 
+    /// Returns a copy of the content, from which the store can return.
+    pub fn copy(&self) -> StoreCopy {
+        self.shared.lock().content.clone()
+    }
+
+    /// Returns from a copy: what was written since is lost, and its versions are given out again.
+    pub fn return_from(&self, copy: &StoreCopy) {
+        let mut state = self.shared.lock();
+        state.content = copy.clone();
+        state.era += 1;
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Returns the keys of the rows of `table`.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let state = self.shared.lock();
+        let keys = state.content.rows.keys();
+        let of_table = keys.filter(|it| it.0 == table);
+        of_table.map(|it| it.1.clone()).collect()
+    }
+
     /// Sets whether every request fails with status 503.
     pub fn set_down(&self, down: bool) {
         self.shared.lock().down = down;
@@ -113,10 +152,11 @@
     /// Discards the change history, so that feeds fail with status 410 until the client has read all rows again.
     pub fn truncate_history(&self) {
         let mut state = self.shared.lock();
+        let content = &mut state.content;
         // The new version makes feeds fail that continue from the current one.
-        state.version += 1;
-        state.history.clear();
-        state.history_start = state.version;
+        content.version += 1;
+        content.history.clear();
+        content.history_start = content.version;
         drop(state);
         self.shared.changed.notify_waiters();
     }
@@ -155,7 +195,9 @@
             *self.feed_calls.entry(table).or_default() += 1;
         }
     }
+}
 
+impl StoreCopy {
     fn put(&mut self, table: &str, key: &str, value: Option<String>) {
         self.version += 1;
         let row_key = (table.to_owned(), key.to_owned());
@@ -182,7 +224,7 @@
     }
 
     fn changes_since(&self, table: &str, since: u64) -> Option<Vec<Value>> {
-        if since < self.history_start {
+        if since < self.history_start || since > self.version {
             return None;
         }
         let rows = self
@@ -213,7 +255,10 @@
     let param = |name: &str| query.get(name).cloned().unwrap_or_default();
     match request.uri().path() {
         "/fulmarline/rows-get" => {
-            let page = shared.lock().rows_page(&param("table"), &param("from"));
+            let page = shared
+                .lock()
+                .content
+                .rows_page(&param("table"), &param("from"));
             json_response(&page)
         }
         "/fulmarline/rows-feed" => {
@@ -259,11 +304,11 @@
             if state.down {
                 return empty_response(StatusCode::SERVICE_UNAVAILABLE);
             }
-            match state.changes_since(table, since) {
+            match state.content.changes_since(table, since) {
                 None => return empty_response(StatusCode::GONE),
                 Some(rows) if !rows.is_empty() || tokio::time::Instant::now() >= deadline => {
                     return json_response(
-                        &json!({"rows": rows, "ver": state.version, "nowMs": now_ms()}),
+                        &json!({"rows": rows, "ver": state.content.version, "nowMs": now_ms()}),
                     );
                 }
                 Some(_) => {}
@@ -279,21 +324,30 @@
     let string_field =
         |entry: &Value, name: &str| entry[name].as_str().unwrap_or_default().to_owned();
     let mut state = shared.lock();
+    let content = &mut state.content;
+    let version_of = |entry: &Value| {
+        let key = (string_field(entry, "table"), string_field(entry, "key"));
+        content.rows.get(&key).map_or(0, |it| it.1)
+    };
+    let expected = array("expectRev");
+    if expected.iter().any(|it| it["ver"] != version_of(it)) {
+        return empty_response(StatusCode::PRECONDITION_FAILED);
+    }
     for entry in array("puts") {
-        state.put(
+        content.put(
             &string_field(&entry, "table"),
             &string_field(&entry, "key"),
             Some(string_field(&entry, "value")),
         );
     }
     for entry in array("remove") {
-        state.put(
+        content.put(
             &string_field(&entry, "table"),
             &string_field(&entry, "key"),
             None,
         );
     }
-    let version = state.version;
+    let version = content.version;
     drop(state);
     shared.changed.notify_waiters();
     json_response(&json!({"ver": version, "nowMs": now_ms()}))
