--- /dev/null
+++ b/crates/emulator/src/feed_links.rs
@@ -0,0 +1,88 @@
+//! Links between hosts and regions, which transmit one message after the other.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::feed_scenario::FeedScenario;
+
+/// A host: an entry by its index, or the store.
+pub(crate) type Host = Option<usize>;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Link {
+    Up(usize),
+    Down(usize),
+    Region(usize, usize),
+}
+
+/// Occupation of the links, and the bytes that have crossed regions.
+#[derive(Debug)]
+pub(crate) struct FeedLinks {
+    scenario: FeedScenario,
+    busy_until: BTreeMap<Link, Duration>,
+    /// Bytes by pair of regions.
+    pub(crate) region_bytes: BTreeMap<(usize, usize), u64>,
+}
+
+impl FeedLinks {
+    pub(crate) fn new(scenario: FeedScenario) -> Self {
+        Self {
+            scenario,
+            busy_until: BTreeMap::new(),
+            region_bytes: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the zone of `host`.
+    pub(crate) fn zone(&self, host: Host) -> usize {
+        host.map_or(0, |it| it / self.scenario.entries)
+    }
+
+    /// Transmits a message at `now`; returns when it has arrived.
+    pub(crate) fn transmit(
+        &mut self,
+        now: Duration,
+        from: Host,
+        to: Host,
+        bytes: usize,
+    ) -> Duration {
+        let (from_zone, to_zone) = (self.zone(from), self.zone(to));
+        let region = (from_zone != to_zone).then_some(Link::Region(from_zone, to_zone));
+        if region.is_some() {
+            *self.region_bytes.entry((from_zone, to_zone)).or_default() += bytes as u64;
+        }
+        let links = [from.map(Link::Up), region, to.map(Link::Down)];
+        let mut arrival = now;
+        for link in links.into_iter().flatten() {
+            let free = self.busy_until.get(&link).copied().unwrap_or_default();
+            let start = free.max(now);
+            let seconds = bytes as f64 * 8.0 / (self.mbps(link, start) * 1e6);
+            let end = start + Duration::from_secs_f64(seconds);
+            self.busy_until.insert(link, end);
+            arrival = arrival.max(end);
+        }
+        let is_far = region.is_some();
+        arrival + if is_far { REGION_DELAY } else { ZONE_DELAY }
+    }
+
+    fn mbps(&self, link: Link, at: Duration) -> f64 {
+        let scenario = &self.scenario;
+        let rate = match link {
+            Link::Up(_) | Link::Down(_) => scenario.entry_mbps,
+            Link::Region(..) => scenario.region_mbps,
+        };
+        let (begin, length) = FeedScenario::SQUEEZE;
+        let is_narrow = at >= begin && at < begin + length;
+        if is_narrow {
+            rate / scenario.squeeze
+        } else {
+            rate
+        }
+    }
+}
+
+/// One-way delay between regions.
+const REGION_DELAY: Duration = Duration::from_micros(2800);
+
+/// One-way delay within a zone.
+const ZONE_DELAY: Duration = Duration::from_micros(200);
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,7 +1,7 @@
 //! Emulators, in virtual time, of entries that exchange what they know: evidence about requests which crash replicas,
-//! and limits that replicas name.
+//! and limits that replicas name; and of entries that follow the configuration over thin links.
 //!
-//! They drive the decisions of `routing` as entries do, with replicas, traffic and datagrams that a seed determines.
+//! They drive the decisions of `routing` and `fleet` as entries do, with replicas, traffic and datagrams that a seed determines.
 //! This crate is not shipped.
 
 mod crash_outcome;
@@ -9,6 +9,10 @@
 mod crash_simulation;
 mod event_queue;
 mod exchange_plan;
+mod feed_document;
+mod feed_links;
+mod feed_scenario;
+mod feed_simulation;
 mod limit_outcome;
 mod limit_scenario;
 mod limit_simulation;
@@ -22,6 +26,8 @@
 pub use crash_outcome::CrashOutcome;
 pub use crash_scenario::CrashScenario;
 pub use crash_simulation::CrashSimulation;
+pub use feed_scenario::{FeedScenario, ReaderFault};
+pub use feed_simulation::{FeedReport, FeedSimulation};
 pub use limit_outcome::LimitOutcome;
 pub use limit_scenario::{EntryFault, LimitPolicy, LimitScenario};
 pub use limit_simulation::LimitSimulation;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 mod api_keys;
 mod engine_profile;
 mod feed_mirror;
+mod feed_plan;
 mod feed_read;
 mod feed_readers;
 mod fetch_plan;
@@ -35,6 +36,7 @@
 pub use api_keys::{ApiTenant, KeyTable};
 pub use engine_profile::{BatchLoad, EngineProfile, RequestSize};
 pub use feed_mirror::{FeedChange, FeedMirror, FeedResponse, FeedRow, FeedTable};
+pub use feed_plan::{FeedCall, FeedOutcome, FeedPlan, stale_age};
 pub use feed_read::FeedRead;
 pub use feed_readers::{FeedSource, feed_source, max_reader_age};
 pub use fetch_plan::{CLASSES, FetchPlan, ManifestSource, PiecePeer, piece_class};
--- a/crates/ingress/src/feed_loop.rs
+++ b/crates/ingress/src/feed_loop.rs
@@ -4,13 +4,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::{FeedChange, FeedRead, FeedSource, FeedTable};
-use platform::{CallError, NodeBounds, RowPage, WatchResponse, table_name};
+use fleet::{FeedCall, FeedChange, FeedOutcome, FeedPlan, FeedRead, FeedTable};
+use platform::{CallError, RowPage, WatchResponse, table_name};
 use relay::RelayRequest;
 use slog::{info, warn};
 
 use crate::entry_shared::EntryShared;
-use crate::feed_relay::stale_age;
 use crate::{boot_clock, operator_rows, replica_rows};
 
 /// Result of one read.
@@ -23,36 +22,31 @@
 
 /// Follows `table` until the process exits.
 pub(crate) async fn run(shared: Arc<EntryShared>, table: FeedTable) {
-    let mut failures = 0_u32;
-    let mut attempt = 0;
-    // The store is read directly until this time, after no entry could be followed.
-    let mut direct_until: Option<Instant> = None;
-    let mut is_history_lost = false;
-    let mut last_update = Instant::now();
+    let mut plan = FeedPlan::new(table, change_bound(&shared, table), Instant::now());
     let mut followed: Option<SocketAddr> = None;
     loop {
-        let source = choose_source(&shared, attempt, direct_until);
-        let result = match source {
-            FeedSource::Entry {
-                address, is_backup, ..
-            } => {
-                if is_backup && attempt > 0 {
-                    tokio::time::sleep(BACKUP_READER_DELAY).await;
-                }
+        let call = next_call(&shared, table, &mut plan);
+        let reader = match call {
+            FeedCall::Entry { address, .. } => Some(address),
+            FeedCall::Changes { .. } | FeedCall::Table => None,
+        };
+        let result = match call {
+            FeedCall::Entry { address, delay } => {
+                tokio::time::sleep(delay).await;
                 read_entry(&shared, table, address).await
             }
-            FeedSource::Store { has_followers } => {
-                read_store(&shared, table, has_followers, failures, is_history_lost)
-                    .await
-                    .map_err(|it| it.to_string())
+            FeedCall::Changes { wait } => {
+                let result = read_changes(&shared, table, wait, &plan).await;
+                result.map_err(|it| it.to_string())
+            }
+            FeedCall::Table => {
+                let result = read_rows(&shared, table, &plan).await;
+                result.map_err(|it| it.to_string())
             }
-        };
-        let reader = match source {
-            FeedSource::Entry { address, .. } => Some(address),
-            FeedSource::Store { .. } => None,
         };
         count_read(&shared, table, reader.is_some(), &result);
-        match result {
+        let failures = plan.failures();
+        let outcome = match result {
             Ok(Some(update)) => {
                 if failures > 0 {
                     info!(shared.log, "store regained"; "table" => table_name(table), "failures" => failures);
@@ -65,41 +59,21 @@
                     );
                     followed = reader;
                 }
-                failures = 0;
-                is_history_lost = false;
-                last_update = Instant::now();
                 apply_update(&shared, table, update);
-                if reader.is_none() {
-                    tokio::time::sleep(batch_delay(table)).await;
-                }
+                FeedOutcome::Updated
             }
             Ok(None) => {
                 info!(shared.log, "change history expired in the store, reading all rows"; "table" => table_name(table));
-                is_history_lost = true;
-            }
-            Err(err) if reader.is_some() => {
-                info!(
-                    shared.log, "entry not followed";
-                    "table" => table_name(table),
-                    "entry" => reader.map(|it| it.to_string()),
-                    "error" => err,
-                );
-                attempt += 1;
-                let is_last = matches!(source, FeedSource::Entry { is_last: true, .. });
-                if is_last || last_update.elapsed() > MAX_TIME_WITHOUT_UPDATE {
-                    direct_until = Some(Instant::now() + DIRECT_READ_TIME);
-                }
+                FeedOutcome::HistoryExpired
             }
             Err(err) => {
-                if failures == 0 {
-                    warn!(shared.log, "store lost"; "table" => table_name(table), "error" => err);
-                }
-                failures += 1;
-                if table == FeedTable::Replicas {
-                    shared.state().catalog.record_outage();
-                }
-                tokio::time::sleep(fleet::retry_backoff(failures, rand::random())).await;
+                record_failure(&shared, table, reader, failures, &err);
+                FeedOutcome::Failed
             }
+        };
+        let pause = plan.record(call, outcome, rand::random(), Instant::now());
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
         }
         if table == FeedTable::Replicas {
             replica_rows::expire(&shared);
@@ -107,49 +81,45 @@
     }
 }
 
-/// Returns how long the store may hold a long poll.
-///
-/// A revoked key or a leaving replica must be noticed within its bound even if the connection has silently failed, but
-/// each call has a cost. If other entries follow this one, the bound must also cover the time in which they detect that
-/// this entry is cut off and read the store themselves.
-pub(crate) fn long_poll_wait(
-    bounds: &NodeBounds,
-    table: FeedTable,
-    has_followers: bool,
-) -> Duration {
-    let (max_wait, bound) = match table {
-        FeedTable::Operator => (MAX_OPERATOR_WAIT, bounds.config_switch),
-        FeedTable::Replicas => (MAX_REPLICAS_WAIT, bounds.drain),
-    };
-    if !has_followers {
-        return max_wait;
+/// Returns the time within which a change of `table` must be in force.
+pub(crate) fn change_bound(shared: &EntryShared, table: FeedTable) -> Duration {
+    let bounds = &shared.settings.bounds;
+    match table {
+        FeedTable::Operator => bounds.config_switch,
+        FeedTable::Replicas => bounds.drain,
     }
-    let remaining = bound.saturating_sub(FAILOVER_TIME + batch_delay(table));
-    remaining.clamp(MIN_LONG_POLL_WAIT, max_wait)
 }
 
-/// Returns the pause between reads of the store, which batches changes that arrive close together into one call.
-pub(crate) fn batch_delay(table: FeedTable) -> Duration {
-    match table {
-        FeedTable::Operator => Duration::ZERO,
-        FeedTable::Replicas => REPLICAS_BATCH_DELAY,
-    }
+fn next_call(shared: &EntryShared, table: FeedTable, plan: &mut FeedPlan) -> FeedCall {
+    let settings = &shared.settings;
+    let mut state = shared.state();
+    let has_rows = state.feed(table).version().is_some();
+    let now = Instant::now();
+    plan.next_call(&state.peers, &settings.node, &settings.zone, has_rows, now)
 }
 
-fn choose_source(
+fn record_failure(
     shared: &EntryShared,
-    attempt: usize,
-    direct_until: Option<Instant>,
-) -> FeedSource {
-    let now = Instant::now();
-    let settings = &shared.settings;
-    let state = shared.state();
-    if direct_until.is_some_and(|it| now < it) {
-        return FeedSource::Store {
-            has_followers: false,
-        };
+    table: FeedTable,
+    reader: Option<SocketAddr>,
+    failures: u32,
+    err: &str,
+) {
+    if let Some(reader) = reader {
+        info!(
+            shared.log, "entry not followed";
+            "table" => table_name(table),
+            "entry" => reader.to_string(),
+            "error" => err,
+        );
+        return;
+    }
+    if failures == 0 {
+        warn!(shared.log, "store lost"; "table" => table_name(table), "error" => err);
+    }
+    if table == FeedTable::Replicas {
+        shared.state().catalog.record_outage();
     }
-    fleet::feed_source(&state.peers, &settings.node, &settings.zone, attempt, now)
 }
 
 async fn read_entry(
@@ -167,7 +137,7 @@
         &shared.replica_client,
         address,
         feed_request,
-        stale_age(&shared.settings.bounds, table),
+        fleet::stale_age(table, change_bound(shared, table)),
     )
     .await?;
     let age = Duration::from_millis(feed_response.age_ms.into());
@@ -182,52 +152,69 @@
     }))
 }
 
-/// Reads the store; returns `None` if its change history no longer includes the version that was read last.
-async fn read_store(
+/// Reads changes from the store; returns `None` if its history no longer includes the version that was read last.
+async fn read_changes(
     shared: &EntryShared,
     table: FeedTable,
-    has_followers: bool,
-    failures: u32,
-    is_history_lost: bool,
+    wait: Duration,
+    plan: &FeedPlan,
 ) -> Result<Option<FeedUpdate>, CallError> {
-    let after_outage = failures > 0;
     let since = shared.state().feed(table).version();
     let sent = boot_clock::now();
-    let (page, is_full_read) = match since.filter(|_| !is_history_lost) {
-        None => (shared.store.read_table(table_name(table)).await?, true),
-        Some(version) => {
-            // During an outage the store is polled without a wait, since an unanswered long poll would delay the
-            // detection of its return.
-            let wait = if after_outage {
-                Duration::ZERO
-            } else {
-                long_poll_wait(&shared.settings.bounds, table, has_followers)
-            };
-            match shared.store.watch(table_name(table), version, wait).await? {
-                WatchResponse::Changed(page) => (page, false),
-                WatchResponse::HistoryExpired => return Ok(None),
-            }
+    let name = table_name(table);
+    match shared
+        .store
+        .watch(name, since.unwrap_or_default(), wait)
+        .await?
+    {
+        WatchResponse::Changed(page) => {
+            Ok(Some(apply_page(shared, table, page, sent, plan, false)))
         }
-    };
+        WatchResponse::HistoryExpired => Ok(None),
+    }
+}
+
+/// Reads all rows of the table from the store.
+async fn read_rows(
+    shared: &EntryShared,
+    table: FeedTable,
+    plan: &FeedPlan,
+) -> Result<Option<FeedUpdate>, CallError> {
+    let sent = boot_clock::now();
+    let page = shared.store.read_table(table_name(table)).await?;
+    Ok(Some(apply_page(shared, table, page, sent, plan, true)))
+}
+
+/// Applies a page of the store to the copy. The page was requested at `sent`.
+fn apply_page(
+    shared: &EntryShared,
+    table: FeedTable,
+    page: RowPage,
+    sent: Duration,
+    plan: &FeedPlan,
+    is_full_read: bool,
+) -> FeedUpdate {
+    let after_outage = plan.failures() > 0;
     let received = boot_clock::now();
     let purpose = match table {
         FeedTable::Operator => "stored_op",
         FeedTable::Replicas => "stored_servers",
     };
     shared.metrics.count_received(purpose, page.bytes);
-    log_page(shared, table, &page, since, received.saturating_sub(sent));
     let mut state = shared.state();
+    let since = state.feed(table).version();
+    log_page(shared, table, &page, since, received.saturating_sub(sent));
     let confirmed = state
         .store_clock
         .responded_at(page.store_ms, sent, received);
     let feed_read = FeedRead {
         confirmed: state.feed(table).confirmed_at(),
         responded: confirmed,
-        failures,
-        is_history_lost,
+        failures: plan.failures(),
+        is_history_lost: plan.is_history_lost(),
     };
     // Rows of the first read may have changed long ago.
-    let is_first = is_full_read && !is_history_lost;
+    let is_first = since.is_none();
     let age = received.saturating_sub(feed_read.changed_since());
     let known_since = (!is_first)
         .then(|| Instant::now().checked_sub(age))
@@ -240,7 +227,7 @@
     } else {
         feed.apply_changes(changes, version)
     };
-    Ok(Some(FeedUpdate { changes, confirmed }))
+    FeedUpdate { changes, confirmed }
 }
 
 /// Logs a page with changes. Quiet long polls are not logged.
@@ -302,31 +289,3 @@
         .with_label_values(&[table_name(table), outcome])
         .inc();
 }
-
-/// Maximum wait of a long poll for the operator's rows. Together with the timeout of the call it is well below the
-/// bound on revocation (5 s).
-const MAX_OPERATOR_WAIT: Duration = Duration::from_millis(2000);
-
-/// Maximum wait of a long poll for the replicas' rows. A leaving replica must be noticed within 2 s, and
-/// a silently failed connection is allowed 3 s more, so the wait and the timeout of the call together stay below 5 s.
-const MAX_REPLICAS_WAIT: Duration = Duration::from_millis(2500);
-
-/// Time that followers need to replace a reader that is cut off: its copy is considered stale 0.65 s after the wait,
-/// the backup reader has 0.25 s, and then the store must be read.
-const FAILOVER_TIME: Duration = Duration::from_millis(1450);
-
-/// Minimum wait of a long poll, even if the bounds leave less, because each call has a cost.
-const MIN_LONG_POLL_WAIT: Duration = Duration::from_millis(300);
-
-/// Pause after a read of the replicas' rows; well below the bound on draining (2 s).
-const REPLICAS_BATCH_DELAY: Duration = Duration::from_millis(300);
-
-/// Time without an update after which the store is read directly instead of trying further entries.
-const MAX_TIME_WITHOUT_UPDATE: Duration = Duration::from_millis(1500);
-
-/// Delay after which other entries request changes from the backup reader of the zone, so that it can read the store
-/// first. If all entries read the store themselves, they would saturate the link to it.
-const BACKUP_READER_DELAY: Duration = Duration::from_millis(250);
-
-/// Time for which the store is read directly after no entry could be followed.
-const DIRECT_READ_TIME: Duration = Duration::from_millis(2500);
--- a/crates/ingress/src/feed_relay.rs
+++ b/crates/ingress/src/feed_relay.rs
@@ -5,12 +5,11 @@
 
 use fleet::{FeedResponse, FeedTable};
 use httpio::{HttpBody, Incoming, Request, Response, StatusCode};
-use platform::NodeBounds;
 use relay::RelayRequest;
 
 use crate::boot_clock;
 use crate::entry_shared::EntryShared;
-use crate::feed_loop::{batch_delay, long_poll_wait};
+use crate::feed_loop::change_bound;
 
 /// Handles a request of another process of the zone for the changes of a table.
 pub(crate) async fn handle(
@@ -55,7 +54,8 @@
         let feed_response = current_response(shared, feed_request)?;
         let time_remaining = deadline.saturating_duration_since(Instant::now());
         let age = Duration::from_millis(feed_response.age_ms.into());
-        let stale_age = stale_age(&shared.settings.bounds, feed_request.table);
+        let table = feed_request.table;
+        let stale_age = fleet::stale_age(table, change_bound(shared, table));
         let until_stale = stale_age.saturating_sub(age);
         if !feed_response.rows.is_empty() || time_remaining.is_zero() || until_stale.is_zero() {
             return Some(feed_response);
@@ -70,8 +70,3 @@
     let feed = state.feed(feed_request.table);
     feed.response_since(feed_request.since, Instant::now(), boot_clock::now())
 }
-
-/// Returns the age beyond which an entry's copy of `table` is too old to be followed.
-pub(crate) fn stale_age(bounds: &NodeBounds, table: FeedTable) -> Duration {
-    fleet::max_reader_age(long_poll_wait(bounds, table, true), batch_delay(table))
-}
