--- a/crates/emulator/src/feed_document.rs
+++ b/crates/emulator/src/feed_document.rs
@@ -12,7 +12,7 @@
         }
         text += &format!(
             "{{\"name\":\"route-{number}\",\"host\":\"shop{host}.example\",\"prefix\":\"/p{number}/\",\"kind\":\"idempotent\",\
-            \"timeoutMs\":{timeout},\"sloMs\":300,\"prio\":2,\"service\":\"orders-api\",\"maxAttempts\":2,\"public\":false,\"resumable\":false}}",
+            \"timeoutMs\":{timeout},\"sloMs\":300,\"prio\":2,\"service\":\"orders-api\",\"attempts_max\":2,\"public\":false,\"resumable\":false}}",
             host = number % 17,
         );
     }
