Whole configurations between entries are compressed, and entries with the fastest links send them

Ruled out: the link between regions, over which the zone's readers got the version in time.

Change: whole values and differences are compressed once for each version; readers are the entries with the fastest links by their settings; a body that keeps arriving is not given up.

--- a/crates/fleet/src/feed_mirror.rs
+++ b/crates/fleet/src/feed_mirror.rs
@@ -1,5 +1,6 @@
 //! Local copy of a store table, from which other processes of the zone can be updated.
 
+use std::cell::OnceCell;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
@@ -7,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::packed_bytes::PackedBytes;
 use crate::row_patch::RowPatch;
 use crate::store_position::StorePosition;
 
@@ -52,6 +54,8 @@
 enum RowContent {
     Removed,
     Value(Vec<u8>),
+    /// A large value.
+    Packed(PackedBytes),
     /// Differences that lead to the value one after the other, from the value that the receiver has.
     Patches(Vec<RowPatch>),
 }
@@ -104,6 +108,8 @@
     known_since: Option<Instant>,
     after_outage: bool,
     from_copy: bool,
+    /// The value as it is sent, once it has been.
+    packed: OnceCell<PackedBytes>,
     /// Differences between the last values of this era, each with the position of the value that it starts from.
     patches: VecDeque<(StorePosition, RowPatch)>,
 }
@@ -132,7 +138,20 @@
                 let patches = self.patches.range(first..).map(|it| it.1.clone());
                 RowContent::Patches(patches.collect())
             }
-            None => RowContent::Value(value.clone()),
+            None => self.whole(value),
+        }
+    }
+
+    fn whole(&self, value: &[u8]) -> RowContent {
+        if value.len() < MIN_PATCHED_BYTES {
+            return RowContent::Value(value.to_vec());
+        }
+        if let Some(packed) = self.packed.get() {
+            return RowContent::Packed(packed.clone());
+        }
+        match PackedBytes::pack(value) {
+            Some(packed) => RowContent::Packed(self.packed.get_or_init(|| packed).clone()),
+            None => RowContent::Value(value.to_vec()),
         }
     }
 
@@ -201,6 +220,7 @@
                 known_since: change.known_since,
                 after_outage: change.after_outage,
                 from_copy: change.from_copy,
+                packed: OnceCell::new(),
                 patches: patches.unwrap_or_default(),
             };
             self.rows.insert(change.key.clone(), row);
@@ -333,6 +353,7 @@
         let value = match row.content {
             RowContent::Removed => None,
             RowContent::Value(value) => Some(value),
+            RowContent::Packed(packed) => Some(packed.unpack()?),
             RowContent::Patches(patches) => {
                 let mut value = self.rows.get(&row.key)?.value.clone()?;
                 for patch in &patches {
@@ -353,7 +374,7 @@
     }
 }
 
-/// Size of a value in bytes from which on differences are sent instead of it.
+/// Size of a value in bytes from which on differences are sent instead of it, and a whole one is compressed.
 const MIN_PATCHED_BYTES: usize = 4096;
 
 /// Number of last values of a row from which differences are known; some seconds of a storm of changes.
--- a/crates/fleet/src/feed_readers.rs
+++ b/crates/fleet/src/feed_readers.rs
@@ -1,5 +1,6 @@
 //! Selects the entries that read the store; the others follow them.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -23,14 +24,14 @@
         address: SocketAddr,
         /// Whether it is a backup that reads the store only while the regular readers fail.
         is_backup: bool,
-        /// Position of this entry behind the backup, by name. The backup itself has none.
+        /// Position of this entry behind the backup. The backup itself has none.
         rank: Option<usize>,
     },
 }
 
 /// Returns where the entry `own` reads changes of `table` from; `attempt` counts the readers that have failed.
 ///
-/// The first [`READERS`] entries of a zone by name read for the others, so that the load of the store and the traffic
+/// The [`READERS`] entries of a zone with the fastest links read for the others, so that the load of the store and the traffic
 /// between regions grow with the number of zones rather than entries. There is more than one reader because one may
 /// fail or be partitioned. The operator's table has large rows, so only the readers of the zone nearest to the store read
 /// it there, and those of other zones follow these.
@@ -44,12 +45,13 @@
     let in_zone = |zone: &str| {
         let of_zone = peers.alive(now).filter(|it| it.zone == zone);
         let of_zone = of_zone.filter(|it| it.node != own.node);
-        let mut others: Vec<_> = of_zone.map(|it| (it.node.as_str(), it.inner)).collect();
+        let mut others: Vec<_> = of_zone.map(|it| (reading_order(it), it.inner)).collect();
         others.sort_unstable();
         others
     };
     let others = in_zone(&own.zone);
-    let before = others.iter().filter(|it| it.0 < own.node.as_str()).count();
+    let own_order = reading_order(own);
+    let before = others.iter().filter(|it| it.0 < own_order).count();
     let is_small = others.len() < MIN_ENTRIES_FOR_FOLLOWERS;
     if is_small || before < READERS {
         let home_zone = home_zone(peers, own, now).filter(|_| table == FeedTable::Operator);
@@ -80,6 +82,11 @@
     }
 }
 
+/// Returns the key by which the entries of a zone are ordered: those with the fastest links send to the others.
+fn reading_order(entry: &PeerRecord) -> (Reverse<u32>, &str) {
+    (Reverse(entry.link_mbps), &entry.node)
+}
+
 /// Returns the zone with the shortest calls to the store, among those of `own` and all live entries.
 fn home_zone<'a>(peers: &'a PeerTable, own: &'a PeerRecord, now: Instant) -> Option<&'a str> {
     let entries = peers.alive(now).chain([own]);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod freshness;
 mod load_table;
 mod log_rate_limiter;
+mod packed_bytes;
 mod peer_table;
 mod piece_manifest;
 mod piece_set;
--- a/crates/fleet/src/peer_table.rs
+++ b/crates/fleet/src/peer_table.rs
@@ -26,6 +26,9 @@
     /// Shortest time in microseconds of a call to the store, if one has succeeded.
     #[serde(default)]
     pub store_delay_us: Option<u32>,
+    /// Bandwidth of the host's link in Mbit/s.
+    #[serde(default)]
+    pub link_mbps: u32,
 }
 
 /// Entries by name, with the time of the last heartbeat of each.
--- a/crates/fleet/src/row_patch.rs
+++ b/crates/fleet/src/row_patch.rs
@@ -10,10 +10,13 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use crate::packed_bytes::PackedBytes;
+
 /// The difference between a value and the one before it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RowPatch {
-    steps: Vec<PatchStep>,
+    /// Encoded [`PatchStep`]s.
+    steps: PackedBytes,
     /// Digest of the new value, which detects a difference from another value.
     digest: [u8; 16],
 }
@@ -58,17 +61,21 @@
                 }
             }
         }
-        let is_small = (inserted + steps.len() * STEP_BYTES) * MIN_SAVING < new.len();
-        is_small.then(|| Self {
-            steps,
+        if (inserted + steps.len() * STEP_BYTES) * MIN_SAVING >= new.len() {
+            return None;
+        }
+        let encoded = postcard::to_allocvec(&steps).ok()?;
+        Some(Self {
+            steps: PackedBytes::pack(&encoded)?,
             digest: digest(new),
         })
     }
 
     /// Returns the new value, or `None` if `old` is not the value that the difference was computed from.
     pub fn apply(&self, old: &[u8]) -> Option<Vec<u8>> {
+        let steps: Vec<PatchStep> = postcard::from_bytes(&self.steps.unpack()?).ok()?;
         let mut new = Vec::new();
-        for step in &self.steps {
+        for step in &steps {
             match step {
                 PatchStep::Copy { start, length } => {
                     let start = usize::try_from(*start).ok()?;
--- a/crates/fleet/tests/feeds.rs
+++ b/crates/fleet/tests/feeds.rs
@@ -282,6 +282,7 @@
         region: "r1".to_owned(),
         ready: true,
         store_delay_us,
+        link_mbps: 0,
     }
 }
 
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -14,6 +14,7 @@
         region: "r".to_owned(),
         ready,
         store_delay_us: None,
+        link_mbps: 0,
     }
 }
 
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -28,6 +28,7 @@
         region: format!("r{zone}"),
         ready: true,
         store_delay_us: None,
+        link_mbps: 0,
     }
 }
 
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -246,6 +246,8 @@
             region: self.settings.region.clone(),
             ready: self.is_ready(),
             store_delay_us,
+            // Bandwidths are whole numbers of Mbit/s except on very slow links.
+            link_mbps: self.settings.link_mbps.max(0.0) as u32,
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -76,7 +76,14 @@
     let exchange = async {
         let pooled_response = client.send(address, http_request).await;
         let pooled_response = pooled_response.map_err(|it| it.to_string())?;
-        let read = pooled_response.read(client, MAX_RESPONSE_BYTES, RESPONSE_TIMEOUT);
+        Ok::<_, String>(pooled_response)
+    };
+    let head = tokio::time::timeout(LONG_POLL_TIMEOUT + RESPONSE_TIMEOUT, exchange).await;
+    let pooled_response = head.unwrap_or_else(|_| Err("timed out".to_owned()))?;
+    let body = async {
+        // A body that still arrives is late, not lost: another request would only delay it more.
+        let read =
+            pooled_response.read_with_idle_timeout(client, MAX_RESPONSE_BYTES, RESPONSE_TIMEOUT);
         let response = read.await.map_err(|it| it.to_string())?;
         if response.status() == StatusCode::SERVICE_UNAVAILABLE {
             return Ok(None);
@@ -87,7 +94,7 @@
         let response = postcard::from_bytes::<FeedResponse>(&response.into_body());
         response.map(Some).map_err(|it| it.to_string())
     };
-    let response = tokio::time::timeout(LONG_POLL_TIMEOUT + RESPONSE_TIMEOUT, exchange).await;
+    let response = tokio::time::timeout(MAX_BODY_TIME, body).await;
     response.unwrap_or_else(|_| Err("timed out".to_owned()))
 }
 
@@ -103,5 +110,8 @@
 /// Time for a response within an availability zone, in addition to the long poll.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Maximum time for a body that keeps arriving.
+const MAX_BODY_TIME: Duration = Duration::from_secs(3);
+
 /// Maximum size of a response, which may contain all rows of a table.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
