One call to the store without a response is not taken for an outage

Cause: a long poll that remains without a response is found after 3.7 s; it counted as an outage of the store, in which rows expire by mistake, so the removal was taken for a lapse and the replica used for 1.6 s more. Besides, one such row marked all rows that were applied with it. Evidence: the new test, whose log has 'row of a replica missing after an outage of the store' 0.2 s after the only failed call. Standard sites are affected, since each entry reads the store itself there.

Change: the store counts as having been away after two calls in a row; whether a removal was found after an outage belongs to its row, and the flag of the whole catalogue is gone.

--- a/crates/fleet/src/departure_table.rs
+++ b/crates/fleet/src/departure_table.rs
@@ -40,6 +40,8 @@
     pub position: StorePosition,
     /// Whether the row may be older than what this process knew before the store returned from a copy.
     pub from_copy: bool,
+    /// Whether the row was read after an outage of the store, during which rows expire by mistake.
+    pub after_outage: bool,
 }
 
 /// Departures by lifetime. Only a bounded number of the last ones is remembered.
--- a/crates/fleet/src/feed_plan.rs
+++ b/crates/fleet/src/feed_plan.rs
@@ -277,6 +277,12 @@
         self.failures
     }
 
+    /// Returns whether the store was away before the call that has just succeeded. One call without a response shows only
+    /// that its connection has failed.
+    pub fn is_after_outage(&self) -> bool {
+        self.failures >= MIN_OUTAGE_FAILURES
+    }
+
     /// Returns whether the store no longer had the changes since the copy, so that all rows are read.
     pub fn is_history_lost(&self) -> bool {
         self.is_history_lost
@@ -336,6 +342,9 @@
 /// Pause after a read of the replicas' rows; well below the bound on draining (2 s).
 const REPLICAS_BATCH_DELAY: Duration = Duration::from_millis(300);
 
+/// Consecutive failures from which on the store counts as having been away.
+const MIN_OUTAGE_FAILURES: u32 = 2;
+
 /// Delay after which other entries request changes from the backup reader of the zone, so that it can read the store
 /// first. If all entries read the store themselves, they would saturate the link to it.
 const BACKUP_DELAY: Duration = Duration::from_millis(250);
--- a/crates/fleet/src/replica_catalog.rs
+++ b/crates/fleet/src/replica_catalog.rs
@@ -30,24 +30,12 @@
     replicas: BTreeMap<String, Replica>,
     /// Replicas whose registrations were missing after an outage of the store, with the end of their grace periods.
     lapsed: BTreeMap<String, Instant>,
-    /// Whether the store was unreachable since it was last read.
-    had_outage: bool,
     /// Where the rows of the replicas come from.
     origins: BTreeMap<String, RowOrigin>,
     departures: DepartureTable,
 }
 
 impl ReplicaCatalog {
-    /// Records that the store was unreachable.
-    pub fn record_outage(&mut self) {
-        self.had_outage = true;
-    }
-
-    /// Records that all changes up to now were read: later removals are deliberate and not due to the outage.
-    pub fn record_sync(&mut self) {
-        self.had_outage = false;
-    }
-
     /// Adds or updates a replica.
     ///
     /// A replica that restarts with a new id leaves its old registration at the same address until that expires; only
@@ -106,7 +94,7 @@
     pub fn remove(&mut self, id: &str, origin: RowOrigin, now: Instant) -> Option<CatalogChange> {
         let replica = self.replicas.get(id)?;
         let lifetime = replica.lifetime();
-        if self.had_outage && replica.state == ReplicaState::Ready {
+        if origin.after_outage && replica.state == ReplicaState::Ready {
             if self.lapsed.contains_key(id) {
                 return None;
             }
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -103,6 +103,7 @@
         let origin = RowOrigin {
             position: StorePosition::new(0, 1),
             from_copy: false,
+            after_outage: false,
         };
         catalog.put(replica, origin, now);
         for _ in 0..*running {
--- a/crates/fulmarline/tests/platform_leaving.rs
+++ b/crates/fulmarline/tests/platform_leaving.rs
@@ -159,3 +159,28 @@
         assert_eq!(replica.requests_since(noticed), 0);
     }
 }
+
+/// Bound of the users' rules on a removal that is read over a connection which has silently failed: a reset of the
+/// connection is allowed 3 s more.
+const DRAIN_AFTER_RESET: Duration = Duration::from_secs(5);
+
+/// Guards against DRAIN: a single call to the store without a response was taken for an outage, in which rows expire by
+/// mistake, so a replica that was removed meanwhile was used for the grace period on top.
+#[test]
+fn a_removal_behind_a_silent_connection_is_not_taken_for_a_lapse() {
+    let site = TestSite::start("leaving-silent", 150, &[]);
+    // The entries' calls are pending with the row, and their responses are lost.
+    std::thread::sleep(Duration::from_millis(500));
+    site.store.silence_pending_feeds();
+    site.store.remove("servers", "o-0");
+    let removed = Instant::now();
+    std::thread::sleep(DRAIN_AFTER_RESET);
+    assert!(removed.elapsed() >= DRAIN_AFTER_RESET);
+    let bound = Instant::now();
+    send_for(&site, &Method::POST, "/order/1", "late", DRAIN);
+    assert_eq!(
+        site.orders[0].requests_since(bound),
+        0,
+        "a replica that was removed got requests"
+    );
+}
--- a/crates/ingress/src/feed_loop.rs
+++ b/crates/ingress/src/feed_loop.rs
@@ -157,9 +157,6 @@
     if failures == 0 {
         warn!(shared.log, "store lost"; "table" => table_name(table), "error" => err);
     }
-    if table == FeedTable::Replicas {
-        shared.state().catalog.record_outage();
-    }
 }
 
 async fn read_entry(
@@ -278,7 +275,7 @@
     plan: &FeedPlan,
     is_full_read: bool,
 ) -> FeedUpdate {
-    let after_outage = plan.failures() > 0;
+    let after_outage = plan.is_after_outage();
     let received = boot_clock::now();
     let purpose = match table {
         FeedTable::Operator => "stored_op",
--- a/crates/ingress/src/replica_rows.rs
+++ b/crates/ingress/src/replica_rows.rs
@@ -15,12 +15,10 @@
             .as_ref()
             .map(|it| platform::decode_replica(&row.key, it));
         let mut state = shared.state();
-        if row.after_outage {
-            state.catalog.record_outage();
-        }
         let origin = RowOrigin {
             position: row.position,
             from_copy: row.from_copy,
+            after_outage: row.after_outage,
         };
         let now = Instant::now();
         let change = match decoded {
@@ -37,7 +35,6 @@
         }
     }
     let mut state = shared.state();
-    state.catalog.record_sync();
     let is_first = !std::mem::replace(&mut state.is_catalog_read, true);
     drop(state);
     if is_first {
