The system writes its own rows again after the store returned from an older copy

Callers would see: entries that start after a return do not find the others by the list, and take a version of weights that was declared a moment before for an old one.

Cause: rows of entries and times of declarations were written once in the lifetime of a process.

Change: the era that any table names notifies both tasks; registrations are spread over a second.

--- a/crates/fulmarline/tests/platform_returns.rs
+++ b/crates/fulmarline/tests/platform_returns.rs
@@ -84,6 +84,29 @@
     );
 }
 
+/// Guards against rows of the system that stay lost after the store returned from an older copy: entries that start later
+/// did not find the others, and took a version of weights that was declared a moment ago for an old one.
+#[test]
+fn the_system_writes_its_own_rows_again() {
+    let site = TestSite::start("returns-own-rows", 160, &[1]);
+    let copy = standin::StoreCopy::default();
+    site.declare(2);
+    let tables = ["entries", "declarations"];
+    let keys = |it: &TestSite| tables.map(|table| it.store.keys(table));
+    let rows_before = site.wait("the rows of the system", |it| {
+        let keys = keys(it);
+        (keys[0].len() == 2 && keys[1].len() == 1).then_some(keys)
+    });
+    for _ in 0..2 {
+        site.store.return_from(&copy);
+        let returned = Instant::now();
+        site.wait("the rows of the system again", |it| {
+            (keys(it) == rows_before).then_some(())
+        });
+        assert!(returned.elapsed() < CATCH_UP, "{:?}", returned.elapsed());
+    }
+}
+
 /// Guards against DRAIN after the store returned from an older copy: it lists replicas as ready that have left, and
 /// entries took their departures back.
 #[test]
--- a/crates/ingress/src/declaration_log.rs
+++ b/crates/ingress/src/declaration_log.rs
@@ -28,8 +28,13 @@
 pub(crate) async fn run(shared: Arc<EntryShared>) {
     let mut recorded = BTreeSet::new();
     let mut failures = 0;
+    let mut store_era = shared.store_era.subscribe();
     loop {
-        shared.versions_changed.notified().await;
+        tokio::select! {
+            () = shared.versions_changed.notified() => {}
+            // The rows may be missing in the copy that the store has returned from.
+            Ok(()) = store_era.changed() => recorded.clear(),
+        }
         match sync_with_store(&shared, &mut recorded).await {
             Ok(()) => failures = 0,
             Err(err) => {
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -93,6 +93,8 @@
     pub(crate) load_changed: Notify,
     /// Wakes requests that wait for the evidence of other entries.
     pub(crate) evidence_received: Notify,
+    /// Latest known era of the store. Notifies the tasks that write rows again which the store may have lost.
+    pub(crate) store_era: watch::Sender<u64>,
     /// Notifies requests that have not begun when parts may have been held back.
     pub(crate) holds_changed: watch::Sender<()>,
     /// When the process started.
@@ -145,6 +147,7 @@
             load_changed: Notify::new(),
             weights_declared: Notify::new(),
             evidence_received: Notify::new(),
+            store_era: watch::Sender::new(0),
             holds_changed: watch::Sender::new(()),
             started_at,
             boot_age_at_start: boot_clock::now(),
@@ -228,6 +231,15 @@
         self.urgent_change.notify_one();
     }
 
+    /// Records that the store has named `era`; `is_first` is whether this process knew no era of the table before.
+    pub(crate) fn record_era(&self, era: u64, is_first: bool) {
+        self.store_era.send_if_modified(|known| {
+            let is_later = era > *known;
+            *known = era.max(*known);
+            is_later && !is_first
+        });
+    }
+
     /// Returns whether this entry accepts new clients.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state();
--- a/crates/ingress/src/feed_loop.rs
+++ b/crates/ingress/src/feed_loop.rs
@@ -193,6 +193,7 @@
     let mut state = shared.state();
     let feed = state.feed(table);
     let since = feed.position();
+    shared.record_era(feed_response.position.era(), since.is_none());
     let changes = feed.apply_response(feed_response, Instant::now());
     let changes = changes.map_err(|it| it.to_string())?;
     Ok(ReadResult::Update(FeedUpdate {
@@ -304,6 +305,7 @@
         .era
         .unwrap_or_else(|| since.map_or(0, StorePosition::era));
     let position = StorePosition::new(era, page.version);
+    shared.record_era(era, since.is_none());
     let changes = page.into_changes(era, known_since, after_outage);
     let keys: BTreeSet<_> = changes.iter().map(|it| it.key.clone()).collect();
     let has_repeats = keys.len() < changes.len();
--- a/crates/ingress/src/peer_exchange.rs
+++ b/crates/ingress/src/peer_exchange.rs
@@ -42,12 +42,21 @@
 async fn register(shared: Arc<EntryShared>) {
     let mut failures = 0;
     let mut is_registered = false;
+    let mut store_era = shared.store_era.subscribe();
     loop {
         match register_once(&shared, is_registered).await {
             Ok(()) => {
                 failures = 0;
                 is_registered = true;
-                tokio::time::sleep(ENTRY_LIST_INTERVAL).await;
+                tokio::select! {
+                    () = tokio::time::sleep(ENTRY_LIST_INTERVAL) => {}
+                    Ok(()) = store_era.changed() => {
+                        // The row may be missing in the copy that the store has returned from.
+                        is_registered = false;
+                        let delay = REGISTRATION_SPREAD.mul_f64(rand::random());
+                        tokio::time::sleep(delay).await;
+                    }
+                }
             }
             Err(err) => {
                 warn!(shared.log, "registration failed"; "error" => err.to_string());
@@ -290,6 +299,9 @@
 /// Maximum time between two heartbeats to all listed entries of the zone.
 const MAX_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time over which the entries spread their registrations after the store has returned from a copy.
+const REGISTRATION_SPREAD: Duration = Duration::from_millis(1000);
+
 /// Time for which an entry that was discovered is told all departures; the time of a few heartbeats.
 const DISCOVERY_TIME: Duration = Duration::from_millis(1500);
 
