A version of the configuration that is given out again with other content is put in force

Callers would see CONFIG: after the store returned from an older copy and the operator gave out a version again, the content that was lost stayed in force.

Cause: the document was identified by its version alone. Ruled out: that any other content may be taken, since a later copy can contain the one that was replaced.

Change: entries and agents remember the digests of the documents that had the version in force; another one replaces it, and none comes back.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! depend on sockets, clocks, processes or the field names of the platform's documents.
 
 mod api_keys;
+mod config_history;
 mod departure_table;
 mod engine_profile;
 mod feed_mirror;
@@ -38,6 +39,7 @@
 mod zone_exchange;
 
 pub use api_keys::{ApiTenant, KeyTable};
+pub use config_history::ConfigHistory;
 pub use departure_table::{DepartureEvidence, DepartureRecord, RowOrigin};
 pub use engine_profile::{BatchLoad, EngineProfile, RequestSize};
 pub use feed_mirror::{
--- a/crates/fulmarline/tests/platform_returns.rs
+++ b/crates/fulmarline/tests/platform_returns.rs
@@ -84,6 +84,35 @@
     );
 }
 
+/// Guards against CONFIG after the store returned from an older copy: a version that the operator gave out again with other
+/// content was taken for the one in force, and one that it had replaced came back with the next copy.
+#[test]
+fn a_version_that_is_given_out_again_with_other_content_is_in_force() {
+    let mut site = TestSite::start_large_zone("returns-content", 180);
+    let copy = site.store.copy();
+    site.configure(&route("lost"));
+    site.wait_for_route(&ZONE_ENTRIES, "lost");
+    let copy_with_lost = site.store.copy();
+
+    site.store.return_from(&copy);
+    site.configure_again(&route("other"));
+    site.wait_for_route(&ZONE_ENTRIES, "other");
+
+    site.store.return_from(&copy_with_lost);
+    let returned = Instant::now();
+    while returned.elapsed() < CATCH_UP {
+        for entry in ZONE_ENTRIES {
+            let response = site.call(entry, Method::GET, "/other/1", "kept", "none");
+            assert_eq!(
+                response.unwrap().status,
+                StatusCode::OK,
+                "a replaced configuration came back"
+            );
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
 /// Guards against rows of the system that stay lost after the store returned from an older copy: entries that start later
 /// did not find the others, and took a version of weights that was declared a moment ago for an old one.
 #[test]
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -18,6 +18,9 @@
 /// Timeout of every wait, well above what a loaded machine needs.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Difference between the versions of two configurations.
+const VERSION_STEP: u64 = 3;
+
 /// Number of tokens in the prompt of a usual request.
 const SHORT_PROMPT: u32 = 100;
 
@@ -376,9 +379,15 @@
         self.configure_with_limits(extra_routes, &limits);
     }
 
+    /// Publishes the version of the last configuration again, with other routes.
+    pub fn configure_again(&mut self, extra_routes: &Value) {
+        self.config -= VERSION_STEP;
+        self.configure(extra_routes);
+    }
+
     /// Publishes the next configuration, with the limits `limits` for requests.
     pub fn configure_with_limits(&mut self, extra_routes: &Value, limits: &Value) {
-        self.config += 3;
+        self.config += VERSION_STEP;
         let route = |prefix: &str, kind: &str, service: &str| {
             json!({
                 "name": prefix, "host": "shop.example", "prefix": prefix, "kind": kind, "timeoutMs": 6000,
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fleet::{
-    ConfigFreshness, FeedMirror, FeedTable, HealthTable, LoadTable, LogKind, LogRateLimiter,
-    PeerRecord, PeerTable, ReplicaCatalog, RetryBudget, RouteTable, StoreClock, VersionTable,
+    ConfigFreshness, ConfigHistory, FeedMirror, FeedTable, HealthTable, LoadTable, LogKind,
+    LogRateLimiter, PeerRecord, PeerTable, ReplicaCatalog, RetryBudget, RouteTable, StoreClock,
+    VersionTable,
 };
 use httpio::{BufferBudget, HttpClient};
 use platform::{NodeSettings, StoreClient};
@@ -24,6 +25,8 @@
 pub(crate) struct EntryState {
     /// Configuration in force; `None` until one has been read.
     pub(crate) routes: Option<Arc<RouteTable>>,
+    /// Which documents have been in force.
+    pub(crate) config_history: ConfigHistory,
     /// When the configuration was last confirmed to be the newest.
     pub(crate) freshness: ConfigFreshness,
     /// Estimate of the store's clock.
@@ -155,6 +158,7 @@
             stop_began_at: Mutex::new(None),
             state: Mutex::new(EntryState {
                 routes: None,
+                config_history: ConfigHistory::default(),
                 freshness: ConfigFreshness::new(max_config_age),
                 store_clock: StoreClock::default(),
                 store_delay_us: None,
--- a/crates/ingress/src/operator_rows.rs
+++ b/crates/ingress/src/operator_rows.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use fleet::FeedChange;
+use fleet::{FeedChange, StorePosition};
 use platform::{CONFIG_KEY, VERSION_PREFIX};
 use slog::{info, warn};
 
@@ -16,14 +16,14 @@
             continue;
         };
         if row.key == CONFIG_KEY {
-            apply_config(shared, bytes);
+            apply_config(shared, bytes, row.position);
         } else if row.key.starts_with(VERSION_PREFIX) {
             apply_version(shared, bytes, row.known_since);
         }
     }
 }
 
-fn apply_config(shared: &EntryShared, bytes: &[u8]) {
+fn apply_config(shared: &EntryShared, bytes: &[u8], position: StorePosition) {
     let table = match platform::decode_config(bytes) {
         Ok(it) => it,
         Err(err) => {
@@ -33,7 +33,7 @@
     };
     let mut state = shared.state();
     let current = state.routes.as_ref().map(|it| it.version());
-    if current.is_some_and(|it| it >= table.version()) {
+    if !state.config_history.accepts(table.version(), bytes) {
         return;
     }
     info!(
@@ -41,6 +41,7 @@
         "version" => table.version(),
         "before" => current,
         "routes" => table.route_count(),
+        "position" => position.to_string(),
     );
     state.routes = Some(Arc::new(table));
 }
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::{FeedTable, RouteTable, SwitchDeadlines, WeightOrigin};
+use fleet::{ConfigHistory, FeedTable, RouteTable, SwitchDeadlines, WeightOrigin};
 use platform::{CONFIG_KEY, VERSION_PREFIX};
 use slog::{info, warn};
 
@@ -17,6 +17,7 @@
     let _ = tokio::time::timeout(INITIAL_WAIT, shared.declarations_received.notified()).await;
     let mut failures = 0_u32;
     let mut routes: Option<RouteTable> = None;
+    let mut history = ConfigHistory::default();
     let mut versions: BTreeMap<String, u64> = BTreeMap::new();
     loop {
         if routes.is_some() && are_declarations_current(&shared) {
@@ -47,7 +48,9 @@
                     let Some(bytes) = &change.value else {
                         continue;
                     };
-                    if let Err(err) = apply_row(&change.key, bytes, &mut routes, &mut versions) {
+                    let applied =
+                        apply_row(&change.key, bytes, &mut routes, &mut history, &mut versions);
+                    if let Err(err) = applied {
                         warn!(shared.log, "invalid operator row ignored"; "key" => &change.key, "error" => format!("{err:#}"));
                     }
                 }
@@ -77,14 +80,12 @@
     key: &str,
     bytes: &[u8],
     routes: &mut Option<RouteTable>,
+    history: &mut ConfigHistory,
     versions: &mut BTreeMap<String, u64>,
 ) -> anyhow::Result<()> {
     if key == CONFIG_KEY {
         let decoded = platform::decode_config(bytes)?;
-        if routes
-            .as_ref()
-            .is_none_or(|it| it.version() < decoded.version())
-        {
+        if history.accepts(decoded.version(), bytes) {
             *routes = Some(decoded);
         }
     } else if key.starts_with(VERSION_PREFIX) {
