An entry that starts after the store returned from an older copy learns the configuration from the others

Callers would see CONFIG: such an entry read the copy alone and served an older configuration than all others until the operator wrote again.

Cause: what entries tell each other contained no version of the configuration.

Change: records of entries carry the version in force; an entry that has just started, or stays behind for 1.2 s, asks one that is ahead, once in 0.8 s. Open: until the first heartbeat, up to 0.5 s, the older configuration is served.

--- a/crates/emulator/src/feed_simulation.rs
+++ b/crates/emulator/src/feed_simulation.rs
@@ -227,6 +227,7 @@
             region: format!("r{zone}"),
             ready: true,
             link_mbps: 0,
+            config_version: 0,
             // The delay of the first region grows with the distance from it.
             store_delay_us: Some(5000 + u32::from(zone > 0) * 5600),
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod api_keys;
 mod config_history;
+mod config_lag;
 mod departure_table;
 mod engine_profile;
 mod feed_mirror;
@@ -40,6 +41,7 @@
 
 pub use api_keys::{ApiTenant, KeyTable};
 pub use config_history::ConfigHistory;
+pub use config_lag::ConfigLag;
 pub use departure_table::{DepartureEvidence, DepartureRecord, RowOrigin};
 pub use engine_profile::{BatchLoad, EngineProfile, RequestSize};
 pub use feed_mirror::{
@@ -56,6 +58,7 @@
 pub use freshness::ConfigFreshness;
 pub use load_table::{LoadSample, LoadTable, ReplicaLoad};
 pub use log_rate_limiter::{LogDecision, LogKind, LogRateLimiter};
+pub use packed_bytes::PackedBytes;
 pub use peer_table::{PeerRecord, PeerTable};
 pub use piece_manifest::PieceManifest;
 pub use piece_set::PieceSet;
--- a/crates/fleet/src/packed_bytes.rs
+++ b/crates/fleet/src/packed_bytes.rs
@@ -9,14 +9,14 @@
 
 /// Compressed bytes and their original length.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct PackedBytes {
+pub struct PackedBytes {
     length: u32,
     deflated: Vec<u8>,
 }
 
 impl PackedBytes {
     /// Compresses `bytes`; returns `None` if they are too long.
-    pub(crate) fn pack(bytes: &[u8]) -> Option<Self> {
+    pub fn pack(bytes: &[u8]) -> Option<Self> {
         let length = u32::try_from(bytes.len()).ok()?;
         let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
         encoder.write_all(bytes).ok()?;
@@ -25,7 +25,7 @@
     }
 
     /// Returns the original bytes, or `None` if they are damaged.
-    pub(crate) fn unpack(&self) -> Option<Vec<u8>> {
+    pub fn unpack(&self) -> Option<Vec<u8>> {
         let length = usize::try_from(self.length).ok()?;
         let mut bytes = Vec::new();
         // One byte more than stated shows that the length is wrong.
--- a/crates/fleet/src/peer_table.rs
+++ b/crates/fleet/src/peer_table.rs
@@ -26,6 +26,9 @@
     /// Shortest time in microseconds of a call to the store, if one has succeeded.
     #[serde(default)]
     pub store_delay_us: Option<u32>,
+    /// Version of the configuration in force; 0 if there is none.
+    #[serde(default)]
+    pub config_version: u64,
     /// Bandwidth of the host's link in Mbit/s.
     #[serde(default)]
     pub link_mbps: u32,
--- a/crates/fleet/tests/feeds.rs
+++ b/crates/fleet/tests/feeds.rs
@@ -283,6 +283,7 @@
         ready: true,
         store_delay_us,
         link_mbps: 0,
+        config_version: 0,
     }
 }
 
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -15,6 +15,7 @@
         ready,
         store_delay_us: None,
         link_mbps: 0,
+        config_version: 0,
     }
 }
 
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -29,6 +29,7 @@
         ready: true,
         store_delay_us: None,
         link_mbps: 0,
+        config_version: 0,
     }
 }
 
--- a/crates/fulmarline/tests/platform_returns.rs
+++ b/crates/fulmarline/tests/platform_returns.rs
@@ -113,6 +113,42 @@
     }
 }
 
+/// Guards against CONFIG and DRAIN by an entry that starts after the store returned from an older copy: it knew only the copy,
+/// served an older configuration than the others and sent requests to replicas that had left.
+#[test]
+fn an_entry_that_starts_after_a_return_learns_from_the_others() {
+    let mut site = TestSite::start("returns-start", 200, &[]);
+    let copy = site.store.copy();
+    site.configure(&route("lost"));
+    let row = site.orders[0].row("orders", "a", "draining");
+    site.store.put("servers", "o-0", &row);
+    for entry in 0..2 {
+        site.wait_for_route(&[entry], "lost");
+        site.wait("the draining replica in the log", |it| {
+            (lines(it, entry, "replica draining") > 0).then_some(())
+        });
+    }
+    let runs_before = site.orders[0].runs().len();
+    site.store.return_from(&copy);
+    site.add_entry(202, "a");
+    site.wait("a ready entry", |it| {
+        (it.ready(2) == Some(StatusCode::OK)).then_some(())
+    });
+    let ready = Instant::now();
+    site.wait_for_route(&[2], "lost");
+    assert!(ready.elapsed() < CATCH_UP, "{:?}", ready.elapsed());
+    for number in 0..40 {
+        let id = format!("started-{number}");
+        let response = site.call(2, Method::POST, "/order/1", &id, "key-1");
+        assert_eq!(response.unwrap().status, StatusCode::OK);
+    }
+    assert_eq!(
+        site.orders[0].runs().len(),
+        runs_before,
+        "a departure was undone"
+    );
+}
+
 /// Guards against rows of the system that stay lost after the store returned from an older copy: entries that start later
 /// did not find the others, and took a version of weights that was declared a moment ago for an old one.
 #[test]
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -6,9 +6,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fleet::{
-    ConfigFreshness, ConfigHistory, FeedMirror, FeedTable, HealthTable, LoadTable, LogKind,
-    LogRateLimiter, PeerRecord, PeerTable, ReplicaCatalog, RetryBudget, RouteTable, StoreClock,
-    VersionTable,
+    ConfigFreshness, ConfigHistory, ConfigLag, FeedMirror, FeedTable, HealthTable, LoadTable,
+    LogKind, LogRateLimiter, PeerRecord, PeerTable, ReplicaCatalog, RetryBudget, RouteTable,
+    StoreClock, VersionTable,
 };
 use httpio::{BufferBudget, HttpClient};
 use platform::{NodeSettings, StoreClient};
@@ -25,6 +25,10 @@
 pub(crate) struct EntryState {
     /// Configuration in force; `None` until one has been read.
     pub(crate) routes: Option<Arc<RouteTable>>,
+    /// The document in force, for entries that start.
+    pub(crate) config_document: Option<Arc<[u8]>>,
+    /// Entries that have a newer configuration.
+    pub(crate) config_lag: ConfigLag,
     /// Which documents have been in force.
     pub(crate) config_history: ConfigHistory,
     /// When the configuration was last confirmed to be the newest.
@@ -158,6 +162,8 @@
             stop_began_at: Mutex::new(None),
             state: Mutex::new(EntryState {
                 routes: None,
+                config_document: None,
+                config_lag: ConfigLag::new(started_at),
                 config_history: ConfigHistory::default(),
                 freshness: ConfigFreshness::new(max_config_age),
                 store_clock: StoreClock::default(),
@@ -252,7 +258,10 @@
 
     /// Returns the record that describes this entry to other entries.
     pub(crate) fn own_record(&self) -> PeerRecord {
-        let store_delay_us = self.state().store_delay_us;
+        let state = self.state();
+        let store_delay_us = state.store_delay_us;
+        let config_version = state.routes.as_ref().map_or(0, |it| it.version());
+        drop(state);
         PeerRecord {
             node: self.settings.node.clone(),
             incarnation: self.incarnation,
@@ -262,6 +271,7 @@
             region: self.settings.region.clone(),
             ready: self.is_ready(),
             store_delay_us,
+            config_version,
             // Bandwidths are whole numbers of Mbit/s except on very slow links.
             link_mbps: self.settings.link_mbps.max(0.0) as u32,
         }
--- a/crates/ingress/src/feed_relay.rs
+++ b/crates/ingress/src/feed_relay.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::{FeedResponse, FeedTable};
+use fleet::{FeedResponse, FeedTable, PackedBytes};
 use httpio::{HttpBody, Incoming, Request, Response, StatusCode};
 use relay::RelayRequest;
 
@@ -16,6 +16,9 @@
     shared: Arc<EntryShared>,
     request: Request<Incoming>,
 ) -> Response<HttpBody> {
+    if let Some(version) = relay::parse_config_path(request.uri().path()) {
+        return config_response(&shared, version);
+    }
     let mut response = Response::new(httpio::empty());
     let Some(feed_request) = RelayRequest::parse(request.uri().path()) else {
         *response.status_mut() = StatusCode::NOT_FOUND;
@@ -39,6 +42,26 @@
     }
 }
 
+/// Responds with the configuration in force if it is newer than `version`.
+fn config_response(shared: &EntryShared, version: u64) -> Response<HttpBody> {
+    let state = shared.state();
+    let is_newer = state
+        .routes
+        .as_ref()
+        .is_some_and(|it| it.version() > version);
+    let document = state.config_document.clone().filter(|_| is_newer);
+    drop(state);
+    let packed = document.and_then(|it| PackedBytes::pack(&it));
+    let Some(packed) = packed else {
+        let mut response = Response::new(httpio::empty());
+        *response.status_mut() = StatusCode::NO_CONTENT;
+        return response;
+    };
+    let bytes = postcard::to_allocvec(&packed).expect("encoding bytes cannot fail");
+    shared.metrics.count_sent("config", bytes.len());
+    Response::new(httpio::full(bytes))
+}
+
 async fn wait_for_changes(
     shared: &EntryShared,
     feed_request: RelayRequest,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -8,6 +8,7 @@
 mod boot_clock;
 mod buffered_relay;
 mod client_call;
+mod config_catch_up;
 mod crash_guard;
 mod crash_probe;
 mod declaration_log;
--- a/crates/ingress/src/operator_rows.rs
+++ b/crates/ingress/src/operator_rows.rs
@@ -16,14 +16,15 @@
             continue;
         };
         if row.key == CONFIG_KEY {
-            apply_config(shared, bytes, row.position);
+            apply_config(shared, bytes, Some(row.position));
         } else if row.key.starts_with(VERSION_PREFIX) {
             apply_version(shared, bytes, row.known_since);
         }
     }
 }
 
-fn apply_config(shared: &EntryShared, bytes: &[u8], position: StorePosition) {
+/// Puts a configuration in force if it is newer. `position` is that of its row, or `None` if another entry has sent it.
+pub(crate) fn apply_config(shared: &EntryShared, bytes: &[u8], position: Option<StorePosition>) {
     let table = match platform::decode_config(bytes) {
         Ok(it) => it,
         Err(err) => {
@@ -41,9 +42,10 @@
         "version" => table.version(),
         "before" => current,
         "routes" => table.route_count(),
-        "position" => position.to_string(),
+        "position" => position.map(|it| it.to_string()),
     );
     state.routes = Some(Arc::new(table));
+    state.config_document = Some(bytes.into());
 }
 
 fn apply_version(shared: &EntryShared, bytes: &[u8], known_since: Option<Instant>) {
--- a/crates/ingress/src/peer_exchange.rs
+++ b/crates/ingress/src/peer_exchange.rs
@@ -15,7 +15,7 @@
 
 use crate::entry_shared::EntryShared;
 use crate::zone_exchange::{self, ReportFilter};
-use crate::{crash_guard, departure_guard, limit_guard, peer_evidence};
+use crate::{config_catch_up, crash_guard, departure_guard, limit_guard, peer_evidence};
 
 /// Store table in which entries register.
 pub(crate) const ENTRY_TABLE: &str = "entries";
@@ -257,7 +257,7 @@
 }
 
 fn handle_heartbeat(
-    shared: &EntryShared,
+    shared: &Arc<EntryShared>,
     heartbeat: EntryHeartbeat,
     last_seen: &mut BTreeMap<String, (u64, u64)>,
 ) {
@@ -275,6 +275,7 @@
     record_declarations(shared, &heartbeat.weights, now);
     let (crashes, limits) = (heartbeat.crashes.as_ref(), heartbeat.limits.as_ref());
     departure_guard::merge(shared, &heartbeat.departures);
+    config_catch_up::consider(shared, &heartbeat.record);
     peer_evidence::merge(shared, crashes, limits, DigestSource::Entry);
     let mut state = shared.state();
     state.loads.update_peer(&node, loads, now);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fleet::{FeedResponse, FeedTable, StorePosition};
+use fleet::{FeedResponse, FeedTable, PackedBytes, StorePosition};
 use httpio::{HttpClient, Request, StatusCode};
 
 /// A request for the changes of a table, encoded in the path of an HTTP request.
@@ -98,6 +98,47 @@
     response.unwrap_or_else(|_| Err("timed out".to_owned()))
 }
 
+/// Returns the path of a request for a configuration that is newer than `version`.
+pub fn config_path(version: u64) -> String {
+    format!("{CONFIG_PREFIX}{version}")
+}
+
+/// Parses a path of [`config_path`].
+pub fn parse_config_path(path: &str) -> Option<u64> {
+    path.strip_prefix(CONFIG_PREFIX)?.parse().ok()
+}
+
+/// Fetches the configuration in force at the entry at `address`; returns `None` if it is not newer than `version`.
+///
+/// # Errors
+///
+/// Returns the reason if the request fails or the response is invalid.
+pub async fn fetch_config(
+    client: &HttpClient,
+    address: SocketAddr,
+    version: u64,
+) -> Result<Option<Vec<u8>>, String> {
+    let request = Request::builder()
+        .uri(config_path(version))
+        .body(httpio::empty())
+        .map_err(|it| it.to_string())?;
+    let exchange = async {
+        let response = client.send(address, request).await;
+        let response = response.map_err(|it| it.to_string())?;
+        let read = response.read_with_idle_timeout(client, MAX_RESPONSE_BYTES, RESPONSE_TIMEOUT);
+        let response = read.await.map_err(|it| it.to_string())?;
+        if response.status() != StatusCode::OK {
+            return Ok(None);
+        }
+        let packed = postcard::from_bytes::<PackedBytes>(&response.into_body());
+        let packed = packed.map_err(|it| it.to_string())?;
+        packed.unpack().map(Some).ok_or("damaged".to_owned())
+    };
+    let response = tokio::time::timeout(MAX_BODY_TIME, exchange).await;
+    response.unwrap_or_else(|_| Err("timed out".to_owned()))
+}
+
+const CONFIG_PREFIX: &str = "/config/";
 const OPERATOR_SEGMENT: &str = "operator";
 const REPLICAS_SEGMENT: &str = "replicas";
 const LONG_POLL_SEGMENT: &str = "hold";
