A resumed stream does not end as complete with a success that is no stream

Here nine answers of the next replica were tried at two entries each: the text, head or status of an error never reaches the client's stream; but 204 No Content ended it as complete.

Cause: any success was taken for the rest of the stream. Ruled out: errors, refusals, redirects, unsigned answers and text without events, which break the stream visibly.

Change: the rest of a stream that has begun needs status 200.

--- a/crates/ingress/src/attempt_start.rs
+++ b/crates/ingress/src/attempt_start.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use fleet::ChosenReplica;
+use httpio::StatusCode;
 
 use crate::client_call::ClientCall;
 use crate::entry_shared::EntryShared;
@@ -20,17 +21,21 @@
 }
 
 /// Sends the request to `chosen` and waits for the first event, or until the weights of the replica are too old.
+/// `is_resumed` is whether the client has received events of another replica.
 pub(crate) async fn start_attempt(
     shared: Arc<EntryShared>,
     call: Arc<ClientCall>,
     chosen: ChosenReplica,
     last_event_id: Option<u64>,
+    is_resumed: bool,
 ) -> AttemptStart {
     let mut segment = match StreamSegment::open(&shared, &call, &chosen, last_event_id).await {
         Ok(segment) => segment,
         Err(outcome) => return AttemptStart::Failed(chosen.replica.id, outcome),
     };
-    if !segment.status().is_success() {
+    // The rest of a stream that has begun can only be more of the same response.
+    let is_expected = |it: StatusCode| it == StatusCode::OK || it.is_success() && !is_resumed;
+    if !is_expected(segment.status()) {
         return AttemptStart::Error(Box::new(segment));
     }
     let read = segment.read_first_events().await;
--- a/crates/ingress/src/stream_attempts.rs
+++ b/crates/ingress/src/stream_attempts.rs
@@ -345,6 +345,7 @@
             self.call.clone(),
             chosen,
             self.last_event_id,
+            self.has_events,
         )));
         Ok(())
     }
