After an outage of the store both tables are read as soon as one of them shows its return

Cause: each feed waited for its own call (up to 3.7 s held, 1.2 s as a probe) and its own backoff on top of a time-out (up to 0.8 s). Evidence: platform_outages, four silences of 4 to 5.2 s: both tables current 1.2 to 1.95 s after the return at the later of two entries, in two of two runs. Ruled out: the relays, since the zones of that test have none.

Change: probes of a store that is away wait 0.6 s and follow each other after 0.1 s if they are not answered (refusals keep their backoff); a feed that finds the store wakes the other one, which repeats a call that the store held. The test of real processes measures times, so it is run by hand.

--- a/crates/emulator/src/feed_simulation.rs
+++ b/crates/emulator/src/feed_simulation.rs
@@ -179,7 +179,7 @@
             Event::Rows(entry, call, page) => self.receive_rows(entry, call, page),
             Event::Relayed(entry, call, response) => self.receive_relayed(entry, call, *response),
             Event::NotReady(entry, call) => self.finish(entry, call, FeedOutcome::Late),
-            Event::TimedOut(entry, call) => self.finish(entry, call, FeedOutcome::Failed),
+            Event::TimedOut(entry, call) => self.finish(entry, call, FeedOutcome::TimedOut),
             Event::Thaw(entry) => {
                 self.entries[entry].is_up = true;
                 self.entries[entry].call = None;
--- a/crates/fleet/src/feed_plan.rs
+++ b/crates/fleet/src/feed_plan.rs
@@ -45,6 +45,8 @@
     HistoryExpired,
     /// There was no valid response.
     Failed,
+    /// The store has not responded in time.
+    TimedOut,
 }
 
 /// What an entry is to the others that follow the same table.
@@ -181,7 +183,7 @@
         now: Instant,
     ) -> Duration {
         let is_relayed = matches!(call, FeedCall::Entry { .. });
-        if is_relayed && outcome != FeedOutcome::Failed {
+        if is_relayed && !matches!(outcome, FeedOutcome::Failed | FeedOutcome::TimedOut) {
             self.unanswered = 0;
         }
         match outcome {
@@ -195,10 +197,10 @@
                 self.had_repeats = has_repeats;
                 self.record_changes(changes, now);
                 self.current_at = now.checked_sub(age).unwrap_or(now);
+                self.failures = 0;
                 if is_relayed {
                     return Duration::ZERO;
                 }
-                self.failures = 0;
                 batch_delay(self.table)
             }
             FeedOutcome::HistoryExpired => {
@@ -211,7 +213,7 @@
                 self.turn_from_entry(self.is_too_late(count + 1, since, now), now);
                 LATE_PAUSE
             }
-            FeedOutcome::Failed if is_relayed => {
+            FeedOutcome::Failed | FeedOutcome::TimedOut if is_relayed => {
                 self.unanswered += 1;
                 let (sources, rank) = match self.role {
                     FeedRole::Reader | FeedRole::ZoneReader => (1, 0),
@@ -232,6 +234,11 @@
                 self.failures += 1;
                 retry_backoff(self.failures, jitter)
             }
+            // The time-out has been a pause already.
+            FeedOutcome::TimedOut => {
+                self.failures += 1;
+                retry_backoff(0, jitter)
+            }
         }
     }
 
@@ -277,6 +284,12 @@
         self.failures
     }
 
+    /// Returns the time for a response of the store beyond the wait that is requested, if it differs from the usual one: while
+    /// the store is away, calls are probes of its return.
+    pub fn probe_timeout(&self) -> Option<Duration> {
+        (self.failures > 0).then_some(PROBE_TIMEOUT)
+    }
+
     /// Returns whether the store was away before the call that has just succeeded. One call without a response shows only
     /// that its connection has failed.
     pub fn is_after_outage(&self) -> bool {
@@ -342,6 +355,9 @@
 /// Pause after a read of the replicas' rows; well below the bound on draining (2 s).
 const REPLICAS_BATCH_DELAY: Duration = Duration::from_millis(300);
 
+/// Time for the response to a probe. A call that normally takes 4 ms takes 240 ms if the store is slowed down 60 times.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Consecutive failures from which on the store counts as having been away.
 const MIN_OUTAGE_FAILURES: u32 = 2;
 
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -100,6 +100,8 @@
     pub(crate) load_changed: Notify,
     /// Wakes requests that wait for the evidence of other entries.
     pub(crate) evidence_received: Notify,
+    /// Wakes the feeds when one of them has shown that the store is back.
+    pub(crate) store_regained: Notify,
     /// Latest known era of the store. Notifies the tasks that write rows again which the store may have lost.
     pub(crate) store_era: watch::Sender<u64>,
     /// Notifies requests that have not begun when parts may have been held back.
@@ -154,6 +156,7 @@
             load_changed: Notify::new(),
             weights_declared: Notify::new(),
             evidence_received: Notify::new(),
+            store_regained: Notify::new(),
             store_era: watch::Sender::new(0),
             holds_changed: watch::Sender::new(()),
             started_at,
--- a/crates/ingress/src/feed_loop.rs
+++ b/crates/ingress/src/feed_loop.rs
@@ -8,7 +8,7 @@
 use fleet::{
     FeedCall, FeedChange, FeedContinuity, FeedOutcome, FeedPlan, FeedRead, FeedTable, StorePosition,
 };
-use platform::{CallError, RowPage, WatchResponse, table_name};
+use platform::{CallError, RowPage, StoreClient, WatchResponse, table_name};
 use relay::RelayRequest;
 use slog::{info, warn};
 
@@ -24,6 +24,10 @@
     HistoryExpired,
     /// The response comes from an earlier life of the store, with this era.
     EarlierLife(u64),
+    /// The store has not responded in time.
+    TimedOut,
+    /// The feed of another table has shown that the store is back after an outage.
+    Superseded,
 }
 
 /// Changes that a read has brought.
@@ -70,20 +74,16 @@
                 tokio::time::sleep(delay).await;
                 read_entry(&shared, table, address, plan.is_zone_reader()).await
             }
-            FeedCall::Changes { wait } => {
-                let result = read_changes(&shared, table, wait, &plan).await;
-                result.map_err(|it| it.to_string())
-            }
-            FeedCall::Table => {
-                let result = read_rows(&shared, table, &plan).await;
-                result.map_err(|it| it.to_string())
+            FeedCall::Changes { .. } | FeedCall::Table => {
+                read_store(&shared, table, call, &plan).await
             }
         };
         count_read(&shared, table, reader.is_some(), &result);
         let failures = plan.failures();
         let outcome = match result {
             Ok(ReadResult::Update(update)) => {
-                if failures > 0 {
+                if failures > 0 && reader.is_none() {
+                    shared.store_regained.notify_waiters();
                     info!(shared.log, "store regained"; "table" => table_name(table), "failures" => failures);
                 }
                 if followed != reader {
@@ -107,13 +107,22 @@
                 warn!(shared.log, "response of an earlier life of the store dropped"; "table" => table_name(table), "era" => era);
                 FeedOutcome::Failed
             }
+            Ok(ReadResult::TimedOut) => {
+                record_failure(&shared, table, None, failures, "no response: timed out");
+                FeedOutcome::TimedOut
+            }
+            // The next call is sent at once.
+            Ok(ReadResult::Superseded) => continue,
             Err(err) => {
                 record_failure(&shared, table, reader, failures, &err);
                 FeedOutcome::Failed
             }
         };
         let pause = plan.record(call, outcome, rand::random(), Instant::now());
-        if !pause.is_zero() {
+        if plan.failures() > 0 {
+            // The end of the pause and the return of the store are handled alike.
+            let _ = tokio::time::timeout(pause, shared.store_regained.notified()).await;
+        } else if !pause.is_zero() {
             tokio::time::sleep(pause).await;
         }
         if table == FeedTable::Replicas {
@@ -122,6 +131,37 @@
     }
 }
 
+/// Reads the store, unless another feed shows meanwhile that it is back after an outage: a call that the store held before
+/// may never be answered.
+async fn read_store(
+    shared: &EntryShared,
+    table: FeedTable,
+    call: FeedCall,
+    plan: &FeedPlan,
+) -> Result<ReadResult, String> {
+    let read = async {
+        match call {
+            FeedCall::Changes { wait } => read_changes(shared, table, wait, plan).await,
+            FeedCall::Entry { .. } | FeedCall::Table => read_rows(shared, table, plan).await,
+        }
+    };
+    tokio::select! {
+        result = read => match result {
+            Err(CallError::TimedOut) => Ok(ReadResult::TimedOut),
+            result => result.map_err(|it| it.to_string()),
+        },
+        () = shared.store_regained.notified(), if plan.failures() == 0 => Ok(ReadResult::Superseded),
+    }
+}
+
+/// Returns the client for a read, which does not wait long for a store that is away.
+fn store_client(shared: &EntryShared, plan: &FeedPlan) -> StoreClient {
+    match plan.probe_timeout() {
+        Some(timeout) => shared.store.with_timeout(timeout),
+        None => shared.store.clone(),
+    }
+}
+
 /// Returns the time within which a change of `table` must be in force.
 pub(crate) fn change_bound(shared: &EntryShared, table: FeedTable) -> Duration {
     let bounds = &shared.settings.bounds;
@@ -225,7 +265,8 @@
     };
     let sent = boot_clock::now();
     let name = table_name(table);
-    let page = match shared.store.watch(name, since, wait).await? {
+    let store = store_client(shared, plan);
+    let page = match store.watch(name, since, wait).await? {
         WatchResponse::Changed(page) => page,
         WatchResponse::HistoryExpired => return Ok(ReadResult::HistoryExpired),
     };
@@ -257,7 +298,8 @@
     plan: &FeedPlan,
 ) -> Result<ReadResult, CallError> {
     let sent = boot_clock::now();
-    let page = shared.store.read_table(table_name(table)).await?;
+    let store = store_client(shared, plan);
+    let page = store.read_table(table_name(table)).await?;
     let known_era = known_era(shared, table);
     let era = page.era.unwrap_or(known_era);
     if shared.state().feed(table).continuity(era) == FeedContinuity::EarlierLife {
@@ -383,7 +425,8 @@
         Ok(ReadResult::NotReady) => "not_ready",
         Ok(ReadResult::HistoryExpired) => "history_gone",
         Ok(ReadResult::EarlierLife(_)) => "earlier_life",
-        Err(_) => "failed",
+        Ok(ReadResult::Superseded) => "superseded",
+        Ok(ReadResult::TimedOut) | Err(_) => "failed",
     };
     let counter = if is_relayed {
         &shared.metrics.relayed_reads
