--- a/crates/fleet/tests/feed_plan.rs
+++ b/crates/fleet/tests/feed_plan.rs
@@ -80,30 +80,45 @@
 #[test]
 fn followers_of_late_readers_turn_to_the_store_one_after_another() {
     let late = [(500, FeedOutcome::Late); 6];
-    check("far", 3, &late, &expect![[r#"
+    check(
+        "far",
+        3,
+        &late,
+        &expect![[r#"
         entry 10.0.0.1 of the own zone after 0ns, pause 100ms
         entry 10.0.0.2 of the own zone after 0ns, pause 100ms
         changes within 2s, pause 100ms
         changes within 2s, pause 100ms
         changes within 2s, pause 100ms
         changes within 2s, pause 100ms
-    "#]]);
-    check("far", 4, &late, &expect![[r#"
+    "#]],
+    );
+    check(
+        "far",
+        4,
+        &late,
+        &expect![[r#"
         entry 10.0.0.2 of the own zone after 0ns, pause 100ms
         entry 10.0.0.1 of the own zone after 0ns, pause 100ms
         changes within 2s, pause 100ms
         changes within 2s, pause 100ms
         changes within 2s, pause 100ms
         changes within 2s, pause 100ms
-    "#]]);
-    check("far", 8, &late, &expect![[r#"
+    "#]],
+    );
+    check(
+        "far",
+        8,
+        &late,
+        &expect![[r#"
         entry 10.0.0.2 of the own zone after 0ns, pause 100ms
         entry 10.0.0.1 of the own zone after 0ns, pause 100ms
         entry 10.0.0.3 of the own zone after 250ms, pause 100ms
         entry 10.0.0.2 of the own zone after 0ns, pause 100ms
         entry 10.0.0.1 of the own zone after 0ns, pause 100ms
         entry 10.0.0.3 of the own zone after 250ms, pause 100ms
-    "#]]);
+    "#]],
+    );
 }
 
 /// Guards against CONFIG while a reader near the store fails: a reader of another zone tries no other entry before the store.
@@ -116,13 +131,18 @@
         (1600, updated(0)),
         (9, updated(0)),
     ];
-    check("far", 1, &outcomes, &expect![[r#"
+    check(
+        "far",
+        1,
+        &outcomes,
+        &expect![[r#"
         entry 10.0.0.1 of the own zone after 0ns, pause 0ns
         changes within 1.55s, pause 0ns
         changes within 1.55s, pause 0ns
         changes within 1.55s, pause 0ns
         entry 10.0.0.1 of the own zone after 0ns, pause 0ns
-    "#]]);
+    "#]],
+    );
 }
 
 /// Guards against CONFIG over a slow link: the store sends every version between, so a reader that is behind fell back further.
@@ -140,13 +160,18 @@
         (400, updated(1)),
         (500, updated(1)),
     ];
-    check("near", 1, &outcomes, &expect![[r#"
+    check(
+        "near",
+        1,
+        &outcomes,
+        &expect![[r#"
         changes within 1.55s, pause 0ns
         changes within 1.55s, pause 0ns
         changes within 1.55s, pause 0ns
         all rows, pause 0ns
         changes within 1.55s, pause 0ns
-    "#]]);
+    "#]],
+    );
 }
 
 /// Guards against CONFIG and DRAIN after an outage (hunt-717a-7): a feed found the store's return up to 2 s late.
@@ -154,8 +179,7 @@
 fn a_store_that_is_away_is_probed_often() {
     let now = Instant::now();
     let (mut plan, peers, own) = plan("near", 1, now);
-    let mut failures = 0;
-    for _ in 0..10 {
+    for failures in 0..10 {
         let call = plan.next_call(&peers, &own, true, now);
         let timeout = plan.probe_timeout();
         if failures > 0 {
@@ -167,7 +191,6 @@
             );
         }
         let pause = plan.record(call, FeedOutcome::TimedOut, 1.0, now);
-        failures += 1;
         let probe_time = timeout.unwrap_or_default() + pause;
         assert!(probe_time <= MAX_PROBE_TIME, "{probe_time:?}");
     }
