--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod bench_control_report;
 mod bench_control_sample;
 mod bench_crashes;
+mod bench_feeds;
 mod bench_limits;
 mod bench_requests;
 mod bench_spread;
@@ -40,6 +41,11 @@
         summary: "emulates requests that crash replicas; a number N runs N seeds of each scenario",
         run: bench_crashes::run,
     },
+    Task {
+        name: &["bench", "feeds"],
+        summary: "emulates entries that follow the configuration over thin links; N runs N seeds, a second word only the cases that begin so",
+        run: bench_feeds::run,
+    },
     Task {
         name: &["bench", "limits"],
         summary: "emulates requests at replicas that name limits; N runs N seeds, a second word only the cases that begin so",
