Differences are computed when they are requested, and heartbeats tell rarely whom others read from

Two costs of the feeds, found by reading: each entry computed the difference between two configurations even if nobody follows it, and each heartbeat (up to 66 a second to each entry of the zone) carried eight bytes that change once a minute.

Change: a row keeps the value before and computes the difference at the first request for it; followers that nobody follows compute none. What decides whom others read from is sent at the rhythm of the digests, 0.7 s and after changes, and kept until then.

Processor time before and after was not measured apart.

--- a/crates/emulator/src/feed_simulation.rs
+++ b/crates/emulator/src/feed_simulation.rs
@@ -8,7 +8,7 @@
 
 use fleet::{
     FeedCall, FeedChange, FeedMirror, FeedOutcome, FeedPlan, FeedResponse, FeedTable, PeerRecord,
-    PeerTable, StorePosition,
+    PeerTable, ReadingState, StorePosition,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -226,10 +226,12 @@
             zone: format!("z{zone}"),
             region: format!("r{zone}"),
             ready: true,
-            link_mbps: 0,
-            config_version: 0,
-            // The delay of the first region grows with the distance from it.
-            store_delay_us: Some(5000 + u32::from(zone > 0) * 5600),
+            reading: Some(ReadingState {
+                // The delay of the first region grows with the distance from it.
+                store_delay_us: Some(5000 + u32::from(zone > 0) * 5600),
+                link_mbps: 0,
+                config_version: 0,
+            }),
         }
     }
 
--- a/crates/fleet/src/feed_mirror.rs
+++ b/crates/fleet/src/feed_mirror.rs
@@ -110,8 +110,12 @@
     from_copy: bool,
     /// The value as it is sent, once it has been.
     packed: OnceCell<PackedBytes>,
-    /// Differences between the last values of this era, each with the position of the value that it starts from.
-    patches: VecDeque<(StorePosition, RowPatch)>,
+    /// The value before this one in the same era, if both are large, with its position.
+    previous: Option<(StorePosition, Vec<u8>)>,
+    /// The difference from the previous value, once it has been requested; `None` in it if that is not small.
+    newest_patch: OnceCell<Option<RowPatch>>,
+    /// Differences between the values before, each with the position of the value that it starts from.
+    older_patches: VecDeque<(StorePosition, RowPatch)>,
 }
 
 /// How a response of the store continues the copy of a table.
@@ -126,20 +130,64 @@
 }
 
 impl MirrorRow {
+    /// Returns the row that `change` replaces `before` by.
+    fn new(change: &FeedChange, before: Option<Self>) -> Self {
+        let mut row = Self {
+            position: change.position,
+            value: change.value.clone(),
+            known_since: change.known_since,
+            after_outage: change.after_outage,
+            from_copy: change.from_copy,
+            packed: OnceCell::new(),
+            previous: None,
+            newest_patch: OnceCell::new(),
+            older_patches: VecDeque::new(),
+        };
+        let same_era = before.filter(|it| it.position.era() == change.position.era());
+        let Some(mut before) = same_era else {
+            return row;
+        };
+        // Differences lead from one value to the next only if each of them is known.
+        let base = before.previous.take();
+        if let (Some((base, _)), Some(Some(patch))) = (base, before.newest_patch.take()) {
+            row.older_patches = before.older_patches;
+            if row.older_patches.len() == MAX_PATCHES {
+                row.older_patches.pop_front();
+            }
+            row.older_patches.push_back((base, patch));
+        }
+        let is_large = |it: &Vec<u8>| it.len() >= MIN_PATCHED_BYTES;
+        row.previous = before
+            .value
+            .filter(is_large)
+            .map(|it| (before.position, it));
+        row
+    }
+
     /// Returns the content for a receiver that has the rows as of `since`: differences from its value if they are known,
     /// or the whole value.
     fn content_since(&self, since: Option<StorePosition>) -> RowContent {
         let Some(value) = &self.value else {
             return RowContent::Removed;
         };
-        let newest = |since: StorePosition| self.patches.iter().rposition(|it| it.0 <= since);
-        match since.and_then(newest) {
-            Some(first) => {
-                let patches = self.patches.range(first..).map(|it| it.1.clone());
-                RowContent::Patches(patches.collect())
-            }
-            None => self.whole(value),
-        }
+        let patches = since.and_then(|it| self.patches_since(it, value));
+        patches.map_or_else(|| self.whole(value), RowContent::Patches)
+    }
+
+    fn patches_since(&self, since: StorePosition, value: &[u8]) -> Option<Vec<RowPatch>> {
+        let (base, old) = self.previous.as_ref()?;
+        let older = if *base <= since {
+            Vec::new()
+        } else {
+            let first = self.older_patches.iter().rposition(|it| it.0 <= since)?;
+            let older = self.older_patches.range(first..);
+            older.map(|it| it.1.clone()).collect()
+        };
+        let newest = self
+            .newest_patch
+            .get_or_init(|| RowPatch::between(old, value));
+        let newest = newest.clone()?;
+        Some(older.into_iter().chain([newest]).collect())
     }
 
     fn whole(&self, value: &[u8]) -> RowContent {
@@ -154,25 +202,6 @@
             None => RowContent::Value(value.to_vec()),
         }
     }
-
-    /// Returns the differences that lead to `change`, which replaces the row.
-    fn next_patches(&self, change: &FeedChange) -> VecDeque<(StorePosition, RowPatch)> {
-        let (Some(old), Some(new)) = (&self.value, &change.value) else {
-            return VecDeque::new();
-        };
-        let is_same_era = self.position.era() == change.position.era();
-        let is_large = is_same_era && old.len() >= MIN_PATCHED_BYTES;
-        let patch = is_large.then(|| RowPatch::between(old, new)).flatten();
-        let Some(patch) = patch else {
-            return VecDeque::new();
-        };
-        let mut patches = self.patches.clone();
-        if patches.len() == MAX_PATCHES {
-            patches.pop_front();
-        }
-        patches.push_back((self.position, patch));
-        patches
-    }
 }
 
 impl FeedMirror {
@@ -213,16 +242,8 @@
             if existing.is_some_and(|it| it.position >= change.position) {
                 continue;
             }
-            let patches = existing.map(|it| it.next_patches(&change));
-            let row = MirrorRow {
-                position: change.position,
-                value: change.value.clone(),
-                known_since: change.known_since,
-                after_outage: change.after_outage,
-                from_copy: change.from_copy,
-                packed: OnceCell::new(),
-                patches: patches.unwrap_or_default(),
-            };
+            let before = self.rows.remove(&change.key);
+            let row = MirrorRow::new(&change, before);
             self.rows.insert(change.key.clone(), row);
             applied.push(change);
         }
--- a/crates/fleet/src/feed_readers.rs
+++ b/crates/fleet/src/feed_readers.rs
@@ -84,13 +84,14 @@
 
 /// Returns the key by which the entries of a zone are ordered: those with the fastest links send to the others.
 fn reading_order(entry: &PeerRecord) -> (Reverse<u32>, &str) {
-    (Reverse(entry.link_mbps), &entry.node)
+    let link_mbps = entry.reading.map_or(0, |it| it.link_mbps);
+    (Reverse(link_mbps), &entry.node)
 }
 
 /// Returns the zone with the shortest calls to the store, among those of `own` and all live entries.
 fn home_zone<'a>(peers: &'a PeerTable, own: &'a PeerRecord, now: Instant) -> Option<&'a str> {
     let entries = peers.alive(now).chain([own]);
-    let delays = entries.filter_map(|it| Some((it.store_delay_us?, it.zone.as_str())));
+    let delays = entries.filter_map(|it| Some((it.reading?.store_delay_us?, it.zone.as_str())));
     delays.min().map(|it| it.1)
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -59,7 +59,7 @@
 pub use load_table::{LoadSample, LoadTable, ReplicaLoad};
 pub use log_rate_limiter::{LogDecision, LogKind, LogRateLimiter};
 pub use packed_bytes::PackedBytes;
-pub use peer_table::{PeerRecord, PeerTable};
+pub use peer_table::{PeerRecord, PeerTable, ReadingState};
 pub use piece_manifest::PieceManifest;
 pub use piece_set::PieceSet;
 pub use piece_swarm::{FetchOutcome, PieceFetch, PieceSource, PieceSwarm};
--- a/crates/fleet/src/peer_table.rs
+++ b/crates/fleet/src/peer_table.rs
@@ -23,15 +23,20 @@
     pub region: String,
     /// Whether the entry accepts new clients.
     pub ready: bool,
-    /// Shortest time in microseconds of a call to the store, if one has succeeded.
+    /// What decides whom others read changes from. Not every heartbeat contains it, since it changes rarely.
     #[serde(default)]
+    pub reading: Option<ReadingState>,
+}
+
+/// State of an entry that decides whom others read changes from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadingState {
+    /// Shortest time in microseconds of a call to the store, if one has succeeded.
     pub store_delay_us: Option<u32>,
-    /// Version of the configuration in force; 0 if there is none.
-    #[serde(default)]
-    pub config_version: u64,
     /// Bandwidth of the host's link in Mbit/s.
-    #[serde(default)]
     pub link_mbps: u32,
+    /// Version of the configuration in force; 0 if there is none.
+    pub config_version: u64,
 }
 
 /// Entries by name, with the time of the last heartbeat of each.
@@ -62,8 +67,12 @@
     }
 
     /// Records a heartbeat of an entry; returns whether the entry was dead or unknown before.
-    pub fn record_heartbeat(&mut self, record: PeerRecord, now: Instant) -> bool {
+    pub fn record_heartbeat(&mut self, mut record: PeerRecord, now: Instant) -> bool {
         let existing = self.peers.get(&record.node);
+        let same_process = existing.filter(|it| it.record.incarnation == record.incarnation);
+        record.reading = record
+            .reading
+            .or(same_process.and_then(|it| it.record.reading));
         if existing.is_some_and(|it| it.record.incarnation > record.incarnation) {
             return false;
         }
--- a/crates/fleet/tests/feed_plan.rs
+++ b/crates/fleet/tests/feed_plan.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use expect_test::{Expect, expect};
-use fleet::{FeedCall, FeedOutcome, FeedPlan, FeedTable, PeerRecord, PeerTable};
+use fleet::{FeedCall, FeedOutcome, FeedPlan, FeedTable, PeerRecord, PeerTable, ReadingState};
 
 const BOUND: Duration = Duration::from_secs(3);
 
@@ -21,9 +21,11 @@
         zone: zone.to_owned(),
         region: zone.to_owned(),
         ready: true,
-        store_delay_us: Some(if zone == "near" { 4000 } else { 9600 }),
-        link_mbps: 40,
-        config_version: 1,
+        reading: Some(ReadingState {
+            store_delay_us: Some(if zone == "near" { 4000 } else { 9600 }),
+            link_mbps: 40,
+            config_version: 1,
+        }),
     }
 }
 
--- a/crates/fleet/tests/feeds.rs
+++ b/crates/fleet/tests/feeds.rs
@@ -6,7 +6,7 @@
 use expect_test::{Expect, expect};
 use fleet::{
     FeedChange, FeedMirror, FeedRead, FeedResponse, FeedSource, FeedTable, PeerRecord, PeerTable,
-    StoreClock, StorePosition, feed_source,
+    ReadingState, StoreClock, StorePosition, feed_source,
 };
 
 /// Returns a position in the first life of the store.
@@ -281,9 +281,10 @@
         zone: zone.to_owned(),
         region: "r1".to_owned(),
         ready: true,
-        store_delay_us,
-        link_mbps: 0,
-        config_version: 0,
+        reading: Some(ReadingState {
+            store_delay_us,
+            ..ReadingState::default()
+        }),
     }
 }
 
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -13,9 +13,7 @@
         zone: "a".to_owned(),
         region: "r".to_owned(),
         ready,
-        store_delay_us: None,
-        link_mbps: 0,
-        config_version: 0,
+        reading: None,
     }
 }
 
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -27,9 +27,7 @@
         zone: format!("z{zone}"),
         region: format!("r{zone}"),
         ready: true,
-        store_delay_us: None,
-        link_mbps: 0,
-        config_version: 0,
+        reading: None,
     }
 }
 
--- a/crates/ingress/src/config_catch_up.rs
+++ b/crates/ingress/src/config_catch_up.rs
@@ -14,7 +14,8 @@
     let mut state = shared.state();
     let own = state.routes.as_ref().map_or(0, |it| it.version());
     let now = Instant::now();
-    let must_ask = state.config_lag.record(own, peer.config_version, now);
+    let newest = peer.reading.map_or(0, |it| it.config_version);
+    let must_ask = state.config_lag.record(own, newest, now);
     drop(state);
     if must_ask {
         tokio::spawn(fetch(shared.clone(), peer.clone(), own));
@@ -24,7 +25,7 @@
 async fn fetch(shared: Arc<EntryShared>, peer: PeerRecord, own: u64) {
     match relay::fetch_config(&shared.replica_client, peer.inner, own).await {
         Ok(Some(document)) => {
-            info!(shared.log, "configuration of another entry"; "entry" => &peer.node, "version" => peer.config_version);
+            info!(shared.log, "configuration of another entry"; "entry" => &peer.node, "version" => peer.reading.map(|it| it.config_version));
             operator_rows::apply_config(&shared, &document, None);
         }
         // The feed has brought it meanwhile, or the entry has started again.
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -7,8 +7,8 @@
 
 use fleet::{
     ConfigFreshness, ConfigHistory, ConfigLag, FeedMirror, FeedTable, HealthTable, LoadTable,
-    LogKind, LogRateLimiter, PeerRecord, PeerTable, ReplicaCatalog, RetryBudget, RouteTable,
-    StoreClock, VersionTable,
+    LogKind, LogRateLimiter, PeerRecord, PeerTable, ReadingState, ReplicaCatalog, RetryBudget,
+    RouteTable, StoreClock, VersionTable,
 };
 use httpio::{BufferBudget, HttpClient};
 use platform::{NodeSettings, StoreClient};
@@ -262,8 +262,12 @@
     /// Returns the record that describes this entry to other entries.
     pub(crate) fn own_record(&self) -> PeerRecord {
         let state = self.state();
-        let store_delay_us = state.store_delay_us;
-        let config_version = state.routes.as_ref().map_or(0, |it| it.version());
+        let reading = ReadingState {
+            store_delay_us: state.store_delay_us,
+            // Bandwidths are whole numbers of Mbit/s except on very slow links.
+            link_mbps: self.settings.link_mbps.max(0.0) as u32,
+            config_version: state.routes.as_ref().map_or(0, |it| it.version()),
+        };
         drop(state);
         PeerRecord {
             node: self.settings.node.clone(),
@@ -273,10 +277,7 @@
             zone: self.settings.zone.clone(),
             region: self.settings.region.clone(),
             ready: self.is_ready(),
-            store_delay_us,
-            config_version,
-            // Bandwidths are whole numbers of Mbit/s except on very slow links.
-            link_mbps: self.settings.link_mbps.max(0.0) as u32,
+            reading: Some(reading),
         }
     }
 }
--- a/crates/ingress/src/peer_exchange.rs
+++ b/crates/ingress/src/peer_exchange.rs
@@ -170,7 +170,7 @@
 }
 
 fn own_heartbeat(shared: &EntryShared, sequence: u64) -> EntryHeartbeat {
-    let record = shared.own_record();
+    let mut record = shared.own_record();
     let now = Instant::now();
     let mut state = shared.state();
     let is_due = state.heartbeat_digest.is_due(now);
@@ -180,6 +180,7 @@
     });
     let limits = is_due.then(|| limit_guard::digest(shared, &mut state));
     let departures = is_due.then(|| departure_guard::records(&state, now));
+    record.reading = record.reading.filter(|_| is_due);
     EntryHeartbeat {
         crashes,
         limits: limits.flatten(),
