A difference that is applied to another value of the same length is tested

Of four mutations (era ignored in comparisons, departures ignored, digest of a difference ignored, all late followers turning to the store at once) three were found by a test; without the digest all passed. The new test fails without it.

--- a/crates/fleet/tests/feeds.rs
+++ b/crates/fleet/tests/feeds.rs
@@ -6,7 +6,7 @@
 use expect_test::{Expect, expect};
 use fleet::{
     FeedChange, FeedMirror, FeedRead, FeedResponse, FeedSource, FeedTable, PeerRecord, PeerTable,
-    ReadingState, StoreClock, StorePosition, feed_source,
+    ReadingState, RowPatch, StoreClock, StorePosition, feed_source,
 };
 
 /// Returns a position in the first life of the store.
@@ -469,6 +469,18 @@
     }
 }
 
+/// Guards against a configuration that nobody has written: the digest of the whole shows that a difference was applied to
+/// another value of the same length.
+#[test]
+fn a_difference_is_applied_to_its_own_value_only() {
+    let (old, new) = (large_value(1), large_value(2));
+    let patch = RowPatch::between(old.as_bytes(), new.as_bytes()).unwrap();
+    assert_eq!(patch.apply(old.as_bytes()), Some(new.into_bytes()));
+    let other = old.replace("\"name\":7,", "\"name\":8,");
+    assert_eq!(other.len(), old.len());
+    assert_eq!(patch.apply(other.as_bytes()), None);
+}
+
 /// Guards against a configuration that nobody has written: a difference is applied only to the value that it starts from.
 #[test]
 fn a_difference_that_does_not_fit_is_not_applied() {
