An entry that starts on a clock set back is heard once its predecessor is dead

Callers would see fewer entries: others never hear such an entry again in its lifetime, so no directory but its own lists it.

Ruled out: accepting any other start time at once, since late datagrams of a dead process would take back what its successor says.

Measured: the test passes; platform_feeds and platform_named_limits pass.

--- a/crates/fleet/src/peer_table.rs
+++ b/crates/fleet/src/peer_table.rs
@@ -66,16 +66,25 @@
         self.peers.insert(entry.record.node.clone(), entry);
     }
 
+    /// Returns whether a heartbeat comes from the current process of its entry, or from one that replaces it.
+    ///
+    /// A later start time replaces an earlier one at once. An earlier one is either late or that of a process on a clock that
+    /// was set back, which is heard once its predecessor is dead.
+    pub fn accepts(&self, record: &PeerRecord, now: Instant) -> bool {
+        let existing = self.peers.get(&record.node);
+        existing.is_none_or(|it| it.record.incarnation <= record.incarnation || !it.is_alive(now))
+    }
+
     /// Records a heartbeat of an entry; returns whether the entry was dead or unknown before.
     pub fn record_heartbeat(&mut self, mut record: PeerRecord, now: Instant) -> bool {
+        if !self.accepts(&record, now) {
+            return false;
+        }
         let existing = self.peers.get(&record.node);
         let same_process = existing.filter(|it| it.record.incarnation == record.incarnation);
         record.reading = record
             .reading
             .or(same_process.and_then(|it| it.record.reading));
-        if existing.is_some_and(|it| it.record.incarnation > record.incarnation) {
-            return false;
-        }
         let is_new = !existing.is_some_and(|it| it.is_alive(now));
         let entry = PeerEntry {
             last_heartbeat: Some(now),
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -45,3 +45,19 @@
     table.insert_listed(record(5, false));
     assert_eq!(table.serving(start).count(), 1);
 }
+
+/// Guards against an entry that the others never hear again: its clock had gone back before it started, so its start time was
+/// before that of its predecessor.
+#[test]
+fn a_process_that_started_on_a_clock_set_back_replaces_a_dead_one() {
+    let start = Instant::now();
+    let mut table = PeerTable::default();
+    table.record_heartbeat(record(9000, true), start);
+    let while_alive = start + Duration::from_millis(1000);
+    assert!(!table.accepts(&record(4000, true), while_alive));
+    assert!(!table.record_heartbeat(record(4000, true), while_alive));
+    let after_timeout = start + Duration::from_millis(1900);
+    assert!(table.accepts(&record(4000, true), after_timeout));
+    assert!(table.record_heartbeat(record(4000, true), after_timeout));
+    assert_eq!(table.serving(after_timeout).count(), 1);
+}
--- a/crates/ingress/src/peer_exchange.rs
+++ b/crates/ingress/src/peer_exchange.rs
@@ -267,11 +267,13 @@
         return;
     }
     let sequence = (heartbeat.record.incarnation, heartbeat.sequence);
-    if last_seen.get(&node).is_some_and(|it| *it >= sequence) {
+    let now = Instant::now();
+    let is_repeated = |it: &(u64, u64)| it.0 == sequence.0 && it.1 >= sequence.1;
+    let is_current = shared.state().peers.accepts(&heartbeat.record, now);
+    if !is_current || last_seen.get(&node).is_some_and(is_repeated) {
         return;
     }
     last_seen.insert(node.clone(), sequence);
-    let now = Instant::now();
     let loads: BTreeMap<u64, LoadSample> = heartbeat.loads.into_iter().collect();
     record_declarations(shared, &heartbeat.weights, now);
     let (crashes, limits) = (heartbeat.crashes.as_ref(), heartbeat.limits.as_ref());
--- a/crates/ingress/src/zone_exchange.rs
+++ b/crates/ingress/src/zone_exchange.rs
@@ -18,16 +18,23 @@
 /// Drops reports that arrive late or twice, since several entries may pass on the same one.
 #[derive(Debug, Default)]
 pub(crate) struct ReportFilter {
-    newest: BTreeMap<String, (u64, u64)>,
+    /// Number of the newest report of each reporter, and when it arrived.
+    newest: BTreeMap<String, ((u64, u64), Instant)>,
 }
 
 impl ReportFilter {
-    /// Returns whether `report` is newer than all earlier ones of its reporter.
-    fn accept(&mut self, report: &ZoneReport) -> bool {
+    /// Returns whether `report` is newer than all earlier ones of its reporter. A reporter that has been silent may have
+    /// started again on a clock that was set back.
+    fn accept(&mut self, report: &ZoneReport, now: Instant) -> bool {
         let number = (report.incarnation, report.sequence);
-        let newest = self.newest.entry(report.reporter.clone()).or_default();
-        let is_newer = number > *newest;
-        *newest = number.max(*newest);
+        let newest = self.newest.get(&report.reporter);
+        let is_newer = newest.is_none_or(|(newest, arrived_at)| {
+            let is_silent = now.saturating_duration_since(*arrived_at) >= REPORTER_TIMEOUT;
+            number > *newest || number.0 != newest.0 && is_silent
+        });
+        if is_newer {
+            self.newest.insert(report.reporter.clone(), (number, now));
+        }
         is_newer
     }
 }
@@ -126,10 +133,10 @@
     filter: &mut ReportFilter,
 ) {
     let settings = &shared.settings;
-    if report.zone == settings.zone || !filter.accept(&report) {
+    let now = Instant::now();
+    if report.zone == settings.zone || !filter.accept(&report, now) {
         return;
     }
-    let now = Instant::now();
     record_declarations(shared, &report.weights, now);
     let (crashes, limits) = (report.crashes.as_ref(), report.limits.as_ref());
     departure_guard::merge(shared, &report.departures);
@@ -233,6 +240,9 @@
 /// a few times as long.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time without a report after which a reporter may be another process; a few times the maximum interval.
+const REPORTER_TIMEOUT: Duration = Duration::from_millis(1800);
+
 /// Number of other zones up to which reports are sent at the minimum interval. With more zones the interval grows, so
 /// that an entry receives a bounded number of reports.
 const ZONES_AT_MIN_INTERVAL: usize = 5;
