--- a/crates/xtask/src/bench_limits/mod.rs
+++ b/crates/xtask/src/bench_limits/mod.rs
@@ -70,6 +70,14 @@
                 ..scenario
             },
         );
+        // As many requests as half of what the replicas take together.
+        let requests_per_second = (scenario.replicas / 2) as u64;
+        let half = LimitScenario {
+            limited: scenario.replicas,
+            requests_per_second,
+            ..scenario
+        };
+        add("all, half the demand", half);
         let many = LimitScenario {
             limit: 5.0,
             ..scenario
