Rows that are read again keep the time since which they were known

Callers would see VERSION: an entry that has just started does not know since when a version of weights was declared and takes it for long in force. When it reads all rows again (history expired, a storm, a return of the store), the version seemed to be declared at that moment, and older weights were allowed again for the whole time of a switch.

Cause: a full read dated every row by the read.

Change: a row whose value has not changed keeps its time, also in the next life of the store; origins of rows are bounded.

--- a/crates/fleet/src/feed_mirror.rs
+++ b/crates/fleet/src/feed_mirror.rs
@@ -281,6 +281,11 @@
             let existing = self.rows.get(&it.key);
             let known = existing.filter(|row| row.position == it.position);
             it.from_copy |= known.map_or(is_new_life, |row| row.from_copy);
+            // What is read again became known when it was first read.
+            let unchanged = existing.filter(|row| row.value == it.value);
+            if let Some(row) = unchanged {
+                it.known_since = row.known_since;
+            }
             existing.is_none_or(|row| row.position <= it.position)
         });
         let mut all = snapshot.clone();
--- a/crates/fleet/src/replica_catalog.rs
+++ b/crates/fleet/src/replica_catalog.rs
@@ -75,6 +75,10 @@
         self.lapsed.remove(&replica.id);
         let id = replica.id.clone();
         self.origins.insert(id.clone(), origin);
+        if self.origins.len() > 2 * self.replicas.len() + MIN_ORIGINS {
+            self.origins
+                .retain(|it, _| *it == id || self.replicas.contains_key(it));
+        }
         let before = self.replicas.insert(id.clone(), replica);
         let after = &self.replicas[&id];
         match before {
@@ -226,6 +230,9 @@
     }
 }
 
+/// Number of origins of rows up to which those of replicas that are gone are kept.
+const MIN_ORIGINS: usize = 16;
+
 /// Time in which a live replica renews its registration after an outage of the store; the platform's documentation of
 /// discovery states "about two seconds".
 const GRACE_PERIOD: Duration = Duration::from_millis(1600);
--- a/crates/fleet/tests/feeds.rs
+++ b/crates/fleet/tests/feeds.rs
@@ -469,6 +469,30 @@
     }
 }
 
+/// Guards against VERSION: all rows are read again in a storm, and a version of weights that was declared long ago seemed
+/// to have been declared just now, so older weights were allowed again.
+#[test]
+fn rows_that_have_not_changed_keep_their_age() {
+    let now = Instant::now();
+    let row = |era: u64, version: u64, value: &str, known_since: Option<Instant>| FeedChange {
+        position: StorePosition::new(era, version),
+        known_since,
+        ..change("version", 0, Some(value))
+    };
+    let check = |first: FeedChange, again: FeedChange, expected: Option<Instant>| {
+        let mut mirror = FeedMirror::default();
+        let position = first.position;
+        mirror.apply_snapshot(vec![first], position, false);
+        let changes = mirror.apply_snapshot(vec![again.clone()], again.position, false);
+        assert_eq!(changes[0].known_since, expected, "{again:?}");
+    };
+    let long_ago = row(0, 5, "2", None);
+    check(long_ago.clone(), row(0, 5, "2", Some(now)), None);
+    // The same value in the next life of the store, and another one.
+    check(long_ago.clone(), row(1, 3, "2", Some(now)), None);
+    check(long_ago, row(1, 3, "3", Some(now)), Some(now));
+}
+
 /// Guards against a configuration that nobody has written: the digest of the whole shows that a difference was applied to
 /// another value of the same length.
 #[test]
