--- a/crates/ingress/src/feed_loop.rs
+++ b/crates/ingress/src/feed_loop.rs
@@ -1,4 +1,4 @@
-//! Follows a store table, either directly or through another entry of the zone.
+//! Follows a store table, either directly or through another entry, as [`fleet::FeedPlan`] decides.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
--- a/crates/ingress/src/feed_relay.rs
+++ b/crates/ingress/src/feed_relay.rs
@@ -1,4 +1,5 @@
-//! Serves the changes of followed store tables to other entries and to agents of the zone.
+//! Serves the changes of followed store tables to other entries and to agents of the zone, and the configuration in force to
+//! entries that are behind.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,4 +1,5 @@
-//! Protocol by which a process requests the changes of a store table from an entry in its availability zone.
+//! Protocol by which a process requests the changes of a store table, or a newer configuration, from an entry of its
+//! availability zone or one near the store.
 //!
 //! The crate contains the client and the request format that client and entry share. It must not depend on how an entry
 //! follows the store or on the meaning of the rows.
