--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -3,6 +3,7 @@
 
 mod fleet;
 mod http;
+mod memory;
 mod process;
 mod spoilt;
 mod store;
@@ -38,6 +39,7 @@
     };
     let result = match name.as_str() {
         "spoilt" => spoilt::run(&setting),
+        "memory" => memory::run(&setting),
         _ => Err(std::io::Error::other("unknown case")),
     };
     match result {
