Review, case 3: two spoilt answers of the origin stop a version for ever

Cause: agents keep the manifest that they fetched first. Pieces that do not match it are held against their sources only.

Change: a script with three agents and an origin that spoils one digit in the two answers to requests for the manifest.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -3,6 +3,7 @@
 
 mod fleet;
 mod http;
+mod manifest;
 mod memory;
 mod process;
 mod spoilt;
@@ -38,6 +39,7 @@
         folder,
     };
     let result = match name.as_str() {
+        "manifest" => manifest::run(&setting),
         "spoilt" => spoilt::run(&setting),
         "memory" => memory::run(&setting),
         _ => Err(std::io::Error::other("unknown case")),
