Review, case 5: an agent that has started takes pieces for verified that it never read

Cause: for weights that the replica serves already, all staged pieces are recorded as verified now. The next version inherits this for the pieces that it shares.

Change: a script that kills and starts an agent, and declares a version 1.2 s after the start.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -6,6 +6,7 @@
 mod manifest;
 mod memory;
 mod process;
+mod restarted;
 mod spoilt;
 mod store;
 mod weights;
@@ -40,6 +41,7 @@
     };
     let result = match name.as_str() {
         "manifest" => manifest::run(&setting),
+        "restarted" => restarted::run(&setting),
         "spoilt" => spoilt::run(&setting),
         "memory" => memory::run(&setting),
         _ => Err(std::io::Error::other("unknown case")),
--- a/review/harness/weights.rs
+++ b/review/harness/weights.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,8 +15,16 @@
 pub const CHUNK_BYTES: usize = 24_576;
 pub const LAYERS: usize = 16;
 
+/// Number of first pieces that are the same in all versions.
+pub static SHARED_PIECES: AtomicUsize = AtomicUsize::new(0);
+
 /// Returns the bytes of a piece.
 pub fn piece(version: u64, index: usize) -> Vec<u8> {
+    let version = if index < SHARED_PIECES.load(Ordering::Relaxed) {
+        1
+    } else {
+        version
+    };
     let mut state = version.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (index as u64 + 1);
     (0..CHUNK_BYTES)
         .map(|_| {
