--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -7,6 +7,7 @@
 mod memory;
 mod process;
 mod restarted;
+mod silent;
 mod spoilt;
 mod store;
 mod weights;
@@ -42,6 +43,7 @@
     let result = match name.as_str() {
         "manifest" => manifest::run(&setting),
         "restarted" => restarted::run(&setting),
+        "silent" => silent::run(&setting),
         "spoilt" => spoilt::run(&setting),
         "memory" => memory::run(&setting),
         _ => Err(std::io::Error::other("unknown case")),
--- a/review/harness/manifest.rs
+++ b/review/harness/manifest.rs
@@ -24,6 +24,7 @@
         record: record.clone(),
         spoilt_manifests: Mutex::new(if setting.trouble { spoilt } else { 0 }),
         answers: Mutex::new(0),
+        outage: Mutex::default(),
     });
     let origin_address = origin.start([127, 0, 4, 1])?;
     let mut replicas = Vec::new();
