Agents log how old the oldest verification is when they order a load

Nothing that an agent logged could tell the two hypotheses apart: a piece that was never read, or one that was read too long before the order.

`load ordered` has the age of the oldest verification of a staged piece, a histogram counts it, and a line says when the pieces of the weights in service are taken as staged without being read. No decision changes.

--- a/crates/stager/src/agent_metrics.rs
+++ b/crates/stager/src/agent_metrics.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use httpio::{HttpBody, Response};
-use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 
 use crate::agent_shared::AgentShared;
 
@@ -15,6 +17,7 @@
     pub(crate) orders: IntCounterVec,
     pub(crate) replica_calls: IntCounterVec,
     pub(crate) version: IntGauge,
+    pub(crate) verification_age: Histogram,
 }
 
 impl AgentMetrics {
@@ -45,6 +48,14 @@
             "fulmarline_weights_version",
             "Version that the replica serves.",
         )?;
+        let verification_age = Histogram::with_opts(
+            HistogramOpts::new(
+                "fulmarline_order_verification_age_seconds",
+                "Age of the oldest verification of a staged piece when the replica was ordered to load it.",
+            )
+            .buckets(AGE_BUCKETS.to_vec()),
+        )?;
+        registry.register(Box::new(verification_age.clone()))?;
         registry.register(Box::new(pieces.clone()))?;
         registry.register(Box::new(orders.clone()))?;
         registry.register(Box::new(replica_calls.clone()))?;
@@ -55,6 +66,7 @@
             orders,
             replica_calls,
             version,
+            verification_age,
         })
     }
 }
@@ -75,3 +87,6 @@
     }
     Response::new(httpio::full(text))
 }
+
+/// Bounds of the buckets of ages, in seconds.
+const AGE_BUCKETS: [f64; 7] = [0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 3.0];
--- a/crates/stager/src/staged_pieces.rs
+++ b/crates/stager/src/staged_pieces.rs
@@ -123,6 +123,12 @@
         outdated.map(|it| it.0).collect()
     }
 
+    /// Returns the earliest of the last verifications of all staged pieces.
+    pub(crate) fn oldest_verification(&self) -> Option<Instant> {
+        let verified_at = self.current.iter().flat_map(|it| &it.verified_at);
+        verified_at.flatten().min().copied()
+    }
+
     /// Clears the record, because a new incarnation of the replica may have lost its staged pieces.
     pub(crate) fn clear(&mut self) {
         *self = Self::default();
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -150,6 +150,7 @@
     state.staged_pieces.reset(Arc::new(manifest));
     state.staged_pieces.mark_all_staged(Instant::now());
     drop(state);
+    info!(shared.log, "pieces of the served weights taken as staged"; "version" => target.version);
     shared.pieces_changed.notify_waiters();
 }
 
@@ -189,6 +190,12 @@
         sent_at: Instant::now(),
     });
     count_call(shared, "order");
+    let oldest = shared.state().staged_pieces.oldest_verification();
+    let oldest_age = oldest.map_or(Duration::ZERO, |it| it.elapsed());
+    shared
+        .metrics
+        .verification_age
+        .observe(oldest_age.as_secs_f64());
     shared.state().ordered_at = Some(Instant::now());
     let response = shared.replica_client.load(&order).await;
     let mut state = shared.state();
@@ -215,6 +222,7 @@
         "error" => response.err().map(|it| it.to_string()),
         "staged_ms" => u64::try_from(staging_time.as_millis()).unwrap_or(u64::MAX),
         "orders_begun" => report.orders_started,
+        "oldest_ms" => u64::try_from(oldest_age.as_millis()).unwrap_or(u64::MAX),
     );
 }
 
