Agents read the pieces in service before they order a load with them

Cause: an agent that has just started took all pieces of the version in service for verified at that moment, without a read (`mark_all_staged`).

Ruled out: a time that survives the process (nothing does), a read that returned older bytes (there was none).

Change: a piece can be staged without ever having been verified, and such a piece is read before a load. Other agents still get pieces at once, because each is checked before it is sent and where it arrives.

Why it works: a time of verification is now recorded only by a read or a write of that piece.

--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -34,6 +34,7 @@
 pub const WEIGHTS: SiteWeights = SiteWeights {
     pieces: 24,
     piece_bytes: 4096,
+    shared_pieces: 0,
 };
 
 /// Indexes of the entries in the zone of [`TestSite::start_large_zone`], ordered by name. The first two of them read the
@@ -60,6 +61,7 @@
     pub ports: SitePorts,
     pub hosts: Vec<SiteHost>,
     client: HttpClient,
+    weights: SiteWeights,
     /// Maximum size of a request's body in the next configuration.
     pub max_body_bytes: usize,
     /// Keys of the tenant in the next configuration.
@@ -259,15 +261,26 @@
     /// The two entries and the plain replicas have loopback addresses that end in `first_index` and the next number;
     /// those of the model replicas start ten higher. Tests that run concurrently need different addresses.
     pub fn start(name: &str, first_index: u8, versions: &[u64]) -> Self {
+        Self::start_with_weights(name, first_index, versions, WEIGHTS)
+    }
+
+    /// Starts a site as [`Self::start`] does, whose model has `weights`.
+    pub fn start_with_weights(
+        name: &str,
+        first_index: u8,
+        versions: &[u64],
+        weights: SiteWeights,
+    ) -> Self {
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         // Log files are appended to, so those of an earlier run would be mixed with those of this run.
         let _ = std::fs::remove_dir_all(&dir);
         std::fs::create_dir_all(&dir).unwrap();
         let runtime = StandinRuntime::new(2).unwrap();
         let store = SiteStore::start(&runtime).unwrap();
-        let origin = SiteOrigin::start(&runtime, WEIGHTS).unwrap();
+        let origin = SiteOrigin::start(&runtime, weights).unwrap();
         let mut site = Self {
             client: HttpClient::new(None, Duration::from_secs(5)),
+            weights,
             ports: SitePorts::free().unwrap(),
             runtime,
             store,
@@ -352,7 +365,7 @@
         let address = (host.ip, 0).into();
         let kind = ReplicaKind::Model { version };
         let id = format!("m-{index}");
-        let replica = SiteReplica::start(&self.runtime, &id, address, kind, WEIGHTS).unwrap();
+        let replica = SiteReplica::start(&self.runtime, &id, address, kind, self.weights).unwrap();
         self.store
             .put("servers", &id, &replica.row("pool", zone, "ready"));
         let settings =
@@ -382,6 +395,13 @@
         }
     }
 
+    /// Starts an agent again after its process has ended.
+    pub fn restart_agent(&mut self, index: usize) {
+        let name = format!("side-{index}");
+        let settings = std::fs::read_to_string(self.settings_file(&name)).unwrap();
+        self.agents[index] = self.spawn("agent", &name, &settings);
+    }
+
     fn spawn(&self, role: &str, name: &str, settings: &str) -> ChildProcess {
         let file = self.dir.join(format!("{name}.toml"));
         std::fs::write(&file, settings).unwrap();
@@ -432,7 +452,7 @@
         let engine = json!({
             "slots": 16, "stride": 5, "models": [{"name": "m", "warmS": 0.1}], "step_ms": 2.0, "per_seq_ms": 0.02,
             "context_per_k": 0.03, "read_per_s": 20000.0, "chunk": 2048, "usual": {"prompt": 100, "answer": 60},
-            "chunks": WEIGHTS.pieces,
+            "chunks": self.weights.pieces,
         });
         let config = json!({
             "version": self.config, "routes": routes,
--- a/crates/stager/src/staged_pieces.rs
+++ b/crates/stager/src/staged_pieces.rs
@@ -80,12 +80,14 @@
         current.map(|it| &it.manifest)
     }
 
-    /// Marks all pieces as staged, because the replica already serves the version. The digest of each is checked before
-    /// it is sent to another agent.
-    pub(crate) fn mark_all_staged(&mut self, now: Instant) {
-        let len = self.current.as_ref().map_or(0, |it| it.staged.len());
-        for index in 0..len {
-            self.record_verified(index, now);
+    /// Marks all pieces as staged, because the replica already serves the version. None of them counts as verified: the
+    /// digest of each is checked before it is sent to another agent or loaded.
+    pub(crate) fn mark_all_staged(&mut self) {
+        if let Some(current) = &mut self.current {
+            current.staged = PieceSet::full(current.staged.len());
+        }
+        if let Some(previous) = &mut self.previous {
+            previous.staged = PieceSet::new(previous.staged.len());
         }
     }
 
@@ -114,13 +116,15 @@
         current.map_or(0, |it| it.staged.len() - it.staged.count())
     }
 
-    /// Returns the indices of the staged pieces that were last verified before `cutoff`.
+    /// Returns the indices of the staged pieces that were last verified before `cutoff`, or never.
     pub(crate) fn verified_before(&self, cutoff: Instant) -> Vec<usize> {
-        let verified_at = self.current.iter().flat_map(|it| &it.verified_at);
-        let outdated = verified_at
-            .enumerate()
-            .filter(|it| it.1.is_some_and(|it| it < cutoff));
-        outdated.map(|it| it.0).collect()
+        let Some(current) = &self.current else {
+            return Vec::new();
+        };
+        let verified_at = current.verified_at.iter().enumerate();
+        let outdated = verified_at.filter(|it| it.1.is_none_or(|it| it < cutoff));
+        let staged = outdated.filter(|it| current.staged.contains(it.0));
+        staged.map(|it| it.0).collect()
     }
 
     /// Returns the earliest of the last verifications of all staged pieces.
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -148,7 +148,7 @@
     };
     let mut state = shared.state();
     state.staged_pieces.reset(Arc::new(manifest));
-    state.staged_pieces.mark_all_staged(Instant::now());
+    state.staged_pieces.mark_all_staged();
     drop(state);
     info!(shared.log, "pieces of the served weights taken as staged"; "version" => target.version);
     shared.pieces_changed.notify_waiters();
--- a/crates/standin/src/site/crashing_replica.rs
+++ b/crates/standin/src/site/crashing_replica.rs
@@ -133,6 +133,7 @@
         let weights = SiteWeights {
             pieces: 1,
             piece_bytes: 1,
+            shared_pieces: 0,
         };
         let kind = ReplicaKind::Model { version: 1 };
         let crashes = Some(self.crashes.clone());
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -22,7 +22,7 @@
 pub use replica_faults::{ReplicaCalls, ReplicaFaults, ReplicaKind};
 pub use silence_switch::SilenceSwitch;
 pub use site_origin::SiteOrigin;
-pub use site_replica::SiteReplica;
+pub use site_replica::{EXCUSED_CORRUPTION, SiteReplica};
 pub use site_settings::{SiteHost, SitePorts};
 pub use site_store::{SiteStore, StoreCopy};
 pub use site_weights::SiteWeights;
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -42,8 +42,17 @@
     orders: u64,
     /// Staged pieces by index.
     staged: BTreeMap<usize, Vec<u8>>,
+    /// When staged pieces were corrupted, by index.
+    corrupted_at: BTreeMap<usize, Instant>,
+    /// Time in which a staged piece is returned.
+    read_time: Duration,
+    /// Staged piece that is corrupted once it has been returned this number of times.
+    corrupt_after_reads: Option<(usize, u32)>,
     /// Number of load orders for which the staged pieces did not all match the ordered version.
     mixed_loads: u64,
+    /// Number of load orders with a staged piece that was missing, of another version, or corrupt for longer than the
+    /// platform excuses.
+    invalid_loads: u64,
     runs: BTreeMap<String, u64>,
     forbidden_headers: Vec<String>,
     /// Number of received calls, answered or not.
@@ -145,6 +154,22 @@
         self.shared.lock().mixed_loads
     }
 
+    /// Returns the number of load orders with a staged piece that was missing, of another version, or corrupt for more than
+    /// [`EXCUSED_CORRUPTION`].
+    pub fn invalid_loads(&self) -> u64 {
+        self.shared.lock().invalid_loads
+    }
+
+    /// Sets the time in which a staged piece is returned.
+    pub fn set_read_time(&self, read_time: Duration) {
+        self.shared.lock().read_time = read_time;
+    }
+
+    /// Corrupts a staged piece as soon as it has been returned `reads` times.
+    pub fn corrupt_after_reads(&self, index: usize, reads: u32) {
+        self.shared.lock().corrupt_after_reads = Some((index, reads));
+    }
+
     /// Returns the number of received calls, answered or not.
     pub fn received(&self, calls: ReplicaCalls) -> u64 {
         let state = self.shared.lock();
@@ -173,15 +198,7 @@
 
     /// Corrupts a staged piece.
     pub fn corrupt_staged_piece(&self, index: usize) {
-        if let Some(byte) = self
-            .shared
-            .lock()
-            .staged
-            .get_mut(&index)
-            .and_then(|it| it.first_mut())
-        {
-            *byte ^= 1;
-        }
+        self.shared.lock().corrupt_staged_piece(index);
     }
 }
 
@@ -205,6 +222,31 @@
 }
 
 impl ReplicaState {
+    fn corrupt_staged_piece(&mut self, index: usize) {
+        let piece = self.staged.get_mut(&index);
+        if let Some(byte) = piece.and_then(|it| it.first_mut()) {
+            *byte ^= 1;
+            self.corrupted_at.insert(index, Instant::now());
+        }
+    }
+
+    fn record_read(&mut self, index: usize) {
+        let Some((_, reads)) = self.corrupt_after_reads.as_mut().filter(|it| it.0 == index) else {
+            return;
+        };
+        *reads = reads.saturating_sub(1);
+        if *reads == 0 {
+            self.corrupt_after_reads = None;
+            self.corrupt_staged_piece(index);
+        }
+    }
+
+    /// Returns whether piece `index`, which does not match the ordered version, counts against whoever ordered the load.
+    fn is_inexcusable(&self, index: usize) -> bool {
+        let corrupted_at = self.corrupted_at.get(&index);
+        corrupted_at.is_none_or(|it| it.elapsed() > EXCUSED_CORRUPTION)
+    }
+
     fn record_call(&mut self, calls: ReplicaCalls) {
         *self.received.entry(calls).or_default() += 1;
         if matches!(calls, ReplicaCalls::Requests | ReplicaCalls::Reports) {
@@ -261,6 +303,13 @@
     }
     if path.starts_with("/fulmarline/stage-get/") {
         let piece = index.and_then(|it| shared.lock().staged.get(&it).cloned());
+        let read_time = shared.lock().read_time;
+        tokio::time::sleep(read_time).await;
+        let mut state = shared.lock();
+        if let Some(index) = index {
+            state.record_read(index);
+        }
+        drop(state);
         return piece.map_or_else(
             || empty_response(StatusCode::NOT_FOUND),
             |it| Response::new(httpio::full(it)),
@@ -276,7 +325,9 @@
         .unwrap_or_default();
     if path.starts_with("/fulmarline/stage-put/") && parts.method == Method::PUT {
         if let Some(index) = index {
-            shared.lock().staged.insert(index, body.to_vec());
+            let mut state = shared.lock();
+            state.staged.insert(index, body.to_vec());
+            state.corrupted_at.remove(&index);
         }
         return empty_response(StatusCode::OK);
     }
@@ -305,9 +356,13 @@
     if body["expectRev"].as_u64() != Some(state.orders) {
         return empty_response(StatusCode::CONFLICT);
     }
-    let matches_version = (0..shared.weights.pieces)
-        .all(|it| state.staged.get(&it) == Some(&shared.weights.piece(version, it)));
-    state.mixed_loads += u64::from(!matches_version);
+    let matches_version =
+        |it: &usize| state.staged.get(it) == Some(&shared.weights.piece(version, *it));
+    let mismatches = (0..shared.weights.pieces).filter(|it| !matches_version(it));
+    let mismatches: Vec<usize> = mismatches.collect();
+    let is_invalid = mismatches.iter().any(|it| state.is_inexcusable(*it));
+    state.mixed_loads += u64::from(!mismatches.is_empty());
+    state.invalid_loads += u64::from(is_invalid);
     state.orders += 1;
     state.version = version;
     empty_response(StatusCode::ACCEPTED)
@@ -446,3 +501,6 @@
     *response.status_mut() = status;
     response
 }
+
+/// Time for which a staged piece may have been corrupt when a replica is ordered to load it: agents cannot notice it at once.
+pub const EXCUSED_CORRUPTION: Duration = Duration::from_secs(3);
--- a/crates/standin/src/site/site_weights.rs
+++ b/crates/standin/src/site/site_weights.rs
@@ -9,11 +9,18 @@
     pub pieces: usize,
     /// Size of a piece in bytes.
     pub piece_bytes: usize,
+    /// Number of pieces, from the first on, that are the same in all versions.
+    pub shared_pieces: usize,
 }
 
 impl SiteWeights {
     /// Returns the content of piece `index` of `version`.
     pub fn piece(&self, version: u64, index: usize) -> Vec<u8> {
+        let version = if index < self.shared_pieces {
+            0
+        } else {
+            version
+        };
         let mut state = version.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ index as u64;
         (0..self.piece_bytes)
             .map(|_| {
