A load is ordered only while the oldest verification of a staged piece is recent

Cause: an agent chose the pieces to read back once, by their ages when it began, read them one after the other, and ordered the load however long that had taken.

Evidence: the replica's record: first read at 9.756 s, the piece turns bad at 11.005 s, the order is accepted at 14.647 s; 96 reads of 50 ms take 4.8 s. In the regression test on the code before, `load ordered` names an oldest verification of 4,593 ms. Ruled out: a read that returned older bytes (the piece is spoilt after its read), an order that the replica accepted late (4.89 s after the first read).

Change: the record of staged pieces is pure and lives in `fleet`. An order needs its `LoadPermit`, which is asked for when the connection to the replica is open and denied if a piece was last seen to be valid more than 1.5 s before: 3 s that the platform excuses, less the longest silence of a sound replica. What is older is read again, the oldest first, with more reads at once the slower the replica is. A replica that cannot be read in time gets no order; a log line and a metric say so. Related paths: times are those of the request, not of its end, and of a clock that runs while the host is suspended; news that is older than what is known does not count.

Why it works: the age is checked at the send itself, so nothing that takes time lies between the check and the act, and acceptance may follow by as much as a sound replica is silent.

--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -2,11 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use fleet::{FeedMirror, FeedTable, LoadedModel, StoreTimes, SwitchDeadlines, VersionTable};
+use fleet::{
+    FeedMirror, FeedTable, LoadDenial, LoadPermit, LoadedModel, PieceManifest, PieceSet,
+    StagedPieces, StoreTimes, SwitchDeadlines, VersionTable,
+};
 use httpio::HttpClient;
 use platform::{NodeSettings, ReplicaClient, ReplicaReport, StoreClient};
 use relay::boot_clock;
@@ -16,7 +19,6 @@
 
 use crate::agent_metrics::AgentMetrics;
 use crate::link_pacer::LinkPacer;
-use crate::staged_pieces::StagedPieces;
 
 /// Version of weights that the replica is to serve.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -110,6 +112,28 @@
         unsettled.or(self.target.as_ref())
     }
 
+    /// Returns the staged pieces of `target` if it is the tracked version.
+    pub(crate) fn staged(&self, target: &WeightTarget) -> Option<&PieceSet> {
+        let (model, version) = (&target.model, target.version);
+        self.staged_pieces.current_pieces(model, version)
+    }
+
+    /// Returns the manifest of `target` if it is the tracked version.
+    pub(crate) fn manifest(&self, target: &WeightTarget) -> Option<&Arc<PieceManifest>> {
+        let (model, version) = (&target.model, target.version);
+        self.staged_pieces.current_manifest(model, version)
+    }
+
+    /// Returns whether a load of `target` may be ordered if the order is sent by `sent_by`, measured since boot.
+    pub(crate) fn permit_load(
+        &self,
+        target: &WeightTarget,
+        sent_by: Duration,
+    ) -> Result<LoadPermit, LoadDenial> {
+        let (model, version) = (&target.model, target.version);
+        self.staged_pieces.permit_load(model, version, sent_by)
+    }
+
     /// Returns the latest time that the store's clock can show, if a bound of it is known.
     pub(crate) fn latest_store_time(&self) -> Option<Duration> {
         let latest_ms = self.store_times.clock().latest_ms(boot_clock::now());
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -9,10 +9,11 @@
 mod declaration_loop;
 mod feed_reader;
 mod link_pacer;
+mod load_order;
 mod piece_fetch;
 mod piece_server;
 mod source_client;
-mod staged_pieces;
+mod staged_check;
 mod status_loop;
 mod weight_loop;
 
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -14,6 +14,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use platform::CallError;
+use relay::boot_clock;
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, WeightTarget};
@@ -106,7 +107,7 @@
         if !source_client::should_fetch(shared, target) {
             return false;
         }
-        let Some(staged) = shared.state().staged_pieces.of(target).cloned() else {
+        let Some(staged) = shared.state().staged(target).cloned() else {
             return false;
         };
         if staged.is_full() {
@@ -261,7 +262,8 @@
     bytes: Vec<u8>,
 ) -> bool {
     // The replica may store the piece even if this future is dropped or the call fails.
-    shared.state().staged_pieces.record_missing(index);
+    let mut sent_at = boot_clock::now();
+    shared.state().staged_pieces.record_missing(index, sent_at);
     let mut attempts = 0;
     loop {
         let staging = shared
@@ -276,12 +278,13 @@
         if !may_repeat || !source_client::should_fetch(shared, target) {
             return false;
         }
+        sent_at = boot_clock::now();
     }
     let mut state = shared.state();
-    if state.staged_pieces.of(target).is_none() {
+    if state.staged(target).is_none() {
         return false;
     }
-    state.staged_pieces.record_verified(index, Instant::now());
+    state.staged_pieces.record_valid(index, sent_at);
     drop(state);
     shared.pieces_changed.notify_waiters();
     true
--- a/crates/stager/src/piece_server.rs
+++ b/crates/stager/src/piece_server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use httpio::{HttpBody, Incoming, Request, Response, StatusCode};
+use relay::boot_clock;
 use slog::info;
 
 use crate::agent_shared::AgentShared;
@@ -93,6 +94,7 @@
         return (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
     };
     shared.upload_pacer.wait(manifest.piece_bytes).await;
+    let sent_at = boot_clock::now();
     let bytes = match shared.replica_client.read_staged_piece(model, index).await {
         Ok(it) => it,
         Err(err) => {
@@ -108,7 +110,7 @@
             // A piece of a newer version may have replaced it in the meantime.
             if staged.is_some_and(|it| it.contains(index)) {
                 info!(shared.log, "staged piece is corrupt"; "index" => index, "version" => version);
-                state.staged_pieces.record_missing(index);
+                state.staged_pieces.record_missing(index, sent_at);
             }
             not_found()
         }
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -1,16 +1,17 @@
-//! Updates the replica to the target weights: stages and verifies the pieces, then orders the load.
+//! Updates the replica to the target weights: stages the pieces and has their load ordered.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fleet::LoadedModel;
-use platform::{CallError, LoadOrder, OrderResponse, ReplicaReport};
+use platform::{CallError, ReplicaReport};
 use rand::RngExt;
+use relay::boot_clock;
 use routing::NamedLimit;
 use slog::{info, warn};
 
-use crate::agent_shared::{AgentShared, UnsettledOrder, WeightTarget};
-use crate::piece_fetch;
+use crate::agent_shared::{AgentShared, WeightTarget};
+use crate::{load_order, piece_fetch};
 
 /// Reconciles the weights that the replica serves with the target, for the lifetime of the process.
 pub(crate) async fn run(shared: Arc<AgentShared>) {
@@ -132,7 +133,7 @@
     target: &WeightTarget,
     attempts: &mut ManifestAttempts,
 ) {
-    if shared.state().staged_pieces.of(target).is_some() {
+    if shared.state().staged(target).is_some() {
         return;
     }
     let plan = match piece_fetch::create_plan(shared, target).await {
@@ -172,58 +173,7 @@
     }
     // A version that is declared in the meantime does not change the delay, because its deadline is later.
     delay_load(shared, target, report, rollout_position).await;
-    if !verify_staged(shared, target).await {
-        return;
-    }
-    // The replica rejects requests during a load, so entries are notified first and route them elsewhere.
-    report_serving(shared, &[], None);
-    tokio::time::sleep(REROUTE_DELAY).await;
-    let order = LoadOrder {
-        model: target.model.clone(),
-        version: target.version,
-        orders_started: report.orders_started,
-    };
-    // The replica may accept the order later even if it is not answered, so it is sent again until it is.
-    let earlier = shared.state().unsettled_order.replace(UnsettledOrder {
-        target: target.clone(),
-        orders_started: order.orders_started,
-        sent_at: Instant::now(),
-    });
-    count_call(shared, "order");
-    let oldest = shared.state().staged_pieces.oldest_verification();
-    let oldest_age = oldest.map_or(Duration::ZERO, |it| it.elapsed());
-    shared
-        .metrics
-        .verification_age
-        .observe(oldest_age.as_secs_f64());
-    shared.state().ordered_at = Some(Instant::now());
-    let response = shared.replica_client.load(&order).await;
-    let mut state = shared.state();
-    match &response {
-        Err(CallError::TimedOut | CallError::NoResponse(_)) => {}
-        Err(CallError::NotSent(_)) => state.unsettled_order = earlier,
-        _ => state.unsettled_order = None,
-    }
-    if matches!(response, Ok(OrderResponse::Started)) {
-        state.ordered_version = Some(target.version);
-    }
-    drop(state);
-    let outcome = match &response {
-        Ok(OrderResponse::Started) => "begun",
-        Ok(OrderResponse::AlreadyDone) => "done",
-        Ok(OrderResponse::Conflict) => "conflict",
-        Err(_) => "failed",
-    };
-    shared.metrics.orders.with_label_values(&[outcome]).inc();
-    info!(
-        shared.log, "load ordered";
-        "version" => target.version,
-        "outcome" => outcome,
-        "error" => response.err().map(|it| it.to_string()),
-        "staged_ms" => u64::try_from(staging_time.as_millis()).unwrap_or(u64::MAX),
-        "orders_begun" => report.orders_started,
-        "oldest_ms" => u64::try_from(oldest_age.as_millis()).unwrap_or(u64::MAX),
-    );
+    load_order::order_load(shared, target, report, staging_time).await;
 }
 
 /// Delays the load according to the rollout position, so that not all replicas of the service load at the same time.
@@ -259,8 +209,11 @@
     target: &WeightTarget,
     attempts: &mut ManifestAttempts,
 ) -> Option<f64> {
-    shared.state().staged_pieces.return_to(target);
-    let has_manifest = shared.state().staged_pieces.of(target).is_some();
+    shared
+        .state()
+        .staged_pieces
+        .return_to(&target.model, target.version);
+    let has_manifest = shared.state().staged(target).is_some();
     if has_manifest && shared.state().staged_pieces.missing_count() == 0 {
         // An earlier attempt did not lead to a load and has already used up time, so load without a delay.
         return Some(0.0);
@@ -279,7 +232,7 @@
         shared.pieces_changed.notify_waiters();
         recover_staged(shared, target).await;
     }
-    let manifest = shared.state().staged_pieces.manifest_of(target).cloned()?;
+    let manifest = shared.state().manifest(target).cloned()?;
     let rollout_position = plan.rollout_position();
     let is_complete = piece_fetch::fetch_pieces(shared, target, &manifest, plan).await;
     is_complete.then_some(rollout_position)
@@ -287,20 +240,18 @@
 
 /// Detects pieces that are still staged from an earlier process or incarnation.
 async fn recover_staged(shared: &AgentShared, target: &WeightTarget) {
-    let Some(manifest) = shared.state().staged_pieces.manifest_of(target).cloned() else {
+    let Some(manifest) = shared.state().manifest(target).cloned() else {
         return;
     };
     for index in 0..manifest.len() {
+        let sent_at = boot_clock::now();
         match shared
             .replica_client
             .read_staged_piece(&target.model, index)
             .await
         {
             Ok(Some(bytes)) if manifest.matches(index, &bytes) => {
-                shared
-                    .state()
-                    .staged_pieces
-                    .record_verified(index, Instant::now());
+                shared.state().staged_pieces.record_valid(index, sent_at);
                 shared.pieces_changed.notify_waiters();
             }
             Ok(Some(_))
@@ -321,44 +272,6 @@
     }
 }
 
-/// Reads back staged pieces whose last verification is too old; returns whether all pieces are staged and valid.
-async fn verify_staged(shared: &AgentShared, target: &WeightTarget) -> bool {
-    let Some(manifest) = shared.state().staged_pieces.manifest_of(target).cloned() else {
-        return false;
-    };
-    let cutoff = Instant::now().checked_sub(VERIFICATION_LIFETIME);
-    let outdated = cutoff.map_or_else(Vec::new, |it| {
-        shared.state().staged_pieces.verified_before(it)
-    });
-    let mut all_valid = true;
-    for index in outdated {
-        let bytes = match shared
-            .replica_client
-            .read_staged_piece(&target.model, index)
-            .await
-        {
-            Ok(it) => it,
-            Err(err) => {
-                info!(shared.log, "cannot read staged piece"; "index" => index, "error" => err.to_string());
-                return false;
-            }
-        };
-        let is_valid = bytes.is_some_and(|it| manifest.matches(index, &it));
-        let mut state = shared.state();
-        if state.staged_pieces.of(target).is_none() {
-            return false;
-        }
-        if is_valid {
-            state.staged_pieces.record_verified(index, Instant::now());
-        } else {
-            info!(shared.log, "staged piece is corrupt"; "index" => index, "version" => target.version);
-            state.staged_pieces.record_missing(index);
-            all_valid = false;
-        }
-    }
-    all_valid && shared.state().staged_pieces.missing_count() == 0
-}
-
 fn is_serving(report: &ReplicaReport, target: &WeightTarget) -> bool {
     report
         .models
@@ -367,7 +280,7 @@
 }
 
 /// Counts a call to the replica.
-fn count_call(shared: &AgentShared, call: &str) {
+pub(crate) fn count_call(shared: &AgentShared, call: &str) {
     let is_limited = shared.state().named_limit.is_some();
     let limited = if is_limited { "yes" } else { "no" };
     let calls = &shared.metrics.replica_calls;
@@ -393,7 +306,11 @@
 }
 
 /// Reports the served weights to entries if they have changed.
-fn report_serving(shared: &AgentShared, models: &[LoadedModel], error: Option<&CallError>) {
+pub(crate) fn report_serving(
+    shared: &AgentShared,
+    models: &[LoadedModel],
+    error: Option<&CallError>,
+) {
     let mut state = shared.state();
     if state.serving.as_deref() == Some(models) {
         return;
@@ -433,11 +350,5 @@
 /// load at the same time.
 const MAX_SHORT_WINDOW: Duration = Duration::from_millis(2000);
 
-/// Time for entries to stop sending requests before a load starts; a few times the latency between regions.
-const REROUTE_DELAY: Duration = Duration::from_millis(15);
-
-/// Time for which a verified piece is assumed to be valid; corruption must be detected within 3 s.
-const VERIFICATION_LIFETIME: Duration = Duration::from_millis(1500);
-
 /// Number of pieces that are read before the others are assumed to belong to another version.
 const PROBED_PIECES: usize = 3;
