Bodies of clients' requests share a budget of memory in an entry

Cause: each body was read whole before anything decided about its request, and kept until it ended; requests had no common bound.

Change: 128 MiB for the bodies of requests in an entry, each held until its request has ended. Too little left means 503 with a time to come back, before the body is read if its length is known: true, since nothing was sent.

Why it works: the sum of what is kept is bounded, whatever the number of connections; small bodies (64 KiB) need no share.

--- a/crates/fulmarline/tests/platform_endless.rs
+++ b/crates/fulmarline/tests/platform_endless.rs
@@ -5,7 +5,8 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::time::Instant;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 use httpio::{Method, StatusCode};
 use serde_json::json;
@@ -15,7 +16,7 @@
 };
 
 /// Number of requests that are answered without end at the same time.
-const CONCURRENT_REQUESTS: usize = 40;
+const CONCURRENT_REQUESTS: usize = 200;
 
 /// Peak memory of an entry in kilobytes, half of what the smallest deployment gives it.
 const MAX_PEAK_KB: u64 = 130_000;
@@ -173,28 +174,59 @@
     assert!(all.is_empty(), "{}", all.join("\n"));
 }
 
-/// Guards against an entry that runs out of memory because each response that it buffers may be large.
+/// Guards against an entry that runs out of memory because each response that it reads may be large, so that the requests of
+/// other clients end with it.
 #[test]
 fn memory_is_bounded_while_many_responses_have_no_end() {
     let (site, _, replicas) = start_site("platform-endless-memory", 214, 1);
-    for kind in [EndlessBytes::BulkTrickle, EndlessBytes::TinyChunks] {
-        std::thread::scope(|scope| {
-            for index in 0..CONCURRENT_REQUESTS {
-                let caller = site.caller();
-                let prefix = ["/keyed/", "/once/"][usize::from(index % 4 == 0)];
-                let path = format!("{prefix}{ALWAYS}{}", kind.name());
-                scope.spawn(move || {
-                    let id = format!("{}-{index}", kind.name());
-                    let response = caller.call(0, Method::POST, &path, &id, "key-1");
-                    let response = response.expect("a response");
-                    assert!(!response.status.is_success(), "{}", response.status);
-                });
+    let has_ended = AtomicBool::new(false);
+    let others = std::thread::scope(|scope| {
+        let others = scope.spawn(|| {
+            let caller = site.caller().with_kept_connections();
+            let mut statuses = Vec::new();
+            while !has_ended.load(Ordering::Relaxed) {
+                let id = format!("other-{}", statuses.len());
+                let response = caller.call(0, Method::POST, "/order/1", &id, "key-1");
+                statuses.push(response.map(|it| it.status));
+                std::thread::sleep(Duration::from_millis(20));
             }
+            statuses
         });
-        wait_for_closed_connections(&site, &replicas, &kind.name());
-    }
+        let bodies = [
+            EndlessBytes::BulkTrickle,
+            EndlessBytes::TinyChunks,
+            EndlessBytes::ChunkExtension,
+            EndlessBytes::Trailers,
+        ];
+        for kind in bodies.into_iter().chain(EndlessBytes::HEADS) {
+            request_without_end(&site, kind);
+            wait_for_closed_connections(&site, &replicas, &kind.name());
+        }
+        has_ended.store(true, Ordering::Relaxed);
+        others.join().unwrap()
+    });
     let peak_kb = peak_memory_kb(site.entries[0].id());
+    println!("peak {peak_kb} kB, {} requests of others", others.len());
     assert!(peak_kb < MAX_PEAK_KB, "the entry used {peak_kb} kB");
+    let failed = others.iter().filter(|it| **it != Some(StatusCode::OK));
+    assert_eq!(failed.count(), 0, "requests of others failed");
+}
+
+/// Sends many requests at the same time that are answered without end.
+fn request_without_end(site: &TestSite, kind: EndlessBytes) {
+    std::thread::scope(|scope| {
+        for index in 0..CONCURRENT_REQUESTS {
+            let caller = site.caller();
+            let prefix = ["/keyed/", "/once/"][usize::from(index % 4 == 0)];
+            let path = format!("{prefix}{ALWAYS}{}", kind.name());
+            scope.spawn(move || {
+                let id = format!("{}-{index}", kind.name());
+                let response = caller.call(0, Method::POST, &path, &id, "key-1");
+                let response = response.expect("a response");
+                assert!(!response.status.is_success(), "{}", response.status);
+            });
+        }
+    });
 }
 
 /// Guards against streams of valid events without end that are forwarded after their deadline, because the next event is
--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -70,6 +70,35 @@
     })
 }
 
+/// Reads a complete body as [`read_limited`] does, in memory of `share`, which the caller keeps for as long as it keeps the body.
+///
+/// # Errors
+///
+/// Returns the errors of [`read_limited`], and `QuotaExceeded` if other bodies leave too little memory. A body whose length is
+/// known fails before any of it has been read.
+pub async fn read_into_share<B>(
+    body: B,
+    max_bytes: usize,
+    timeout: time::Duration,
+    share: &mut BufferShare,
+) -> std::io::Result<Bytes>
+where
+    B: body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let length = body.size_hint().exact();
+    let length = length.and_then(|it| usize::try_from(it).ok());
+    let read = async {
+        if let Some(length) = length.filter(|it| *it <= max_bytes)
+            && !share.extend_to(length).await
+        {
+            return Err(out_of_budget());
+        }
+        read_frames(pin!(body), max_bytes, None, Some(share)).await
+    };
+    within_timeout(timeout, read).await
+}
+
 /// Reads a complete body of at most `max_bytes`; fails if it neither ends nor makes progress for `idle_timeout`.
 ///
 /// A server that sends a byte now and then makes no progress. There is no limit on the total time, because a large body
@@ -144,10 +173,7 @@
             if let Some(share) = &mut share
                 && !share.extend_to(capacity).await
             {
-                return Err(std::io::Error::new(
-                    std::io::ErrorKind::QuotaExceeded,
-                    "the body exceeds every budget",
-                ));
+                return Err(out_of_budget());
             }
             bytes.reserve_exact(capacity - bytes.len());
         }
@@ -176,6 +202,13 @@
 /// carries.
 const MIN_WINDOW_BYTES: usize = 1024;
 
+fn out_of_budget() -> std::io::Error {
+    std::io::Error::new(
+        std::io::ErrorKind::QuotaExceeded,
+        "other bodies leave too little memory for the body",
+    )
+}
+
 fn unreachable_error(it: convert::Infallible) -> std::io::Error {
     match it {}
 }
--- a/crates/httpio/src/buffer_budget.rs
+++ b/crates/httpio/src/buffer_budget.rs
@@ -17,8 +17,10 @@
 
 /// The memory that one body has taken from a budget; it is returned when this value is dropped.
 #[derive(Debug)]
-pub(crate) struct BufferShare {
+pub struct BufferShare {
     budget: BufferBudget,
+    /// Whether the body waits for others if too little is left.
+    may_wait: bool,
     permit: Option<OwnedSemaphorePermit>,
     /// Held by the body that may exceed the budget.
     excess: Option<OwnedSemaphorePermit>,
@@ -35,9 +37,20 @@
         }
     }
 
+    /// Returns an empty share, for a body that waits for others if too little is left.
     pub(crate) fn empty_share(&self) -> BufferShare {
+        self.share(true)
+    }
+
+    /// Returns an empty share, for a body that is given up if too little is left.
+    pub fn share_without_wait(&self) -> BufferShare {
+        self.share(false)
+    }
+
+    fn share(&self, may_wait: bool) -> BufferShare {
         BufferShare {
             budget: self.clone(),
+            may_wait,
             permit: None,
             excess: None,
             has_waited: false,
@@ -56,8 +69,8 @@
         self.has_waited
     }
 
-    /// Extends the share for a buffer of `bytes`, and waits for other bodies if too little is left. Returns `false` if no budget is
-    /// large enough.
+    /// Extends the share for a buffer of `bytes`. If too little is left, it waits for other bodies, or returns `false` if it must
+    /// not. Returns `false` as well if no budget is large enough.
     pub(crate) async fn extend_to(&mut self, bytes: usize) -> bool {
         let held = self.permit.as_ref().map_or(0, |it| it.num_permits());
         let missing = bytes.saturating_sub(UNSHARED_BYTES + held);
@@ -70,6 +83,7 @@
         let BufferBudget { bytes, excess } = self.budget.clone();
         let permit = match bytes.clone().try_acquire_many_owned(missing) {
             Ok(permit) => permit,
+            Err(_) if !self.may_wait => return false,
             Err(_) => {
                 self.has_waited = true;
                 tokio::select! {
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -16,10 +16,10 @@
 mod http_server;
 mod server_limits;
 
-pub use body::{HttpBody, empty, full, read_limited, read_within_budget};
+pub use body::{HttpBody, empty, full, read_into_share, read_limited, read_within_budget};
 pub use body_framing::BodyFraming;
 pub use body_sender::{BodySender, PeerDisconnected, stream};
-pub use buffer_budget::BufferBudget;
+pub use buffer_budget::{BufferBudget, BufferShare};
 pub use head_error::{HeadError, HeadErrorHandler};
 pub use http_client::{ClientConnection, ClientError, HttpClient, PooledResponse};
 pub use http_server::{HttpServer, ServerHandle, StopSignal, WriteDeadline};
--- a/crates/ingress/src/client_call.rs
+++ b/crates/ingress/src/client_call.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use fleet::{ApiTenant, CallKind, Route, RouteTable};
-use httpio::{HeaderMap, Incoming, Method, Request, header};
+use httpio::{BufferShare, HeaderMap, Incoming, Method, Request, header};
 use platform::RequestMetadata;
 use rand::RngExt;
 use routing::{PartId, PoolId};
@@ -34,6 +34,8 @@
     pub(crate) target: http::Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The memory of the body, which is held until the request ends.
+    _body_share: BufferShare,
     sends: AtomicU32,
     trial: OnceLock<TrialGuard>,
 }
@@ -141,11 +143,13 @@
         .min(route.timeout);
     let deadline = arrived + time_limit;
     let max_bytes = table.limits().max_body_bytes;
-    let body = httpio::read_limited(body, max_bytes, time_limit)
+    let mut body_share = shared.request_budget.share_without_wait();
+    let body = httpio::read_into_share(body, max_bytes, time_limit, &mut body_share)
         .await
         .map_err(|it| match it.kind() {
             std::io::ErrorKind::InvalidData => Refusal::TooLarge,
             std::io::ErrorKind::TimedOut => Refusal::Expired,
+            std::io::ErrorKind::QuotaExceeded => Refusal::OutOfMemory,
             _ => Refusal::BadBody,
         })?;
     let service = route.target(rand::rng().random()).to_owned();
@@ -166,6 +170,7 @@
         target: parts.uri,
         headers: parts.headers,
         body,
+        _body_share: body_share,
         table,
         route,
         sends: AtomicU32::new(0),
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -93,6 +93,8 @@
     pub(crate) replica_client: HttpClient,
     /// Memory for the bodies of responses that are read completely before they are forwarded.
     pub(crate) response_budget: BufferBudget,
+    /// Memory that the bodies of clients' requests share until the requests end.
+    pub(crate) request_budget: BufferBudget,
     /// Wakes the task that sends this entry's state to other entries, for a change that they must receive at once.
     pub(crate) urgent_change: Notify,
     /// Wakes the task that announces declared weights to agents.
@@ -159,6 +161,7 @@
             store,
             replica_client,
             response_budget: BufferBudget::new(RESPONSE_BUDGET_BYTES),
+            request_budget: BufferBudget::new(REQUEST_BUDGET_BYTES),
             urgent_change: Notify::new(),
             versions_changed: Notify::new(),
             feed_changed: Notify::new(),
@@ -413,3 +416,6 @@
 /// Memory for the bodies of responses, beside 64 KiB of each and one body of any size; an eighth of what the smallest entry
 /// has.
 const RESPONSE_BUDGET_BYTES: usize = 32 * 1024 * 1024;
+
+/// Memory for the bodies of requests, beside 64 KiB of each; half of what the smallest entry has.
+const REQUEST_BUDGET_BYTES: usize = 128 * 1024 * 1024;
--- a/crates/ingress/src/refusal.rs
+++ b/crates/ingress/src/refusal.rs
@@ -16,6 +16,8 @@
     TooLarge,
     /// The request's body was not received completely.
     BadBody,
+    /// The bodies of other requests leave too little memory for this one's; not run.
+    OutOfMemory,
     /// The configuration is not known or may be outdated; not run.
     NoConfig,
     /// No replica is registered, healthy and has an allowed version of the weights; not run.
@@ -48,7 +50,8 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BadBody => StatusCode::BAD_REQUEST,
-            Self::NoConfig
+            Self::OutOfMemory
+            | Self::NoConfig
             | Self::NoReplica
             | Self::Overloaded
             | Self::Leaving
@@ -69,6 +72,7 @@
             Self::UnknownKey => "unknown_key",
             Self::TooLarge => "too_large",
             Self::BadBody => "bad_body",
+            Self::OutOfMemory => "out_of_memory",
             Self::NoConfig => "no_config",
             Self::NoReplica => "no_replica",
             Self::Overloaded => "overloaded",
@@ -86,7 +90,7 @@
     /// Returns the delay after which the client may retry, randomized so that not all clients retry at once.
     fn retry_after(self) -> Option<Duration> {
         let range = match self {
-            Self::Overloaded | Self::RefusedByReplicas => OVERLOAD_RETRY_MS,
+            Self::Overloaded | Self::RefusedByReplicas | Self::OutOfMemory => OVERLOAD_RETRY_MS,
             Self::NoReplica | Self::NoConfig => OUTAGE_RETRY_MS,
             Self::Leaving => LEAVING_RETRY_MS,
             Self::HeldBack(delay) | Self::Limited(delay) => return Some(delay),
