A manifest that no source's piece matches is fetched again

Cause: a piece that does not match was held against its source, never against the manifest, which was fetched once, kept and passed on.

Evidence: the agents stage all pieces but one and fetch that one again and again. Ruled out: an origin that spoils the piece (its bytes are the same each time), a spoilt piece of another agent (none has it).

Change: a manifest is in doubt once a piece has arrived twice in a row with the same digest that it does not name. It is not passed on then, and fetched again, from the origin or else from other agents; one that differs replaces it, and pieces that both name alike stay. If it is the same, the next doubt needs twice as many mismatches.

Why it works: corrupted bytes hardly ever have the same digest twice, so the statement that stands alone against equal ones is dropped.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 mod freshness;
 mod load_table;
 mod log_rate_limiter;
+mod manifest_doubt;
 mod packed_bytes;
 mod peer_table;
 mod piece_manifest;
--- a/crates/fleet/src/piece_manifest.rs
+++ b/crates/fleet/src/piece_manifest.rs
@@ -21,7 +21,12 @@
     pub fn matches(&self, index: usize, bytes: &[u8]) -> bool {
         self.digests
             .get(index)
-            .is_some_and(|it| Sha256::digest(bytes)[..] == it[..])
+            .is_some_and(|it| Self::digest(bytes) == *it)
+    }
+
+    /// Returns the digest of the content of a piece.
+    pub fn digest(bytes: &[u8]) -> [u8; 32] {
+        Sha256::digest(bytes).into()
     }
 
     /// Returns the number of pieces.
--- a/crates/fleet/src/staged_pieces.rs
+++ b/crates/fleet/src/staged_pieces.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::manifest_doubt::ManifestDoubt;
 use crate::piece_manifest::PieceManifest;
 use crate::piece_set::PieceSet;
 use crate::sound_silence::MAX_SOUND_SILENCE;
@@ -26,6 +27,7 @@
     manifest: Arc<PieceManifest>,
     staged: PieceSet,
     checks: Vec<PieceCheck>,
+    doubt: ManifestDoubt,
 }
 
 /// What is known of one piece.
@@ -77,9 +79,59 @@
             manifest,
             staged,
             checks,
+            doubt: ManifestDoubt::default(),
         });
     }
 
+    /// Replaces the manifest of the tracked version, if `manifest` is another one of that version; returns whether it is. Pieces
+    /// that it names as before stay staged.
+    pub fn replace_manifest(&mut self, manifest: Arc<PieceManifest>) -> bool {
+        let current = self.current.as_mut();
+        let Some(current) = current.filter(|it| it.is(&manifest.model, manifest.version)) else {
+            return false;
+        };
+        if current.manifest == manifest {
+            return false;
+        }
+        let mut replacement = StagedVersion {
+            staged: PieceSet::new(manifest.len()),
+            checks: vec![PieceCheck::default(); manifest.len()],
+            doubt: ManifestDoubt::default(),
+            manifest,
+        };
+        let digests = current.manifest.digests.iter();
+        let digests = digests.zip(&replacement.manifest.digests);
+        for (index, _) in digests.enumerate().filter(|(_, it)| it.0 == it.1) {
+            replacement.checks[index] = current.checks[index];
+            if current.staged.contains(index) {
+                replacement.staged.insert(index);
+            }
+        }
+        *current = replacement;
+        true
+    }
+
+    /// Records that piece `index` of the tracked version arrived with `digest`, which the manifest does not name.
+    pub fn record_mismatch(&mut self, index: usize, digest: [u8; 32]) {
+        if let Some(current) = &mut self.current {
+            current.doubt.record_mismatch(index, digest);
+        }
+    }
+
+    /// Records that no source has another manifest of the tracked version.
+    pub fn record_confirmation(&mut self) {
+        if let Some(current) = &mut self.current {
+            current.doubt.record_confirmation();
+        }
+    }
+
+    /// Returns whether the manifest of the tracked version is most likely wrong, because a piece has arrived repeatedly with
+    /// the same digest, which it does not name.
+    pub fn is_manifest_doubted(&self) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|it| it.doubt.is_doubted())
+    }
+
     /// Tracks the version before the current one again if it is `version` of `model`, with the pieces that are still
     /// staged.
     pub fn return_to(&mut self, model: &str, version: u64) {
--- a/crates/fleet/tests/staged_pieces.rs
+++ b/crates/fleet/tests/staged_pieces.rs
@@ -172,3 +172,37 @@
     // A replica that takes longer for one read than a verification is valid is never ordered to load.
     assert_eq!(simulate(96, 1600), None);
 }
+
+/// Guards against a wrong manifest that is kept, and against one that is fetched again for each corrupted piece.
+#[test]
+fn a_manifest_is_in_doubt_once_a_piece_has_the_same_other_digest_again() {
+    let digest = |it: u8| [it; 32];
+    let mut pieces = StagedPieces::default();
+    pieces.reset(manifest(2, 0));
+    valid(0).into_iter().take(3).for_each(|it| {
+        if let Valid(index, ms) = it {
+            pieces.record_valid(index, Duration::from_millis(ms));
+        }
+    });
+    let check = |pieces: &mut StagedPieces, index, byte, expected| {
+        pieces.record_mismatch(index, digest(byte));
+        assert_eq!(pieces.is_manifest_doubted(), expected, "{index} {byte}");
+    };
+    check(&mut pieces, 3, 90, false);
+    check(&mut pieces, 1, 90, false);
+    check(&mut pieces, 3, 91, false);
+    check(&mut pieces, 3, 91, true);
+    // The same manifest again: twice as many equal mismatches are necessary.
+    assert!(!pieces.replace_manifest(manifest(2, 0)));
+    pieces.record_confirmation();
+    for expected in [false, false, false, true] {
+        check(&mut pieces, 3, 91, expected);
+    }
+    // Another manifest of the version names other digests for the first two pieces, which are missing then.
+    assert!(!pieces.replace_manifest(manifest(3, 0)));
+    assert!(pieces.replace_manifest(manifest(2, 2)));
+    assert!(!pieces.is_manifest_doubted());
+    assert_eq!(pieces.missing_count(), 3);
+    pieces.return_to("m", 2);
+    assert_eq!(pieces.current_manifest("m", 2), Some(&manifest(2, 2)));
+}
--- a/crates/stager/src/agent_metrics.rs
+++ b/crates/stager/src/agent_metrics.rs
@@ -4,7 +4,8 @@
 
 use httpio::{HttpBody, Response};
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::agent_shared::AgentShared;
@@ -18,6 +19,7 @@
     pub(crate) replica_calls: IntCounterVec,
     pub(crate) version: IntGauge,
     pub(crate) verification_age: Histogram,
+    pub(crate) manifests_replaced: IntCounter,
 }
 
 impl AgentMetrics {
@@ -55,6 +57,11 @@
             )
             .buckets(AGE_BUCKETS.to_vec()),
         )?;
+        let manifests_replaced = IntCounter::new(
+            "fulmarline_manifests_replaced_total",
+            "Manifests that were wrong and have been fetched again.",
+        )?;
+        registry.register(Box::new(manifests_replaced.clone()))?;
         registry.register(Box::new(verification_age.clone()))?;
         registry.register(Box::new(pieces.clone()))?;
         registry.register(Box::new(orders.clone()))?;
@@ -67,6 +74,7 @@
             replica_calls,
             version,
             verification_age,
+            manifests_replaced,
         })
     }
 }
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -68,15 +68,7 @@
     attempt: usize,
 ) -> Option<PieceManifest> {
     for source in plan.manifest_sources(attempt) {
-        let fetched = match source {
-            ManifestSource::Agent(address) => {
-                source_client::fetch_manifest_from_agent(shared, target, address).await
-            }
-            ManifestSource::Origin => {
-                source_client::fetch_manifest_from_origin(shared, target).await
-            }
-        };
-        match fetched {
+        match fetch_manifest_from(shared, target, source).await {
             Ok(manifest) => {
                 info!(shared.log, "manifest fetched"; "version" => target.version, "source" => format!("{source:?}"));
                 return Some(manifest);
@@ -89,6 +81,57 @@
     None
 }
 
+/// Fetches a manifest that is in doubt again, from the origin or else from other agents, and replaces it if theirs differs.
+pub(crate) async fn refetch_manifest(
+    shared: &AgentShared,
+    target: &WeightTarget,
+    plan: &FetchPlan,
+) {
+    let agents = plan.manifest_sources(0).into_iter();
+    let agents = agents.filter(|it| *it != ManifestSource::Origin);
+    for source in std::iter::once(ManifestSource::Origin).chain(agents) {
+        let fetched = fetch_manifest_from(shared, target, source).await;
+        let is_replaced = match fetched {
+            Ok(manifest) => {
+                let mut state = shared.state();
+                state.staged_pieces.replace_manifest(Arc::new(manifest))
+            }
+            Err(err) => {
+                info!(shared.log, "manifest not fetched"; "source" => format!("{source:?}"), "error" => err.to_string());
+                continue;
+            }
+        };
+        warn!(
+            shared.log, "manifest in doubt fetched again";
+            "version" => target.version,
+            "source" => format!("{source:?}"),
+            "replaced" => is_replaced,
+        );
+        if is_replaced {
+            shared.metrics.manifests_replaced.inc();
+            shared.pieces_changed.notify_waiters();
+            return;
+        }
+        if source == ManifestSource::Origin {
+            break;
+        }
+    }
+    shared.state().staged_pieces.record_confirmation();
+}
+
+async fn fetch_manifest_from(
+    shared: &AgentShared,
+    target: &WeightTarget,
+    source: ManifestSource,
+) -> Result<PieceManifest, FetchError> {
+    match source {
+        ManifestSource::Agent(address) => {
+            source_client::fetch_manifest_from_agent(shared, target, address).await
+        }
+        ManifestSource::Origin => source_client::fetch_manifest_from_origin(shared, target).await,
+    }
+}
+
 /// Fetches and stages all missing pieces; returns whether all of them are staged.
 pub(crate) async fn fetch_pieces(
     shared: &Arc<AgentShared>,
@@ -104,7 +147,8 @@
         Box::pin(refresh_plan(shared, target));
     let mut last_report = Instant::now();
     loop {
-        if !source_client::should_fetch(shared, target) {
+        let is_doubted = shared.state().staged_pieces.is_manifest_doubted();
+        if is_doubted || !source_client::should_fetch(shared, target) {
             return false;
         }
         let Some(staged) = shared.state().staged(target).cloned() else {
@@ -212,6 +256,8 @@
         if manifest.matches(index, &bytes) {
             Ok(bytes)
         } else {
+            let digest = PieceManifest::digest(&bytes);
+            shared.state().staged_pieces.record_mismatch(index, digest);
             Err(FetchError::DigestMismatch)
         }
     });
--- a/crates/stager/src/piece_server.rs
+++ b/crates/stager/src/piece_server.rs
@@ -117,21 +117,17 @@
     }
 }
 
+/// Returns the encoded manifest, or `None` if it is not known or in doubt.
 async fn encoded_manifest(shared: &AgentShared, model: &str, version: u64) -> Option<Vec<u8>> {
-    wait_until(shared, MANIFEST_WAIT, || {
-        shared
-            .state()
-            .staged_pieces
-            .manifest(model, version)
-            .is_some()
-    })
-    .await?;
-    let manifest = shared
-        .state()
-        .staged_pieces
-        .manifest(model, version)?
-        .clone();
-    postcard::to_allocvec(&*manifest).ok()
+    let current = || {
+        let state = shared.state();
+        let manifest = state.staged_pieces.manifest(model, version);
+        manifest
+            .filter(|_| !state.staged_pieces.is_manifest_doubted())
+            .cloned()
+    };
+    wait_until(shared, MANIFEST_WAIT, || current().is_some()).await?;
+    postcard::to_allocvec(&*current()?).ok()
 }
 
 /// Waits until `condition` holds, or returns `None` after `timeout`.
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -231,6 +231,8 @@
         shared.state().staged_pieces.reset(Arc::new(manifest));
         shared.pieces_changed.notify_waiters();
         recover_staged(shared, target).await;
+    } else if shared.state().staged_pieces.is_manifest_doubted() {
+        piece_fetch::refetch_manifest(shared, target, &plan).await;
     }
     let manifest = shared.state().manifest(target).cloned()?;
     let rollout_position = plan.rollout_position();
--- a/crates/standin/src/site/site_origin.rs
+++ b/crates/standin/src/site/site_origin.rs
@@ -23,6 +23,8 @@
     weights: SiteWeights,
     pieces_sent: AtomicU64,
     corrupts_pieces: AtomicBool,
+    /// Number of manifests that are still sent with a wrong digest.
+    corrupt_manifests: AtomicU64,
     silence: SilenceSwitch,
 }
 
@@ -37,6 +39,7 @@
             weights,
             pieces_sent: AtomicU64::new(0),
             corrupts_pieces: AtomicBool::new(false),
+            corrupt_manifests: AtomicU64::new(0),
             silence: SilenceSwitch::default(),
         });
         let server_shared = shared.clone();
@@ -67,6 +70,13 @@
         self.shared.silence.set_silent(is_silent);
     }
 
+    /// Makes the next `count` manifests name a wrong digest for the first piece.
+    pub fn corrupt_manifests(&self, count: u64) {
+        self.shared
+            .corrupt_manifests
+            .store(count, Ordering::Relaxed);
+    }
+
     /// Sets whether every third piece sent is corrupted.
     pub fn set_corrupt_pieces(&self, corrupts_pieces: bool) {
         self.shared
@@ -88,9 +98,19 @@
     let version = param("version").unwrap_or(1);
     let path = request.uri().path();
     if let Some(model) = path.strip_prefix("/fulmarline/manifest/") {
-        let digests: Vec<String> = (0..weights.pieces)
-            .map(|it| weights.digest(version, it))
-            .collect();
+        let digests = (0..weights.pieces).map(|it| weights.digest(version, it));
+        let mut digests: Vec<String> = digests.collect();
+        let corrupt = &shared.corrupt_manifests;
+        let decrement = |it: u64| it.checked_sub(1);
+        let is_corrupt = corrupt.fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement);
+        if is_corrupt.is_ok() {
+            let digit = if digests[0].starts_with('0') {
+                "1"
+            } else {
+                "0"
+            };
+            digests[0].replace_range(..1, digit);
+        }
         let body = json!({
             "model": model, "version": version, "chunkBytes": weights.piece_bytes, "layers": 16, "digests": digests,
         });
