Tests disturb entries around the time at which they stop using old weights

Cause: the test suspends its entry 0.7 s before the bound, which was 0.4 s before the entry withdrew its requests. Since it withdraws them 1.6 s before the bound, so the test, and those that kill and starve an entry, disturbed one that had nothing left to withdraw. The checks had become weaker without any change of them.

Change: they are disturbed at the same distance from the new switch as from the former one (0.4 and 0.9 s before), until the same time after the bound. `platform_silent_switch` kills its entry 0.2 s before the switch for the same reason.

--- a/crates/fulmarline/tests/platform_fence.rs
+++ b/crates/fulmarline/tests/platform_fence.rs
@@ -271,7 +271,7 @@
 }
 
 /// Checks that a replica which also begins requests whose connections have closed begins none on old weights after the
-/// switch. `disturb` disturbs the entry that sends them, from 1.2 s before the switch on.
+/// switch. `disturb` disturbs the entry that sends them, from 0.9 s before it stops using old weights on.
 fn check_fence(name: &str, first_index: u8, disturb: impl Fn(&mut FenceSite)) {
     check_requests(name, first_index, 60, WaitHabit::Begins, disturb);
 }
@@ -302,7 +302,7 @@
             "resumable/resumed",
         ];
         let calls = routes.map(|it| fence.call_between(0, it, from, to, pause));
-        fence.sleep_until(SWITCH_BOUND - Duration::from_millis(1200));
+        fence.sleep_until(LAST_SEND - Duration::from_millis(900));
         disturb(&mut fence);
         let calls: Vec<SentCall> = calls
             .into_iter()
@@ -383,14 +383,14 @@
 }
 
 fn suspend(fence: &mut FenceSite) {
-    fence.sleep_until(SWITCH_BOUND - Duration::from_millis(700));
+    fence.sleep_until(LAST_SEND - Duration::from_millis(400));
     fence.site.entries[0].suspend();
     fence.sleep_until(SWITCH_BOUND + Duration::from_millis(900));
     fence.site.entries[0].resume();
 }
 
 fn kill(fence: &mut FenceSite) {
-    fence.sleep_until(SWITCH_BOUND - Duration::from_millis(700));
+    fence.sleep_until(LAST_SEND - Duration::from_millis(400));
     fence.site.entries[0].kill();
 }
 
--- a/crates/fulmarline/tests/platform_silent_switch.rs
+++ b/crates/fulmarline/tests/platform_silent_switch.rs
@@ -10,7 +10,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use fence_site::{FenceSite, SWITCH_BOUND, SentCall, events, rounds};
+use fence_site::{FenceSite, LAST_SEND, SWITCH_BOUND, SentCall, events, rounds};
 use standin::{HeldAnswer, HeldResponse, HoldingReplica, WaitHabit};
 
 /// Number of replicas, each of which is silent at another time.
@@ -60,7 +60,7 @@
 }
 
 /// Checks which requests begin at replicas that are silent before the switch. `habit` is what they do with requests whose
-/// connections were closed meanwhile, and `disturb` is done at the bound less the time of a silence.
+/// connections were closed meanwhile; `disturb` disturbs the entries.
 fn check(name: &str, first_index: u8, habit: WaitHabit, disturb: impl Fn(&mut FenceSite)) {
     for round in 0..rounds() {
         let mut fence = FenceSite::start(name, first_index);
@@ -111,7 +111,7 @@
 #[test]
 fn requests_of_a_killed_entry_at_a_silent_replica_do_not_begin_after_the_switch() {
     check("silent-killed", 62, WaitHabit::Begins, |fence| {
-        fence.sleep_until(SWITCH_BOUND - MAX_SILENCE);
+        fence.sleep_until(LAST_SEND - Duration::from_millis(200));
         fence.site.entries[0].kill();
     });
 }
