Requests and orders are not written long after the decision to send them

What callers would see: VERSION and WHOLE. An entry or agent that is suspended between its last check and the write of a request writes it when it is resumed. An order in the same place would let a replica load pieces that were verified before the suspension, which WHOLE excuses for nobody.

Cause: the check and the write are two steps of two tasks, and nothing looked at the time in the second one.

Ruled out: a missing check, a time limit that is too long.

Change: a check returns the time by which the request must be written (`SendCondition`): 0.1 s if the weights of its replica are about to be replaced, else 1 s; for an order, the moment at which its oldest verification is too old. The connection looks at the clock that runs in suspension immediately before its first write, and fails with `NotSent` if it is too late; then the entry chooses again, and nothing is held against the replica.

Tried first: 0.1 s for every request. `memory_is_bounded_while_many_responses_have_no_end` failed then, since requests of others were refused at a busy entry.

Why it works: the only step that cannot be taken back asks again.

Two more ways to an old verification have tests, which pass without this change too: an agent that is suspended while it reads, and an order that is sent again.

--- a/crates/fleet/src/staged_pieces.rs
+++ b/crates/fleet/src/staged_pieces.rs
@@ -45,6 +45,8 @@
 pub struct LoadPermit {
     /// Age of the oldest verification of a staged piece.
     pub oldest_age: Duration,
+    /// Time since boot at which that verification becomes too old.
+    pub expires_at: Duration,
 }
 
 /// Why a load must not be ordered.
@@ -250,8 +252,10 @@
             ));
         }
         let oldest = current.checks.iter().filter_map(|it| it.valid_at).min();
+        let oldest = oldest.unwrap_or(sent_by);
         Ok(LoadPermit {
-            oldest_age: oldest.map_or(Duration::ZERO, |it| sent_by.saturating_sub(it)),
+            oldest_age: sent_by.saturating_sub(oldest),
+            expires_at: oldest + MAX_VERIFICATION_AGE,
         })
     }
 
--- a/crates/fleet/tests/staged_pieces.rs
+++ b/crates/fleet/tests/staged_pieces.rs
@@ -78,7 +78,7 @@
         &staged,
         1,
         2500,
-        &expect!["Ok(LoadPermit { oldest_age: 1.5s })"],
+        &expect!["Ok(LoadPermit { oldest_age: 1.5s, expires_at: 2.5s })"],
     );
     check(&staged, 1, 2501, &expect!["Err(Outdated([0, 1, 2, 3]))"]);
     let read_again = [&staged[..], &[Valid(2, 1900), Valid(1, 1800)]].concat();
@@ -99,14 +99,14 @@
         &late_missing,
         1,
         1600,
-        &expect!["Ok(LoadPermit { oldest_age: 600ms })"],
+        &expect!["Ok(LoadPermit { oldest_age: 600ms, expires_at: 2.5s })"],
     );
     let written = [&staged[..], &[Missing(2, 1500), Valid(2, 1500)]].concat();
     check(
         &written,
         1,
         1600,
-        &expect!["Ok(LoadPermit { oldest_age: 600ms })"],
+        &expect!["Ok(LoadPermit { oldest_age: 600ms, expires_at: 2.5s })"],
     );
 }
 
--- a/crates/fulmarline/tests/platform_fence.rs
+++ b/crates/fulmarline/tests/platform_fence.rs
@@ -383,14 +383,14 @@
 }
 
 fn suspend(fence: &mut FenceSite) {
-    fence.sleep_until(LAST_SEND - Duration::from_millis(350));
+    fence.sleep_until(LAST_SEND - Duration::from_millis(400));
     fence.site.entries[0].suspend();
     fence.sleep_until(SWITCH_BOUND + Duration::from_millis(900));
     fence.site.entries[0].resume();
 }
 
 fn kill(fence: &mut FenceSite) {
-    fence.sleep_until(LAST_SEND - Duration::from_millis(350));
+    fence.sleep_until(LAST_SEND - Duration::from_millis(400));
     fence.site.entries[0].kill();
 }
 
--- a/crates/fulmarline/tests/platform_whole.rs
+++ b/crates/fulmarline/tests/platform_whole.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use site::TestSite;
-use standin::{EXCUSED_CORRUPTION, SiteWeights};
+use standin::{EXCUSED_CORRUPTION, ReplicaCalls, SiteWeights};
 
 /// Weights of which a newer version replaces only the last pieces.
 const WEIGHTS: SiteWeights = SiteWeights {
@@ -15,6 +15,13 @@
     shared_pieces: 20,
 };
 
+/// Weights that a replica returns within seconds even if it is slow.
+const SMALL_WEIGHTS: SiteWeights = SiteWeights {
+    pieces: 4,
+    shared_pieces: 3,
+    ..WEIGHTS
+};
+
 /// A piece that both versions have.
 const SHARED_PIECE: usize = 8;
 
@@ -68,15 +75,50 @@
     check_load(&site);
 }
 
+/// Guards against an agent that is suspended while it reads the pieces, and takes what it read before for recent afterwards.
+#[test]
+fn pieces_that_were_read_before_a_suspension_are_read_again() {
+    let site = start_site("whole-suspended", 176, SMALL_WEIGHTS);
+    site.models[0].set_read_time(Duration::from_millis(500));
+    site.declare(2);
+    // Each piece is read once when the agent begins to stage the version. The next reads are those before the order.
+    let pieces = SMALL_WEIGHTS.pieces as u64;
+    site.wait("a read before the order", |it| {
+        (it.models[0].staged_reads() > pieces).then_some(())
+    });
+    site.agents[0].suspend();
+    std::thread::sleep(Duration::from_secs(1));
+    site.models[0].corrupt_staged_piece(0);
+    std::thread::sleep(EXCUSED_CORRUPTION + Duration::from_millis(500));
+    site.agents[0].resume();
+    check_load(&site);
+}
+
+/// Guards against an order that is sent again, because the first one was not answered, with pieces that were verified for the
+/// first one.
+#[test]
+fn pieces_are_read_again_before_an_order_is_repeated() {
+    let site = start_site("whole-repeated", 178, WEIGHTS);
+    let replica = &site.models[0];
+    replica.set_silent(&[ReplicaCalls::Orders], true);
+    site.declare(2);
+    site.wait("the first order", |_| {
+        (replica.received(ReplicaCalls::Orders) > 0).then_some(())
+    });
+    replica.corrupt_staged_piece(SHARED_PIECE);
+    // The replica accepts the first of the orders when the silence ends.
+    site.wait("a further order", |_| {
+        (replica.received(ReplicaCalls::Orders) > 2).then_some(())
+    });
+    std::thread::sleep(EXCUSED_CORRUPTION);
+    replica.set_silent(&[ReplicaCalls::Orders], false);
+    check_load(&site);
+}
+
 /// Guards against an order to a replica that takes too long to return its pieces, which may be corrupt by then.
 #[test]
 fn a_replica_that_cannot_be_read_in_time_is_not_ordered_to_load() {
-    let weights = SiteWeights {
-        pieces: 6,
-        shared_pieces: 4,
-        ..WEIGHTS
-    };
-    let site = start_site("whole-too-slow", 174, weights);
+    let site = start_site("whole-too-slow", 174, SMALL_WEIGHTS);
     site.models[0].set_read_time(Duration::from_millis(1400));
     site.declare(2);
     site.wait("a verification that is given up", |it| {
--- a/crates/httpio/src/client_stream.rs
+++ b/crates/httpio/src/client_stream.rs
@@ -3,17 +3,21 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::boot_clock;
+
 /// A TCP stream that is closed either gracefully or with a reset.
 pub(crate) struct ClientStream {
     socket: Arc<TcpStream>,
     awaits_head: Arc<AtomicBool>,
+    write_limit: Arc<WriteLimit>,
     reset_on_close: bool,
     /// Number of bytes that were read since the task last waited.
     read_without_wait: usize,
@@ -29,6 +33,33 @@
     /// Does not keep the socket open after the task has ended.
     socket: Weak<TcpStream>,
     awaits_head: Arc<AtomicBool>,
+    write_limit: Arc<WriteLimit>,
+}
+
+/// Time by which the first bytes of a request must be written. The process may be suspended between the decision to send the
+/// request and the write, and what the decision relied on may not hold any more then.
+#[derive(Debug, Default)]
+struct WriteLimit {
+    /// Time since boot in milliseconds, or 0 without a limit.
+    end_ms: AtomicU64,
+    /// Whether a write was prevented.
+    is_passed: AtomicBool,
+}
+
+impl WriteLimit {
+    /// Returns whether bytes may be written now.
+    fn may_write(&self) -> bool {
+        let end_ms = self.end_ms.load(Ordering::Relaxed);
+        let is_passed = end_ms > 0 && millis(boot_clock::now()) > end_ms;
+        if is_passed {
+            self.is_passed.store(true, Ordering::Relaxed);
+        }
+        !is_passed
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 impl ClientStream {
@@ -44,6 +75,7 @@
         Ok(Self {
             socket: Arc::new(socket),
             awaits_head: Arc::default(),
+            write_limit: Arc::default(),
             reset_on_close,
             read_without_wait: 0,
             pause: None,
@@ -56,6 +88,7 @@
         SocketView {
             socket: Arc::downgrade(&self.socket),
             awaits_head: self.awaits_head.clone(),
+            write_limit: self.write_limit.clone(),
         }
     }
 
@@ -91,6 +124,17 @@
     pub(crate) fn set_awaits_head(&self, awaits_head: bool) {
         self.awaits_head.store(awaits_head, Ordering::Relaxed);
     }
+
+    /// Makes the next write fail unless it happens by `write_by`, a time since boot.
+    pub(crate) fn limit_next_write(&self, write_by: Duration) {
+        let end_ms = millis(write_by).max(1);
+        self.write_limit.end_ms.store(end_ms, Ordering::Relaxed);
+    }
+
+    /// Returns whether a write was prevented, so that nothing of the request has been written.
+    pub(crate) fn is_write_limit_passed(&self) -> bool {
+        self.write_limit.is_passed.load(Ordering::Relaxed)
+    }
 }
 
 impl AsyncRead for ClientStream {
@@ -140,9 +184,15 @@
         self.read_since_write = 0;
         loop {
             ready!(self.socket.poll_write_ready(cx))?;
+            if !self.write_limit.may_write() {
+                return Poll::Ready(Err(io::ErrorKind::Interrupted.into()));
+            }
             match self.socket.try_write_vectored(slices) {
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result),
+                result => {
+                    self.write_limit.end_ms.store(0, Ordering::Relaxed);
+                    return Poll::Ready(result);
+                }
             }
         }
     }
--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -56,10 +56,17 @@
     is_reused: bool,
 }
 
+/// Decides whether a request may be sent now. Returns the time since boot, see [`crate::boot_clock`], by which it must be written,
+/// or `None` if it may not be sent.
+///
+/// The process may be suspended between the decision and the write, and what the decision relied on may not hold any more then.
+pub type SendCondition<'a> = dyn Fn() -> Option<time::Duration> + Sync + 'a;
+
 /// Why a request received no response.
 #[derive(Debug)]
 pub enum ClientError {
-    /// No connection could be opened, so the request was not sent.
+    /// No connection could be opened, so the request was not sent. The error is `Interrupted` if the connection was open and this
+    /// process did not run when it should have written the request.
     NotSent(std::io::Error),
     /// The connection failed after the request may have been sent, so the outcome is unknown.
     NoResponse(hyper::Error),
@@ -138,36 +145,46 @@
         address: SocketAddr,
         request: Request<HttpBody>,
     ) -> Result<PooledResponse, ClientError> {
-        self.send_if(address, request, &|| true).await
+        self.send_on_any_connection(address, request, None).await
     }
 
-    /// Sends `request` as [`HttpClient::send`] does, if `may_send` returns `true` immediately before. Opening a
-    /// connection takes time, in which the reasons to choose the server may have ceased.
+    /// Sends `request` as [`HttpClient::send`] does, if `may_send` permits it immediately before. Opening a connection takes time, in
+    /// which the reasons to choose the server may have ceased.
     ///
     /// # Errors
     ///
-    /// Returns the same errors as [`HttpClient::send`]; [`ClientError::NotSent`] also if `may_send` returns `false`.
+    /// Returns the same errors as [`HttpClient::send`]; [`ClientError::NotSent`] also if `may_send` does not permit the request, or
+    /// the process does not run until it is too late.
     pub async fn send_if(
         &self,
         address: SocketAddr,
         request: Request<HttpBody>,
-        may_send: &(dyn Fn() -> bool + Sync),
+        may_send: &SendCondition<'_>,
+    ) -> Result<PooledResponse, ClientError> {
+        self.send_on_any_connection(address, request, Some(may_send))
+            .await
+    }
+
+    async fn send_on_any_connection(
+        &self,
+        address: SocketAddr,
+        request: Request<HttpBody>,
+        may_send: Option<&SendCondition<'_>>,
     ) -> Result<PooledResponse, ClientError> {
         let idle = match self.may_wait_for_window(&request) {
             true => None,
             false => self.take_idle(address),
         };
         let Some(mut connection) = idle else {
-            return self
-                .send_on_new_connection_if(address, request, may_send)
-                .await;
+            return self.connect_and_send(address, request, may_send).await;
         };
-        if !may_send() {
+        let write_by = may_send.map(|it| it());
+        if write_by == Some(None) {
             self.recycle(connection, address);
             return Err(ClientError::NotSent(prevented()));
         }
         let request = with_host_header(request, address);
-        match connection.send(request).await {
+        match connection.send(request, write_by.flatten()).await {
             Ok(response) => Ok(PooledResponse {
                 response,
                 connection,
@@ -176,11 +193,8 @@
             }),
             // `hyper` returns the request if none of it was written, because the idle connection had been closed.
             Err(mut err) => match err.take_message() {
-                Some(request) => {
-                    self.send_on_new_connection_if(address, request, may_send)
-                        .await
-                }
-                None => Err(ClientError::NoResponse(err.into_error())),
+                Some(request) => self.connect_and_send(address, request, may_send).await,
+                None => Err(connection.send_error(err)),
             },
         }
     }
@@ -198,11 +212,10 @@
         address: SocketAddr,
         request: Request<HttpBody>,
     ) -> Result<PooledResponse, ClientError> {
-        self.send_on_new_connection_if(address, request, &|| true)
-            .await
+        self.connect_and_send(address, request, None).await
     }
 
-    /// Sends `request` on a new connection, if `may_send` returns `true` when it is open.
+    /// Sends `request` on a new connection, if `may_send` permits it when the connection is open.
     ///
     /// # Errors
     ///
@@ -211,7 +224,17 @@
         &self,
         address: SocketAddr,
         request: Request<HttpBody>,
-        may_send: &(dyn Fn() -> bool + Sync),
+        may_send: &SendCondition<'_>,
+    ) -> Result<PooledResponse, ClientError> {
+        self.connect_and_send(address, request, Some(may_send))
+            .await
+    }
+
+    async fn connect_and_send(
+        &self,
+        address: SocketAddr,
+        request: Request<HttpBody>,
+        may_send: Option<&SendCondition<'_>>,
     ) -> Result<PooledResponse, ClientError> {
         let mut request = with_host_header(request, address);
         let mut tcp_user_timeout = self.tcp_user_timeout;
@@ -226,13 +249,14 @@
             .connect(address, tcp_user_timeout)
             .await
             .map_err(ClientError::NotSent)?;
-        if !may_send() {
+        let write_by = may_send.map(|it| it());
+        if write_by == Some(None) {
             return Err(ClientError::NotSent(prevented()));
         }
-        let response = connection
-            .send(request)
-            .await
-            .map_err(|it| ClientError::NoResponse(it.into_error()))?;
+        let response = match connection.send(request, write_by.flatten()).await {
+            Ok(it) => it,
+            Err(err) => return Err(connection.send_error(err)),
+        };
         Ok(PooledResponse {
             response,
             connection,
@@ -420,15 +444,28 @@
 }
 
 impl ClientConnection {
+    /// Sends `request`, which must be written by `write_by`, if that is set.
     async fn send(
         &mut self,
         request: Request<HttpBody>,
+        write_by: Option<time::Duration>,
     ) -> Result<Response<Incoming>, TrySendError<Request<HttpBody>>> {
+        if let Some(write_by) = write_by {
+            self.socket.limit_next_write(write_by);
+        }
         self.socket.set_awaits_head(true);
         let result = self.sender.try_send_request(request).await;
         self.socket.set_awaits_head(false);
         result
     }
+
+    /// Returns what a failed send says about the request.
+    fn send_error(&self, err: TrySendError<Request<HttpBody>>) -> ClientError {
+        if self.socket.is_write_limit_passed() {
+            return ClientError::NotSent(std::io::ErrorKind::Interrupted.into());
+        }
+        ClientError::NoResponse(err.into_error())
+    }
 }
 
 fn with_host_header(mut request: Request<HttpBody>, address: SocketAddr) -> Request<HttpBody> {
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod body_framing;
 mod body_sender;
+pub mod boot_clock;
 mod buffer_budget;
 mod client_stream;
 mod error_replacing_stream;
@@ -21,7 +22,7 @@
 pub use body_sender::{BodySender, PeerDisconnected, stream};
 pub use buffer_budget::{BufferBudget, BufferShare};
 pub use head_error::{HeadError, HeadErrorHandler};
-pub use http_client::{ClientConnection, ClientError, HttpClient, PooledResponse};
+pub use http_client::{ClientConnection, ClientError, HttpClient, PooledResponse, SendCondition};
 pub use http_server::{HttpServer, ServerHandle, StopSignal, WriteDeadline};
 pub use server_limits::ServerLimits;
 
--- a/crates/httpio/tests/pool.rs
+++ b/crates/httpio/tests/pool.rs
@@ -181,7 +181,7 @@
     let client = HttpClient::new(None, WAIT_TIMEOUT);
     let result = current_thread().block_on(async {
         let request = Request::builder().uri("/").body(httpio::empty()).unwrap();
-        client.send_if(address, request, &|| false).await
+        client.send_if(address, request, &|| None).await
     });
     assert!(matches!(result, Err(httpio::ClientError::NotSent(_))));
     let bytes = requests.recv_timeout(WAIT_TIMEOUT).unwrap();
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -39,7 +39,7 @@
     Limited,
     /// The replica has said that it leaves since it was chosen.
     Leaving,
-    /// The weights of the replica will be replaced earlier than the request says.
+    /// The weights of the replica will be replaced earlier than the request says, or this entry was suspended after the choice.
     Outdated,
     /// Another replica listens at the address, or the replica has another version of the weights.
     Misdirected,
@@ -110,6 +110,9 @@
             }
             classify_head(call, pooled_response, metadata)
         }
+        Ok(Err(ClientError::NotSent(err))) if err.kind() == std::io::ErrorKind::Interrupted => {
+            SendOutcome::NotRun(NotRunReason::Outdated)
+        }
         Ok(Err(ClientError::NotSent(_))) => SendOutcome::NotRun(match permit.denial() {
             Some(PermitDenial::Limited) => NotRunReason::Limited,
             Some(PermitDenial::Leaving) => NotRunReason::Leaving,
--- a/crates/ingress/src/send_permit.rs
+++ b/crates/ingress/src/send_permit.rs
@@ -4,7 +4,8 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-use fleet::{ChosenReplica, LogKind};
+use fleet::{ChosenReplica, LogKind, TIMER_RESERVE};
+use relay::boot_clock;
 use slog::info;
 
 use crate::client_call::ClientCall;
@@ -58,8 +59,9 @@
         }
     }
 
-    /// Returns whether the request may be sent, and uses a turn for it if the replica has a limit by now.
-    pub(crate) fn check(&self) -> bool {
+    /// Returns the time since boot by which the request must be written, or `None` if it may not be sent. Uses a turn for it if the
+    /// replica has a limit by now.
+    pub(crate) fn check(&self) -> Option<Duration> {
         let denial = if !self.shared.state().catalog.may_send(&self.chosen.replica) {
             Some(PermitDenial::Leaving)
         } else if self.is_outdated() {
@@ -81,7 +83,18 @@
         if denial.is_none() {
             self.is_sent.store(true, Ordering::Relaxed);
         }
-        denial.is_none()
+        denial
+            .is_none()
+            .then(|| boot_clock::now() + self.max_write_delay())
+    }
+
+    /// Returns how long the write may be delayed. The replica counts its time from when it reads the request, so weights that are
+    /// about to be replaced leave little.
+    fn max_write_delay(&self) -> Duration {
+        match self.chosen.must_start_within {
+            Some(_) => TIMER_RESERVE,
+            None => MAX_WRITE_DELAY,
+        }
     }
 
     /// Returns whether the weights of the replica have become too old, or the replica would be allowed to begin the request after
@@ -124,3 +137,7 @@
             .expect("no thread panics while it holds the denial lock")
     }
 }
+
+/// Maximum time between the check and the write of a request, far above what a busy entry needs. An entry that was suspended for
+/// longer chooses again.
+const MAX_WRITE_DELAY: Duration = Duration::from_secs(1);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,7 +4,7 @@
 //! The crate contains the client and the request format that client and entry share. It must not depend on how an entry
 //! follows the store or on the meaning of the rows.
 
-pub mod boot_clock;
+pub use httpio::boot_clock;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/stager/src/load_order.rs
+++ b/crates/stager/src/load_order.rs
@@ -42,11 +42,11 @@
     // The agent may have been suspended since the verification, and opening a connection may take long.
     let may_send = || {
         let checked = shared.state().permit_load(target, boot_clock::now());
-        let is_permitted = checked.is_ok();
+        let expires_at = checked.as_ref().ok().map(|it| it.expires_at);
         *permit
             .lock()
             .expect("no thread panics while it holds the permit") = Some(checked);
-        is_permitted
+        expires_at
     };
     let response = shared.replica_client.load(&order, &may_send).await;
     let permit = permit
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -46,6 +46,8 @@
     corrupted_at: BTreeMap<usize, Instant>,
     /// Time in which a staged piece is returned.
     read_time: Duration,
+    /// Number of reads of staged pieces that have begun.
+    staged_reads: u64,
     /// Staged piece that is corrupted once it has been returned this number of times.
     corrupt_after_reads: Option<(usize, u32)>,
     /// Number of load orders for which the staged pieces did not all match the ordered version.
@@ -160,6 +162,11 @@
         self.shared.lock().invalid_loads
     }
 
+    /// Returns the number of reads of staged pieces that have begun.
+    pub fn staged_reads(&self) -> u64 {
+        self.shared.lock().staged_reads
+    }
+
     /// Sets the time in which a staged piece is returned.
     pub fn set_read_time(&self, read_time: Duration) {
         self.shared.lock().read_time = read_time;
@@ -302,8 +309,12 @@
         return status_report(&shared);
     }
     if path.starts_with("/fulmarline/stage-get/") {
-        let piece = index.and_then(|it| shared.lock().staged.get(&it).cloned());
-        let read_time = shared.lock().read_time;
+        let (piece, read_time) = {
+            let mut state = shared.lock();
+            state.staged_reads += 1;
+            let piece = index.and_then(|it| state.staged.get(&it).cloned());
+            (piece, state.read_time)
+        };
         tokio::time::sleep(read_time).await;
         let mut state = shared.lock();
         if let Some(index) = index {
