An agent that cannot be reached is no holder of pieces

What callers would see: from the bound of a version on nothing is served: no agent loads it while one agent cannot be reached, or responds with bytes without end, whose replica is listed with the version.

Cause: such an agent counts as a holder of all pieces. Failed fetches paused it, but the origin is asked only for pieces without a holder.

Evidence: a test with an agent that responds without end: the manifest comes from the origin, then `transfer in progress` names no fetch from the origin and no piece for a minute. Ruled out: a full link (each response is given up after 4 MiB, within milliseconds), a missing manifest.

Change: an agent that could not be reached is no holder until it is tried again.

Why it works: the agents that act for a class ask the origin as soon as no holder is left that answers.

--- a/crates/fleet/src/piece_swarm.rs
+++ b/crates/fleet/src/piece_swarm.rs
@@ -75,6 +75,8 @@
     durations: BTreeMap<PieceSource, Duration>,
     /// Time until which a source is not used.
     paused: BTreeMap<PieceSource, Instant>,
+    /// Time until which an agent that could not be reached does not count as a holder of any piece.
+    failed: BTreeMap<SocketAddr, Instant>,
     /// Time at which a new piece of each class was last seen in the region.
     progress: [Instant; CLASSES],
 }
@@ -103,6 +105,7 @@
             available_since: BTreeMap::new(),
             durations: BTreeMap::new(),
             paused: BTreeMap::new(),
+            failed: BTreeMap::new(),
             progress: [now; CLASSES],
         }
     }
@@ -200,6 +203,9 @@
         };
         let until = now + pause.mul_f64(0.5 + random);
         self.paused.insert(fetch.source, until);
+        if let (FetchOutcome::Unreachable, PieceSource::Agent(address)) = (outcome, fetch.source) {
+            self.failed.insert(address, until);
+        }
     }
 
     /// Chooses the next fetch and records it as in flight; `staged` are the pieces that this agent has.
@@ -383,7 +389,8 @@
         is_second || waited > SLOW_SOURCE_WAIT
     }
 
-    /// Returns the agents that have a piece and have responded recently.
+    /// Returns the agents that have a piece, have responded recently, and could be reached when they were last asked for one. An
+    /// agent whose replica serves the version may have failed itself, and the others must not wait for it.
     fn holders(&self, index: usize, now: Instant) -> Vec<SocketAddr> {
         let has_piece = |it: &SocketAddr| {
             let known = self.neighbors.get(it);
@@ -393,7 +400,10 @@
         let neighbors = self.neighbors.keys().copied();
         let neighbors =
             neighbors.filter(|it| !self.plan.is_complete(*it) && !self.is_silent(*it, now));
-        complete.chain(neighbors).filter(has_piece).collect()
+        let holders = complete.chain(neighbors).filter(has_piece);
+        holders
+            .filter(|it| self.failed.get(it).is_none_or(|it| *it <= now))
+            .collect()
     }
 
     fn holders_in_region(&self, index: usize, now: Instant) -> Vec<SocketAddr> {
--- a/crates/fleet/tests/piece_swarm.rs
+++ b/crates/fleet/tests/piece_swarm.rs
@@ -304,3 +304,16 @@
     };
     check(&scenario, DEGRADED_MS, 1.2, 0.0);
 }
+
+/// Guards against a version that no agent loads, because all wait for one whose replica serves it and which cannot be reached.
+#[test]
+fn an_agent_that_should_have_all_pieces_and_does_not_respond_is_not_waited_for() {
+    for region in [4, 12] {
+        let scenario = Scenario {
+            complete: [1].into(),
+            dead: [1].into(),
+            ..Scenario::new(&[region, region])
+        };
+        check(&scenario, DEGRADED_MS, 1.2, 2.5);
+    }
+}
