--- a/crates/fulmarline/tests/platform_endless.rs
+++ b/crates/fulmarline/tests/platform_endless.rs
@@ -183,14 +183,7 @@
     let others = std::thread::scope(|scope| {
         let others = scope.spawn(|| {
             let caller = site.caller().with_kept_connections();
-            let mut statuses = Vec::new();
-            while !has_ended.load(Ordering::Relaxed) {
-                let id = format!("other-{}", statuses.len());
-                let response = caller.call(0, Method::POST, "/order/1", &id, "key-1");
-                statuses.push(response.map(|it| it.status));
-                std::thread::sleep(Duration::from_millis(20));
-            }
-            statuses
+            caller.order_until(0, Duration::from_millis(20), &has_ended)
         });
         let bodies = [
             EndlessBytes::BulkTrickle,
@@ -205,7 +198,7 @@
         has_ended.store(true, Ordering::Relaxed);
         others.join().unwrap()
     });
-    let peak_kb = peak_memory_kb(site.entries[0].id());
+    let peak_kb = site.entries[0].peak_memory_kb();
     println!("peak {peak_kb} kB, {} requests of others", others.len());
     assert!(peak_kb < MAX_PEAK_KB, "the entry used {peak_kb} kB");
     let failed = others.iter().filter(|it| **it != Some(StatusCode::OK));
@@ -256,13 +249,6 @@
     wait_for_closed_connections(&site, &replicas, "events without end");
 }
 
-fn peak_memory_kb(process: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
-    let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
-    let value = line.and_then(|it| it.trim().strip_suffix(" kB"));
-    value.and_then(|it| it.parse().ok()).expect("a peak in kB")
-}
-
 /// Guards against a replica that stays in use because the heads of its responses are valid and only their bodies are not.
 #[test]
 fn a_replica_whose_bodies_have_no_end_is_avoided() {
--- a/crates/fulmarline/tests/platform_request_bodies.rs
+++ b/crates/fulmarline/tests/platform_request_bodies.rs
@@ -49,13 +49,6 @@
     String::from_utf8_lossy(&response).into_owned()
 }
 
-fn peak_memory_kb(process: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
-    let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
-    let value = line.and_then(|it| it.trim().strip_suffix(" kB"));
-    value.and_then(|it| it.parse().ok()).expect("a peak in kB")
-}
-
 /// Guards against LOST: an entry that keeps every body that arrives runs out of memory, and orders in progress end with it.
 #[test]
 fn large_bodies_that_arrive_together_do_not_exhaust_an_entry() {
@@ -73,14 +66,7 @@
     let (responses, small) = std::thread::scope(|scope| {
         let small = scope.spawn(|| {
             let caller = site.caller().with_kept_connections();
-            let mut statuses = Vec::new();
-            while !has_ended.load(Ordering::Relaxed) {
-                let id = format!("small-{}", statuses.len());
-                let response = caller.call(0, Method::POST, "/order/1", &id, "key-1");
-                statuses.push(response.map(|it| it.status));
-                std::thread::sleep(Duration::from_millis(30));
-            }
-            statuses
+            caller.order_until(0, Duration::from_millis(30), &has_ended)
         });
         let uploads: Vec<_> = (0..REQUESTS)
             .map(|it| {
@@ -95,7 +81,7 @@
         has_ended.store(true, Ordering::Relaxed);
         (responses, small.join().unwrap())
     });
-    let peak_kb = peak_memory_kb(site.entries[0].id());
+    let peak_kb = site.entries[0].peak_memory_kb();
     println!("peak {peak_kb} kB, {} small requests", small.len());
     assert!(peak_kb < MAX_PEAK_KB, "the entry used {peak_kb} kB");
     let failed = small.iter().filter(|it| **it != Some(StatusCode::OK));
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -7,7 +7,6 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use http_body_util::BodyExt;
 use httpio::{HttpClient, Method, Request, StatusCode};
 use serde_json::{Value, json};
 use standin::{
@@ -15,21 +14,17 @@
     SiteWeights, StandinRuntime,
 };
 
+#[path = "site_caller.rs"]
+mod site_caller;
+
+pub use site_caller::{SiteCaller, SiteResponse};
+
 /// Timeout of every wait, well above what a loaded machine needs.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Difference between the versions of two configurations.
 const VERSION_STEP: u64 = 3;
 
-/// Number of tokens in the prompt of a usual request.
-const SHORT_PROMPT: u32 = 100;
-
-/// Maximum number of tokens of the response to a usual request.
-const SHORT_ANSWER: u32 = 60;
-
-/// Time for which clients usually wait for a response.
-const PATIENCE: Duration = Duration::from_secs(6);
-
 /// Size of the weights of the site's model.
 pub const WEIGHTS: SiteWeights = SiteWeights {
     pieces: 24,
@@ -62,6 +57,10 @@
     pub hosts: Vec<SiteHost>,
     client: HttpClient,
     weights: SiteWeights,
+    /// Address of a proxy of the store, which the settings of processes name that are started from now on.
+    pub store_proxy: Option<SocketAddr>,
+    /// Address of a proxy of the origin, which the next configuration names.
+    pub origin_proxy: Option<SocketAddr>,
     /// Maximum size of a request's body in the next configuration.
     pub max_body_bytes: usize,
     /// Keys of the tenant in the next configuration.
@@ -70,191 +69,6 @@
     dir: PathBuf,
 }
 
-/// Response of an entry.
-#[derive(Debug)]
-pub struct SiteResponse {
-    pub status: StatusCode,
-    pub headers: httpio::HeaderMap,
-    pub body: String,
-    /// Whether the body was received up to its regular end.
-    pub complete: bool,
-}
-
-/// Client that sends requests to entries.
-#[derive(Clone)]
-pub struct SiteCaller {
-    handle: tokio::runtime::Handle,
-    client: HttpClient,
-    front_addresses: Vec<SocketAddr>,
-    /// Whether connections are used for further requests.
-    keeps_connections: bool,
-    /// Time for which a response is waited for, as told to the entry.
-    patience: Duration,
-    /// Maximum number of tokens of the responses.
-    answer_tokens: u32,
-}
-
-impl SiteCaller {
-    /// Sends each request on a connection that is open from an earlier one, if there is any.
-    #[must_use]
-    pub fn with_kept_connections(mut self) -> Self {
-        self.keeps_connections = true;
-        self
-    }
-
-    /// Waits for responses for `patience` instead of [`PATIENCE`].
-    #[must_use]
-    pub fn with_patience(mut self, patience: Duration) -> Self {
-        self.patience = patience;
-        self
-    }
-
-    /// Requests responses of up to `answer_tokens` tokens instead of [`SHORT_ANSWER`].
-    #[must_use]
-    pub fn with_answer_tokens(mut self, answer_tokens: u32) -> Self {
-        self.answer_tokens = answer_tokens;
-        self
-    }
-
-    /// Sends a request with a short prompt and without a body to an entry.
-    pub fn call(
-        &self,
-        entry: usize,
-        method: Method,
-        path: &str,
-        id: &str,
-        key: &str,
-    ) -> Option<SiteResponse> {
-        let headers = [
-            ("Request-Id", id),
-            ("Authorization", &format!("Token {key}")),
-        ];
-        self.send(entry, method, path, &headers, SHORT_PROMPT, Vec::new())
-    }
-
-    /// Sends a request with a body to an entry.
-    pub fn call_with_body(
-        &self,
-        entry: usize,
-        method: Method,
-        path: &str,
-        id: &str,
-        key: &str,
-        body: Vec<u8>,
-    ) -> Option<SiteResponse> {
-        let headers = [
-            ("Request-Id", id),
-            ("Authorization", &format!("Token {key}")),
-        ];
-        self.send(entry, method, path, &headers, SHORT_PROMPT, body)
-    }
-
-    /// Sends a request whose prompt has `prompt_tokens` tokens to an entry.
-    pub fn call_with_prompt(
-        &self,
-        entry: usize,
-        method: Method,
-        path: &str,
-        id: &str,
-        key: &str,
-        prompt_tokens: u32,
-    ) -> Option<SiteResponse> {
-        let headers = [
-            ("Request-Id", id),
-            ("Authorization", &format!("Token {key}")),
-        ];
-        self.send(entry, method, path, &headers, prompt_tokens, Vec::new())
-    }
-
-    /// Sends a request whose prompt consists of `parts`, as `ID:TOKENS` separated by commas, to an entry.
-    pub fn call_with_parts(
-        &self,
-        entry: usize,
-        path: &str,
-        id: &str,
-        parts: &str,
-    ) -> Option<SiteResponse> {
-        let headers = [
-            ("Request-Id", id),
-            ("Authorization", "Token key-1"),
-            ("Prefix-Hash", parts),
-        ];
-        let method = Method::POST;
-        self.send(entry, method, path, &headers, SHORT_PROMPT, Vec::new())
-    }
-
-    /// Sends a lookup with a further header to an entry.
-    pub fn call_with_header(
-        &self,
-        entry: usize,
-        path: &str,
-        header: (&str, &str),
-    ) -> Option<SiteResponse> {
-        let headers = [
-            ("Request-Id", "with-header"),
-            ("Authorization", "Token key-1"),
-            header,
-        ];
-        let method = Method::GET;
-        self.send(entry, method, path, &headers, SHORT_PROMPT, Vec::new())
-    }
-
-    fn send(
-        &self,
-        entry: usize,
-        method: Method,
-        path: &str,
-        headers: &[(&str, &str)],
-        prompt_tokens: u32,
-        body: Vec<u8>,
-    ) -> Option<SiteResponse> {
-        let body = if body.is_empty() {
-            httpio::empty()
-        } else {
-            httpio::full(body)
-        };
-        let answer_tokens = self.answer_tokens;
-        let mut builder = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("Host", "shop.example")
-            .header("Deadline-Ms", self.patience.as_millis().to_string())
-            .header("Token-Count", format!("{prompt_tokens},{answer_tokens}"))
-            .header("Tenant", "forged");
-        for (name, value) in headers {
-            builder = builder.header(*name, *value);
-        }
-        let request = builder.body(body).unwrap();
-        let address = self.front_addresses[entry];
-        self.handle.block_on(async {
-            let pooled_response = if self.keeps_connections {
-                self.client.send(address, request).await
-            } else {
-                self.client.send_on_new_connection(address, request).await
-            };
-            let (response, sender, _) = pooled_response.ok()?.into_parts();
-            let (parts, mut body) = response.into_parts();
-            let mut bytes = Vec::new();
-            let complete = loop {
-                match body.frame().await {
-                    None => break true,
-                    Some(Err(_)) => break false,
-                    Some(Ok(frame)) => bytes.extend(frame.into_data().unwrap_or_default()),
-                }
-            };
-            if complete && self.keeps_connections {
-                self.client.recycle(sender, address);
-            }
-            Some(SiteResponse {
-                status: parts.status,
-                headers: parts.headers,
-                body: String::from_utf8_lossy(&bytes).into_owned(),
-                complete,
-            })
-        })
-    }
-}
-
 impl TestSite {
     /// Starts two entries, two replicas of a plain service, and a model replica with an agent for each of `versions`.
     ///
@@ -281,6 +95,8 @@
         let mut site = Self {
             client: HttpClient::new(None, Duration::from_secs(5)),
             weights,
+            store_proxy: None,
+            origin_proxy: None,
             ports: SitePorts::free().unwrap(),
             runtime,
             store,
@@ -369,7 +185,7 @@
         self.store
             .put("servers", &id, &replica.row("pool", zone, "ready"));
         let settings =
-            host.agent_settings(self.ports, self.store.address(), replica.address(), "pool");
+            host.agent_settings(self.ports, self.store_address(), replica.address(), "pool");
         self.models.push(replica);
         let agent = self.spawn("agent", &host.name, &settings);
         self.agents.push(agent);
@@ -386,7 +202,7 @@
     /// Starts or restarts an entry.
     pub fn start_entry(&mut self, index: usize) {
         let host = &self.hosts[index];
-        let settings = host.entry_settings(self.ports, self.store.address());
+        let settings = host.entry_settings(self.ports, self.store_address());
         let entry = self.spawn("entry", &host.name.clone(), &settings);
         if index < self.entries.len() {
             self.entries[index] = entry;
@@ -395,6 +211,10 @@
         }
     }
 
+    fn store_address(&self) -> SocketAddr {
+        self.store_proxy.unwrap_or(self.store.address())
+    }
+
     /// Starts an agent again after its process has ended.
     pub fn restart_agent(&mut self, index: usize) {
         let name = format!("side-{index}");
@@ -454,13 +274,14 @@
             "context_per_k": 0.03, "read_per_s": 20000.0, "chunk": 2048, "usual": {"prompt": 100, "answer": 60},
             "chunks": self.weights.pieces,
         });
+        let origin = self.origin_proxy.unwrap_or(self.origin.address());
         let config = json!({
             "version": self.config, "routes": routes,
             "services": [
                 {"name": "pool", "maxConns": 100, "engine": engine},
                 {"name": "orders", "maxConns": 100},
                 {"name": "plain", "maxConns": 100},
-                {"name": "weights", "origin": self.origin.address().to_string(), "maxConns": 100},
+                {"name": "weights", "origin": origin.to_string(), "maxConns": 100},
             ],
             "limits": limits,
             "tenants": [{"name": "dealer", "apiKeys": self.api_keys, "prio": 1}],
@@ -503,18 +324,13 @@
 
     /// Returns a client that does not borrow the site, so that it can send requests while the site is modified.
     pub fn caller(&self) -> SiteCaller {
-        SiteCaller {
-            handle: self.runtime.handle().clone(),
-            client: self.client.clone(),
-            front_addresses: self
-                .hosts
-                .iter()
-                .map(|it| (it.ip, self.ports.front).into())
-                .collect(),
-            keeps_connections: false,
-            patience: PATIENCE,
-            answer_tokens: SHORT_ANSWER,
-        }
+        let hosts = self.hosts.iter();
+        let front_addresses = hosts.map(|it| (it.ip, self.ports.front).into());
+        SiteCaller::new(
+            self.runtime.handle().clone(),
+            self.client.clone(),
+            front_addresses.collect(),
+        )
     }
 
     /// Returns the address on which an entry accepts requests.
--- a/crates/standin/src/harness/child_process.rs
+++ b/crates/standin/src/harness/child_process.rs
@@ -72,6 +72,21 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Returns the largest resident memory that the process has had, in kilobytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the operating system does not tell.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+        let value = line.and_then(|it| it.trim().strip_suffix(" kB"));
+        value
+            .and_then(|it| it.parse().ok())
+            .expect("a running process has a peak of its memory")
+    }
+
     /// Kills the process with SIGKILL.
     pub fn kill(&mut self) {
         if self.exit_status.is_none() && self.child.kill().is_ok() {
