Responses of other processes are bounded by what the largest site needs

What callers would see: an entry that follows one which sends bytes without end runs out of memory, and the requests of its clients end with it.

Cause: 64 MiB were read of each response of another entry, and bytes in packed form were unpacked to as many as they claimed, up to 4 GiB.

Evidence: four such responses at once, as many as an entry reads, took 321,024 kB in the test's process; the smallest entry has 260 MB. Ruled out for the store and the origin: 4 MiB each; entries and agents stay within half of their memory in five ways each.

Change: 16 MiB for a response and for unpacked bytes, also where they are packed, so that a sender uses the plain form.

Measured: `responses_without_end_take_little_memory` fails with 64 MiB and passes. `platform_endless_sources`: a store, an origin and an agent that respond without end, through a proxy that otherwise forwards; clients are served meanwhile and the next version is loaded.

--- a/crates/fleet/src/packed_bytes.rs
+++ b/crates/fleet/src/packed_bytes.rs
@@ -17,6 +17,9 @@
 impl PackedBytes {
     /// Compresses `bytes`; returns `None` if they are too long.
     pub fn pack(bytes: &[u8]) -> Option<Self> {
+        if bytes.len() > MAX_LENGTH {
+            return None;
+        }
         let length = u32::try_from(bytes.len()).ok()?;
         let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
         encoder.write_all(bytes).ok()?;
@@ -24,9 +27,12 @@
         Some(Self { length, deflated })
     }
 
-    /// Returns the original bytes, or `None` if they are damaged.
+    /// Returns the original bytes, or `None` if they are damaged or longer than [`MAX_LENGTH`].
     pub fn unpack(&self) -> Option<Vec<u8>> {
         let length = usize::try_from(self.length).ok()?;
+        if length > MAX_LENGTH {
+            return None;
+        }
         let mut bytes = Vec::new();
         // One byte more than stated shows that the length is wrong.
         let limit = u64::from(self.length) + 1;
@@ -35,3 +41,6 @@
         (bytes.len() == length).then_some(bytes)
     }
 }
+
+/// Maximum length of the original bytes; several times that of the largest row. A few compressed bytes could stand for many more.
+const MAX_LENGTH: usize = 16 * 1024 * 1024;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -175,5 +175,5 @@
 /// Maximum time for a body that keeps arriving.
 const MAX_BODY_TIME: Duration = Duration::from_secs(3);
 
-/// Maximum size of a response, which may contain all rows of a table.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+/// Maximum size of a response, which may contain all rows of a table; several times as large as those of the largest site.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -42,11 +42,11 @@
 pub use rate_limiter::RateLimiter;
 pub use run_counters::{RunCount, RunCounters};
 pub use site::{
-    CrashLog, CrashPlan, CrashingReplica, EXCUSED_CORRUPTION, EndlessBytes, HeldAnswer,
-    HeldResponse, HoldGate, HoldingReplica, RawConnection, RawEnd, RawFraming, RawReplica,
-    RawRequest, RawResponse, ReplicaCalls, ReplicaFaults, ReplicaKind, RunCounts, RunStart,
-    SilenceSwitch, SiteHost, SiteOrigin, SitePorts, SiteReplica, SiteStore, SiteWeights, StoreCopy,
-    WaitHabit, reset_on_close,
+    CrashLog, CrashPlan, CrashingReplica, EXCUSED_CORRUPTION, EndlessBytes, EndlessProxy,
+    HeldAnswer, HeldResponse, HoldGate, HoldingReplica, RawConnection, RawEnd, RawFraming,
+    RawReplica, RawRequest, RawResponse, ReplicaCalls, ReplicaFaults, ReplicaKind, RunCounts,
+    RunStart, SilenceSwitch, SiteHost, SiteOrigin, SitePorts, SiteReplica, SiteStore, SiteWeights,
+    StoreCopy, WaitHabit, reset_on_close,
 };
 pub use standin_runtime::StandinRuntime;
 pub use table::{TableCounters, TableFaults, TableService};
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -2,6 +2,7 @@
 
 mod crashing_replica;
 mod endless_bytes;
+mod endless_proxy;
 mod holding_replica;
 mod raw_replica;
 mod replica_faults;
@@ -14,6 +15,7 @@
 
 pub use crashing_replica::{CrashLog, CrashPlan, CrashingReplica};
 pub use endless_bytes::EndlessBytes;
+pub use endless_proxy::EndlessProxy;
 pub use holding_replica::{HeldAnswer, HeldResponse, HoldGate, HoldingReplica, WaitHabit};
 pub use raw_replica::{
     RawConnection, RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, RunCounts, RunStart,
