--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -12,6 +12,7 @@
 mod site_settings;
 mod site_store;
 mod site_weights;
+mod staged_store;
 
 pub use crashing_replica::{CrashLog, CrashPlan, CrashingReplica};
 pub use endless_bytes::EndlessBytes;
@@ -24,7 +25,8 @@
 pub use replica_faults::{ReplicaCalls, ReplicaFaults, ReplicaKind};
 pub use silence_switch::SilenceSwitch;
 pub use site_origin::SiteOrigin;
-pub use site_replica::{EXCUSED_CORRUPTION, SiteReplica};
+pub use site_replica::SiteReplica;
 pub use site_settings::{SiteHost, SitePorts};
 pub use site_store::{SiteStore, StoreCopy};
 pub use site_weights::SiteWeights;
+pub use staged_store::EXCUSED_CORRUPTION;
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -13,6 +13,7 @@
 use crate::site::replica_faults::{ReplicaCalls, ReplicaFaults, ReplicaKind, contains_part};
 use crate::site::silence_switch::SilenceSwitch;
 use crate::site::site_weights::SiteWeights;
+use crate::site::staged_store::{LoadCheck, StagedStore};
 
 /// An HTTP server of a replica that counts the runs of each request.
 #[derive(Clone, Debug)]
@@ -40,16 +41,7 @@
     version: u64,
     /// Number of accepted load orders. An order is rejected unless it expects this number.
     orders: u64,
-    /// Staged pieces by index.
-    staged: BTreeMap<usize, Vec<u8>>,
-    /// When staged pieces were corrupted, by index.
-    corrupted_at: BTreeMap<usize, Instant>,
-    /// Time in which a staged piece is returned.
-    read_time: Duration,
-    /// Number of reads of staged pieces that have begun.
-    staged_reads: u64,
-    /// Staged piece that is corrupted once it has been returned this number of times.
-    corrupt_after_reads: Option<(usize, u32)>,
+    staged: StagedStore,
     /// Number of load orders for which the staged pieces did not all match the ordered version.
     mixed_loads: u64,
     /// Number of load orders with a staged piece that was missing, of another version, or corrupt for longer than the
@@ -93,7 +85,6 @@
             ReplicaKind::Model { version } => version,
             ReplicaKind::Plain => 0,
         };
-        let staged = (0..weights.pieces).filter(|_| version > 0);
         let shared = Arc::new(ReplicaShared {
             id: id.to_owned(),
             kind,
@@ -106,7 +97,7 @@
             crashes,
             state: Mutex::new(ReplicaState {
                 version,
-                staged: staged.map(|it| (it, weights.piece(version, it))).collect(),
+                staged: StagedStore::with_version(weights, version),
                 ..ReplicaState::default()
             }),
         });
@@ -157,24 +148,24 @@
     }
 
     /// Returns the number of load orders with a staged piece that was missing, of another version, or corrupt for more than
-    /// [`EXCUSED_CORRUPTION`].
+    /// [`EXCUSED_CORRUPTION`](crate::EXCUSED_CORRUPTION).
     pub fn invalid_loads(&self) -> u64 {
         self.shared.lock().invalid_loads
     }
 
     /// Returns the number of reads of staged pieces that have begun.
     pub fn staged_reads(&self) -> u64 {
-        self.shared.lock().staged_reads
+        self.shared.lock().staged.reads()
     }
 
     /// Sets the time in which a staged piece is returned.
     pub fn set_read_time(&self, read_time: Duration) {
-        self.shared.lock().read_time = read_time;
+        self.shared.lock().staged.set_read_time(read_time);
     }
 
     /// Corrupts a staged piece as soon as it has been returned `reads` times.
     pub fn corrupt_after_reads(&self, index: usize, reads: u32) {
-        self.shared.lock().corrupt_after_reads = Some((index, reads));
+        self.shared.lock().staged.corrupt_after_reads(index, reads);
     }
 
     /// Returns the number of received calls, answered or not.
@@ -205,7 +196,7 @@
 
     /// Corrupts a staged piece.
     pub fn corrupt_staged_piece(&self, index: usize) {
-        self.shared.lock().corrupt_staged_piece(index);
+        self.shared.lock().staged.corrupt(index);
     }
 }
 
@@ -229,31 +220,6 @@
 }
 
 impl ReplicaState {
-    fn corrupt_staged_piece(&mut self, index: usize) {
-        let piece = self.staged.get_mut(&index);
-        if let Some(byte) = piece.and_then(|it| it.first_mut()) {
-            *byte ^= 1;
-            self.corrupted_at.insert(index, Instant::now());
-        }
-    }
-
-    fn record_read(&mut self, index: usize) {
-        let Some((_, reads)) = self.corrupt_after_reads.as_mut().filter(|it| it.0 == index) else {
-            return;
-        };
-        *reads = reads.saturating_sub(1);
-        if *reads == 0 {
-            self.corrupt_after_reads = None;
-            self.corrupt_staged_piece(index);
-        }
-    }
-
-    /// Returns whether piece `index`, which does not match the ordered version, counts against whoever ordered the load.
-    fn is_inexcusable(&self, index: usize) -> bool {
-        let corrupted_at = self.corrupted_at.get(&index);
-        corrupted_at.is_none_or(|it| it.elapsed() > EXCUSED_CORRUPTION)
-    }
-
     fn record_call(&mut self, calls: ReplicaCalls) {
         *self.received.entry(calls).or_default() += 1;
         if matches!(calls, ReplicaCalls::Requests | ReplicaCalls::Reports) {
@@ -309,18 +275,11 @@
         return status_report(&shared);
     }
     if path.starts_with("/fulmarline/stage-get/") {
-        let (piece, read_time) = {
-            let mut state = shared.lock();
-            state.staged_reads += 1;
-            let piece = index.and_then(|it| state.staged.get(&it).cloned());
-            (piece, state.read_time)
-        };
+        let (piece, read_time) = shared.lock().staged.begin_read(index);
         tokio::time::sleep(read_time).await;
-        let mut state = shared.lock();
         if let Some(index) = index {
-            state.record_read(index);
+            shared.lock().staged.end_read(index);
         }
-        drop(state);
         return piece.map_or_else(
             || empty_response(StatusCode::NOT_FOUND),
             |it| Response::new(httpio::full(it)),
@@ -336,9 +295,7 @@
         .unwrap_or_default();
     if path.starts_with("/fulmarline/stage-put/") && parts.method == Method::PUT {
         if let Some(index) = index {
-            let mut state = shared.lock();
-            state.staged.insert(index, body.to_vec());
-            state.corrupted_at.remove(&index);
+            shared.lock().staged.put(index, body.to_vec());
         }
         return empty_response(StatusCode::OK);
     }
@@ -367,13 +324,9 @@
     if body["expectRev"].as_u64() != Some(state.orders) {
         return empty_response(StatusCode::CONFLICT);
     }
-    let matches_version =
-        |it: &usize| state.staged.get(it) == Some(&shared.weights.piece(version, *it));
-    let mismatches = (0..shared.weights.pieces).filter(|it| !matches_version(it));
-    let mismatches: Vec<usize> = mismatches.collect();
-    let is_invalid = mismatches.iter().any(|it| state.is_inexcusable(*it));
-    state.mixed_loads += u64::from(!mismatches.is_empty());
-    state.invalid_loads += u64::from(is_invalid);
+    let check = state.staged.check(shared.weights, version);
+    state.mixed_loads += u64::from(check != LoadCheck::Whole);
+    state.invalid_loads += u64::from(check == LoadCheck::Invalid);
     state.orders += 1;
     state.version = version;
     empty_response(StatusCode::ACCEPTED)
@@ -512,6 +465,3 @@
     *response.status_mut() = status;
     response
 }
-
-/// Time for which a staged piece may have been corrupt when a replica is ordered to load it: agents cannot notice it at once.
-pub const EXCUSED_CORRUPTION: Duration = Duration::from_secs(3);
