Less urgent requests leave room for more urgent ones of the same service

Cause: each request was admitted up to 0.95 of its own objective, so digests (800 ms) filled queues in which matches (400 ms) could not be on time. Ruled out: a lack of room as such, since digests lost less than anybody.

Change: fleet::RankTable lowers the limit of a rank to what leaves more urgent routes theirs, and replicas are told the rank (Request-Priority) where the routes of a service differ in it.

--- a/crates/fleet/src/api_keys.rs
+++ b/crates/fleet/src/api_keys.rs
@@ -9,9 +9,8 @@
 pub struct ApiTenant {
     /// Name that is passed on to replicas.
     pub name: String,
-    /// Configured priority of the tenant's requests; 0 is the highest. It takes precedence over the priority of the
-    /// route, but neither is used.
-    pub priority: Option<u32>,
+    /// Rank of the tenant's requests, which takes precedence over the rank of the route; 0 is first.
+    pub rank: Option<u32>,
     /// Regions in which the tenant's requests may be served; any if empty.
     pub home_regions: Vec<String>,
 }
@@ -43,6 +42,12 @@
         self.required
     }
 
+    /// Returns the number of keys whose tenants have a rank of their own.
+    pub fn ranked_count(&self) -> usize {
+        let tenants = self.tenants.values();
+        tenants.filter(|it| it.rank.is_some()).count()
+    }
+
     /// Returns the tenant that holds `key`.
     pub fn tenant(&self, key: &str) -> Option<&Arc<ApiTenant>> {
         self.tenants.get(key)
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -41,6 +41,8 @@
     pub timeout: Duration,
     /// Latency objective: a response, or the first event of a stream, within this time earns its full payoff.
     pub objective: Duration,
+    /// How urgent its requests are beside others of the same service; 0 is first.
+    pub rank: u32,
     /// Longest pause between the events of a stream that is still on time.
     pub max_pause: Duration,
     /// Services behind the route; never empty.
--- a/crates/fleet/src/route_table.rs
+++ b/crates/fleet/src/route_table.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::api_keys::KeyTable;
+use crate::rank_table::RankTable;
 use crate::route::{Route, ServiceConfig};
 
 /// Size limits and timeouts of client connections.
@@ -28,6 +29,7 @@
     services: BTreeMap<String, ServiceConfig>,
     keys: KeyTable,
     limits: IngressLimits,
+    ranks: RankTable,
 }
 
 impl RouteTable {
@@ -39,6 +41,7 @@
         keys: KeyTable,
         limits: IngressLimits,
     ) -> Self {
+        let ranks = RankTable::new(routes.iter());
         let mut hosts: BTreeMap<String, BTreeMap<String, Arc<Route>>> = BTreeMap::new();
         for route in routes {
             let host = hosts.entry(route.host.to_ascii_lowercase()).or_default();
@@ -54,6 +57,7 @@
             services,
             keys,
             limits,
+            ranks,
         }
     }
 
@@ -102,6 +106,11 @@
         self.hosts.values().map(BTreeMap::len).sum()
     }
 
+    /// Returns how much of each service's room requests of each rank may use.
+    pub fn ranks(&self) -> &RankTable {
+        &self.ranks
+    }
+
     /// Returns the API keys of the tenants.
     pub fn keys(&self) -> &KeyTable {
         &self.keys
--- a/crates/fleet/tests/routes.rs
+++ b/crates/fleet/tests/routes.rs
@@ -19,6 +19,7 @@
         }],
         max_attempts: 2,
         public: false,
+        rank: 1,
         max_pause: Duration::from_millis(400),
         resumable: false,
         home_regions: Vec::new(),
@@ -87,7 +88,7 @@
 fn keys_identify_tenants_and_are_not_printed() {
     let tenant = ApiTenant {
         name: "shop".to_owned(),
-        priority: Some(1),
+        rank: Some(1),
         home_regions: Vec::new(),
     };
     let keys = KeyTable::new(Some(vec![(tenant, vec!["secret-key".to_owned()])]));
@@ -120,6 +121,7 @@
     let check = |objective_ms: u64, max_pause_ms: u64, expected_ms: u64| {
         let route = Route {
             objective: Duration::from_millis(objective_ms),
+            rank: 1,
             max_pause: Duration::from_millis(max_pause_ms),
             ..route("r", "a.example", "/")
         };
--- a/crates/fleet/tests/support/choice_case.rs
+++ b/crates/fleet/tests/support/choice_case.rs
@@ -44,6 +44,7 @@
         kind: CallKind::Stream,
         timeout: Duration::from_secs(6),
         objective: Duration::from_millis(400),
+        rank: 1,
         max_pause: Duration::from_millis(400),
         targets: Vec::new(),
         max_attempts: 2,
--- a/crates/ingress/src/client_call.rs
+++ b/crates/ingress/src/client_call.rs
@@ -46,6 +46,12 @@
         self.metadata.id.as_deref().unwrap_or("")
     }
 
+    /// Returns how urgent the request is beside others of its service; 0 is first.
+    pub(crate) fn rank(&self) -> u32 {
+        let tenant = self.tenant.as_ref().and_then(|it| it.rank);
+        tenant.unwrap_or(self.route.rank)
+    }
+
     /// Returns the shared parts of the prompt for logs, separated by commas.
     pub(crate) fn shared_parts(&self) -> String {
         let parts = self.parts.iter();
--- a/crates/ingress/src/operator_rows.rs
+++ b/crates/ingress/src/operator_rows.rs
@@ -47,6 +47,7 @@
         "version" => table.version(),
         "before" => current,
         "routes" => table.route_count(),
+        "ranked_tenants" => table.keys().ranked_count(),
         "position" => position.map(|it| it.to_string()),
     );
     state.routes = Some(Arc::new(table));
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -72,6 +72,11 @@
         time_limit,
         replica: &replica.id,
         tenant: call.tenant.as_ref().map(|it| it.name.as_str()),
+        rank: call
+            .table
+            .ranks()
+            .has_ranks(&call.service)
+            .then(|| call.rank()),
         version: chosen.expect_version,
         last_event_id: last_event_id.filter(|it| Some(*it) != call.metadata.last_event_id),
     };
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -183,6 +183,7 @@
         "evacuated" => evacuated,
         "homes" => placement_guard::home_regions(call).join(","),
         "late" => call.is_late(),
+        "rank" => call.rank(),
         "prompt" => call.metadata.size.prompt_tokens,
         "ready" => ready,
         "tried" => tried.len(),
@@ -313,7 +314,8 @@
     } else if call.is_late() {
         Duration::ZERO
     } else {
-        objective.mul_f64(MAX_OBJECTIVE_FRACTION)
+        let ranks = call.table.ranks();
+        ranks.max_first_event(&call.service, call.rank(), objective)
     };
     let request = ChoiceRequest {
         service: &call.service,
@@ -347,10 +349,6 @@
 /// fault.
 const MAX_SENDS: u32 = 4;
 
-/// Fraction of the objective that the predicted time may take up; a request with a longer prediction is refused rather
-/// than served late.
-const MAX_OBJECTIVE_FRACTION: f64 = 0.95;
-
 /// Delay caused by other requests, in milliseconds, up to which a replica accepts a request that is late already or
 /// whose prompt alone takes up its objective. Such a request is served only where it does not delay others.
 const IDLE_DELAY_MS: f64 = 100.0;
