Pieces of a newer version are kept in memory while an older one is staged

Cause: the replica stages one copy, so fetching a newer version overwrote pieces of an older one that was whole, or was still to be loaded. An agent that waited for its turn to load an older version also loaded it in any case, so the replica paused twice.

Change: the stager follows SwitchDeadlines::plan. A task of its own (ahead_loop) fetches the newer version into fleet::HeldPieces (at most 16 MiB), from which other agents have its pieces; they are staged when the older version is loaded or given up. Pieces that both versions share are copied from the replica. A wait for a load ends when a newer version is declared. The plan's inputs are logged when it changes. Load orders need a LoadPermit as before.

--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -18,7 +18,7 @@
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, WeightTarget};
-use crate::source_client::{FetchError, NeighborPieces};
+use crate::source_client::{FetchError, NeighborPieces, PieceStore};
 use crate::{feed_reader, source_client};
 
 /// Reads the list of replicas and creates the fetch plan of this agent.
@@ -52,12 +52,9 @@
     });
     let peers = peers.collect();
     let origin_region = target.origin_region.as_deref();
-    Ok(FetchPlan::new(
-        own_address,
-        &shared.settings.region,
-        peers,
-        origin_region,
-    ))
+    let plan = FetchPlan::new(own_address, &shared.settings.region, peers, origin_region);
+    state.rollout_position = plan.rollout_position();
+    Ok(plan)
 }
 
 /// Fetches the manifest of the target. `attempt` counts the earlier attempts that failed.
@@ -132,12 +129,13 @@
     }
 }
 
-/// Fetches and stages all missing pieces; returns whether all of them are staged.
+/// Fetches all missing pieces into `store`; returns whether it has all of them.
 pub(crate) async fn fetch_pieces(
     shared: &Arc<AgentShared>,
     target: &WeightTarget,
     manifest: &Arc<PieceManifest>,
     plan: FetchPlan,
+    store: PieceStore,
 ) -> bool {
     let mut swarm = PieceSwarm::new(plan, manifest.len(), Instant::now());
     let mut fetches = FuturesUnordered::new();
@@ -147,13 +145,27 @@
         Box::pin(refresh_plan(shared, target));
     let mut last_report = Instant::now();
     loop {
-        let is_doubted = shared.state().staged_pieces.is_manifest_doubted();
-        if is_doubted || !source_client::should_fetch(shared, target) {
+        let is_doubted =
+            store == PieceStore::Replica && shared.state().staged_pieces.is_manifest_doubted();
+        if is_doubted || !source_client::should_fetch(shared, target, store) {
             return false;
         }
-        let Some(staged) = shared.state().staged(target).cloned() else {
+        let staged = match store {
+            PieceStore::Replica => shared.state().staged(target).cloned(),
+            PieceStore::Memory => shared
+                .state()
+                .held_pieces
+                .pieces(&target.model, target.version)
+                .cloned(),
+        };
+        let Some(staged) = staged else {
             return false;
         };
+        let share = swarm.known_share(&staged);
+        if shared.state().record_swarm_share(target.version, share) || staged.is_full() {
+            // The version to stage and the one to fetch besides depend on it.
+            shared.declarations_received.notify_one();
+        }
         if staged.is_full() {
             return true;
         }
@@ -162,6 +174,7 @@
             info!(
                 shared.log, "transfer in progress";
                 "version" => target.version,
+                "store" => format!("{store:?}"),
                 "staged" => staged.count(),
                 "from_origin" => swarm.in_flight(|it| it == PieceSource::Origin),
                 "from_agents" => swarm.in_flight(|it| it != PieceSource::Origin),
@@ -174,7 +187,7 @@
             }
         }
         while let Some(fetch) = swarm.next_fetch(&staged, rand::random(), Instant::now()) {
-            fetches.push(fetch_and_stage(shared, target, manifest, fetch));
+            fetches.push(fetch_and_store(shared, target, manifest, fetch, store));
         }
         // A source may become usable without any event, when its pause ends.
         let timeout = pin!(tokio::time::sleep(MAX_IDLE_TIME));
@@ -235,11 +248,12 @@
     }
 }
 
-async fn fetch_and_stage(
+async fn fetch_and_store(
     shared: &AgentShared,
     target: &WeightTarget,
     manifest: &PieceManifest,
     fetch: PieceFetch,
+    store: PieceStore,
 ) -> (PieceFetch, FetchOutcome) {
     let index = fetch.index;
     let (label, fetched) = match fetch.source {
@@ -256,8 +270,10 @@
         if manifest.matches(index, &bytes) {
             Ok(bytes)
         } else {
-            let digest = PieceManifest::digest(&bytes);
-            shared.state().staged_pieces.record_mismatch(index, digest);
+            if store == PieceStore::Replica {
+                let digest = PieceManifest::digest(&bytes);
+                shared.state().staged_pieces.record_mismatch(index, digest);
+            }
             Err(FetchError::DigestMismatch)
         }
     });
@@ -272,8 +288,11 @@
     shared.metrics.pieces.with_label_values(&labels).inc();
     let err = match fetched {
         Ok(bytes) => {
-            let is_staged = stage_piece(shared, target, index, bytes).await;
-            let outcome = if is_staged {
+            let is_stored = match store {
+                PieceStore::Replica => stage_piece(shared, target, index, bytes).await,
+                PieceStore::Memory => hold_piece(shared, target, index, bytes),
+            };
+            let outcome = if is_stored {
                 FetchOutcome::Staged
             } else {
                 FetchOutcome::Busy
@@ -299,6 +318,50 @@
     (fetch, outcome)
 }
 
+/// Keeps a piece in memory; returns whether it is kept.
+pub(crate) fn hold_piece(
+    shared: &AgentShared,
+    target: &WeightTarget,
+    index: usize,
+    bytes: Vec<u8>,
+) -> bool {
+    let (model, version) = (&target.model, target.version);
+    let mut state = shared.state();
+    let is_held = state.held_pieces.insert(model, version, index, bytes);
+    drop(state);
+    shared.pieces_changed.notify_waiters();
+    is_held
+}
+
+/// Stages the pieces of the target that are kept in memory.
+pub(crate) async fn stage_held_pieces(shared: &AgentShared, target: &WeightTarget) {
+    let (model, version) = (&target.model, target.version);
+    let Some(manifest) = shared.state().manifest(target).cloned() else {
+        return;
+    };
+    for index in 0..manifest.len() {
+        let held = {
+            let state = shared.state();
+            let is_staged = state.staged(target).is_some_and(|it| it.contains(index));
+            let held = state.held_pieces.piece(model, version, index);
+            held.filter(|_| !is_staged).cloned()
+        };
+        let Some(bytes) = held.filter(|it| manifest.matches(index, it)) else {
+            continue;
+        };
+        if !source_client::should_fetch(shared, target, PieceStore::Replica)
+            || !stage_piece(shared, target, index, bytes.to_vec()).await
+        {
+            return;
+        }
+    }
+    let mut state = shared.state();
+    if state.held_pieces.version() == Some(version) {
+        info!(shared.log, "pieces in memory staged"; "version" => version, "missing" => state.staged_pieces.missing_count());
+        state.held_pieces.clear();
+    }
+}
+
 /// Stages a piece; returns whether it is staged. A replica that is silent for a moment receives it again, since another
 /// transfer would cost more.
 async fn stage_piece(
@@ -321,7 +384,7 @@
         warn!(shared.log, "cannot stage piece"; "index" => index, "error" => err.to_string());
         attempts += 1;
         let may_repeat = matches!(err, CallError::TimedOut) && attempts < MAX_STAGING_ATTEMPTS;
-        if !may_repeat || !source_client::should_fetch(shared, target) {
+        if !may_repeat || !source_client::should_fetch(shared, target, PieceStore::Replica) {
             return false;
         }
         sent_at = boot_clock::now();
