Turns at cold replicas lapse if the request is written late

Cause: a request kept the turn that was used at the choice until its connection was open, however long that took, and could be written a second later still. Entries that were suspended in between added such requests to those of the entries that had taken their turns over.

Change: routing::TurnGrant is valid for 300 ms at a cold replica, which the schedule of its turns allows for; afterwards another turn is needed. Turns are determined without copying all replicas of a service for each request.

--- a/crates/ingress/src/limit_guard.rs
+++ b/crates/ingress/src/limit_guard.rs
@@ -5,8 +5,10 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use fleet::{ChosenReplica, ColdStart, LogKind, Replica, ReportedLimit};
-use routing::{ColdBound, LifetimeId, LimitChange, LimitDigest, NamedLimit, PoolId, RequestRate};
+use fleet::{ChosenReplica, ColdStart, ColdTable, LogKind, Replica, ReportedLimit};
+use routing::{
+    ColdBound, LifetimeId, LimitChange, LimitDigest, LimitTable, NamedLimit, PoolId, RequestRate,
+};
 use slog::info;
 
 use crate::client_call::ClientCall;
@@ -110,15 +112,17 @@
     if state.limits.is_empty() && state.cold.is_empty(now) {
         return BTreeMap::new();
     }
-    let of_service: Vec<Replica> = state.catalog.ready(&call.service, now).cloned().collect();
-    let turn = |it: &Replica| Some((it.id.clone(), has_turn(shared, state, call, it)?));
-    of_service.iter().filter_map(turn).collect()
+    let (limits, cold) = (&mut state.limits, &state.cold);
+    let of_service = state.catalog.ready(&call.service, now);
+    let turn = |it: &Replica| Some((it.id.clone(), has_turn(shared, limits, cold, call, it)?));
+    of_service.filter_map(turn).collect()
 }
 
 /// Returns whether this entry may send a request to `replica` now, or `None` if the replica has no limit and is not cold.
 pub(crate) fn has_turn(
     shared: &EntryShared,
-    state: &mut EntryState,
+    limits: &mut LimitTable,
+    cold: &ColdTable,
     call: &ClientCall,
     replica: &Replica,
 ) -> Option<bool> {
@@ -126,15 +130,13 @@
     let service = call.table.service(&replica.service);
     if let Some(cold_start) = service.and_then(|it| it.cold_start) {
         let now = Instant::now();
-        if let Some(until) = state.cold.cold_until(replica, now) {
+        if let Some(until) = cold.cold_until(replica, now) {
             let left = until.saturating_duration_since(now);
             let bound = cold_bound(shared, cold_start);
-            state
-                .limits
-                .record_cold(lifetime(replica), bound, suspend_aware_now + left);
+            limits.record_cold(lifetime(replica), bound, suspend_aware_now + left);
         }
     }
-    state.limits.has_turn(suspend_aware_now, lifetime(replica))
+    limits.has_turn(suspend_aware_now, lifetime(replica))
 }
 
 /// Returns how many requests a cold replica may get from all entries together.
--- a/crates/ingress/src/send_permit.rs
+++ b/crates/ingress/src/send_permit.rs
@@ -2,10 +2,11 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fleet::{ChosenReplica, LogKind, TIMER_RESERVE};
 use relay::boot_clock;
+use routing::TurnGrant;
 use slog::info;
 
 use crate::client_call::ClientCall;
@@ -36,8 +37,8 @@
     time_limit: Duration,
     /// Set when the request may be sent.
     is_sent: &'a AtomicBool,
-    /// Whether a turn was used for the request, or none was necessary when it was last checked.
-    is_granted: AtomicBool,
+    /// The turn that was used for the request, if one was.
+    grant: Mutex<TurnGrant>,
     /// Why the last check has prevented the request.
     denial: Mutex<Option<PermitDenial>>,
 }
@@ -50,13 +51,14 @@
         time_limit: Duration,
         is_sent: &'a AtomicBool,
     ) -> Self {
+        let used_at = chosen.has_turn.then(|| shared.suspend_aware_now());
         Self {
             shared,
             call,
             chosen,
             time_limit,
             is_sent,
-            is_granted: AtomicBool::new(chosen.has_turn),
+            grant: Mutex::new(TurnGrant::new(used_at)),
             denial: Mutex::new(None),
         }
     }
@@ -93,11 +95,11 @@
     }
 
     /// Returns how long the write may be delayed. The replica counts its time from when it reads the request, so weights that are
-    /// about to be replaced leave little.
+    /// about to be replaced leave little, and a turn at a cold replica holds for a short time.
     fn max_write_delay(&self) -> Duration {
         match self.chosen.must_start_within {
-            Some(_) => TIMER_RESERVE,
-            None => MAX_WRITE_DELAY,
+            None if !self.is_cold() => MAX_WRITE_DELAY,
+            _ => TIMER_RESERVE,
         }
     }
 
@@ -117,20 +119,33 @@
         rule.exclusion(&self.chosen.replica.zone).is_some()
     }
 
+    /// Returns whether the replica is cold as far as this entry knows.
+    fn is_cold(&self) -> bool {
+        let state = self.shared.state();
+        let until = state.cold.cold_until(&self.chosen.replica, Instant::now());
+        until.is_some()
+    }
+
     /// Returns whether the replica has no limit, or a turn could be used.
     fn has_turn(&self) -> bool {
-        if self.is_granted.load(Ordering::Relaxed) {
+        let is_cold = self.is_cold();
+        let now = self.shared.suspend_aware_now();
+        let mut grant = self
+            .grant
+            .lock()
+            .expect("no thread panics while it holds the grant lock");
+        if grant.is_valid(now, is_cold) {
             return true;
         }
-        let now = self.shared.suspend_aware_now();
         let mut state = self.shared.state();
+        let state = &mut *state;
+        let (limits, cold) = (&mut state.limits, &state.cold);
+        let replica = &self.chosen.replica;
         let is_limited =
-            limit_guard::has_turn(self.shared, &mut state, self.call, &self.chosen.replica)
-                .is_some();
-        let is_granted = state.limits.take_turn(now, self.chosen.replica.lifetime());
-        drop(state);
+            limit_guard::has_turn(self.shared, limits, cold, self.call, replica).is_some();
+        let is_granted = state.limits.take_turn(now, replica.lifetime());
         if is_limited {
-            self.is_granted.store(is_granted, Ordering::Relaxed);
+            *grant = TurnGrant::new(is_granted.then_some(now));
             limit_guard::count_request(self.shared, if is_granted { "turn" } else { "late" });
         }
         is_granted
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -48,6 +48,7 @@
 mod target_choice;
 mod time_base;
 mod turn_anchor;
+mod turn_grant;
 mod turn_queue;
 mod turn_schedule;
 mod wait_estimate;
@@ -88,4 +89,5 @@
 pub use retry_budget::RetryBudget;
 pub use target_choice::{ChoiceRequest, ChoiceStrategy, TargetCandidate, choose_target};
 pub use turn_anchor::TurnAnchor;
+pub use turn_grant::TurnGrant;
 pub use wait_estimate::{expected_wait, has_capacity, in_flight};
--- a/crates/routing/src/turn_schedule.rs
+++ b/crates/routing/src/turn_schedule.rs
@@ -7,6 +7,7 @@
 use crate::member_table::mix;
 use crate::request_rate::RequestRate;
 use crate::turn_anchor::TurnAnchor;
+use crate::turn_grant::MAX_COLD_SEND_DELAY;
 
 /// The turns of one replica: single requests at even intervals, counted from a time base that all entries share. After a
 /// change of the limit the intervals differ, and the count goes on. Each turn belongs to one entry and may be used for a
@@ -57,7 +58,7 @@
     /// A turn may be used for so long that all turns of a second and those before it that are still usable fit into `bound`.
     pub(crate) fn of_cold_replica(replica: LifetimeId, bound: ColdBound) -> Self {
         let digest = mix(replica.digest());
-        let tolerance_s = COLD_WINDOW_S + COLD_SEND_DELAY_S + CLOCK_TOLERANCE_S;
+        let tolerance_s = COLD_WINDOW_S + MAX_COLD_SEND_DELAY.as_secs_f64() + CLOCK_TOLERANCE_S;
         // One turn may begin at each end of the span.
         let calls = (bound.max_in_second - 1.0).max(0.0);
         let rate = (bound.requests_per_second * COLD_USED_SHARE)
@@ -127,9 +128,6 @@
 /// Span in which requests at a cold replica are counted, in seconds.
 const COLD_WINDOW_S: f64 = 1.0;
 
-/// Longest time from the choice of a replica until the request is sent, in seconds: opening a connection.
-const COLD_SEND_DELAY_S: f64 = 0.3;
-
 /// Shortest time for which a turn at a cold replica can be used, in seconds; an entry must have a request in it.
 const MIN_COLD_LIFETIME_S: f64 = 0.3;
 
--- a/crates/routing/tests/cold.rs
+++ b/crates/routing/tests/cold.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use routing::{ColdBound, LifetimeId, LimitTable};
+use routing::{ColdBound, LifetimeId, LimitTable, TurnGrant};
 
 /// Step of the virtual time.
 const STEP: Duration = Duration::from_millis(20);
@@ -55,7 +55,7 @@
             let now = self.now;
             let running = (0..self.tables.len()).filter(|it| !frozen.contains(it));
             let running: Vec<usize> = running.collect();
-            if self.steps % EXCHANGE_STEPS == 0 {
+            if self.steps.is_multiple_of(EXCHANGE_STEPS) {
                 for &entry in &running {
                     let alive = running.iter().filter(|it| **it != entry);
                     let mut alive = alive.map(|it| self.names[*it].as_str());
@@ -154,3 +154,19 @@
     assert!(table.take_turn(warm, replica()));
     assert!(table.is_empty());
 }
+
+/// Guards against requests that an entry has chosen a cold replica for before it was suspended, and that all woken entries write at
+/// once.
+#[test]
+fn a_turn_at_a_cold_replica_does_not_outlive_the_wait_for_a_connection() {
+    let now = Instant::now();
+    let grant = TurnGrant::new(Some(now));
+    let (opened, woken) = (
+        now + Duration::from_millis(300),
+        now + Duration::from_secs(2),
+    );
+    assert!(grant.is_valid(opened, true));
+    assert!(!grant.is_valid(woken, true));
+    assert!(grant.is_valid(woken, false));
+    assert!(!TurnGrant::default().is_valid(now, false));
+}
