Entries keep telling the time base where replicas become cold

Cause: the time base and the entries that are not heard were told after discoveries in the own zone and while a replica names a limit, but turns at cold replicas rest on both without any limit. Zones whose first messages were lost had different bases, and two zones that did not hear each other took each other's turns over although a third one heard both.

Change: digests always contain both while a service of the configuration has cold starts, and after a discovery in another zone. The format of messages is unchanged; without cold starts they are as before except after a discovery in another zone.

Test: cold (entries_in_front_of_replicas_that_become_cold_...); the digest was missing before.

--- a/crates/ingress/src/limit_guard.rs
+++ b/crates/ingress/src/limit_guard.rs
@@ -96,6 +96,9 @@
     let state = &mut *state;
     let mut alive = state.peers.alive(peer_now).map(|it| it.node.as_str());
     state.limits.update_members(now, &mut alive);
+    let services = state.routes.iter().flat_map(|it| it.services());
+    let has_cold_starts = services.into_iter().any(|it| it.cold_start.is_some());
+    state.limits.set_repeats_base(has_cold_starts);
     let catalog = &state.catalog;
     let is_listed = |id| catalog.all().any(|it| lifetime(it) == id);
     state.limits.expire(now, &is_listed);
--- a/crates/ingress/src/zone_exchange.rs
+++ b/crates/ingress/src/zone_exchange.rs
@@ -165,6 +165,7 @@
     }
     if !discovered.is_empty() {
         state.report_digest.record_change();
+        state.limits.record_discovery();
         departure_guard::record_discovery(&mut state, now);
     }
     let must_relay = fleet::is_zone_reporter(&state.peers, &settings.node, &settings.zone, now);
--- a/crates/routing/src/limit_table.rs
+++ b/crates/routing/src/limit_table.rs
@@ -38,6 +38,8 @@
     digest_after: Option<LifetimeId>,
     /// Digests that are still to contain all records, for an entry that has just been discovered.
     full_digests: u32,
+    /// Whether all digests tell the time base.
+    repeats_base: bool,
     expire_at: Instant,
 }
 
@@ -53,6 +55,7 @@
             returns: BTreeMap::new(),
             digest_after: None,
             full_digests: 0,
+            repeats_base: false,
             expire_at: now,
         }
     }
@@ -127,6 +130,14 @@
         self.full_digests = FULL_DIGESTS;
     }
 
+    /// Sets whether all digests tell the time base and the entries that this one has lost, also while no limit is in force.
+    ///
+    /// Entries must agree on both before a replica becomes cold: no message tells them of each other's turns there, and the digests
+    /// after a discovery may be lost.
+    pub fn set_repeats_base(&mut self, repeats_base: bool) {
+        self.repeats_base = repeats_base;
+    }
+
     /// Records which other entries are alive. Expected in each heartbeat.
     pub fn update_members(&mut self, now: Instant, alive: &mut dyn Iterator<Item = &str>) {
         self.members.update(now, alive);
@@ -163,7 +174,7 @@
             true => MAX_FULL_RECORDS,
             false => MAX_SENT_RECORDS,
         };
-        let tells_base = self.full_digests > 0;
+        let tells_base = self.repeats_base || self.full_digests > 0;
         self.full_digests = self.full_digests.saturating_sub(1);
         let base_age_ms = as_millis(self.base.age(now));
         let news = self.limits.iter().filter(|it| is_news(it.1));
--- a/crates/routing/tests/cold.rs
+++ b/crates/routing/tests/cold.rs
@@ -170,3 +170,18 @@
     assert!(grant.is_valid(woken, false));
     assert!(!TurnGrant::default().is_valid(now, false));
 }
+
+/// Guards against entries that never learn each other's time base because the few messages after their discovery were lost: their
+/// turns coincide, and no later message tells it, as no replica names a limit.
+#[test]
+fn entries_in_front_of_replicas_that_become_cold_keep_telling_their_time_base() {
+    let now = Instant::now();
+    let mut table = LimitTable::new(now, "edge-1");
+    assert_eq!(table.digest(now, false), None);
+    table.set_repeats_base(true);
+    for _ in 0..10 {
+        assert!(table.digest(now, false).is_some());
+    }
+    table.set_repeats_base(false);
+    assert_eq!(table.digest(now, false), None);
+}
