Entries that wake read evacuations before they send requests

Cause: an entry that was suspended while a zone was evacuated served the requests that waited at its host, and those chosen before, by what it knew before the suspension.

Change: fleet::SuspensionWatch notices that the entry stood still for more than half of evacMs. Requests then wait until the operator's rows are confirmed, for a second at most, and those that were chosen before are not written. Off where evacMs is not set.

The site of the stand-ins has evacMs = 5000 now.

--- a/crates/fulmarline/tests/platform_placement.rs
+++ b/crates/fulmarline/tests/platform_placement.rs
@@ -12,6 +12,12 @@
 /// Time in which all entries know a row of the operator.
 const NOTICE_TIME: Duration = Duration::from_secs(2);
 
+/// Time after which an evacuation must be in force (`evacMs`).
+const EVACUATION_TIME: Duration = Duration::from_secs(5);
+
+/// Time in which requests arrive at the host of a suspended entry.
+const SEND_TIME: Duration = Duration::from_millis(300);
+
 /// Time for which requests are sent.
 const CHECKED_TIME: Duration = Duration::from_secs(1);
 
@@ -111,3 +117,36 @@
         assert!(replica.requests_since(returned) > 0);
     }
 }
+
+/// Guards against EVAC by an entry that was suspended while a zone was evacuated: it has requests to serve before it has read any row
+/// again.
+#[test]
+fn a_suspended_entry_sends_nothing_to_a_zone_that_was_evacuated_meanwhile() {
+    let mut site = TestSite::start("placement-suspension", 28, &[]);
+    let suspended = 1;
+    // Requests with a key wait for the confirmation that the key is still valid.
+    let mut open = route("open");
+    open[0]["timeoutMs"] = json!(5000);
+    site.configure(&open);
+    site.wait_for_route(&[suspended], "open");
+    site.entries[suspended].suspend();
+    site.store.put("op", "evacuate/b", &json!({}));
+    std::thread::sleep(EVACUATION_TIME);
+    let caller = site.caller();
+    let callers: Vec<_> = (0..20)
+        .map(|it| {
+            let caller = caller.clone();
+            std::thread::spawn(move || {
+                let id = format!("woken-{it}");
+                caller.call(suspended, Method::GET, "/open/1", &id, "")
+            })
+        })
+        .collect();
+    std::thread::sleep(SEND_TIME);
+    let woken = Instant::now();
+    site.entries[suspended].resume();
+    let responses = callers.into_iter().map(|it| it.join().unwrap());
+    let served = responses.flatten().filter(|it| it.status == StatusCode::OK);
+    assert!(served.count() > 10);
+    assert_eq!(site.orders[1].requests_since(woken), 0);
+}
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -9,7 +9,8 @@
     ClockChange, ColdTable, ConfigFreshness, ConfigHistory, ConfigLag, EvacuationTable, FeedMirror,
     FeedResponse, FeedTable, HealthTable, LoadTable, LogKind, LogRateLimiter, PeerRecord,
     PeerTable, ReadingState, ReplicaCatalog, RetryBudget, RouteTable, SWITCH_RESERVE,
-    StorePosition, StoreRead, StoreTimes, TIMER_RESERVE, TimerLateness, VersionTable,
+    StorePosition, StoreRead, StoreTimes, SuspensionWatch, TIMER_RESERVE, TimerLateness,
+    VersionTable,
 };
 use httpio::{BufferBudget, HttpClient};
 use platform::{NodeSettings, RowPage, StoreClient};
@@ -70,6 +71,8 @@
     pub(crate) cold: ColdTable,
     /// Availability zones that get no requests.
     pub(crate) evacuations: EvacuationTable,
+    /// Whether an evacuation may have begun while this entry was suspended.
+    pub(crate) suspension: SuspensionWatch,
     /// Until when other entries are told all departures, because one of them was discovered.
     pub(crate) tells_departures_until: Option<Instant>,
     /// Which heartbeats contain the evidence.
@@ -205,6 +208,7 @@
                 limits: LimitTable::new(started_at, &settings.node),
                 cold: ColdTable::default(),
                 evacuations: EvacuationTable::default(),
+                suspension: SuspensionWatch::new(settings.bounds.evacuation, boot_clock::now()),
                 tells_departures_until: None,
                 heartbeat_digest: DigestSchedule::default(),
                 report_digest: DigestSchedule::default(),
--- a/crates/ingress/src/peer_exchange.rs
+++ b/crates/ingress/src/peer_exchange.rs
@@ -127,6 +127,7 @@
         sequence += 1;
         crash_guard::review(&shared);
         limit_guard::review(&shared);
+        shared.state().suspension.record_run(boot_clock::now());
         let heartbeat = own_heartbeat(&shared, sequence);
         let is_due = last_to_listed.is_none_or(|it| it.elapsed() >= MAX_HEARTBEAT_INTERVAL);
         let to_listed = is_urgent || is_due;
--- a/crates/ingress/src/placement_guard.rs
+++ b/crates/ingress/src/placement_guard.rs
@@ -4,7 +4,8 @@
 
 use std::time::{Duration, Instant};
 
-use fleet::{FeedChange, PlacementRule};
+use fleet::{FeedChange, FeedTable, PlacementRule};
+use relay::boot_clock;
 use slog::info;
 
 use crate::client_call::ClientCall;
@@ -24,6 +25,26 @@
     }
 }
 
+/// Returns for how long requests must wait because this entry was suspended and may not know an evacuation yet, if they must.
+pub(crate) fn wait_after_suspension(state: &mut EntryState) -> Option<Duration> {
+    let now = boot_clock::now();
+    let confirmed = state.feed(FeedTable::Operator).confirmed_at();
+    let end = state.suspension.wait_until(confirmed, now)?;
+    Some(end.saturating_sub(now))
+}
+
+/// Waits until this entry knows the evacuations that may have begun while it was suspended.
+pub(crate) async fn wait_until_known(shared: &EntryShared) {
+    loop {
+        let changed = shared.feed_changed.notified();
+        let Some(wait) = wait_after_suspension(&mut shared.state()) else {
+            return;
+        };
+        // A confirmation without a change wakes nobody.
+        let _ = tokio::time::timeout(wait.min(MAX_WAIT_PAUSE), changed).await;
+    }
+}
+
 /// Returns the home regions of the route of `call`, followed by those of its tenant, for logs.
 pub(crate) fn home_regions(call: &ClientCall) -> Vec<&str> {
     let homes = call.route.home_regions.iter().chain(tenant_homes(call));
@@ -91,6 +112,9 @@
         .sum()
 }
 
+/// Longest time between two looks at whether the operator's rows have been confirmed.
+const MAX_WAIT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Added to the time for which replicas of a zone that is taken back count as cold: they may become cold a little later than the
 /// store acknowledges it.
 const RETURN_RESERVE: Duration = Duration::from_millis(500);
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -81,6 +81,7 @@
         return Err(Refusal::Leaving);
     }
     peer_evidence::wait(shared).await;
+    placement_guard::wait_until_known(shared).await;
     crash_guard::admit(shared, &call)?;
     shared
         .state()
--- a/crates/ingress/src/send_permit.rs
+++ b/crates/ingress/src/send_permit.rs
@@ -22,7 +22,7 @@
     Leaving,
     /// The zone of the replica has been ruled out for the request.
     Excluded,
-    /// The weights of the replica will be replaced earlier than the request says.
+    /// The weights of the replica will be replaced earlier than the request says, or this entry was suspended after the choice.
     Outdated,
 }
 
@@ -70,7 +70,7 @@
             Some(PermitDenial::Leaving)
         } else if self.is_excluded() {
             Some(PermitDenial::Excluded)
-        } else if self.is_outdated() {
+        } else if self.was_suspended() || self.is_outdated() {
             Some(PermitDenial::Outdated)
         } else if !self.has_turn() {
             Some(PermitDenial::Limited)
@@ -112,6 +112,11 @@
             || switch_guard::is_exceeded(self.shared, self.chosen, self.time_limit)
     }
 
+    /// Returns whether this entry may not know yet that the zone of the replica has been evacuated.
+    fn was_suspended(&self) -> bool {
+        placement_guard::wait_after_suspension(&mut self.shared.state()).is_some()
+    }
+
     /// Returns whether the zone of the replica has been evacuated since it was chosen.
     fn is_excluded(&self) -> bool {
         let state = self.shared.state();
--- a/crates/standin/src/site/site_settings.rs
+++ b/crates/standin/src/site/site_settings.rs
@@ -122,6 +122,7 @@
 graceS = 8
 strictRevoke = true
 revokeMs = 5000
+evacMs = 5000
 retryRatio = 0.2
 retryWindowS = 10
 retryExtra = 104
