Rows of an older copy of the store do not end that a replica is cold

Cause: after the store has returned from an older copy, the row of a replica may be from before it became cold, and replaced what the newer one had said.

--- a/crates/fleet/src/cold_table.rs
+++ b/crates/fleet/src/cold_table.rs
@@ -29,19 +29,29 @@
 
 impl ColdTable {
     /// Records that a replica says that it is cold for another `remaining` time, or not at all. Returns whether it became cold.
+    ///
+    /// In an older copy of the store (`from_copy`) the row may be from before the replica became cold, so it does not end that.
     pub fn record_replica(
         &mut self,
         replica: LifetimeId,
         remaining: Duration,
+        from_copy: bool,
         now: Instant,
     ) -> bool {
         self.by_replica.retain(|_, until| *until > now);
         if remaining.is_zero() {
-            self.by_replica.remove(&replica);
+            if !from_copy {
+                self.by_replica.remove(&replica);
+            }
             return false;
         }
+        let known = self.by_replica.get(&replica).copied();
         let until = now + remaining.min(MAX_DURATION);
-        self.by_replica.insert(replica, until).is_none()
+        let until = known
+            .filter(|_| from_copy)
+            .map_or(until, |it| it.max(until));
+        self.by_replica.insert(replica, until);
+        known.is_none()
     }
 
     /// Records that an evacuated zone is used again. Its replicas count as cold for `duration`, whatever they have said before.
--- a/crates/fleet/tests/choice_placement.rs
+++ b/crates/fleet/tests/choice_placement.rs
@@ -103,14 +103,17 @@
     assert_eq!(table.cold_until(&returned, now), None);
     table.record_return("a", Duration::from_secs(3), now);
     // A row from before the return does not end it.
-    table.record_replica(returned.lifetime(), Duration::ZERO, later(100));
+    table.record_replica(returned.lifetime(), Duration::ZERO, false, later(100));
     assert_eq!(table.cold_until(&returned, later(200)), Some(later(3000)));
     assert_eq!(table.cold_until(&other, later(200)), None);
     assert_eq!(table.cold_until(&returned, later(3000)), None);
     // Rows extend and end what they have said themselves.
     let cold = Duration::from_millis(2500);
-    assert!(table.record_replica(other.lifetime(), cold, later(3000)));
+    assert!(table.record_replica(other.lifetime(), cold, false, later(3000)));
     assert_eq!(table.cold_until(&other, later(3100)), Some(later(5500)));
-    assert!(!table.record_replica(other.lifetime(), Duration::ZERO, later(4000)));
+    // A row of an older copy of the store may be from before.
+    assert!(!table.record_replica(other.lifetime(), Duration::ZERO, true, later(3200)));
+    assert_eq!(table.cold_until(&other, later(3300)), Some(later(5500)));
+    assert!(!table.record_replica(other.lifetime(), Duration::ZERO, false, later(4000)));
     assert_eq!(table.cold_until(&other, later(4000)), None);
 }
--- a/crates/ingress/src/replica_rows.rs
+++ b/crates/ingress/src/replica_rows.rs
@@ -26,7 +26,10 @@
             None => state.catalog.remove(&row.key, origin, now),
             Some(Ok(replica)) => {
                 let (lifetime, cold_left) = (replica.lifetime(), replica.cold_left);
-                let became_cold = state.cold.record_replica(lifetime, cold_left, now);
+                let became_cold =
+                    state
+                        .cold
+                        .record_replica(lifetime, cold_left, row.from_copy, now);
                 if became_cold {
                     info!(shared.log, "replica is cold"; "replica" => &row.key, "ms" => millis(cold_left));
                 }
