hyper serves the operators' address, and bodies share a limit on entries and agents

The operators' address was served by rouille, which has no limit on heads, time or connections: one content length of 1 TiB without a token ended the process, 8 heads of 4 MiB took 316 to 547 MiB, 300 stalled requests held 616 descriptors. It now uses httpio::HttpServer; commands and state dumps run on blocking threads. Requests, responses, status codes and authentication stay; a connection is closed after 401, and a command that arrives too slowly gets 408.

--- a/crates/agent/src/gate/gate_server.rs
+++ b/crates/agent/src/gate/gate_server.rs
@@ -6,7 +6,10 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use httpio::{HeaderMap, HttpBody, HttpClient, HttpServer, Incoming, Request, Response};
+use httpio::{
+    BufferBudget, BufferShare, HeaderMap, HttpBody, HttpClient, HttpServer, Incoming, Request,
+    Response,
+};
 use hyper::http::request::Parts;
 use model::{AttemptId, Incarnation, ResultCode, VersionDigest};
 use routing::{AdmissionRequest, CallKind, NamedLimit, RequestRate};
@@ -40,6 +43,7 @@
         probe,
         token: SecretText::new(wire::gate_token(settings.shared_key.reveal())),
         settings: settings.clone(),
+        body_budget: BufferBudget::new(settings.limits.max_held_body_bytes),
         back_end: crate::back_end_address(&settings.target),
         client: HttpClient::new(None, CONNECT_TIMEOUT),
         log,
@@ -57,6 +61,8 @@
     token: SecretText,
     settings: Arc<AgentSettings>,
     back_end: SocketAddr,
+    /// Memory that the bodies of requests share until the back end responds.
+    body_budget: BufferBudget,
     client: HttpClient,
     log: Logger,
 }
@@ -88,12 +94,25 @@
         };
         // The body is read completely before admission, so a sender that fails while sending it has started nothing.
         let limits = &self.settings.limits;
-        let body = httpio::read_limited(body, limits.max_body_bytes, limits.body_timeout).await;
-        let Ok(body) = body else {
-            return error_response(
-                ResultCode::TooSlow,
-                "the request body was not received completely",
-            );
+        let (max_bytes, timeout) = (limits.max_body_bytes, limits.body_timeout);
+        let mut body_share = self.body_budget.share_without_wait();
+        let body = httpio::read_into_share(body, max_bytes, timeout, &mut body_share);
+        let body = match body.await {
+            Ok(body) => body,
+            Err(err) if err.kind() == std::io::ErrorKind::QuotaExceeded => {
+                warn!(self.log, "request body refused"; "reason" => %err);
+                self.gate.on_body_refused();
+                return error_response(
+                    ResultCode::Overloaded,
+                    "other request bodies leave too little memory",
+                );
+            }
+            Err(_) => {
+                return error_response(
+                    ResultCode::TooSlow,
+                    "the request body was not received completely",
+                );
+            }
         };
         let request = admission_request(&parts.headers, attempt);
         let params = completion_params(request.kind, &body);
@@ -105,13 +124,15 @@
         let gate = self.gate.clone();
         let admitted = AdmittedAttempt::new(gate, attempt, request.kind, tokens, params.stream);
         if request.kind != CallKind::Order {
-            return self.send_to_back_end(parts, body, version, admitted).await;
+            return self
+                .send_to_back_end(parts, (body, body_share), version, admitted)
+                .await;
         }
         // An order continues if the entry disconnects, and counts as running at the gate until it has finished.
         let forwarder = self.clone();
         let task = tokio::spawn(async move {
             forwarder
-                .send_to_back_end(parts, body, version, admitted)
+                .send_to_back_end(parts, (body, body_share), version, admitted)
                 .await
         });
         task.await
@@ -130,7 +151,8 @@
     async fn send_to_back_end(
         &self,
         mut parts: Parts,
-        body: Bytes,
+        // The share is returned when the back end has responded.
+        (body, _body_share): (Bytes, BufferShare),
         version: Option<VersionDigest>,
         mut admitted: AdmittedAttempt,
     ) -> Response<HttpBody> {
--- a/crates/agent/src/gate/shared_gate.rs
+++ b/crates/agent/src/gate/shared_gate.rs
@@ -1,5 +1,6 @@
 //! The gate's state, shared by the threads of the agent.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -18,6 +19,7 @@
 #[derive(Debug)]
 pub(crate) struct SharedGate {
     inner: Mutex<GateInner>,
+    bodies_refused: AtomicU64,
     log: Logger,
 }
 
@@ -44,6 +46,7 @@
         };
         Self {
             inner: Mutex::new(inner),
+            bodies_refused: AtomicU64::new(0),
             log,
         }
     }
@@ -70,6 +73,17 @@
         }
     }
 
+    /// Records that a body was refused because others left too little memory.
+    pub(crate) fn on_body_refused(&self) {
+        self.bodies_refused.fetch_add(1, Ordering::Relaxed);
+        self.record_overload_signal(&mut self.lock(), OverloadCause::TargetsFull);
+    }
+
+    /// Returns the number of bodies that were refused because others left too little memory.
+    pub(crate) fn bodies_refused(&self) -> u64 {
+        self.bodies_refused.load(Ordering::Relaxed)
+    }
+
     /// Records what a response of the back end says about its limit. The request was sent at `sent_at`.
     pub(crate) fn record_limit(&self, named: NamedLimit, sent_at: Instant) {
         let mut inner = self.lock();
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -65,14 +65,15 @@
             log.clone(),
         )
         .await?;
-        operators::serve(
-            settings.clone(),
-            view.clone(),
-            gate.clone(),
-            store.clone(),
-            counters.clone(),
-            log.clone(),
-        )?;
+        let operators = operators::OperatorServer {
+            settings: settings.clone(),
+            view: view.clone(),
+            gate: gate.clone(),
+            store: store.clone(),
+            counters: counters.clone(),
+            log: log.clone(),
+        };
+        let operators = operators.start()?;
         // Outgoing connections use ephemeral ports and could occupy a listener's port, so all listeners are bound
         // first.
         let control = ControlThread::start(
@@ -106,6 +107,7 @@
             gate.clone(),
             store.clone(),
             counters.clone(),
+            operators,
         ));
         info!(log, "agent started"; "gate" => %settings.listen.gate);
         stop.await?;
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cadence::{Gauged, StatsdClient};
+use httpio::ServerHandle;
 use wire::WireCounters;
 
 use crate::control::AgentView;
@@ -17,6 +18,7 @@
     gate: Arc<SharedGate>,
     store: Arc<ChunkStore>,
     counters: WireCounters,
+    operators: ServerHandle,
 ) {
     let mut interval = tokio::time::interval(REPORT_INTERVAL);
     loop {
@@ -30,6 +32,9 @@
             "gate.overloaded_ms",
             load.overloaded_ms.unwrap_or_default(),
         );
+        gauge(&client, "gate.bodies_refused", gate.bodies_refused());
+        let connections = operators.open_connections() as u64;
+        gauge(&client, "operators.connections", connections);
         gauge(&client, "config.revision", view.revision().0);
         if let Some(state) = store.state() {
             gauge(
--- a/crates/entry/src/calls/call_counters.rs
+++ b/crates/entry/src/calls/call_counters.rs
@@ -1,6 +1,6 @@
 //! Requests in flight and overload state of an entry.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
@@ -11,6 +11,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct CallCounters {
     in_flight: AtomicU32,
+    bodies_refused: AtomicU64,
     overload: Mutex<OverloadTracker>,
     transitions: Mutex<Vec<OverloadTransition>>,
 }
@@ -34,6 +35,16 @@
         Some(CallGuard(counters.clone()))
     }
 
+    /// Records that a body was refused because others left too little memory.
+    pub(crate) fn on_body_refused(&self) {
+        self.bodies_refused.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of bodies that were refused because others left too little memory.
+    pub(crate) fn bodies_refused(&self) -> u64 {
+        self.bodies_refused.load(Ordering::Relaxed)
+    }
+
     /// Records a refusal because of overload.
     pub(crate) fn on_overload(&self, cause: OverloadCause) {
         let transition = self.tracker().on_signal(Instant::now(), cause);
--- a/crates/entry/src/calls/call_server.rs
+++ b/crates/entry/src/calls/call_server.rs
@@ -48,6 +48,7 @@
         guard: Arc<CrashGuard>,
         log: Logger,
     ) -> Self {
+        let body_budget = BufferBudget::new(settings.limits.max_held_body_bytes);
         let scheduler = SlotScheduler::new(settings.clone(), snapshots.clone(), counters.clone());
         let dispatcher = Dispatcher::new(settings.clone(), Arc::new(scheduler), guard, log.clone());
         Self {
@@ -56,7 +57,7 @@
             dispatcher,
             table,
             counters,
-            body_budget: BufferBudget::new(BODY_BUDGET_BYTES),
+            body_budget,
             log,
         }
     }
@@ -177,7 +178,12 @@
         let mut body_share = self.body_budget.share_without_wait();
         let (max_bytes, timeout) = (limits.max_body_bytes, limits.body_timeout);
         let body = httpio::read_into_share(body, max_bytes, timeout, &mut body_share);
-        let body = body.await.map_err(|err| body_error(&err))?;
+        let body = body.await.map_err(|err| {
+            if err.kind() == std::io::ErrorKind::QuotaExceeded {
+                self.counters.on_body_refused();
+            }
+            body_error(&err)
+        })?;
         let path = parts.uri.path_and_query();
         Ok(CallContext {
             id,
@@ -220,6 +226,3 @@
 
 /// Time after the deadline of a request in which an error that says so still reaches a caller that reads.
 const WRITE_RESERVE: Duration = Duration::from_secs(1);
-
-/// Memory for the bodies of requests, beside 64 KiB of each; a quarter of that of the host which the default limits suit.
-const BODY_BUDGET_BYTES: usize = 256 * 1024 * 1024;
--- a/crates/entry/src/control/operator_server.rs
+++ b/crates/entry/src/control/operator_server.rs
@@ -1,12 +1,16 @@
 //! The HTTP server for operators: commands and the state dump.
 
-use std::io::Read;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use control::{ConfigSource, Statement};
+use httpio::{
+    HeaderValue, HttpBody, HttpServer, Incoming, Method, Request, Response, ServerHandle,
+    ServerLimits, StatusCode, header,
+};
 use model::{CommandId, ConfigRevision, ResultCode};
 use serde::Deserialize;
 use serde_json::json;
@@ -46,78 +50,76 @@
 }
 
 impl OperatorServer {
-    /// Starts the server on its own threads.
-    pub(crate) fn start(self) -> anyhow::Result<()> {
+    /// Starts the server on the current runtime.
+    pub(crate) fn start(self) -> anyhow::Result<ServerHandle> {
         let address = self.settings.listen.operators;
-        let runner = CommandRunner {
+        let hosts = self.settings.platform.hosts;
+        let runner = Arc::new(CommandRunner {
             table: self.table.clone(),
             source: SourceClient::new(self.settings.sources.origin, SOURCE_TIMEOUT),
-            hosts: self
-                .settings
-                .platform
-                .hosts
-                .map(|it| HostListClient::new(it, HOST_LIST_TIMEOUT)),
+            hosts: hosts.map(|it| HostListClient::new(it, HOST_LIST_TIMEOUT)),
+        });
+        let limits = ServerLimits {
+            max_connections: self.settings.limits.max_operator_connections,
+            ..ServerLimits::default()
         };
-        let server = rouille::Server::new(address, move |request| {
-            self.handle_request(request, &runner)
-        })
-        .map_err(|err| anyhow::anyhow!("{err}"))
-        .with_context(|| format!("cannot listen on {address}"))?;
-        std::thread::Builder::new()
-            .name("operators".to_string())
-            .spawn(move || server.run())?;
-        Ok(())
+        let listener = HttpServer::bind(address, limits)
+            .with_context(|| format!("cannot listen on {address}"))?;
+        let max_connections = self.settings.limits.max_operator_connections;
+        let log = self.log.clone();
+        let handle = listener.serve(move |request, peer| {
+            let (server, runner) = (self.clone(), runner.clone());
+            async move { server.handle(request, peer, runner).await }
+        })?;
+        tokio::spawn(log_full_server(handle.clone(), max_connections, log));
+        Ok(handle)
     }
 
-    fn handle_request(
-        &self,
-        request: &rouille::Request,
-        runner: &CommandRunner,
-    ) -> rouille::Response {
-        let Some(operator) = self.authenticate(request) else {
-            warn!(self.log, "operator refused"; "peer" => %request.remote_addr());
-            return response(&CommandOutcome::new(
-                ResultCode::Unauthorized,
-                "the token is missing or unknown",
-            ));
+    async fn handle(
+        self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+        runner: Arc<CommandRunner>,
+    ) -> Response<HttpBody> {
+        let Some(operator) = self.authenticate(&request) else {
+            warn!(self.log, "operator refused"; "peer" => %peer);
+            let message = "the token is missing or unknown";
+            let mut response = response(&CommandOutcome::new(ResultCode::Unauthorized, message));
+            // A client without a token gets no further response on its connection, so pipelined requests cost nothing.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+            return response;
         };
-        match (request.method(), request.url().as_str()) {
-            ("GET", "/debug/state") => rouille::Response::json(&self.state_dump()),
-            ("POST", "/v1/command") => self.handle_command(request, &operator, runner),
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/debug/state") => {
+                run_blocking(move || json_response(self.state_dump().to_string())).await
+            }
+            (&Method::POST, "/v1/command") => {
+                let body = request.into_body();
+                let body = httpio::read_limited(body, MAX_BODY_BYTES, BODY_TIMEOUT).await;
+                let command = body.map_err(|err| body_error(&err)).and_then(|it| {
+                    let command = serde_json::from_slice::<CommandRequest>(&it);
+                    command.map_err(|err| (ResultCode::BadRequest, err.to_string()))
+                });
+                match command {
+                    Ok(command) => {
+                        run_blocking(move || self.run_command(&command, &operator, &runner)).await
+                    }
+                    Err((code, message)) => response(&CommandOutcome::new(code, message)),
+                }
+            }
             _ => response(&CommandOutcome::new(ResultCode::NotFound, "no such path")),
         }
     }
 
-    fn handle_command(
+    fn run_command(
         &self,
-        request: &rouille::Request,
+        command: &CommandRequest,
         operator: &str,
         runner: &CommandRunner,
-    ) -> rouille::Response {
-        let mut text = String::new();
-        let Some(body) = request.data() else {
-            return response(&CommandOutcome::new(
-                ResultCode::BadRequest,
-                "the request body is missing",
-            ));
-        };
-        if let Err(err) = body.take(MAX_BODY_BYTES).read_to_string(&mut text) {
-            return response(&CommandOutcome::new(
-                ResultCode::BadRequest,
-                err.to_string(),
-            ));
-        }
-        let command: CommandRequest = match serde_json::from_str(&text) {
-            Ok(it) => it,
-            Err(err) => {
-                return response(&CommandOutcome::new(
-                    ResultCode::BadRequest,
-                    err.to_string(),
-                ));
-            }
-        };
+    ) -> Response<HttpBody> {
         let outcome = self
-            .execute(&command, operator, runner)
+            .execute(command, operator, runner)
             .unwrap_or_else(|it| it);
         info!(self.log, "command"; "command_id" => %command.id, "operator" => operator,
             "text" => &command.command, "result" => outcome.name);
@@ -177,8 +179,9 @@
         }
     }
 
-    fn authenticate(&self, request: &rouille::Request) -> Option<String> {
-        let token = request.header("Authorization")?.strip_prefix("Bearer ")?;
+    fn authenticate(&self, request: &Request<Incoming>) -> Option<String> {
+        let value = request.headers().get(header::AUTHORIZATION)?;
+        let token = value.to_str().ok()?.strip_prefix("Bearer ")?;
         let operator = self
             .settings
             .operators
@@ -212,15 +215,63 @@
     }
 }
 
-fn response(outcome: &CommandOutcome) -> rouille::Response {
+/// Logs once each time when the server begins to turn connections away.
+async fn log_full_server(handle: ServerHandle, max_connections: usize, log: Logger) {
+    let mut was_full = false;
+    let mut interval = tokio::time::interval(FULL_POLL_INTERVAL);
+    loop {
+        interval.tick().await;
+        let is_full = handle.open_connections() >= max_connections;
+        if is_full && !was_full {
+            warn!(log, "operators' connections are at their limit"; "connections" => max_connections);
+        }
+        was_full = is_full;
+    }
+}
+
+/// Runs work that waits for the platform or copies the whole state, off the threads that serve requests. It is completed
+/// even if the operator disconnects.
+async fn run_blocking(
+    work: impl FnOnce() -> Response<HttpBody> + Send + 'static,
+) -> Response<HttpBody> {
+    let result = tokio::task::spawn_blocking(work).await;
+    result.unwrap_or_else(|_| {
+        let message = "the request's thread failed";
+        response(&CommandOutcome::new(ResultCode::Internal, message))
+    })
+}
+
+fn body_error(err: &std::io::Error) -> (ResultCode, String) {
+    let code = match err.kind() {
+        std::io::ErrorKind::TimedOut => ResultCode::TooSlow,
+        _ => ResultCode::BadRequest,
+    };
+    (code, err.to_string())
+}
+
+fn response(outcome: &CommandOutcome) -> Response<HttpBody> {
     let code = ResultCode::from_number(outcome.code).unwrap_or(ResultCode::Internal);
-    rouille::Response::json(outcome)
-        .with_status_code(code.http_status())
-        .with_unique_header("Fulmarline-Result", code.to_string())
+    let mut response = json_response(serde_json::to_string(outcome).unwrap_or_default());
+    *response.status_mut() =
+        StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    if let Ok(value) = code.to_string().parse() {
+        response.headers_mut().insert(model::RESULT_HEADER, value);
+    }
+    response
+}
+
+fn json_response(body: String) -> Response<HttpBody> {
+    let mut response = Response::new(httpio::full(body));
+    let json = HeaderValue::from_static("application/json; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
 }
 
 /// Maximum size of a request body.
-const MAX_BODY_BYTES: u64 = 64 * 1024;
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
+/// Timeout for receiving a request body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Timeout for reading a manifest.
 const SOURCE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -236,3 +287,6 @@
 
 /// Interval at which the snapshot is polled while waiting.
 const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Interval at which the number of connections is compared with its limit.
+const FULL_POLL_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -68,13 +68,19 @@
         counters: counters.clone(),
         log: log.clone(),
     };
-    operators.start()?;
 
     runtime.block_on(async {
+        let operators = operators.start()?;
         let events = control.sender();
         let offer_counters = counters.clone();
-        let report =
-            metrics::report_loop(metrics, snapshots.clone(), table.clone(), counters.clone());
+        let report = metrics::report_loop(
+            metrics,
+            snapshots.clone(),
+            table.clone(),
+            counters.clone(),
+            calls.clone(),
+            operators,
+        );
         tokio::spawn(report);
         control::serve(&settings, events.clone(), snapshots.clone(), tracker.clone(), guard.clone(), counters.clone(), log.clone())
             .await?;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use cadence::{Gauged, StatsdClient};
+use httpio::ServerHandle;
 use model::TargetKind;
 use upstream::TableClient;
 use wire::WireCounters;
 
+use crate::calls::CallCounters;
 use crate::control::{ControlSnapshot, SnapshotCell};
 
 /// Reports metrics until the runtime shuts down. `docs/OPERATIONS.md` lists their names.
@@ -16,6 +18,8 @@
     snapshots: Arc<SnapshotCell>,
     table: TableClient,
     counters: WireCounters,
+    calls: Arc<CallCounters>,
+    operators: ServerHandle,
 ) {
     let mut interval = tokio::time::interval(REPORT_INTERVAL);
     loop {
@@ -24,6 +28,9 @@
         let (reads, writes) = table.call_counts();
         gauge(&client, "table.reads", reads);
         gauge(&client, "table.writes", writes);
+        gauge(&client, "entry.bodies_refused", calls.bodies_refused());
+        let connections = operators.open_connections() as u64;
+        gauge(&client, "operators.connections", connections);
         gauge(&client, "control.received_bytes", counters.received_bytes());
         gauge(&client, "control.sent_bytes", counters.sent_bytes());
     }
--- a/crates/settings/src/call_limits.rs
+++ b/crates/settings/src/call_limits.rs
@@ -15,6 +15,8 @@
     pub max_streams: usize,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
+    /// Maximum size of all request bodies together that are held at the same time, beside 64 KiB of each.
+    pub max_held_body_bytes: usize,
     /// Maximum number of header fields of a request.
     pub max_headers: usize,
     /// Maximum total size of the request line and headers, in bytes.
@@ -29,6 +31,8 @@
     pub queue_length: usize,
     /// How long a caller may cache the list of entries.
     pub directory_ttl: Duration,
+    /// Maximum number of open connections from operators.
+    pub max_operator_connections: usize,
 }
 
 impl Default for CallLimits {
@@ -37,6 +41,7 @@
             max_connections: 4096,
             max_streams: 2048,
             max_body_bytes: 1024 * 1024,
+            max_held_body_bytes: DEFAULT_HELD_BODY_BYTES,
             max_headers: 64,
             max_header_bytes: 16 * 1024,
             header_timeout: Duration::from_secs(10),
@@ -44,6 +49,7 @@
             default_deadline: Duration::from_secs(120),
             queue_length: 256,
             directory_ttl: Duration::from_secs(30),
+            max_operator_connections: DEFAULT_OPERATOR_CONNECTIONS,
         }
     }
 }
@@ -51,6 +57,8 @@
 impl CallLimits {
     pub(crate) fn read(mut section: Section<'_>) -> Self {
         let default = Self::default();
+        let max_body_bytes =
+            section.integer_or("max_body_bytes", BODY_BYTES_RANGE, default.max_body_bytes);
         let limits = Self {
             max_connections: section.integer_or(
                 "max_connections",
@@ -58,10 +66,11 @@
                 default.max_connections,
             ),
             max_streams: section.integer_or("max_streams", CONNECTION_RANGE, default.max_streams),
-            max_body_bytes: section.integer_or(
-                "max_body_bytes",
-                BODY_BYTES_RANGE,
-                default.max_body_bytes,
+            max_body_bytes,
+            max_held_body_bytes: section.integer_or(
+                "max_held_body_bytes",
+                HELD_BODY_BYTES_RANGE,
+                default.max_held_body_bytes.max(max_body_bytes),
             ),
             max_headers: section.integer_or("max_headers", HEADER_COUNT_RANGE, default.max_headers),
             max_header_bytes: section.integer_or(
@@ -94,6 +103,11 @@
                 TIMEOUT_MS_RANGE,
                 default.directory_ttl,
             ),
+            max_operator_connections: section.integer_or(
+                "max_operator_connections",
+                OPERATOR_CONNECTION_RANGE,
+                default.max_operator_connections,
+            ),
         };
         if section.finish() {
             limits.check(&section);
@@ -117,6 +131,7 @@
             );
             section.report_at("queue_length", SettingErrorKind::ConflictingValues(message));
         }
+        check_held_bodies(section, self.max_held_body_bytes, self.max_body_bytes);
         if self.body_timeout > self.default_deadline {
             let message = format!(
                 "{} ms is more than default_deadline_ms ({} ms), so a slow body would outlive its request",
@@ -131,12 +146,37 @@
     }
 }
 
+/// Reports a limit of all bodies together that is below the limit of one body.
+pub(crate) fn check_held_bodies(section: &Section<'_>, held_bytes: usize, body_bytes: usize) {
+    if held_bytes < body_bytes {
+        let message = format!(
+            "{held_bytes} is less than max_body_bytes ({body_bytes}), so the largest body would always be refused"
+        );
+        section.report_at(
+            "max_held_body_bytes",
+            SettingErrorKind::ConflictingValues(message),
+        );
+    }
+}
+
+/// Default of `max_held_body_bytes`, a quarter of the memory of the host that the defaults suit.
+pub(crate) const DEFAULT_HELD_BODY_BYTES: usize = 256 * 1024 * 1024;
+
+/// Default of `max_operator_connections`, several times the number of operators and monitors of a deployment.
+pub(crate) const DEFAULT_OPERATOR_CONNECTIONS: usize = 64;
+
 /// Allowed values of `max_connections` and `max_streams`.
 pub(crate) const CONNECTION_RANGE: RangeInclusive<u64> = 1..=1_000_000;
 
 /// Allowed values of `max_body_bytes`.
 pub(crate) const BODY_BYTES_RANGE: RangeInclusive<u64> = 1024..=1024 * 1024 * 1024;
 
+/// Allowed values of `max_held_body_bytes`.
+pub(crate) const HELD_BODY_BYTES_RANGE: RangeInclusive<u64> = 1024..=1024 * 1024 * 1024 * 1024;
+
+/// Allowed values of `max_operator_connections`.
+pub(crate) const OPERATOR_CONNECTION_RANGE: RangeInclusive<u64> = 1..=10_000;
+
 /// Allowed values of `max_headers`.
 pub(crate) const HEADER_COUNT_RANGE: RangeInclusive<u64> = 8..=1024;
 
--- a/crates/settings/tests/errors.rs
+++ b/crates/settings/tests/errors.rs
@@ -173,15 +173,20 @@
         (r#""max_streams": 90"#, r#""max_streams": 101"#),
         (r#""queue_length": 10"#, r#""queue_length": 91"#),
         (r#""body_timeout_ms": 2000"#, r#""body_timeout_ms": 9000"#),
+        (
+            r#""max_held_body_bytes": 1048576"#,
+            r#""max_held_body_bytes": 65535"#,
+        ),
     ];
     check(
         ENTRY,
         &edits,
         expect![[r#"
-        tests/data/entry.jsonc:21:20: limits.max_streams: 101 is more than max_connections (100), and each stream needs a connection
-        tests/data/entry.jsonc:28:21: limits.queue_length: 91 is more than max_streams (90), and a waiting request counts as a stream
-        tests/data/entry.jsonc:26:24: limits.body_timeout_ms: 9000 ms is more than default_deadline_ms (3000 ms), so a slow body would outlive its request
-    "#]],
+            tests/data/entry.jsonc:21:20: limits.max_streams: 101 is more than max_connections (100), and each stream needs a connection
+            tests/data/entry.jsonc:28:21: limits.queue_length: 91 is more than max_streams (90), and a waiting request counts as a stream
+            tests/data/entry.jsonc:26:24: limits.body_timeout_ms: 9000 ms is more than default_deadline_ms (3000 ms), so a slow body would outlive its request
+            tests/data/entry.jsonc:22:53: limits.max_held_body_bytes: 65535 is less than max_body_bytes (65536), so the largest body would always be refused
+        "#]],
     );
     let edits = [(r#""drain_warn_ms": 10000"#, r#""drain_warn_ms": 200"#)];
     check(
