Emulator and benchmark of requests at cold replicas

The emulation of limits gets replicas that become cold at a start, at the return of their zone or without a word, hosts whose clocks differ and drift, connections that open late, bursts, and entries that are cut in two parts, suspended or restarted together.

'cargo xtask bench cold N [CASE]' prints the most requests at a cold replica in a second, the share of the tolerated rate that is used, and requests refused for it.

--- a/crates/emulator/src/entry_clock.rs
+++ b/crates/emulator/src/entry_clock.rs
@@ -7,6 +7,8 @@
 pub(crate) struct EntryClock {
     /// Time since boot at the start of the emulation.
     boot_age: Duration,
+    /// Seconds that the clock gains, or loses, in a second.
+    pub(crate) drift: f64,
     /// When the host is suspended, and for how long.
     pub(crate) suspension: Option<(Duration, Duration)>,
     /// When the process is starved, and until when.
@@ -19,6 +21,7 @@
     pub(crate) fn new(boot_age: Duration) -> Self {
         Self {
             boot_age,
+            drift: 0.0,
             suspension: None,
             starvation: None,
             run_interval: Duration::ZERO,
@@ -26,7 +29,10 @@
     }
 
     pub(crate) fn since_boot(&self, now: Duration) -> Duration {
-        self.boot_age + now
+        if self.drift == 0.0 {
+            return self.boot_age + now;
+        }
+        self.boot_age + now.mul_f64(1.0 + self.drift)
     }
 
     /// Returns the earliest time from `now` on at which the process handles an event.
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,9 +1,11 @@
 //! Emulators, in virtual time, of entries that exchange what they know: evidence about requests which crash replicas,
-//! and limits that replicas name; and of entries that follow the configuration and declared weights over thin links.
+//! limits that replicas name, and turns at cold replicas; and of entries that follow the configuration and declared weights over thin links.
 //!
 //! They drive the decisions of `routing` and `fleet` as entries do, with replicas, traffic and datagrams that a seed determines.
 //! This crate is not shipped.
 
+mod cold_replicas;
+mod cold_scenario;
 mod crash_outcome;
 mod crash_scenario;
 mod crash_simulation;
@@ -31,6 +33,7 @@
 mod simulated_traffic;
 mod simulation_event;
 
+pub use cold_scenario::{ColdNotice, ColdOutcome, ColdScenario};
 pub use crash_outcome::CrashOutcome;
 pub use crash_scenario::CrashScenario;
 pub use crash_simulation::CrashSimulation;
--- a/crates/emulator/src/limit_outcome.rs
+++ b/crates/emulator/src/limit_outcome.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::cold_scenario::ColdOutcome;
+
 /// What happened in an emulation of limits.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct LimitOutcome {
@@ -24,4 +26,6 @@
     pub requests: u64,
     /// Bytes of records and time bases in datagrams.
     pub bytes: u64,
+    /// What cold replicas got.
+    pub cold: ColdOutcome,
 }
--- a/crates/emulator/src/limit_scenario.rs
+++ b/crates/emulator/src/limit_scenario.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::cold_scenario::ColdScenario;
+
 /// How entries keep within limits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitPolicy {
@@ -32,6 +34,14 @@
     ZoneCut,
     /// The entries of two zones do not reach each other for a while, but those of the others.
     LinkCut,
+    /// Two halves of the entries do not reach each other from the first fault on.
+    HalfCut,
+    /// A third of the entries and the others do not reach each other from the first fault on.
+    ThirdCut,
+    /// Half of them do not run for a while, and go on in the same moment.
+    HalfFreeze,
+    /// All start again in the same moment and know nothing.
+    AllRestart,
 }
 
 /// Size, traffic, limits and faults of an emulation.
@@ -61,6 +71,8 @@
     pub duration: Duration,
     /// When the limits end, if they do.
     pub ends_at: Option<Duration>,
+    /// Replicas that become cold instead of those that name limits, if any.
+    pub cold: Option<ColdScenario>,
 }
 
 impl LimitScenario {
@@ -79,6 +91,7 @@
             fault: EntryFault::None,
             duration: Duration::from_secs(40),
             ends_at: None,
+            cold: None,
         }
     }
 
--- a/crates/emulator/src/limit_simulation.rs
+++ b/crates/emulator/src/limit_simulation.rs
@@ -1,13 +1,17 @@
 //! Emulates entries, replicas that name limits and datagrams in virtual time.
 
+mod cold;
 mod exchange;
+mod faults;
 
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use routing::{LimitDigest, NamedLimit, RequestRate};
+use routing::{LimitDigest, NamedLimit, RequestRate, TurnGrant};
 
+use crate::cold_replicas::ColdReplicas;
+use crate::entry_clock::EntryClock;
 use crate::event_queue::EventQueue;
 use crate::exchange_plan::{ExchangePlan, HEARTBEAT_INTERVAL};
 use crate::limit_outcome::LimitOutcome;
@@ -25,6 +29,8 @@
     exchange: ExchangePlan,
     entries: Vec<LimitedEntry>,
     replicas: Vec<LimitedReplica>,
+    /// Replicas that become cold.
+    cold: ColdReplicas,
     /// Until when the first two zones do not reach each other.
     link_cut_until: Duration,
     end_known_at: Option<Duration>,
@@ -65,22 +71,46 @@
         roster: Vec<usize>,
         relay: bool,
     },
+    ColdPhase,
+    /// The connection of a request to a cold replica is open.
+    ColdSend {
+        replica: usize,
+        entry: usize,
+        grant: TurnGrant,
+    },
+    ColdArrival {
+        replica: usize,
+    },
 }
 
 impl LimitSimulation {
     /// Creates an emulation of `scenario`.
     pub fn new(scenario: LimitScenario, seed: u64) -> Self {
         let epoch = Instant::now() + Duration::from_secs(36_000);
+        let mut random = StdRng::seed_from_u64(seed);
+        let clocks: Vec<EntryClock> = (0..scenario.entries)
+            .map(|_| Self::new_clock(&scenario, &mut random))
+            .collect();
+        let limited = match scenario.cold {
+            Some(_) => 0,
+            None => scenario.limited,
+        };
         Self {
             scenario,
-            random: StdRng::seed_from_u64(seed),
+            random,
             epoch,
             queue: EventQueue::new(),
             exchange: ExchangePlan::new(scenario.zones, scenario.loss),
-            entries: (0..scenario.entries as usize)
-                .map(|it| LimitedEntry::new(it, Duration::ZERO, epoch))
+            entries: clocks
+                .into_iter()
+                .enumerate()
+                .map(|(index, it)| LimitedEntry::new(index, Duration::ZERO, epoch, it))
                 .collect(),
-            replicas: (0..scenario.limited).map(LimitedReplica::new).collect(),
+            replicas: (0..limited).map(LimitedReplica::new).collect(),
+            cold: match scenario.cold {
+                Some(cold) => ColdReplicas::new(scenario.limited, cold.bound.requests_per_second),
+                None => ColdReplicas::new(0, 0.0),
+            },
             link_cut_until: Duration::ZERO,
             end_known_at: None,
             outcome: LimitOutcome::default(),
@@ -94,7 +124,10 @@
             .schedule(HEARTBEAT_INTERVAL, LimitEvent::Heartbeats);
         let interval = self.exchange.report_interval();
         self.queue.schedule(interval, LimitEvent::Reports);
-        self.queue.schedule(LIMITED_FROM, LimitEvent::SetLimits);
+        match self.scenario.cold {
+            Some(cold) => self.queue.schedule(cold.first_at, LimitEvent::ColdPhase),
+            None => self.queue.schedule(LIMITED_FROM, LimitEvent::SetLimits),
+        }
         if let Some(end) = self.scenario.ends_at {
             self.queue.schedule(end, LimitEvent::EndLimits);
         }
@@ -115,11 +148,14 @@
     fn handle(&mut self, event: LimitEvent) {
         match event {
             LimitEvent::Request => {
-                let pause = 1.0 / self.scenario.requests_per_second as f64;
+                let pause = 1.0 / self.offered_rate();
                 let pause = Duration::from_secs_f64(pause * self.random.random_range(0.0..2.0));
                 self.queue.schedule(pause, LimitEvent::Request);
                 let entry = self.random.random_range(0..self.entries.len());
-                self.receive_request(entry);
+                match self.scenario.cold {
+                    Some(cold) => self.receive_cold_request(entry, cold),
+                    None => self.receive_request(entry),
+                }
             }
             LimitEvent::Report { replica } => {
                 let now = self.queue.now();
@@ -167,6 +203,16 @@
                 roster,
                 relay,
             } => self.receive_message(entry, from, digest, &roster, relay),
+            LimitEvent::ColdPhase => self.begin_cold_phase(),
+            LimitEvent::ColdSend {
+                replica,
+                entry,
+                grant,
+            } => self.send_to_cold(replica, entry, grant),
+            LimitEvent::ColdArrival { replica } => {
+                let now = self.queue.now();
+                self.cold.record_call(replica, now);
+            }
         }
     }
 
@@ -192,7 +238,7 @@
     /// Sends a request to a limited replica if the entry may, as there is always demand for it. Others would take it
     /// otherwise, if there are any.
     fn receive_request(&mut self, entry: usize) {
-        let (now, instant) = (self.queue.now(), self.instant());
+        let (now, instant) = (self.queue.now(), self.instant(entry));
         self.outcome.requests += 1;
         if !self.entries[entry].is_serving(now) {
             return;
@@ -225,7 +271,7 @@
     }
 
     fn receive_head(&mut self, replica: usize, entry: usize, named: NamedLimit, sent_at: Duration) {
-        let (now, instant) = (self.queue.now(), self.instant());
+        let (now, instant) = (self.queue.now(), self.instant(entry));
         let id = self.replicas[replica].id;
         let sent_at = self.epoch + sent_at;
         let state = &mut self.entries[entry];
@@ -240,46 +286,6 @@
         }
     }
 
-    fn begin_fault(&mut self) {
-        self.queue.schedule(FAULT_INTERVAL, LimitEvent::Fault);
-        let (now, instant) = (self.queue.now(), self.instant());
-        let entry = self.random.random_range(0..self.entries.len());
-        let until = now + Duration::from_millis(self.random.random_range(500..20_000));
-        match self.scenario.fault {
-            EntryFault::None => {}
-            EntryFault::Restart => self.entries[entry] = LimitedEntry::new(entry, now, instant),
-            EntryFault::Addition => {
-                let added = LimitedEntry::new(self.entries.len(), now, instant);
-                self.entries.push(added);
-            }
-            EntryFault::Freeze => self.entries[entry].frozen_until = until,
-            EntryFault::Cut => self.entries[entry].cut_until = until,
-            EntryFault::LinkCut => self.link_cut_until = until,
-            EntryFault::ZoneCut => {
-                let zone = self.exchange.zone_of(entry);
-                for other in (0..self.entries.len()).filter(|it| self.exchange.zone_of(*it) == zone)
-                {
-                    self.entries[other].cut_until = until;
-                }
-            }
-        }
-    }
-
-    /// Returns whether a datagram between two entries arrives.
-    fn is_connected(&self, from: usize, to: usize) -> bool {
-        let now = self.queue.now();
-        let is_cut = |it: usize| now < self.entries[it].cut_until;
-        let is_in_zone = self.exchange.zone_of(from) == self.exchange.zone_of(to);
-        match self.scenario.fault {
-            EntryFault::ZoneCut => is_in_zone || (!is_cut(from) && !is_cut(to)),
-            EntryFault::LinkCut => {
-                let zones = self.exchange.zone_of(from) + self.exchange.zone_of(to);
-                is_in_zone || zones != 1 || now >= self.link_cut_until
-            }
-            _ => !is_cut(from) && !is_cut(to),
-        }
-    }
-
     /// Notes when all entries have learned that the limits have ended.
     fn note_end(&mut self) {
         let has_ended = self
@@ -293,6 +299,8 @@
 
     fn summarize(mut self) -> LimitOutcome {
         let end = self.scenario.duration;
+        self.cold.end_phase(end);
+        self.outcome.cold = self.cold.outcome;
         let (mut used, mut allowed) = (0.0, 0.0);
         let mut most = f64::NEG_INFINITY;
         let mut early = f64::NEG_INFINITY;
@@ -329,17 +337,17 @@
         RequestRate::per_kilosecond(limit as u32).report_interval()
     }
 
-    fn instant(&self) -> Instant {
-        self.epoch + self.queue.now()
+    /// Returns what the clock of `entry` shows.
+    fn instant(&self, entry: usize) -> Instant {
+        self.epoch + self.entries[entry].clock.since_boot(self.queue.now())
     }
 }
 
 /// When replicas begin to name limits: after all entries have met.
 const LIMITED_FROM: Duration = Duration::from_secs(5);
 
-/// Time of the first fault of an entry, and between two of them.
+/// Time of the first fault of an entry.
 const FAULTS_FROM: Duration = Duration::from_secs(9);
-const FAULT_INTERVAL: Duration = Duration::from_secs(4);
 
 /// Interval of changes of limits.
 const CHANGE_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/emulator/src/limit_simulation/exchange.rs
+++ b/crates/emulator/src/limit_simulation/exchange.rs
@@ -11,8 +11,9 @@
     pub(super) fn send_heartbeats(&mut self) {
         self.queue
             .schedule(HEARTBEAT_INTERVAL, LimitEvent::Heartbeats);
-        let (now, instant) = (self.queue.now(), self.instant());
+        let now = self.queue.now();
         for entry in 0..self.entries.len() {
+            let instant = self.instant(entry);
             if self.entries[entry].is_frozen(now) {
                 continue;
             }
@@ -37,8 +38,9 @@
     pub(super) fn send_reports(&mut self) {
         let interval = self.exchange.report_interval();
         self.queue.schedule(interval, LimitEvent::Reports);
-        let (now, instant) = (self.queue.now(), self.instant());
+        let now = self.queue.now();
         for reporter in 0..self.entries.len() {
+            let instant = self.instant(reporter);
             if self.zone_rank(reporter) > 0 {
                 continue;
             }
@@ -94,13 +96,15 @@
     }
 
     fn update_members(&mut self, entry: usize) {
-        let (now, instant) = (self.queue.now(), self.instant());
+        let (now, instant) = (self.queue.now(), self.instant(entry));
         let alive = self.entries[entry].alive(now);
         let names: Vec<String> = alive
             .iter()
             .map(|it| self.entries[*it].name.clone())
             .collect();
+        let has_cold_starts = self.scenario.cold.is_some();
         let state = &mut self.entries[entry];
+        state.table.set_repeats_base(has_cold_starts);
         let mut names = names.iter().map(String::as_str);
         state.table.update_members(instant, &mut names);
     }
@@ -142,7 +146,7 @@
         roster: &[usize],
         relay: bool,
     ) {
-        let (now, instant) = (self.queue.now(), self.instant());
+        let (now, instant) = (self.queue.now(), self.instant(entry));
         let state = &mut self.entries[entry];
         if state.is_frozen(now) {
             return;
--- a/crates/emulator/src/limited_entry.rs
+++ b/crates/emulator/src/limited_entry.rs
@@ -5,12 +5,14 @@
 
 use routing::{DigestSchedule, LifetimeId, LimitTable, NamedLimit, RequestRate};
 
+use crate::entry_clock::EntryClock;
 use crate::limit_scenario::LimitPolicy;
 
 /// An entry with its limits.
 #[derive(Debug)]
 pub(crate) struct LimitedEntry {
     pub(crate) name: String,
+    pub(crate) clock: EntryClock,
     pub(crate) table: LimitTable,
     pub(crate) to_zone: DigestSchedule,
     pub(crate) to_others: DigestSchedule,
@@ -30,12 +32,13 @@
 }
 
 impl LimitedEntry {
-    /// Creates the entry with the number `index`, which starts at `now` by both clocks.
-    pub(crate) fn new(index: usize, now: Duration, instant: Instant) -> Self {
+    /// Creates the entry with the number `index`, which starts at `now`; its clock shows the time since boot from `epoch`.
+    pub(crate) fn new(index: usize, now: Duration, epoch: Instant, clock: EntryClock) -> Self {
         let name = format!("edge-{index}");
         Self {
-            table: LimitTable::new(instant, &name),
+            table: LimitTable::new(epoch + clock.since_boot(now), &name),
             name,
+            clock,
             to_zone: DigestSchedule::default(),
             to_others: DigestSchedule::default(),
             last_heard: BTreeMap::new(),
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! The tasks run `fulmarline` as real processes against the stand-ins of the `standin` crate. Nothing here is shipped.
 
+mod bench_cold;
 mod bench_control;
 mod bench_control_report;
 mod bench_control_sample;
@@ -52,6 +53,11 @@
         summary: "emulates requests at replicas that name limits; N runs N seeds, a second word only the cases that begin so",
         run: bench_limits::run,
     },
+    Task {
+        name: &["bench", "cold"],
+        summary: "emulates requests at cold replicas; N runs N seeds, a second word only the cases that begin so",
+        run: bench_cold::run,
+    },
     Task {
         name: &["bench", "versions"],
         summary: "emulates entries that learn of declared weights; N runs N seeds, a second word only the cases that begin so",
