An endless manifest occupies an agent for 3 s at most

Pauses between attempts are 0.1 to 0.3 s and were ruled out.

Change: fetch_manifest_from_origin gives up after 3 s. A manifest has some 70 bytes for each piece.

--- a/crates/stager/src/source_client.rs
+++ b/crates/stager/src/source_client.rs
@@ -170,7 +170,9 @@
     let mut last_error = FetchError::NotFound;
     for origin in &target.origins {
         let client = WeightOriginClient::new(shared.origin_client.clone(), *origin, ORIGIN_TIMEOUT);
-        match client.manifest(&target.model, target.version).await {
+        let manifest = client.manifest(&target.model, target.version);
+        let manifest = tokio::time::timeout(MANIFEST_TIMEOUT, manifest).await;
+        match manifest.unwrap_or(Err(platform::CallError::TimedOut)) {
             Ok(manifest) if manifest.version == target.version => return Ok(manifest),
             Ok(manifest) => {
                 let reason = format!("the origin sent version {}", manifest.version);
@@ -193,5 +195,9 @@
 /// agent fetches. Sixteen concurrent pieces over 4.38 Mbit/s take half of this time.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Timeout until a manifest of the origin is complete. It has some 70 bytes for each piece. Without a limit, a response in
+/// chunks of one byte each occupied an agent for 7 s until it reached the size limit.
+const MANIFEST_TIMEOUT: Duration = Duration::from_millis(3000);
+
 /// Maximum size of a piece or a manifest.
 const MAX_PIECE_BYTES: usize = 4 * 1024 * 1024;
