--- a/crates/stager/src/ahead_loop.rs
+++ b/crates/stager/src/ahead_loop.rs
@@ -9,7 +9,7 @@
 use crate::agent_shared::{AgentShared, WeightTarget};
 use crate::source_client::PieceStore;
 use crate::weight_loop::ManifestAttempts;
-use crate::{piece_fetch, source_client};
+use crate::{held_store, piece_fetch, source_client};
 
 /// Fetches for the lifetime of the process.
 pub(crate) async fn run(shared: Arc<AgentShared>) {
@@ -88,7 +88,7 @@
             .replica_client
             .read_staged_piece(&target.model, index);
         if let Ok(Some(bytes)) = piece.await {
-            piece_fetch::hold_piece(shared, target, index, bytes);
+            held_store::hold_piece(shared, target, index, bytes);
         }
     }
 }
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -9,6 +9,7 @@
 mod config_loop;
 mod declaration_loop;
 mod feed_reader;
+mod held_store;
 mod link_pacer;
 mod load_order;
 mod piece_fetch;
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -12,7 +12,7 @@
 
 use crate::agent_shared::{AgentShared, WeightTarget};
 use crate::source_client::PieceStore;
-use crate::{load_order, piece_fetch};
+use crate::{held_store, load_order, piece_fetch};
 
 /// Reconciles the weights that the replica serves with the target, for the lifetime of the process.
 pub(crate) async fn run(shared: Arc<AgentShared>) {
@@ -280,7 +280,7 @@
     }
     let manifest = shared.state().manifest(target).cloned()?;
     let rollout_position = plan.rollout_position();
-    piece_fetch::stage_held_pieces(shared, target).await;
+    held_store::stage_held_pieces(shared, target).await;
     let store = PieceStore::Replica;
     let is_complete = piece_fetch::fetch_pieces(shared, target, &manifest, plan, store).await;
     is_complete.then_some(rollout_position)
