--- a/crates/standin/src/site/site_settings.rs
+++ b/crates/standin/src/site/site_settings.rs
@@ -27,6 +27,10 @@
     pub ip: IpAddr,
     /// Availability zone of the host. Its region has the same name.
     pub zone: String,
+    /// Memory in megabytes that the settings name, if any.
+    pub ram_mb: Option<u32>,
+    /// Maximum number of descriptors that the settings name.
+    pub max_descriptors: u32,
 }
 
 impl SitePorts {
@@ -66,6 +70,8 @@
             name: name.to_owned(),
             ip: Ipv4Addr::new(127, 0, 1, index).into(),
             zone: zone.to_owned(),
+            ram_mb: None,
+            max_descriptors: DEFAULT_DESCRIPTORS,
         }
     }
 
@@ -99,7 +105,14 @@
         replica_settings: &str,
         listen: &str,
     ) -> String {
-        let Self { name, ip, zone } = self;
+        let Self {
+            name,
+            ip,
+            zone,
+            ram_mb,
+            max_descriptors,
+        } = self;
+        let ram = ram_mb.map_or_else(String::new, |it| format!("ramMb = {it}"));
         let (first_port, last_port) = ports.internal;
         format!(
             r#"node = "{name}"
@@ -117,7 +130,8 @@
 {listen}
 [limits]
 linkMbps = 100.0
-maxFds = 4100
+maxFds = {max_descriptors}
+{ram}
 [bounds]
 graceS = 8
 strictRevoke = true
@@ -137,6 +151,9 @@
 /// Number of sites that have received ports in this process.
 static SITE_COUNT: AtomicUsize = AtomicUsize::new(0);
 
+/// Descriptors of a host whose limit a test does not set.
+const DEFAULT_DESCRIPTORS: u32 = 4100;
+
 /// Number of ports of a host.
 const PORT_COUNT: usize = 5;
 
