httpio closes the connections that hold most for longest when others need room

A server closed the newest connection when all were taken, held responses without counting them while clients read them, and never ended a connection whose client does not read.

ClientTable decides without IO which connection to close: of those that wait for their clients, the one with the largest product of held memory and waiting time, at a cost that does not grow with the connections. ClientAccount carries it out for a server, BufferShare counts memory for a client, and a response of which nothing is read for the write timeout ends with a reset. Servers without an account behave as before.

--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -8,6 +8,7 @@
 use hyper::body;
 
 use crate::buffer_budget::{BufferBudget, BufferShare};
+use crate::client_account::ClientHandle;
 
 /// The body type of responses and of outgoing requests.
 pub type HttpBody = combinators::BoxBody<Bytes, std::io::Error>;
@@ -57,9 +58,21 @@
     B: body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let mut share = budget.empty_share();
+    read_within_share(body, max_bytes, timeout, &mut budget.empty_share()).await
+}
+
+async fn read_within_share<B>(
+    body: B,
+    max_bytes: usize,
+    timeout: time::Duration,
+    share: &mut BufferShare,
+) -> std::io::Result<Bytes>
+where
+    B: body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let body = pin!(body);
-    let read = read_frames(body, max_bytes, None, Some(&mut share));
+    let read = read_frames(body, max_bytes, None, Some(share));
     let bytes = within_timeout(timeout, read).await;
     bytes.map_err(|err| {
         if share.has_waited() {
@@ -70,6 +83,47 @@
     })
 }
 
+/// Reads a complete body as [`read_within_budget`] does, for the response to `client`. The memory is held until the bytes have been
+/// written to the connection of the client, which may read them slowly.
+///
+/// # Errors
+///
+/// Returns the errors of [`read_within_budget`].
+pub async fn read_for_client<B>(
+    body: B,
+    max_bytes: usize,
+    timeout: time::Duration,
+    budget: &BufferBudget,
+    client: ClientHandle,
+) -> std::io::Result<Bytes>
+where
+    B: body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut share = budget.empty_share().for_client(Some(client));
+    let bytes = read_within_share(body, max_bytes, timeout, &mut share).await?;
+    Ok(if share.is_empty() {
+        bytes
+    } else {
+        Bytes::from_owner(SharedBytes {
+            bytes,
+            _share: share,
+        })
+    })
+}
+
+/// Bytes and the share of a budget that they take up.
+struct SharedBytes {
+    bytes: Bytes,
+    _share: BufferShare,
+}
+
+impl AsRef<[u8]> for SharedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// Reads a complete body as [`read_limited`] does, in memory of `share`, which the caller keeps for as long as it keeps the body.
 ///
 /// # Errors
--- a/crates/httpio/src/error_replacing_stream.rs
+++ b/crates/httpio/src/error_replacing_stream.rs
@@ -9,7 +9,9 @@
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 
+use crate::client_account::ClientHandle;
 use crate::head_error::{HeadError, HeadErrorHandler, encode_final_response};
 
 /// A socket that replaces the error responses of `hyper` by those of a [`HeadErrorHandler`].
@@ -25,6 +27,11 @@
     is_receiving: Arc<AtomicBool>,
     /// The unwritten part of a response that replaces a generated one.
     replacement: Option<Vec<u8>>,
+    /// The account's entry of this connection.
+    client: Option<ClientHandle>,
+    /// Ends the connection while its client reads nothing.
+    write_stall: Option<Pin<Box<Sleep>>>,
+    is_unread: bool,
 }
 
 impl ErrorReplacingStream {
@@ -33,6 +40,7 @@
         socket: TcpStream,
         error_handler: Option<HeadErrorHandler>,
         is_receiving: Arc<AtomicBool>,
+        client: Option<ClientHandle>,
     ) -> Self {
         Self {
             socket,
@@ -40,9 +48,17 @@
             request_started: false,
             is_receiving,
             replacement: None,
+            client,
+            write_stall: None,
+            is_unread: false,
         }
     }
 
+    /// Returns whether the client has read nothing of a response within the write timeout.
+    pub(crate) fn is_unread(&self) -> bool {
+        self.is_unread
+    }
+
     /// Responds to a request whose head was only partially received; does nothing if the connection was idle.
     pub(crate) async fn write_timeout_response(&mut self) {
         let Some(error_handler) = self.error_handler.filter(|_| self.request_started) else {
@@ -63,9 +79,9 @@
     ///
     /// Closing a socket with unread data resets the connection, which can discard a response that is still in
     /// transit. Unread data is therefore drained first.
-    pub(crate) async fn close(mut self) {
+    pub(crate) async fn close(&mut self) {
         let _ = self.socket.shutdown().await;
-        let mut unread = self.socket.take(MAX_UNREAD_BYTES);
+        let mut unread = (&mut self.socket).take(MAX_UNREAD_BYTES);
         let mut sink = tokio::io::sink();
         let drained = tokio::io::copy(&mut unread, &mut sink);
         let _ = tokio::time::timeout(CLOSE_TIMEOUT, drained).await;
@@ -81,6 +97,31 @@
         self.is_receiving.store(false, Ordering::Relaxed);
     }
 
+    /// Passes on the result of a write, or an error if the client of an account has read nothing for too long.
+    fn check_stall(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let Some(client) = &self.client else {
+            return written;
+        };
+        if written.is_ready() {
+            if self.write_stall.take().is_some() {
+                client.set_stalled(false);
+            }
+            return written;
+        }
+        let stall = self.write_stall.get_or_insert_with(|| {
+            client.set_stalled(true);
+            Box::pin(tokio::time::sleep(client.write_timeout()))
+        });
+        ready!(stall.as_mut().poll(cx));
+        self.is_unread = true;
+        client.record_unread();
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
     fn detect_generated_response(&mut self, bytes: &[u8]) {
         if self.replacement.is_some() {
             return;
@@ -133,7 +174,8 @@
         if self.replacement.is_some() {
             return self.poll_write_replacement(cx, bytes.len());
         }
-        Pin::new(&mut self.socket).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.socket).poll_write(cx, bytes);
+        self.check_stall(cx, written)
     }
 
     fn poll_write_vectored(
@@ -149,7 +191,8 @@
                 return self.poll_write_replacement(cx, bytes.len());
             }
         }
-        Pin::new(&mut self.socket).poll_write_vectored(cx, slices)
+        let written = Pin::new(&mut self.socket).poll_write_vectored(cx, slices);
+        self.check_stall(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/httpio/src/http_server.rs
+++ b/crates/httpio/src/http_server.rs
@@ -14,6 +14,7 @@
 use tokio::task;
 
 use crate::body::HttpBody;
+use crate::client_account::{ClientAccount, ClientSlot};
 use crate::error_replacing_stream::ErrorReplacingStream;
 use crate::server_limits::ServerLimits;
 
@@ -41,6 +42,7 @@
 pub struct HttpServer {
     listener: TcpListener,
     limits: ServerLimits,
+    account: Option<ClientAccount>,
 }
 
 impl ServerHandle {
@@ -76,7 +78,19 @@
     pub fn bind(address: SocketAddr, limits: ServerLimits) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
-        Ok(Self { listener, limits })
+        Ok(Self {
+            listener,
+            limits,
+            account: None,
+        })
+    }
+
+    /// Bounds connections by `account` instead of [`ServerLimits::max_connections`]. When all are taken, the connection that has
+    /// waited longest for its client is closed instead of the new one.
+    #[must_use]
+    pub fn with_account(mut self, account: ClientAccount) -> Self {
+        self.account = Some(account);
+        self
     }
 
     /// Returns the address that was bound.
@@ -134,6 +148,7 @@
         };
         tokio::spawn(accept_loop(
             listener,
+            self.account,
             move || current_limits(&self.limits),
             handler,
             StopSignal(stopped),
@@ -146,6 +161,7 @@
 
 async fn accept_loop<F, R, L>(
     listener: tokio::net::TcpListener,
+    account: Option<ClientAccount>,
     current_limits: L,
     handler: F,
     stop: StopSignal,
@@ -158,14 +174,19 @@
 {
     let start = |socket: tokio::net::TcpStream, peer: SocketAddr| {
         let limits = current_limits();
-        if open_count.fetch_add(1, Ordering::Relaxed) >= limits.max_connections {
-            open_count.fetch_sub(1, Ordering::Relaxed);
-            return;
-        }
+        let slot = match &account {
+            Some(account) => match account.admit() {
+                Some(slot) => Some(slot),
+                None => return,
+            },
+            None if open_count.load(Ordering::Relaxed) >= limits.max_connections => return,
+            None => None,
+        };
+        open_count.fetch_add(1, Ordering::Relaxed);
         let _ = socket.set_nodelay(true);
         let (handler, stop, open_count) = (handler.clone(), stop.clone(), open_count.clone());
         tokio::spawn(async move {
-            serve_connection(socket, peer, &limits, handler, stop).await;
+            serve_connection(socket, peer, &limits, handler, stop, slot).await;
             open_count.fetch_sub(1, Ordering::Relaxed);
         });
     };
@@ -181,6 +202,8 @@
             continue;
         };
         start(socket, peer);
+        // A connection that was closed to make room for this one releases its descriptor now.
+        task::yield_now().await;
     }
     // Closing the listener resets connections that clients have opened and that wait in its queue.
     if let Ok(listener) = listener.into_std() {
@@ -200,6 +223,7 @@
     limits: &ServerLimits,
     handler: F,
     mut stop: StopSignal,
+    slot: Option<ClientSlot>,
 ) where
     F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<HttpBody>> + Send + 'static,
@@ -210,22 +234,37 @@
     let is_receiving = Arc::new(AtomicBool::new(true));
     let receiving_flag = is_receiving.clone();
     let (write_deadline, mut write_deadlines) = watch::channel(None);
-    let service = service::service_fn(move |request: Request<Incoming>| {
+    let client = slot.as_ref().map(|it| it.handle.clone());
+    let client_of_requests = client.clone();
+    let service = service::service_fn(move |mut request: Request<Incoming>| {
         receiving_flag.store(false, Ordering::Relaxed);
+        let client = client_of_requests.clone();
+        if let Some(client) = &client {
+            client.set_busy(true);
+            request.extensions_mut().insert(client.clone());
+        }
         write_deadline.send_replace(None);
         let version = request.version();
         let response = handler(request, peer);
         let flag = last_response_flag.clone();
         let write_deadline = write_deadline.clone();
         async move {
-            let response = response.await;
+            let mut response = response.await;
+            if let Some(client) = client {
+                client.set_busy(true);
+                response = response.map(|it| client.track(it));
+            }
             write_deadline.send_replace(response.extensions().get().copied());
             flag.store(is_close_delimited(version, &response), Ordering::Relaxed);
             Ok::<_, convert::Infallible>(response)
         }
     });
-    let mut socket =
-        ErrorReplacingStream::new(socket, limits.head_error_handler, is_receiving.clone());
+    let mut socket = ErrorReplacingStream::new(
+        socket,
+        limits.head_error_handler,
+        is_receiving.clone(),
+        client,
+    );
     let connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
@@ -235,21 +274,34 @@
     let mut stop_of_deadline = stop.clone();
     let result = tokio::select! {
         biased;
+        () = closed_for_others(slot.as_ref()) => {
+            socket.reset();
+            return;
+        }
         it = run_connection(connection, &mut stop, &is_receiving) => it,
         () = write_deadline_passed(&mut stop_of_deadline, &mut write_deadlines) => {
             socket.reset();
             return;
         }
     };
-    if result.is_err() && ends_with_connection.load(Ordering::Relaxed) {
-        // An orderly end of the connection would mark the aborted body as complete.
+    if result.is_err() && (ends_with_connection.load(Ordering::Relaxed) || socket.is_unread()) {
+        // An orderly end of the connection would mark the aborted body as complete, or wait for a client that does not read.
         socket.reset();
         return;
     }
-    if result.is_err_and(|it| it.is_timeout()) {
-        socket.write_timeout_response().await;
+    let is_timeout = result.is_err_and(|it| it.is_timeout());
+    let close = async {
+        if is_timeout {
+            socket.write_timeout_response().await;
+        }
+        socket.close().await;
+    };
+    tokio::select! {
+        biased;
+        () = closed_for_others(slot.as_ref()) => {}
+        () = close => return,
     }
-    socket.close().await;
+    socket.reset();
 }
 
 /// Returns whether the end of the connection marks the end of a response to a request of `version`.
@@ -318,6 +370,14 @@
     }
 }
 
+/// Completes when the connection must make room for others.
+async fn closed_for_others(slot: Option<&ClientSlot>) {
+    match slot {
+        Some(slot) => slot.closed.notified().await,
+        None => future::pending().await,
+    }
+}
+
 async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
     if stop.wait_for(|it| *it).await.is_err() {
         // All handles were dropped, so the server can no longer be stopped.
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -10,17 +10,23 @@
 mod body_sender;
 pub mod boot_clock;
 mod buffer_budget;
+mod client_account;
 mod client_stream;
+mod client_table;
 mod error_replacing_stream;
 mod head_error;
 mod http_client;
 mod http_server;
 mod server_limits;
 
-pub use body::{HttpBody, empty, full, read_into_share, read_limited, read_within_budget};
+pub use body::{
+    HttpBody, empty, full, read_for_client, read_into_share, read_limited, read_within_budget,
+};
 pub use body_framing::BodyFraming;
 pub use body_sender::{BodySender, PeerDisconnected, stream};
 pub use buffer_budget::{BufferBudget, BufferShare};
+pub use client_account::{ClientAccount, ClientCounts, ClientHandle};
+pub use client_table::{CONNECTION_BYTES, ClientId, ClientTable, MIN_HOLD_TIME, ScarceRoom};
 pub use head_error::{HeadError, HeadErrorHandler};
 pub use http_client::{ClientConnection, ClientError, HttpClient, PooledResponse, SendCondition};
 pub use http_server::{HttpServer, ServerHandle, StopSignal, WriteDeadline};
