An entry bounds what it holds for clients by its host's memory and descriptors

The memory for bodies and responses was fixed at 128 and 32 MiB, more than the smallest host has; each of five addresses accepted maxFds less 1,200 connections; heads, and responses that clients read slowly, were not counted; a legal head of more than 100 fields got 431.

fleet::ClientLimits divides maxFds and ramMb among the addresses, requests and responses. ramMb is new in platform::NodeSettings; without it the memory is bounded as before. Each address has an account of httpio, heads and bodies share one budget, and a response keeps its share until it is written. Closed connections are logged and counted.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! depend on sockets, clocks, processes or the field names of the platform's documents.
 
 mod api_keys;
+mod client_limits;
 mod cold_table;
 mod config_history;
 mod config_lag;
@@ -50,6 +51,7 @@
 mod zone_exchange;
 
 pub use api_keys::{ApiTenant, KeyTable};
+pub use client_limits::{ClientLimits, ClientMemory};
 pub use cold_table::{ColdStart, ColdTable};
 pub use config_history::ConfigHistory;
 pub use config_lag::ConfigLag;
--- a/crates/fulmarline/tests/platform_client_crowds.rs
+++ b/crates/fulmarline/tests/platform_client_crowds.rs
@@ -6,7 +6,7 @@
 mod site;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -121,9 +121,22 @@
 #[test]
 fn a_request_of_many_short_fields_is_served() {
     let site = CrowdSite::start("fields-alone");
-    let mut socket = TcpStream::connect(site.site.front(0)).unwrap();
+    assert_many_fields_are_served(site.site.front(0), "/large/1");
+}
+
+/// Guards against a directory or a readiness check that refuses a legal request because it has many fields.
+#[test]
+fn a_request_of_many_short_fields_is_served_at_other_addresses() {
+    let site = CrowdSite::start("fields-others");
+    for target in &site.targets()[2..] {
+        assert_many_fields_are_served(target.address, target.path);
+    }
+}
+
+fn assert_many_fields_are_served(address: SocketAddr, path: &str) {
+    let mut socket = TcpStream::connect(address).unwrap();
     socket.set_read_timeout(Some(site::WAIT_TIMEOUT)).unwrap();
-    let request = short_fields("GET", "/large/1", "");
+    let request = short_fields("GET", path, "");
     socket.write_all(request.as_bytes()).unwrap();
     let mut status = [0; 12];
     socket.read_exact(&mut status).unwrap();
--- a/crates/ingress/src/buffered_relay.rs
+++ b/crates/ingress/src/buffered_relay.rs
@@ -44,13 +44,15 @@
     let status = pooled_response.response.status();
     let (response, connection, address) = pooled_response.into_parts();
     let (parts, body) = response.into_parts();
-    let read = httpio::read_within_budget(
-        body,
-        MAX_RESPONSE_BYTES,
-        call.time_remaining(),
-        &shared.response_budget,
-    );
-    let bytes = match read.await {
+    let (time, budget) = (call.time_remaining(), &shared.response_budget);
+    let read = match &call.client {
+        Some(client) => {
+            let client = client.clone();
+            httpio::read_for_client(body, MAX_RESPONSE_BYTES, time, budget, client).await
+        }
+        None => httpio::read_within_budget(body, MAX_RESPONSE_BYTES, time, budget).await,
+    };
+    let bytes = match read {
         Ok(bytes) => bytes,
         Err(err) => {
             // Memory that is missing here, or the end of the time that the replica was given, says nothing about it.
--- a/crates/ingress/src/client_call.rs
+++ b/crates/ingress/src/client_call.rs
@@ -6,11 +6,13 @@
 
 use bytes::Bytes;
 use fleet::{ApiTenant, CallKind, Route, RouteTable};
-use httpio::{BufferShare, HeaderMap, Incoming, Method, Request, header};
+use httpio::{BufferShare, ClientHandle, HeaderMap, Incoming, Method, Request, header};
+use hyper::body::Body;
 use platform::RequestMetadata;
 use rand::RngExt;
 use routing::{PartId, PoolId};
 
+use crate::client_accounts;
 use crate::crash_guard::TrialGuard;
 use crate::entry_shared::EntryShared;
 use crate::refusal::Refusal;
@@ -34,8 +36,10 @@
     pub(crate) target: http::Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    /// The memory of the body, which is held until the request ends.
-    _body_share: BufferShare,
+    /// The connection of the client, if what is held for it is bounded.
+    pub(crate) client: Option<ClientHandle>,
+    /// The memory of the head and the body, which is held until the request ends.
+    _shares: [BufferShare; 2],
     sends: AtomicU32,
     trial: OnceLock<TrialGuard>,
 }
@@ -143,7 +147,23 @@
         .min(route.timeout);
     let deadline = arrived + time_limit;
     let max_bytes = table.limits().max_body_bytes;
-    let mut body_share = shared.request_budget.share_without_wait();
+    let client = parts.extensions.get::<ClientHandle>().cloned();
+    let client = client.filter(|_| shared.client_limits.memory.is_some());
+    let share = || {
+        let share = shared.request_budget.share_without_wait();
+        share.for_client(client.clone())
+    };
+    let (mut head_share, mut body_share) = (share(), share());
+    if client.is_some()
+        && !head_share
+            .extend_to(client_accounts::head_bytes(&parts.headers))
+            .await
+    {
+        return Err(Refusal::OutOfMemory);
+    }
+    if let Some(client) = client.as_ref().filter(|_| !body.is_end_stream()) {
+        client.set_busy(false);
+    }
     let body = httpio::read_into_share(body, max_bytes, time_limit, &mut body_share)
         .await
         .map_err(|it| match it.kind() {
@@ -152,6 +172,9 @@
             std::io::ErrorKind::QuotaExceeded => Refusal::OutOfMemory,
             _ => Refusal::BadBody,
         })?;
+    if let Some(client) = &client {
+        client.set_busy(true);
+    }
     let service = route.target(rand::rng().random()).to_owned();
     let pool = PoolId::new(&service);
     let part = |digest: &u64| PartId {
@@ -170,7 +193,8 @@
         target: parts.uri,
         headers: parts.headers,
         body,
-        _body_share: body_share,
+        client,
+        _shares: [head_share, body_share],
         table,
         route,
         sends: AtomicU32::new(0),
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -56,6 +56,9 @@
     pub(crate) config_age: Gauge,
     pub(crate) timer_lateness: Gauge,
     pub(crate) lines_dropped: IntGauge,
+    pub(crate) client_connections: IntGaugeVec,
+    pub(crate) client_bytes: IntGaugeVec,
+    pub(crate) clients_closed: IntCounterVec,
 }
 
 impl EntryMetrics {
@@ -264,6 +267,21 @@
                 "fulmarline_config_version",
                 "Version of the configuration in force.",
             )?,
+            client_connections: int_gauges(
+                "fulmarline_client_connections",
+                "Open connections of clients by address.",
+                "address",
+            )?,
+            client_bytes: int_gauges(
+                "fulmarline_client_bytes",
+                "Memory of heads, bodies and unread responses of clients by address.",
+                "address",
+            )?,
+            clients_closed: counters(
+                "fulmarline_clients_closed_total",
+                "Connections of clients that were closed or refused, by address and reason.",
+                &["address", "why"],
+            )?,
             lines_dropped: gauge(
                 "fulmarline_log_lines_dropped",
                 "Log lines that were left out.",
@@ -370,6 +388,12 @@
             .set(age(known_age));
     }
     drop(state);
+    for (address, counts) in shared.client_accounts.counts() {
+        let connections = metrics.client_connections.with_label_values(&[address]);
+        connections.set(to_gauge_value(counts.open as u64));
+        let bytes = metrics.client_bytes.with_label_values(&[address]);
+        bytes.set(to_gauge_value(counts.held_bytes as u64));
+    }
     metrics
         .lines_dropped
         .set(to_gauge_value(shared.log_limiter().suppressed_total()));
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -6,10 +6,11 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fleet::{
-    ClockChange, ColdTable, ConfigFreshness, ConfigHistory, ConfigLag, EvacuationTable, FeedMirror,
-    FeedResponse, FeedTable, HealthTable, LoadTable, LogKind, LogRateLimiter, PeerRecord,
-    PeerTable, ReadingState, ReplicaCatalog, RetryBudget, RouteTable, SWITCH_RESERVE,
-    StorePosition, StoreRead, StoreTimes, TIMER_RESERVE, TimerLateness, VersionTable,
+    ClientLimits, ClockChange, ColdTable, ConfigFreshness, ConfigHistory, ConfigLag,
+    EvacuationTable, FeedMirror, FeedResponse, FeedTable, HealthTable, LoadTable, LogKind,
+    LogRateLimiter, PeerRecord, PeerTable, ReadingState, ReplicaCatalog, RetryBudget, RouteTable,
+    SWITCH_RESERVE, StorePosition, StoreRead, StoreTimes, TIMER_RESERVE, TimerLateness,
+    VersionTable,
 };
 use httpio::{BufferBudget, HttpClient};
 use platform::{NodeSettings, RowPage, StoreClient};
@@ -18,6 +19,7 @@
 use slog::{Logger, warn};
 use tokio::sync::{Notify, watch};
 
+use crate::client_accounts::{self, ClientAccounts};
 use crate::crash_guard::BrokenReplica;
 use crate::entry_metrics::EntryMetrics;
 
@@ -95,9 +97,13 @@
     log_limiter: Mutex<LogRateLimiter>,
     pub(crate) store: StoreClient,
     pub(crate) replica_client: HttpClient,
+    /// What the host leaves for clients.
+    pub(crate) client_limits: ClientLimits,
+    /// Connections of clients, by address.
+    pub(crate) client_accounts: ClientAccounts,
     /// Memory for the bodies of responses that are read completely before they are forwarded.
     pub(crate) response_budget: BufferBudget,
-    /// Memory that the bodies of clients' requests share until the requests end.
+    /// Memory that the heads and bodies of clients' requests share until the requests end.
     pub(crate) request_budget: BufferBudget,
     /// Wakes the task that sends this entry's state to other entries, for a change that they must receive at once.
     pub(crate) urgent_change: Notify,
@@ -157,15 +163,19 @@
         let incarnation = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
+        let client_limits = client_accounts::client_limits(&settings);
+        let (request_budget, response_budget) = client_accounts::budgets(client_limits.memory);
         Ok(Self {
+            client_limits,
+            client_accounts: ClientAccounts::new(&client_limits),
             front,
             incarnation,
             metrics: EntryMetrics::new()?,
             log_limiter: Mutex::new(LogRateLimiter::new(Instant::now())),
             store,
             replica_client,
-            response_budget: BufferBudget::new(RESPONSE_BUDGET_BYTES),
-            request_budget: BufferBudget::new(REQUEST_BUDGET_BYTES),
+            response_budget,
+            request_budget,
             urgent_change: Notify::new(),
             versions_changed: Notify::new(),
             feed_changed: Notify::new(),
@@ -418,10 +428,3 @@
 
 /// Added to the window of the retry budget, because a request is counted slightly before it arrives at a replica.
 const WINDOW_RESERVE: Duration = Duration::from_millis(500);
-
-/// Memory for the bodies of responses, beside 64 KiB of each and one body of any size; an eighth of what the smallest entry
-/// has.
-const RESPONSE_BUDGET_BYTES: usize = 32 * 1024 * 1024;
-
-/// Memory for the bodies of requests, beside 64 KiB of each; half of what the smallest entry has.
-const REQUEST_BUDGET_BYTES: usize = 128 * 1024 * 1024;
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt_start;
 mod buffered_relay;
+mod client_accounts;
 mod client_call;
 mod config_catch_up;
 mod crash_guard;
@@ -78,50 +79,61 @@
     let log = &shared.log;
     let settings = &shared.settings;
 
+    let accounts = &shared.client_accounts;
     let limits = ServerLimits {
-        max_connections: settings
-            .max_descriptors
-            .saturating_sub(RESERVED_DESCRIPTORS),
-        max_headers: MAX_HEADERS,
+        // Connections are bounded by the accounts.
+        max_connections: settings.max_descriptors,
+        max_headers: MIN_HEADERS,
         max_header_bytes: MIN_HEADER_BYTES,
         header_timeout: MIN_IDLE_TIMEOUT,
         head_error_handler: None,
     };
-    let front = HttpServer::bind(front, limits.clone()).context("cannot bind the front address")?;
+    let current_limits = || {
+        let shared = shared.clone();
+        move |limits: &ServerLimits| client_limits(&shared, limits)
+    };
+    let front = HttpServer::bind(front, limits.clone())
+        .context("cannot bind the front address")?
+        .with_account(accounts.front.clone());
     let mut servers = Vec::new();
     if let Some(address) = settings.listen.ready {
         let server =
             HttpServer::bind(address, limits.clone()).context("cannot bind the ready address")?;
+        let server = server.with_account(accounts.ready.clone());
         let shared = shared.clone();
-        servers.push(
-            server.serve(move |request, _| directory::handle_ready(shared.clone(), request))?,
-        );
+        servers.push(server.serve_with_limits(
+            move |request, _| directory::handle_ready(shared.clone(), request),
+            current_limits(),
+        )?);
     }
     if let Some(address) = settings.listen.directory {
         let server = HttpServer::bind(address, limits.clone())
-            .context("cannot bind the directory address")?;
+            .context("cannot bind the directory address")?
+            .with_account(accounts.directory.clone());
         let shared = shared.clone();
-        servers.push(
-            server.serve(move |request, _| directory::handle_directory(shared.clone(), request))?,
-        );
+        servers.push(server.serve_with_limits(
+            move |request, _| directory::handle_directory(shared.clone(), request),
+            current_limits(),
+        )?);
     }
     let internal = (settings.ip, settings.first_port).into();
     let server =
         HttpServer::bind(internal, limits.clone()).context("cannot bind the internal address")?;
+    let server = server.with_account(accounts.internal.clone());
     let shared_for_feeds = shared.clone();
     servers.push(
         server.serve(move |request, _| feed_relay::handle(shared_for_feeds.clone(), request))?,
     );
     let metrics = (settings.ip, settings.last_port).into();
     let server = HttpServer::bind(metrics, limits).context("cannot bind the metrics address")?;
+    let server = server.with_account(accounts.metrics.clone());
     let shared_for_metrics = shared.clone();
     servers
         .push(server.serve(move |_, _| entry_metrics::handle_scrape(shared_for_metrics.clone()))?);
     let shared_for_front = shared.clone();
-    let shared_for_limits = shared.clone();
     let front = front.serve_with_limits(
         move |request, _| request_handler::handle(shared_for_front.clone(), request),
-        move |limits| front_limits(&shared_for_limits, limits),
+        current_limits(),
     )?;
 
     for table in [FeedTable::Operator, FeedTable::Replicas] {
@@ -129,8 +141,14 @@
     }
     tokio::spawn(weight_announcer::run(shared.clone()));
     tokio::spawn(declaration_log::run(shared.clone()));
+    tokio::spawn(client_accounts::log_closed(shared.clone()));
     peer_exchange::start(&shared).await?;
-    info!(log, "started"; "front" => front.address().to_string(), "pid" => std::process::id());
+    info!(
+        log, "started";
+        "front" => front.address().to_string(),
+        "pid" => std::process::id(),
+        "client_limits" => format!("{:?}", shared.client_limits),
+    );
 
     stop.await?;
     stop::drain(&shared, &front).await;
@@ -141,22 +159,23 @@
 }
 
 /// Returns the limits of a client's new connection: those of the configuration in force, but at least `limits`.
-fn front_limits(shared: &EntryShared, limits: &ServerLimits) -> ServerLimits {
+fn client_limits(shared: &EntryShared, limits: &ServerLimits) -> ServerLimits {
     let mut limits = limits.clone();
     if let Some(configured) = shared.state().routes.as_ref().map(|it| it.limits()) {
         // The timeout for a head also includes the time for which the connection was idle before.
         let header_timeout = configured.idle_timeout + configured.header_timeout;
         limits.header_timeout = header_timeout.clamp(limits.header_timeout, MAX_IDLE_TIMEOUT);
         limits.max_header_bytes = limits.max_header_bytes.max(configured.max_header_bytes);
+        limits.max_headers = (configured.max_header_bytes / MIN_FIELD_BYTES).max(MIN_HEADERS);
     }
     limits
 }
 
-/// File descriptors reserved for connections to replicas and the store, and for files.
-const RESERVED_DESCRIPTORS: usize = 1200;
+/// Number of header fields of a request up to which it is accepted under every configuration.
+const MIN_HEADERS: usize = 100;
 
-/// Maximum number of header fields of a request.
-const MAX_HEADERS: usize = 100;
+/// Size of the shortest header field with its line end, which bounds the fields of a head of legal size.
+const MIN_FIELD_BYTES: usize = 4;
 
 /// Size of a request's head in bytes up to which it is accepted under every configuration.
 const MIN_HEADER_BYTES: usize = 32 * 1024;
