--- a/crates/settings/tests/any_text.rs
+++ b/crates/settings/tests/any_text.rs
@@ -41,8 +41,12 @@
 ///
 /// The upper 32 bits of a seed initialise the random number generator and must not be 0; the lower 32 bits are the
 /// number of random bytes.
+///
+/// `FULMARLINE_FUZZ_ROUNDS` sets the number of seeds of a longer run.
 fn seeds() -> impl Iterator<Item = u64> {
-    (1..=1000_u64).map(|it| (it.wrapping_mul(0x9e37_79b9) << 32) | (16 + it % 240))
+    let rounds = std::env::var("FULMARLINE_FUZZ_ROUNDS").ok();
+    let rounds = rounds.map_or(1000_u64, |it| it.parse().expect("a number of rounds"));
+    (1..=rounds).map(|it| (it.wrapping_mul(0x9e37_79b9) << 32) | (16 + it % 240))
 }
 
 /// Parses `text` and checks the form of the error message: every line names the file, and no secret appears.
