Replicas whose memory may be full get no requests

Cause: nothing read kvCap or counted the tokens that all entries together hold at a replica, which crashes beyond it.

Change: fleet::LoadTable counts the tokens of this entry's requests, prompt and longest answer; each request of others counts as the largest one that this entry has sent. choose_replica leaves out replicas where that and the request exceed 0.8 of kvCap, and refuses with NoReplica::Full (503 overloaded, 'full' in the log) if none is left. No message changes. Off where kvCap is missing.

--- a/crates/fleet/src/engine_profile.rs
+++ b/crates/fleet/src/engine_profile.rs
@@ -29,6 +29,8 @@
     pub pieces: u32,
     /// Time that a replica takes to load staged weights.
     pub load_time: Duration,
+    /// Tokens that fit into the memory of one replica, if it is limited.
+    pub token_capacity: Option<u64>,
 }
 
 /// Size of a request to an engine.
@@ -88,6 +90,25 @@
         (tokens > 0).then(|| f64::from(tokens) * token_ms)
     }
 
+    /// Returns the most tokens that a request of `size` holds in the memory of a replica: its prompt and its longest answer. Those of a
+    /// stream that is resumed are the same, as what it has of its answer is part of both. What is not declared is assumed to be long.
+    pub fn held_tokens(&self, size: RequestSize) -> u64 {
+        let tokens = |declared: u32, mean: f64| match declared {
+            0 => (mean * LONG_FACTOR).max(MIN_LONG_TOKENS) as u64,
+            _ => u64::from(declared),
+        };
+        let prompt = tokens(size.prompt_tokens, self.mean_prompt_tokens);
+        prompt + tokens(size.max_answer_tokens, self.mean_answer_tokens)
+    }
+
+    /// Returns whether a request of `size` fits into the memory of a replica that is estimated to hold `held_tokens`.
+    pub fn fits(&self, size: RequestSize, held_tokens: u64) -> bool {
+        self.token_capacity.is_none_or(|capacity| {
+            let usable = capacity as f64 * USABLE_SHARE;
+            (held_tokens + self.held_tokens(size)) as f64 <= usable
+        })
+    }
+
     /// Returns how long a request of mean size occupies a slot of a full batch, in milliseconds.
     pub fn service_ms(&self) -> f64 {
         let step = self.step_ms(self.slots);
@@ -97,3 +118,10 @@
         self.mean_answer_tokens * step + others_prefill
     }
 }
+
+/// Share of a replica's memory that is used: others may have sent requests that this entry has not heard of yet, or be cut off.
+const USABLE_SHARE: f64 = 0.8;
+
+/// Length of a prompt or answer that is not declared, as a multiple of the mean and in tokens at least.
+const LONG_FACTOR: f64 = 4.0;
+const MIN_LONG_TOKENS: f64 = 1024.0;
--- a/crates/fleet/src/load_table.rs
+++ b/crates/fleet/src/load_table.rs
@@ -29,6 +29,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadTable {
     own: BTreeMap<String, LoadSample>,
+    /// Tokens that requests of this process hold in the memory of replicas at most.
+    own_tokens: BTreeMap<String, u64>,
+    /// Tokens of the largest request of this process so far.
+    largest_tokens: u64,
     /// Loads of the other entries of the zone by name, and of other zones.
     others: BTreeMap<LoadSource, PeerLoad>,
     /// Sum of `others`, since a selection looks up every replica.
@@ -67,6 +71,30 @@
         sample.pending_prefill_tokens += prompt_tokens;
     }
 
+    /// Records that a request was sent to `replica` which holds up to `tokens` there.
+    pub fn record_tokens(&mut self, replica: &str, tokens: u64) {
+        *self.own_tokens.entry(replica.to_owned()).or_default() += tokens;
+        self.largest_tokens = self.largest_tokens.max(tokens);
+    }
+
+    /// Records that a request has ended which held `tokens` in the memory of `replica`.
+    pub fn release_tokens(&mut self, replica: &str, tokens: u64) {
+        if let Some(held) = self.own_tokens.get_mut(replica) {
+            *held = held.saturating_sub(tokens);
+            if *held == 0 {
+                self.own_tokens.remove(replica);
+            }
+        }
+    }
+
+    /// Returns an upper estimate of the tokens that all entries together hold in the memory of `replica`. Others tell how many requests
+    /// they have there; each counts as the largest one that this process has seen, and `request_tokens` at least.
+    pub fn held_tokens(&self, replica: &str, request_tokens: u64) -> u64 {
+        let own = self.own_tokens.get(replica).copied().unwrap_or_default();
+        let others = u64::from(self.load(replica).others.running);
+        own + others * self.largest_tokens.max(request_tokens)
+    }
+
     /// Records the first event of a request, which ends its prefill.
     pub fn record_first_event(&mut self, replica: &str, prompt_tokens: u32) {
         if let Some(sample) = self.own.get_mut(replica) {
--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -97,6 +97,8 @@
     Excluded(ZoneExclusion),
     /// The predicted time to the first event of the best replica is too long, in milliseconds.
     Overloaded(f64),
+    /// The memory of all replicas that could serve the request may be full.
+    Full,
     /// All replicas that could serve the request have a limit, and this entry has no turn at any of them.
     Limited,
 }
@@ -135,6 +137,14 @@
     if candidates.is_empty() && limited > 0 {
         return Err(NoReplica::Limited);
     }
+    let has_candidates = !candidates.is_empty();
+    let candidates: Vec<&Replica> = candidates
+        .into_iter()
+        .filter(|it| has_memory(request, it, loads))
+        .collect();
+    if candidates.is_empty() && has_candidates {
+        return Err(NoReplica::Full);
+    }
     let is_healthy = |it: &&&Replica| health.is_usable(&it.id, now);
     // If all replicas are ejected, trying one of them is better than refusing the request.
     let usable: Vec<&Replica> = if candidates.iter().any(|it| is_healthy(&it)) {
@@ -237,6 +247,15 @@
         .map(|(_, predicted, replica)| (predicted, replica))
 }
 
+/// Returns whether the request fits into what is estimated to be free of the memory of `replica`, which would crash otherwise.
+fn has_memory(request: &ChoiceRequest<'_>, replica: &Replica, loads: &LoadTable) -> bool {
+    let Some(engine) = request.engine.filter(|it| it.token_capacity.is_some()) else {
+        return true;
+    };
+    let held = loads.held_tokens(&replica.id, engine.held_tokens(request.size));
+    engine.fits(request.size, held)
+}
+
 fn has_allowed_version(request: &ChoiceRequest<'_>, replica: &Replica) -> bool {
     let Some(engine) = request.engine else {
         return true;
--- a/crates/fleet/tests/support/choice_case.rs
+++ b/crates/fleet/tests/support/choice_case.rs
@@ -33,6 +33,7 @@
         mean_answer_tokens: 92.0,
         pieces: 96,
         load_time: Duration::from_millis(300),
+        token_capacity: None,
     }
 }
 
@@ -75,6 +76,12 @@
     pub homes: [&'a [&'a str]; 2],
     /// Zones that are evacuated.
     pub evacuated: &'a [&'a str],
+    /// Tokens that fit into the memory of a replica.
+    pub token_capacity: Option<u64>,
+    /// Tokens that requests of this entry hold at replicas.
+    pub own_tokens: &'a [(&'a str, u64)],
+    /// Requests of other entries at replicas.
+    pub others: &'a [(&'a str, u32)],
 }
 
 impl Default for Case<'_> {
@@ -92,6 +99,9 @@
             turns: &[],
             homes: [&[], &[]],
             evacuated: &[],
+            token_capacity: None,
+            own_tokens: &[],
+            others: &[],
         }
     }
 }
@@ -129,6 +139,14 @@
             loads.record_sent(id, 0);
         }
     }
+    for (id, tokens) in case.own_tokens {
+        loads.record_tokens(id, *tokens);
+    }
+    let mut others = LoadTable::default();
+    for (id, running) in case.others {
+        (0..*running).for_each(|_| others.record_sent(id, 0));
+    }
+    loads.update_peer("edge-2", others.own_samples(), now);
     for id in case.failed {
         health.record_outcome(id, ReplicaOutcome::Unreachable, now);
     }
@@ -150,7 +168,10 @@
     for zone in case.evacuated {
         evacuated.begin(zone);
     }
-    let engine = engine();
+    let engine = EngineProfile {
+        token_capacity: case.token_capacity,
+        ..engine()
+    };
     let request = ChoiceRequest {
         service: "pool",
         engine: Some(&engine),
@@ -207,6 +228,7 @@
         Err(NoReplica::NoneUsable) => "none usable".to_owned(),
         Err(NoReplica::Excluded(it)) => format!("excluded: {}", it.label()),
         Err(NoReplica::Limited) => "limited".to_owned(),
+        Err(NoReplica::Full) => "full".to_owned(),
         Err(NoReplica::Overloaded(predicted)) => format!("overloaded, {predicted:.0} ms"),
     };
     expected.assert_eq(&text);
--- a/crates/ingress/src/buffered_relay.rs
+++ b/crates/ingress/src/buffered_relay.rs
@@ -21,7 +21,7 @@
     call: &Arc<ClientCall>,
     chosen: &ChosenReplica,
 ) -> RelayOutcome {
-    let _guard = InFlightGuard::new(shared, &chosen.replica.id, 0);
+    let _guard = InFlightGuard::new(shared, call, &chosen.replica.id, 0);
     let last_event_id = call.metadata.last_event_id;
     let time_limit = switch_guard::time_limit(shared, chosen, call.time_remaining());
     let ends_at = switch_guard::ends_at(call, time_limit);
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -140,7 +140,7 @@
         _ if !tried.is_empty() => Refusal::RefusedByReplicas,
         NoReplica::NoneUsable => Refusal::NoReplica,
         NoReplica::Excluded(_) => Refusal::NoPlacement,
-        NoReplica::Overloaded(_) => Refusal::Overloaded,
+        NoReplica::Overloaded(_) | NoReplica::Full => Refusal::Overloaded,
         NoReplica::Limited => limit_guard::refuse(shared, call),
     }
 }
@@ -160,7 +160,9 @@
         return;
     }
     let predicted_ms = match cause {
-        NoReplica::NoneUsable | NoReplica::Excluded(_) | NoReplica::Limited => None,
+        NoReplica::NoneUsable | NoReplica::Excluded(_) | NoReplica::Full | NoReplica::Limited => {
+            None
+        }
         NoReplica::Overloaded(predicted) => Some(predicted.round()),
     };
     let state = shared.state();
@@ -180,6 +182,7 @@
         "objective_ms" => u64::try_from(call.route.objective.as_millis()).unwrap_or(u64::MAX),
         "left_ms" => u64::try_from(call.time_remaining().as_millis()).unwrap_or(u64::MAX),
         "limited" => cause == NoReplica::Limited,
+        "full" => cause == NoReplica::Full,
         "excluded" => excluded,
         "evacuated" => evacuated,
         "homes" => placement_guard::home_regions(call).join(","),
--- a/crates/ingress/src/retry_denial.rs
+++ b/crates/ingress/src/retry_denial.rs
@@ -55,7 +55,7 @@
         match cause {
             NoReplica::NoneUsable => Self::NoReplica,
             NoReplica::Excluded(_) => Self::Excluded,
-            NoReplica::Overloaded(_) => Self::Overloaded,
+            NoReplica::Overloaded(_) | NoReplica::Full => Self::Overloaded,
             NoReplica::Limited => Self::Limited,
         }
     }
--- a/crates/ingress/src/stream_segment.rs
+++ b/crates/ingress/src/stream_segment.rs
@@ -94,8 +94,12 @@
         last_event_id: Option<u64>,
         is_sent: &AtomicBool,
     ) -> Result<Self, SendOutcome> {
-        let guard =
-            InFlightGuard::new(shared, &chosen.replica.id, call.metadata.size.prompt_tokens);
+        let guard = InFlightGuard::new(
+            shared,
+            call,
+            &chosen.replica.id,
+            call.metadata.size.prompt_tokens,
+        );
         let sent_at = Instant::now();
         let time_limit = switch_guard::time_limit(shared, chosen, call.time_remaining());
         let ends_at = switch_guard::ends_at(call, time_limit);
