Entries compare a bounded number of replicas with an engine

Cause: if no replica of an entry's sample was predicted to be fast enough, all replicas were compared. Views of the load are old, so all entries then chose the ones that seemed idle, and these got a queue, in which long prompts are late first.

Change: ChoiceRequest::sample_rule. Requests to services with an engine compare the entry's share of the replicas, then as many as a root of the number of entries allows, and are refused if none is fast enough. All are compared only if no weights in the sample may still start the request. An entry on its own, and plain services, choose as before; a deployment with uniform small prompts gets other replicas too.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -78,7 +78,7 @@
 pub use placement_rule::{PlacementRule, ZoneExclusion};
 pub use replica::{LoadedModel, Replica, ReplicaState, active_replicas};
 pub use replica_catalog::{CatalogChange, ReplicaCatalog};
-pub use replica_choice::{ChoiceRequest, ChosenReplica, NoReplica, choose_replica};
+pub use replica_choice::{ChoiceRequest, ChosenReplica, NoReplica, SampleRule, choose_replica};
 pub use replica_health::{HealthTable, ReplicaOutcome};
 pub use retry_backoff::retry_backoff;
 pub use retry_budget::RetryBudget;
--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -13,6 +13,17 @@
 use crate::sound_silence::MAX_SOUND_SILENCE;
 use crate::version_table::VersionRequirement;
 
+/// How many replicas an entry compares.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SampleRule {
+    /// The number of replicas divided by the root of the number of entries, and all if none of these is fast enough.
+    All,
+    /// The number of replicas divided by the number of entries, and by its root if none of these is fast enough. Views of the
+    /// load are old: if all entries compared all replicas, those that seem idle to all would get a queue, which makes
+    /// long prompts late first.
+    Bounded,
+}
+
 /// Parameters of a replica selection, apart from the state of the replicas.
 #[derive(Clone, Debug)]
 pub struct ChoiceRequest<'a> {
@@ -41,6 +52,8 @@
     pub random: f64,
     /// Number of entries that select replicas concurrently, including this one.
     pub entries: usize,
+    /// How many replicas are compared.
+    pub sample_rule: SampleRule,
     /// Time after which no replica starts the request any more, if its start cannot be observed: it cannot be withdrawn
     /// when the weights become too old, because it may have started. `None` if it can be.
     pub latest_start: Option<Duration>,
@@ -142,9 +155,10 @@
     } else {
         candidates
     };
-    let sample = sample(request, &usable);
-    let best = best_of(request, &sample, loads, health, now)
+    let [first, second] = samples(request, &usable);
+    let best = best_of(request, &first, loads, health, now)
         .filter(|it| it.0 <= request.max_first_event_ms)
+        .or_else(|| best_of(request, &second, loads, health, now))
         .or_else(|| best_of(request, &usable, loads, health, now));
     let Some((predicted_ms, replica)) = best else {
         return Err(NoReplica::NoneUsable);
@@ -180,22 +194,29 @@
     })
 }
 
-/// Returns a random sample of the replicas, which is smaller the more entries there are.
+/// Returns two samples of the replicas, which are smaller the more entries there are: the second one, which contains the first, is
+/// compared if no replica of the first one is fast enough.
 ///
 /// If all entries compared all replicas with equally old load information, they would all select the same one. The
-/// turns at replicas with a limit are this entry's own, so these replicas are always part of the sample.
-fn sample<'a>(request: &ChoiceRequest<'_>, usable: &[&'a Replica]) -> Vec<&'a Replica> {
-    let share = 1.0 / (request.entries.max(1) as f64).sqrt();
-    let size = ((usable.len() as f64 * share).ceil() as usize).max(MIN_SAMPLE);
+/// turns at replicas with a limit are this entry's own, so these replicas are always part of the samples.
+fn samples<'a>(request: &ChoiceRequest<'_>, usable: &[&'a Replica]) -> [Vec<&'a Replica>; 2] {
     let mut order: Vec<(u64, &Replica)> = usable
         .iter()
         .enumerate()
         .map(|(index, replica)| (mix(request.random, index), *replica))
         .collect();
     order.sort_unstable_by_key(|it| it.0);
-    let order = order.into_iter().map(|it| it.1).enumerate();
-    let is_sampled = |(index, it): &(usize, &Replica)| *index < size || request.has_turn(it);
-    order.filter(is_sampled).map(|it| it.1).collect()
+    let sample = |share: f64| {
+        let size = ((usable.len() as f64 * share).ceil() as usize).max(MIN_SAMPLE);
+        let order = order.iter().map(|it| it.1).enumerate();
+        let is_sampled = |(index, it): &(usize, &Replica)| *index < size || request.has_turn(it);
+        order.filter(is_sampled).map(|it| it.1).collect()
+    };
+    let entries = request.entries.max(1) as f64;
+    match request.sample_rule {
+        SampleRule::All => [sample(1.0 / entries.sqrt()), usable.to_vec()],
+        SampleRule::Bounded => [sample(1.0 / entries), sample(1.0 / entries.sqrt())],
+    }
 }
 
 /// Derives a pseudorandom number per replica from `random` (finalizer of SplitMix64).
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -8,7 +8,7 @@
 
 use choice_case::{Case, Row, check};
 use expect_test::expect;
-use fleet::LoadTable;
+use fleet::{LoadTable, SampleRule};
 
 #[test]
 fn the_shortest_predicted_time_wins_and_the_own_zone_breaks_ties() {
@@ -174,3 +174,33 @@
         check(&case, &expected);
     }
 }
+
+/// Guards against entries that all choose the one replica that seems idle in their old views, which then gets a queue, and
+/// against a bound that leaves a request without a replica whose weights serve it until a switch.
+#[test]
+fn many_entries_compare_a_bounded_number_of_replicas_with_an_engine() {
+    let ids = ["r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8", "r9"];
+    let running = |it| if it == "r9" { 0 } else { 22 };
+    let replicas = ids.map(|it| (it, "a", Some(1), running(it)));
+    let case = Case {
+        replicas: &replicas,
+        ..Case::default()
+    };
+    check(&case, &expect!["r9 in 113 ms, version Some(1)"]);
+    let bounded = Case { entries: 9, ..case };
+    check(&bounded, &expect!["overloaded, 860 ms"]);
+    let all = Case {
+        sample_rule: SampleRule::All,
+        ..bounded
+    };
+    check(&all, &expect!["r9 in 113 ms, version Some(1)"]);
+    let newer = |it| if it == "r9" { Some(2) } else { Some(1) };
+    let replicas = ids.map(|it| (it, "a", newer(it), 0));
+    let switch = Case {
+        replicas: &replicas,
+        pending: &[(2, 50)],
+        entries: 9,
+        ..Case::default()
+    };
+    check(&switch, &expect!["r9 in 113 ms, version Some(2)"]);
+}
--- a/crates/fleet/tests/support/choice_case.rs
+++ b/crates/fleet/tests/support/choice_case.rs
@@ -10,7 +10,7 @@
 use fleet::{
     CallKind, ChoiceRequest, EngineProfile, EvacuationTable, HealthTable, LoadTable, LoadedModel,
     NoReplica, PlacementRule, Replica, ReplicaCatalog, ReplicaOutcome, ReplicaState, RequestSize,
-    Route, RowOrigin, StoreInterval, StorePosition, VersionTable, choose_replica,
+    Route, RowOrigin, SampleRule, StoreInterval, StorePosition, VersionTable, choose_replica,
 };
 
 /// Time from the declaration of a version until it takes effect.
@@ -75,6 +75,8 @@
     pub homes: [&'a [&'a str]; 2],
     /// Zones that are evacuated.
     pub evacuated: &'a [&'a str],
+    pub entries: usize,
+    pub sample_rule: SampleRule,
 }
 
 impl Default for Case<'_> {
@@ -92,6 +94,8 @@
             turns: &[],
             homes: [&[], &[]],
             evacuated: &[],
+            entries: 1,
+            sample_rule: SampleRule::Bounded,
         }
     }
 }
@@ -171,7 +175,8 @@
         max_first_event_ms: case.max_first_event_ms,
         tolerated_delay_ms: 100.0,
         random: 0.0,
-        entries: 1,
+        entries: case.entries,
+        sample_rule: case.sample_rule,
         turns: &case
             .turns
             .iter()
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fleet::{CallKind, ChoiceRequest, ChosenReplica, LogKind, NoReplica};
+use fleet::{CallKind, ChoiceRequest, ChosenReplica, LogKind, NoReplica, SampleRule};
 use httpio::{HeaderValue, HttpBody, Incoming, Request, Response, header};
 use rand::RngExt;
 use slog::info;
@@ -334,6 +334,7 @@
             Some(_) => 1,
             None => state.peers.alive(now).count() + 1,
         },
+        sample_rule: engine.map_or(SampleRule::All, |_| SampleRule::Bounded),
         latest_start: (call.route.kind != CallKind::Stream).then(|| call.time_remaining()),
         turns: &turns,
     };
