Emulation of more requests than replicas can serve in time

Cause: nothing showed what a choice of replicas or a threshold costs callers when demand is as large as what the replicas serve.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,9 +1,11 @@
 //! Emulators, in virtual time, of entries that exchange what they know: evidence about requests which crash replicas,
-//! and limits that replicas name; and of entries that follow the configuration and declared weights over thin links.
+//! and limits that replicas name; of entries that follow the configuration and declared weights over
+//! thin links; and of entries that choose replicas for more requests than these can serve in time.
 //!
 //! They drive the decisions of `routing` and `fleet` as entries do, with replicas, traffic and datagrams that a seed determines.
 //! This crate is not shipped.
 
+mod batching_engine;
 mod crash_outcome;
 mod crash_scenario;
 mod crash_simulation;
@@ -25,12 +27,16 @@
 mod limited_entry;
 mod limited_replica;
 mod peer_exchange;
+mod room_outcome;
+mod room_scenario;
+mod room_simulation;
 mod simulated_entry;
 mod simulated_pool;
 mod simulated_store;
 mod simulated_traffic;
 mod simulation_event;
 
+pub use batching_engine::first_event_beside;
 pub use crash_outcome::CrashOutcome;
 pub use crash_scenario::CrashScenario;
 pub use crash_simulation::CrashSimulation;
@@ -42,3 +48,6 @@
 pub use limit_outcome::LimitOutcome;
 pub use limit_scenario::{EntryFault, LimitPolicy, LimitScenario};
 pub use limit_simulation::LimitSimulation;
+pub use room_outcome::{RoomOutcome, RoomResult};
+pub use room_scenario::{PODBOR_KINDS, RoomKind, RoomPattern, RoomScenario, RoomStrategy};
+pub use room_simulation::RoomSimulation;
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -9,6 +9,7 @@
 mod bench_feeds;
 mod bench_limits;
 mod bench_requests;
+mod bench_room;
 mod bench_spread;
 mod bench_versions;
 mod capacity;
@@ -52,6 +53,11 @@
         summary: "emulates requests at replicas that name limits; N runs N seeds, a second word only the cases that begin so",
         run: bench_limits::run,
     },
+    Task {
+        name: &["bench", "room"],
+        summary: "emulates more requests than replicas can serve in time; --seeds N runs N seeds, a word only the patterns that begin so",
+        run: bench_room::run,
+    },
     Task {
         name: &["bench", "versions"],
         summary: "emulates entries that learn of declared weights; N runs N seeds, a second word only the cases that begin so",
