--- a/crates/fleet/tests/support/choice_case.rs
+++ b/crates/fleet/tests/support/choice_case.rs
@@ -10,7 +10,7 @@
 use fleet::{
     CallKind, ChoiceRequest, EngineProfile, EvacuationTable, HealthTable, LoadTable, LoadedModel,
     NoReplica, PlacementRule, Replica, ReplicaCatalog, ReplicaOutcome, ReplicaState, RequestSize,
-    Route, RowOrigin, StoreInterval, StorePosition, VersionTable, choose_replica,
+    Route, RowOrigin, SampleRule, StoreInterval, StorePosition, VersionTable, choose_replica,
 };
 
 /// Time from the declaration of a version until it takes effect.
@@ -83,6 +83,8 @@
     pub own_tokens: &'a [(&'a str, u64)],
     /// Requests of other entries at replicas.
     pub others: &'a [(&'a str, u32)],
+    pub entries: usize,
+    pub sample_rule: SampleRule,
 }
 
 impl Default for Case<'_> {
@@ -103,6 +105,8 @@
             token_capacity: None,
             own_tokens: &[],
             others: &[],
+            entries: 1,
+            sample_rule: SampleRule::Bounded,
         }
     }
 }
@@ -193,7 +197,8 @@
         max_first_event_ms: case.max_first_event_ms,
         tolerated_delay_ms: 100.0,
         random: 0.0,
-        entries: 1,
+        entries: case.entries,
+        sample_rule: case.sample_rule,
         turns: &case
             .turns
             .iter()
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -10,6 +10,7 @@
 mod bench_feeds;
 mod bench_limits;
 mod bench_requests;
+mod bench_room;
 mod bench_spread;
 mod bench_versions;
 mod capacity;
@@ -58,6 +59,11 @@
         summary: "emulates requests at cold replicas; N runs N seeds, a second word only the cases that begin so",
         run: bench_cold::run,
     },
+    Task {
+        name: &["bench", "room"],
+        summary: "emulates more requests than replicas can serve in time; --seeds N runs N seeds, a word only the patterns that begin so",
+        run: bench_room::run,
+    },
     Task {
         name: &["bench", "versions"],
         summary: "emulates entries that learn of declared weights; N runs N seeds, a second word only the cases that begin so",
