The callers' address closes clients that do not read when others need room

Callers saw: 64 clients that do not read their responses kept everybody else from the callers' address (client_crowds, unread_responses_do_not_harm_the_callers_address, red since it was written). Cause: the server refused new connections at its maximum, and nothing ended one whose client does not read. Ruled out: memory, which stays within its bound there.

Change: the address uses httpio::ClientAccount, as entries on the users' platform do. A client that reads nothing for the default deadline is closed.

--- a/crates/entry/src/calls/call_server.rs
+++ b/crates/entry/src/calls/call_server.rs
@@ -5,8 +5,8 @@
 
 use anyhow::Context;
 use httpio::{
-    BufferBudget, HttpBody, HttpServer, Incoming, Method, Request, Response, ServerLimits,
-    WriteDeadline,
+    BufferBudget, ClientAccount, HttpBody, HttpServer, Incoming, Method, Request, Response,
+    ServerLimits, WriteDeadline,
 };
 use model::{OverloadCause, RequestId, ResultCode};
 use routing::OverloadTransition;
@@ -65,6 +65,8 @@
     /// Starts the listener and the background tasks of the request path.
     pub(crate) fn start(self) -> anyhow::Result<httpio::ServerHandle> {
         let limits = &self.settings.limits;
+        // A connection whose client reads nothing for as long as a request may take only holds room.
+        let account = ClientAccount::new(limits.max_connections, limits.default_deadline);
         let limits = ServerLimits {
             max_connections: limits.max_connections,
             max_headers: limits.max_headers,
@@ -74,7 +76,8 @@
         };
         let address = self.settings.listen.callers;
         let server = HttpServer::bind(address, limits)
-            .with_context(|| format!("cannot listen on {address}"))?;
+            .with_context(|| format!("cannot listen on {address}"))?
+            .with_account(account);
         tokio::spawn(self.dispatcher.scheduler.clone().dispatch_loop());
         tokio::spawn(order_sweeper::sweep_loop(
             self.table.clone(),
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 over `hyper`: a server with limits and a client that can bind a local address.
 //!
-//! Every streamed response in fulmarline uses this crate. It exists because `rouille` and `tiny_http` support
+//! Every streamed response in fulmarline uses this crate. It exists because servers on blocking threads support
 //! neither read timeouts nor detection of clients that disconnect (see
 //! `docs/decisions/0002-http-libraries.md`). It handles sockets and bytes only and must not depend on models,
 //! routing or any decision logic.
