--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! depend on sockets, clocks, processes or the field names of the platform's documents.
 
 mod api_keys;
+mod client_limits;
 mod cold_table;
 mod config_history;
 mod config_lag;
@@ -53,6 +54,7 @@
 mod zone_exchange;
 
 pub use api_keys::{ApiTenant, KeyTable};
+pub use client_limits::{ClientLimits, ClientMemory};
 pub use cold_table::{ColdStart, ColdTable};
 pub use config_history::ConfigHistory;
 pub use config_lag::ConfigLag;
@@ -83,7 +85,7 @@
 pub use rank_table::RankTable;
 pub use replica::{LoadedModel, Replica, ReplicaState, active_replicas};
 pub use replica_catalog::{CatalogChange, ReplicaCatalog};
-pub use replica_choice::{ChoiceRequest, ChosenReplica, NoReplica, choose_replica};
+pub use replica_choice::{ChoiceRequest, ChosenReplica, NoReplica, SampleRule, choose_replica};
 pub use replica_health::{HealthTable, ReplicaOutcome};
 pub use retry_backoff::retry_backoff;
 pub use retry_budget::RetryBudget;
--- a/crates/fleet/tests/support/choice_case.rs
+++ b/crates/fleet/tests/support/choice_case.rs
@@ -10,7 +10,7 @@
 use fleet::{
     CallKind, ChoiceRequest, EngineProfile, EvacuationTable, HealthTable, LoadTable, LoadedModel,
     NoReplica, PlacementRule, Replica, ReplicaCatalog, ReplicaOutcome, ReplicaState, RequestSize,
-    Route, RowOrigin, StoreInterval, StorePosition, VersionTable, choose_replica,
+    Route, RowOrigin, SampleRule, StoreInterval, StorePosition, VersionTable, choose_replica,
 };
 
 /// Time from the declaration of a version until it takes effect.
@@ -33,6 +33,7 @@
         mean_answer_tokens: 92.0,
         pieces: 96,
         load_time: Duration::from_millis(300),
+        token_capacity: None,
     }
 }
 
@@ -76,6 +77,14 @@
     pub homes: [&'a [&'a str]; 2],
     /// Zones that are evacuated.
     pub evacuated: &'a [&'a str],
+    /// Tokens that fit into the memory of a replica.
+    pub token_capacity: Option<u64>,
+    /// Tokens that requests of this entry hold at replicas.
+    pub own_tokens: &'a [(&'a str, u64)],
+    /// Requests of other entries at replicas.
+    pub others: &'a [(&'a str, u32)],
+    pub entries: usize,
+    pub sample_rule: SampleRule,
 }
 
 impl Default for Case<'_> {
@@ -93,6 +102,11 @@
             turns: &[],
             homes: [&[], &[]],
             evacuated: &[],
+            token_capacity: None,
+            own_tokens: &[],
+            others: &[],
+            entries: 1,
+            sample_rule: SampleRule::Bounded,
         }
     }
 }
@@ -130,6 +144,14 @@
             loads.record_sent(id, 0);
         }
     }
+    for (id, tokens) in case.own_tokens {
+        loads.record_tokens(id, *tokens);
+    }
+    let mut others = LoadTable::default();
+    for (id, running) in case.others {
+        (0..*running).for_each(|_| others.record_sent(id, 0));
+    }
+    loads.update_peer("edge-2", others.own_samples(), now);
     for id in case.failed {
         health.record_outcome(id, ReplicaOutcome::Unreachable, now);
     }
@@ -151,7 +173,10 @@
     for zone in case.evacuated {
         evacuated.begin(zone);
     }
-    let engine = engine();
+    let engine = EngineProfile {
+        token_capacity: case.token_capacity,
+        ..engine()
+    };
     let request = ChoiceRequest {
         service: "pool",
         engine: Some(&engine),
@@ -172,7 +197,8 @@
         max_first_event_ms: case.max_first_event_ms,
         tolerated_delay_ms: 100.0,
         random: 0.0,
-        entries: 1,
+        entries: case.entries,
+        sample_rule: case.sample_rule,
         turns: &case
             .turns
             .iter()
@@ -208,6 +234,7 @@
         Err(NoReplica::NoneUsable) => "none usable".to_owned(),
         Err(NoReplica::Excluded(it)) => format!("excluded: {}", it.label()),
         Err(NoReplica::Limited) => "limited".to_owned(),
+        Err(NoReplica::Full) => "full".to_owned(),
         Err(NoReplica::Overloaded(predicted)) => format!("overloaded, {predicted:.0} ms"),
     };
     expected.assert_eq(&text);
