--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,7 +18,6 @@
 mod fetch_plan;
 mod fleet_message;
 mod freshness;
-mod held_pieces;
 mod load_table;
 mod log_rate_limiter;
 mod manifest_doubt;
@@ -72,7 +71,6 @@
     ZoneReport,
 };
 pub use freshness::ConfigFreshness;
-pub use held_pieces::HeldPieces;
 pub use load_table::{LoadSample, LoadTable, ReplicaLoad};
 pub use log_rate_limiter::{LogDecision, LogKind, LogRateLimiter};
 pub use packed_bytes::PackedBytes;
@@ -101,7 +99,7 @@
 pub use store_times::StoreTimes;
 pub use stream_cursor::{EventBatch, StreamCursor, StreamError};
 pub use suspension_watch::SuspensionWatch;
-pub use switch_deadlines::{PieceShares, SwitchDeadlines, VersionPlan};
+pub use switch_deadlines::SwitchDeadlines;
 pub use timer_lateness::TimerLateness;
 pub use version_table::{DeclarationChange, PendingSwitch, VersionRequirement, VersionTable};
 pub use zone_exchange::{is_zone_reporter, report_targets, zone_rank};
--- a/crates/fleet/src/piece_set.rs
+++ b/crates/fleet/src/piece_set.rs
@@ -65,18 +65,6 @@
         self.count() == self.len
     }
 
-    /// Adds the pieces of `other`, a set of the same version.
-    pub fn extend(&mut self, other: &Self) {
-        (0..self.len)
-            .filter(|it| other.contains(*it))
-            .for_each(|it| self.insert(it));
-    }
-
-    /// Returns the number of pieces in the set in relation to those of the version, in 0..1.
-    pub fn share(&self) -> f64 {
-        self.count() as f64 / self.len.max(1) as f64
-    }
-
     /// Returns the pieces of the version that are not in the set.
     pub fn missing(&self) -> impl Iterator<Item = usize> {
         (0..self.len).filter(|it| !self.contains(*it))
--- a/crates/fleet/src/piece_swarm.rs
+++ b/crates/fleet/src/piece_swarm.rs
@@ -134,18 +134,6 @@
         known.map_or(0, |it| it.pieces.count())
     }
 
-    /// Returns the share of the pieces that this agent, which has `own`, or one of its neighbors has.
-    pub fn known_share(&self, own: &PieceSet) -> f64 {
-        if self.plan.complete().next().is_some() {
-            return 1.0;
-        }
-        let mut known = own.clone();
-        for neighbor in self.neighbors.values() {
-            known.extend(&neighbor.pieces);
-        }
-        known.share()
-    }
-
     /// Records which pieces a neighbor has.
     pub fn record_pieces(&mut self, neighbor: SocketAddr, pieces: PieceSet, now: Instant) {
         if self.plan.is_in_region(neighbor) {
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -79,16 +79,6 @@
     pub address: SocketAddr,
     /// Its availability zone, if configured.
     pub zone: Option<String>,
-    /// Bandwidth of its link in megabits per second, if configured.
-    pub link_mbps: Option<f64>,
-}
-
-impl WeightOrigin {
-    /// Returns the time that its link takes for `bytes`, if its bandwidth is known.
-    pub fn send_time(&self, bytes: usize) -> Option<Duration> {
-        let link_mbps = self.link_mbps.filter(|it| *it > 0.0)?;
-        Duration::try_from_secs_f64(bytes as f64 * 8.0 / (link_mbps * 1e6)).ok()
-    }
 }
 
 impl Route {
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -7,8 +7,8 @@
 
 use anyhow::Context;
 use fleet::{
-    FeedMirror, FeedTable, HeldPieces, LoadDenial, LoadPermit, LoadedModel, PieceManifest,
-    PieceSet, PieceShares, SWITCH_RESERVE, StagedPieces, StoreTimes, SwitchDeadlines, VersionTable,
+    FeedMirror, FeedTable, LoadDenial, LoadPermit, LoadedModel, PieceManifest, PieceSet,
+    SWITCH_RESERVE, StagedPieces, StoreTimes, SwitchDeadlines, VersionTable,
 };
 use httpio::HttpClient;
 use platform::{NodeSettings, ReplicaClient, ReplicaReport, StoreClient};
@@ -47,14 +47,6 @@
 pub(crate) struct AgentState {
     /// Weights that the replica is to serve, or `None` until the configuration has been read.
     pub(crate) target: Option<WeightTarget>,
-    /// A newer version whose pieces are kept in memory while those of the target are staged.
-    pub(crate) ahead: Option<WeightTarget>,
-    /// Pieces of that version.
-    pub(crate) held_pieces: HeldPieces,
-    /// Shares of the target's model's versions that this agent or a neighbor has, by version.
-    pub(crate) swarm_shares: BTreeMap<u64, f64>,
-    /// Position of this agent in the order in which replicas load weights, in 0..1.
-    pub(crate) rollout_position: f64,
     /// Deadlines by which the replica must serve the declared versions of the target's model.
     pub(crate) deadlines: SwitchDeadlines,
     /// The store's clock and the times of its changes.
@@ -69,8 +61,6 @@
     pub(crate) feeds: BTreeMap<FeedTable, FeedMirror>,
     /// Pieces that are staged at the replica.
     pub(crate) staged_pieces: StagedPieces,
-    /// Version of which all pieces were last staged.
-    pub(crate) whole_version: Option<u64>,
     /// Version that the replica was last ordered to load, unless the replica has restarted since.
     pub(crate) ordered_version: Option<u64>,
     /// Load order that the replica has not answered. Pieces of no other version may be staged meanwhile.
@@ -100,8 +90,6 @@
     pub(crate) origin_client: HttpClient,
     /// Wakes the task that updates the replica.
     pub(crate) target_changed: Notify,
-    /// Wakes the task that fetches pieces into memory.
-    pub(crate) ahead_changed: Notify,
     /// Wakes the task that determines the target.
     pub(crate) declarations_received: Notify,
     /// Wakes the task that sends status messages to entries.
@@ -136,52 +124,6 @@
         self.staged_pieces.current_manifest(model, version)
     }
 
-    /// Returns the manifest of the version that is staged, or is to be.
-    pub(crate) fn staged_manifest(&self) -> Option<Arc<PieceManifest>> {
-        let staging = self.staging_target()?;
-        self.manifest(staging).cloned()
-    }
-
-    /// Returns the pieces of a version that other agents can have, staged or kept in memory.
-    pub(crate) fn available(&self, model: &str, version: u64) -> Option<PieceSet> {
-        let staged = self.staged_pieces.pieces(model, version);
-        let held = self.held_pieces.pieces(model, version);
-        let mut available = staged.or(held)?.clone();
-        if let Some(held) = held {
-            available.extend(held);
-        }
-        Some(available)
-    }
-
-    /// Returns the manifest of a version of which pieces are staged or kept in memory.
-    pub(crate) fn known_manifest(&self, model: &str, version: u64) -> Option<&Arc<PieceManifest>> {
-        let staged = self.staged_pieces.manifest(model, version);
-        staged.or_else(|| self.held_pieces.manifest(model, version))
-    }
-
-    /// Returns what is known of the pieces of a version.
-    pub(crate) fn piece_shares(&self, model: &str, version: u64) -> PieceShares {
-        let own = self.available(model, version);
-        let own = own.map_or(0.0, |it| it.share());
-        let swarm = self.swarm_shares.get(&version).copied();
-        PieceShares {
-            own,
-            swarm: swarm.unwrap_or_default().max(own),
-        }
-    }
-
-    /// Records the share of a version that the swarm has; returns whether it has become whole. Pieces that were seen once
-    /// are still counted, since agents keep them until they have newer ones.
-    pub(crate) fn record_swarm_share(&mut self, version: u64, share: f64) -> bool {
-        let known = self.swarm_shares.entry(version).or_default();
-        let is_new = share >= 1.0 && *known < 1.0;
-        *known = known.max(share);
-        while self.swarm_shares.len() > MAX_SHARES {
-            self.swarm_shares.pop_first();
-        }
-        is_new
-    }
-
     /// Returns whether a load of `target` may be ordered if the order is sent by `sent_by`, measured since boot.
     pub(crate) fn permit_load(
         &self,
@@ -225,17 +167,12 @@
             upload_pacer: LinkPacer::new(settings.link_mbps),
             download_pacer: LinkPacer::new(settings.link_mbps),
             target_changed: Notify::new(),
-            ahead_changed: Notify::new(),
             serving_changed: Notify::new(),
             declarations_received: Notify::new(),
             pieces_changed: Notify::new(),
             upload_slots: Semaphore::new(MAX_UPLOADS),
             state: Mutex::new(AgentState {
                 target: None,
-                ahead: None,
-                held_pieces: HeldPieces::default(),
-                swarm_shares: BTreeMap::new(),
-                rollout_position: 0.0,
                 deadlines: SwitchDeadlines::new(settings.bounds.version_switch, SWITCH_RESERVE),
                 store_times: StoreTimes::default(),
                 declarations: VersionTable::new(settings.bounds.version_switch),
@@ -243,7 +180,6 @@
                 entries: BTreeMap::new(),
                 feeds: BTreeMap::new(),
                 staged_pieces: StagedPieces::default(),
-                whole_version: None,
                 ordered_version: None,
                 unsettled_order: None,
                 serving: None,
@@ -269,9 +205,6 @@
     }
 }
 
-/// Maximum number of versions whose shares are recorded; older ones took effect long ago.
-const MAX_SHARES: usize = 8;
-
 /// Timeout for opening a connection; all other hosts are a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
--- a/crates/stager/src/config_loop.rs
+++ b/crates/stager/src/config_loop.rs
@@ -33,10 +33,7 @@
         let result = tokio::select! {
             result = update => result,
             // Messages from entries arrive again; a request to the store may take long to fail.
-            () = shared.declarations_received.notified(), if routes.is_some() => {
-                update_target(&shared, routes.as_ref());
-                continue;
-            }
+            () = shared.declarations_received.notified(), if routes.is_some() => continue,
         };
         match result {
             Ok(changes) => {
@@ -125,61 +122,32 @@
     };
     let mut state = shared.state();
     update_deadlines(&mut state, &target, shared.settings.bounds.version_switch);
-    if let Some(copy_time) = copy_time(&state, &target.model, &origins) {
-        state.deadlines.set_copy_time(copy_time);
-    }
     let serving = state.serving.iter().flatten();
     let serving = serving
         .filter(|it| it.name == target.model)
         .map(|it| it.version);
     let serving = serving.max().max(state.ordered_version);
-    let shares = |version: u64| state.piece_shares(&target.model, version);
+    let staged_share = |version: u64| {
+        let staged = state.staged_pieces.pieces(&target.model, version);
+        staged.map_or(0.0, |it| it.count() as f64 / it.len().max(1) as f64)
+    };
+    let deadlines = &state.deadlines;
     let now = state.latest_store_time();
-    let plan = state.deadlines.plan(serving, shares, now);
-    target.version = plan.staged;
-    let ahead = plan.ahead.map(|version| WeightTarget {
-        version,
-        ..target.clone()
-    });
-    if state.target.as_ref() == Some(&target) && state.ahead == ahead {
+    target.version = deadlines.version_to_load(serving, staged_share, now);
+    if state.target.as_ref() == Some(&target) {
         return;
     }
-    let (wanted, newer) = (shares(target.version), shares(newest));
     info!(
         shared.log, "weights wanted";
         "model" => &target.model,
         "version" => target.version,
         "newest" => newest,
-        "ahead" => plan.ahead,
         "serving" => serving,
         "missing_before" => state.staged_pieces.missing_count(),
-        "own_share" => wanted.own,
-        "swarm_share" => wanted.swarm,
-        "newest_own_share" => newer.own,
-        "newest_swarm_share" => newer.swarm,
-        "now_ms" => now.map(as_millis),
-        "serving_until_ms" => serving.and_then(|it| state.deadlines.deadline(it)).map(as_millis),
-        "wanted_until_ms" => state.deadlines.deadline(target.version).map(as_millis),
     );
     state.target = Some(target);
-    state.ahead = ahead;
     drop(state);
     shared.target_changed.notify_one();
-    shared.ahead_changed.notify_one();
-}
-
-/// Returns the time that the origin takes for a copy, if its bandwidth and the size of some version are known.
-fn copy_time(state: &AgentState, model: &str, origins: &[&WeightOrigin]) -> Option<Duration> {
-    let versions = state.declarations.all();
-    let mut versions = versions.filter(|it| it.0 == model).map(|it| it.1);
-    let manifest = versions.find_map(|it| state.known_manifest(model, it))?;
-    origins
-        .first()?
-        .send_time(manifest.len() * manifest.piece_bytes)
-}
-
-fn as_millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Updates the deadlines of the target's model.
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -5,11 +5,9 @@
 
 mod agent_metrics;
 mod agent_shared;
-mod ahead_loop;
 mod config_loop;
 mod declaration_loop;
 mod feed_reader;
-mod held_store;
 mod link_pacer;
 mod load_order;
 mod piece_fetch;
@@ -73,7 +71,6 @@
     tokio::spawn(declaration_loop::run(shared.clone()));
     tokio::spawn(status_loop::run(shared.clone()));
     tokio::spawn(weight_loop::run(shared.clone()));
-    tokio::spawn(ahead_loop::run(shared.clone()));
     info!(shared.log, "started"; "pid" => std::process::id());
 
     stop.await?;
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -18,8 +18,8 @@
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, WeightTarget};
-use crate::source_client::{FetchError, NeighborPieces, PieceStore};
-use crate::{feed_reader, held_store, source_client};
+use crate::source_client::{FetchError, NeighborPieces};
+use crate::{feed_reader, source_client};
 
 /// Reads the list of replicas and creates the fetch plan of this agent.
 pub(crate) async fn create_plan(
@@ -52,9 +52,12 @@
     });
     let peers = peers.collect();
     let origin_region = target.origin_region.as_deref();
-    let plan = FetchPlan::new(own_address, &shared.settings.region, peers, origin_region);
-    state.rollout_position = plan.rollout_position();
-    Ok(plan)
+    Ok(FetchPlan::new(
+        own_address,
+        &shared.settings.region,
+        peers,
+        origin_region,
+    ))
 }
 
 /// Fetches the manifest of the target. `attempt` counts the earlier attempts that failed.
@@ -129,13 +132,12 @@
     }
 }
 
-/// Fetches all missing pieces into `store`; returns whether it has all of them.
+/// Fetches and stages all missing pieces; returns whether all of them are staged.
 pub(crate) async fn fetch_pieces(
     shared: &Arc<AgentShared>,
     target: &WeightTarget,
     manifest: &Arc<PieceManifest>,
     plan: FetchPlan,
-    store: PieceStore,
 ) -> bool {
     let mut swarm = PieceSwarm::new(plan, manifest.len(), Instant::now());
     let mut fetches = FuturesUnordered::new();
@@ -145,27 +147,13 @@
         Box::pin(refresh_plan(shared, target));
     let mut last_report = Instant::now();
     loop {
-        let is_doubted =
-            store == PieceStore::Replica && shared.state().staged_pieces.is_manifest_doubted();
-        if is_doubted || !source_client::should_fetch(shared, target, store) {
+        let is_doubted = shared.state().staged_pieces.is_manifest_doubted();
+        if is_doubted || !source_client::should_fetch(shared, target) {
             return false;
         }
-        let staged = match store {
-            PieceStore::Replica => shared.state().staged(target).cloned(),
-            PieceStore::Memory => shared
-                .state()
-                .held_pieces
-                .pieces(&target.model, target.version)
-                .cloned(),
-        };
-        let Some(staged) = staged else {
+        let Some(staged) = shared.state().staged(target).cloned() else {
             return false;
         };
-        let share = swarm.known_share(&staged);
-        if shared.state().record_swarm_share(target.version, share) || staged.is_full() {
-            // The version to stage and the one to fetch besides depend on it.
-            shared.declarations_received.notify_one();
-        }
         if staged.is_full() {
             return true;
         }
@@ -174,7 +162,6 @@
             info!(
                 shared.log, "transfer in progress";
                 "version" => target.version,
-                "store" => format!("{store:?}"),
                 "staged" => staged.count(),
                 "from_origin" => swarm.in_flight(|it| it == PieceSource::Origin),
                 "from_agents" => swarm.in_flight(|it| it != PieceSource::Origin),
@@ -187,7 +174,7 @@
             }
         }
         while let Some(fetch) = swarm.next_fetch(&staged, rand::random(), Instant::now()) {
-            fetches.push(fetch_and_store(shared, target, manifest, fetch, store));
+            fetches.push(fetch_and_stage(shared, target, manifest, fetch));
         }
         // A source may become usable without any event, when its pause ends.
         let timeout = pin!(tokio::time::sleep(MAX_IDLE_TIME));
@@ -248,12 +235,11 @@
     }
 }
 
-async fn fetch_and_store(
+async fn fetch_and_stage(
     shared: &AgentShared,
     target: &WeightTarget,
     manifest: &PieceManifest,
     fetch: PieceFetch,
-    store: PieceStore,
 ) -> (PieceFetch, FetchOutcome) {
     let index = fetch.index;
     let (label, fetched) = match fetch.source {
@@ -270,10 +256,8 @@
         if manifest.matches(index, &bytes) {
             Ok(bytes)
         } else {
-            if store == PieceStore::Replica {
-                let digest = PieceManifest::digest(&bytes);
-                shared.state().staged_pieces.record_mismatch(index, digest);
-            }
+            let digest = PieceManifest::digest(&bytes);
+            shared.state().staged_pieces.record_mismatch(index, digest);
             Err(FetchError::DigestMismatch)
         }
     });
@@ -288,11 +272,8 @@
     shared.metrics.pieces.with_label_values(&labels).inc();
     let err = match fetched {
         Ok(bytes) => {
-            let is_stored = match store {
-                PieceStore::Replica => stage_piece(shared, target, index, bytes).await,
-                PieceStore::Memory => held_store::hold_piece(shared, target, index, bytes),
-            };
-            let outcome = if is_stored {
+            let is_staged = stage_piece(shared, target, index, bytes).await;
+            let outcome = if is_staged {
                 FetchOutcome::Staged
             } else {
                 FetchOutcome::Busy
@@ -320,7 +301,7 @@
 
 /// Stages a piece; returns whether it is staged. A replica that is silent for a moment receives it again, since another
 /// transfer would cost more.
-pub(crate) async fn stage_piece(
+async fn stage_piece(
     shared: &AgentShared,
     target: &WeightTarget,
     index: usize,
@@ -340,7 +321,7 @@
         warn!(shared.log, "cannot stage piece"; "index" => index, "error" => err.to_string());
         attempts += 1;
         let may_repeat = matches!(err, CallError::TimedOut) && attempts < MAX_STAGING_ATTEMPTS;
-        if !may_repeat || !source_client::should_fetch(shared, target, PieceStore::Replica) {
+        if !may_repeat || !source_client::should_fetch(shared, target) {
             return false;
         }
         sent_at = boot_clock::now();
--- a/crates/stager/src/piece_server.rs
+++ b/crates/stager/src/piece_server.rs
@@ -67,7 +67,7 @@
     version: u64,
     known: usize,
 ) -> Option<Vec<u8>> {
-    let current = || shared.state().available(model, version);
+    let current = || shared.state().staged_pieces.pieces(model, version).cloned();
     let is_changed = || current().is_some_and(|it| it.count() != known);
     // A change and the timeout are handled alike.
     wait_until(shared, PIECES_WAIT, is_changed).await;
@@ -82,9 +82,9 @@
 ) -> (StatusCode, Vec<u8>) {
     let manifest = {
         let state = shared.state();
-        let available = state.available(model, version);
-        let manifest = state.known_manifest(model, version);
-        match manifest.filter(|_| available.is_some_and(|it| it.contains(index))) {
+        let staged = state.staged_pieces.pieces(model, version);
+        let manifest = state.staged_pieces.manifest(model, version);
+        match manifest.filter(|_| staged.is_some_and(|it| it.contains(index))) {
             Some(it) => it.clone(),
             None => return not_found(),
         }
@@ -94,14 +94,6 @@
         return (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
     };
     shared.upload_pacer.wait(manifest.piece_bytes).await;
-    let held = shared
-        .state()
-        .held_pieces
-        .piece(model, version, index)
-        .cloned();
-    if let Some(bytes) = held.filter(|it| manifest.matches(index, it)) {
-        return (StatusCode::OK, bytes.to_vec());
-    }
     let sent_at = boot_clock::now();
     let bytes = match shared.replica_client.read_staged_piece(model, index).await {
         Ok(it) => it,
@@ -129,7 +121,7 @@
 async fn encoded_manifest(shared: &AgentShared, model: &str, version: u64) -> Option<Vec<u8>> {
     let current = || {
         let state = shared.state();
-        let manifest = state.known_manifest(model, version);
+        let manifest = state.staged_pieces.manifest(model, version);
         manifest
             .filter(|_| !state.staged_pieces.is_manifest_doubted())
             .cloned()
--- a/crates/stager/src/source_client.rs
+++ b/crates/stager/src/source_client.rs
@@ -79,22 +79,10 @@
     }
 }
 
-/// Where fetched pieces are kept.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum PieceStore {
-    /// In the staging area of the replica.
-    Replica,
-    /// In the memory of the agent, while another version is staged.
-    Memory,
-}
-
-/// Returns whether pieces of `target` are still worth fetching into `store`.
-pub(crate) fn should_fetch(shared: &AgentShared, target: &WeightTarget, store: PieceStore) -> bool {
+/// Returns whether pieces of `target` are still worth fetching.
+pub(crate) fn should_fetch(shared: &AgentShared, target: &WeightTarget) -> bool {
     let state = shared.state();
-    let current = match store {
-        PieceStore::Replica => state.staging_target(),
-        PieceStore::Memory => state.ahead.as_ref(),
-    };
+    let current = state.staging_target();
     current.is_some_and(|it| it.model == target.model && it.version == target.version)
 }
 
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -11,8 +11,7 @@
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, WeightTarget};
-use crate::source_client::PieceStore;
-use crate::{held_store, load_order, piece_fetch};
+use crate::{load_order, piece_fetch};
 
 /// Reconciles the weights that the replica serves with the target, for the lifetime of the process.
 pub(crate) async fn run(shared: Arc<AgentShared>) {
@@ -109,14 +108,14 @@
 
 /// Counts the failed attempts to fetch the manifest of a version.
 #[derive(Debug, Default)]
-pub(crate) struct ManifestAttempts {
+struct ManifestAttempts {
     version: u64,
     failed: usize,
 }
 
 impl ManifestAttempts {
     /// Returns the number of failed attempts and counts a further one, which a successful attempt makes irrelevant.
-    pub(crate) fn begin(&mut self, target: &WeightTarget) -> usize {
+    fn begin(&mut self, target: &WeightTarget) -> usize {
         if self.version != target.version {
             *self = Self {
                 version: target.version,
@@ -169,55 +168,21 @@
         return;
     };
     let staging_time = started_at.elapsed();
-    let is_new = shared.state().whole_version.replace(target.version) != Some(target.version);
-    if is_new {
-        info!(shared.log, "version is whole"; "version" => target.version);
-    }
     if report.load_in_progress {
         return;
     }
-    let has_successor = shared.state().deadlines.has_successor(target.version);
-    if !is_load_due(shared, target, report) {
-        return;
-    }
-    if !has_successor && !delay_load(shared, target, report, rollout_position).await {
-        return;
-    }
+    // A version that is declared in the meantime does not change the delay, because its deadline is later.
+    delay_load(shared, target, report, rollout_position).await;
     load_order::order_load(shared, target, report, staging_time).await;
 }
 
-/// Returns whether the staged target is to be loaded: it is the newest version, or the newest one will not be whole in time.
-fn is_load_due(shared: &AgentShared, target: &WeightTarget, report: &ReplicaReport) -> bool {
-    let serving = report.models.iter().find(|it| it.name == target.model);
-    let state = shared.state();
-    let serving = serving.map(|it| it.version);
-    let newest = state.declarations.newest(&target.model);
-    let newest_share = newest.map_or(0.0, |it| state.piece_shares(&target.model, it).swarm);
-    let position = state.rollout_position;
-    let now = state.latest_store_time();
-    let is_due = state
-        .deadlines
-        .is_load_due(serving, target.version, newest_share, position, now);
-    if is_due && newest > Some(target.version) {
-        info!(
-            shared.log, "older version is loaded, because the newest one will not be whole in time";
-            "version" => target.version,
-            "newest" => newest,
-            "newest_swarm_share" => newest_share,
-            "position" => position,
-        );
-    }
-    is_due
-}
-
-/// Delays the load according to the rollout position, so that not all replicas of the service load at the same time. Returns
-/// whether the load is still wanted; once a newer version is declared, [`is_load_due`] decides.
+/// Delays the load according to the rollout position, so that not all replicas of the service load at the same time.
 async fn delay_load(
     shared: &AgentShared,
     target: &WeightTarget,
     report: &ReplicaReport,
     rollout_position: f64,
-) -> bool {
+) {
     let serving = report.models.iter().find(|it| it.name == target.model);
     let deadline = serving.and_then(|it| shared.state().deadlines.deadline(it.version));
     let now = shared.state().latest_store_time();
@@ -226,15 +191,16 @@
         let now = now.unwrap_or(it);
         it.saturating_sub(now)
     });
-    let load_at = Instant::now() + window.unwrap_or_default().mul_f64(rollout_position);
-    while !shared.state().deadlines.has_successor(target.version) {
-        let remaining = load_at.saturating_duration_since(Instant::now());
-        if remaining.is_zero() {
-            return true;
-        }
-        tokio::time::sleep(remaining.min(POLL_INTERVAL)).await;
+    // If a newer version is waiting, the replica can be updated to it only afterwards.
+    let has_successor = shared.state().deadlines.deadline(target.version).is_some();
+    let max_window = if has_successor {
+        MAX_SHORT_WINDOW
+    } else {
+        Duration::MAX
+    };
+    if let Some(window) = window.map(|it| it.min(max_window)) {
+        tokio::time::sleep(window.mul_f64(rollout_position)).await;
     }
-    false
 }
 
 /// Stages all missing pieces; returns the rollout position of this replica in 0..1 if all pieces are staged.
@@ -260,19 +226,9 @@
         }
     };
     if !has_manifest {
-        let held = shared
-            .state()
-            .held_pieces
-            .manifest(&target.model, target.version)
-            .cloned();
-        let manifest = if let Some(it) = held {
-            it
-        } else {
-            let attempt = attempts.begin(target);
-            let fetched = piece_fetch::fetch_manifest(shared, target, &plan, attempt).await?;
-            Arc::new(fetched)
-        };
-        shared.state().staged_pieces.reset(manifest);
+        let attempt = attempts.begin(target);
+        let manifest = piece_fetch::fetch_manifest(shared, target, &plan, attempt).await?;
+        shared.state().staged_pieces.reset(Arc::new(manifest));
         shared.pieces_changed.notify_waiters();
         recover_staged(shared, target).await;
     } else if shared.state().staged_pieces.is_manifest_doubted() {
@@ -280,9 +236,7 @@
     }
     let manifest = shared.state().manifest(target).cloned()?;
     let rollout_position = plan.rollout_position();
-    held_store::stage_held_pieces(shared, target).await;
-    let store = PieceStore::Replica;
-    let is_complete = piece_fetch::fetch_pieces(shared, target, &manifest, plan, store).await;
+    let is_complete = piece_fetch::fetch_pieces(shared, target, &manifest, plan).await;
     is_complete.then_some(rollout_position)
 }
 
@@ -389,5 +343,9 @@
 /// long, so that agents that fail at the same time do not retry at the same time.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Maximum time over which loads are spread if a newer version is waiting; a few load times, so that not all replicas
+/// load at the same time.
+const MAX_SHORT_WINDOW: Duration = Duration::from_millis(2000);
+
 /// Number of pieces that are read before the others are assumed to belong to another version.
 const PROBED_PIECES: usize = 3;
