Time limits at old weights are logged and counted

The logs named the guard that was chosen for a send, not the time limit that was written, so nobody could tell afterwards which request its replica was free to begin late.

Cause: the limit is computed after `sent before a switch` is logged, from a table of versions that may have changed since.

Each request to weights that a known version replaces now logs its limit when it is written to a connection, with what ends it. `fulmarline_sends_by_limit_total{limited_by}` counts the sends and has `none` from the start, so that an alarm can be set on it. `first event` and `stream resumed` have the limit as well, which shows it if the version became known only after the send. `explain` says for how long a limit outlasts the switch.

No request is sent or limited differently. The limits of requests that were withdrawn before a first event, and sent before the version was known, are still in no line.

--- a/crates/fulmarline/src/explain.rs
+++ b/crates/fulmarline/src/explain.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use anyhow::Context;
-use serde_json::Value;
+use serde_json::{Map, Value};
 
 use crate::exit_status::ExitStatus;
 
@@ -33,6 +33,8 @@
     host: String,
     message: String,
     details: Vec<String>,
+    /// Time after the switch of the weights until which the replica was allowed to begin the request.
+    unfenced_ms: Option<u64>,
 }
 
 fn read_entries(id: &str, files: &[PathBuf]) -> anyhow::Result<Vec<LogEntry>> {
@@ -56,6 +58,7 @@
     if fields.get("request")?.as_str()? != id {
         return None;
     }
+    let unfenced_ms = unfenced_ms(&fields);
     let mut take_field = |name: &str| match fields.remove(name) {
         Some(Value::String(text)) => text,
         Some(other) => other.to_string(),
@@ -82,9 +85,19 @@
         host,
         message,
         details,
+        unfenced_ms,
     })
 }
 
+/// Returns the time after the switch at which the time limit in a log line ends, if it does.
+fn unfenced_ms(fields: &Map<String, Value>) -> Option<u64> {
+    if fields.get("limited_by")? != "none" {
+        return None;
+    }
+    let limit_ms = fields.get("limit_ms")?.as_u64()?;
+    limit_ms.checked_sub(fields.get("switch_ms")?.as_u64()?)
+}
+
 fn print_entries(entries: &[LogEntry]) {
     let mut hosts: Vec<&str> = entries.iter().map(|it| it.host.as_str()).collect();
     hosts.sort_unstable();
@@ -102,5 +115,10 @@
             entry.message,
             entry.details.join(" ")
         );
+        if let Some(late_ms) = entry.unfenced_ms {
+            println!(
+                "    no time limit before the switch: without a withdrawal the replica may begin the request up to {late_ms} ms after it"
+            );
+        }
     }
 }
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::entry_shared::EntryShared;
+use crate::time_limit_log::NO_FENCE;
 use relay::boot_clock;
 
 /// All metrics of an entry. Label values come from fixed sets.
@@ -50,6 +51,7 @@
     pub(crate) weights_age: GaugeVec,
     pub(crate) declaration_width: HistogramVec,
     pub(crate) sends_before_switch: IntCounterVec,
+    pub(crate) sends_by_limit: IntCounterVec,
     pub(crate) switch_slack: Histogram,
     pub(crate) withdrawal_lateness: Histogram,
     pub(crate) config_version: IntGauge,
@@ -253,6 +255,16 @@
                 "Sends to weights that are about to be replaced, by what keeps them from beginning later: a time limit of the replica, or only their withdrawal.",
                 &["guard"],
             )?,
+            sends_by_limit: {
+                let sends = counters(
+                    "fulmarline_sends_by_limit_total",
+                    "Sends to weights that a version replaces, or may replace, by what ends the time limit of the replica; none if it ends after the switch.",
+                    &["limited_by"],
+                )?;
+                // An alarm on the series needs it before the first such send.
+                sends.with_label_values(&[NO_FENCE]);
+                sends
+            },
             switch_slack: histogram(
                 "fulmarline_switch_slack_seconds",
                 "Time left until the weights of a replica become too old, at the first event of a request there.",
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -15,7 +15,7 @@
 use crate::entry_shared::EntryShared;
 use crate::send_permit::{PermitDenial, SendPermit};
 use crate::stream_segment::millis;
-use crate::{crash_guard, departure_guard, limit_guard, switch_guard};
+use crate::{crash_guard, departure_guard, limit_guard, switch_guard, time_limit_log};
 
 /// Outcome of a send.
 #[derive(Debug)]
@@ -89,7 +89,12 @@
     // which may not be repeated, and shows only in the id of the request.
     let needs_new_connection = !call.route.is_retryable() || call.metadata.id.is_none();
     let permit = SendPermit::new(shared, call, chosen, time_limit, is_sent);
-    let may_send = || permit.check();
+    let ends_at = switch_guard::ends_at(call, time_limit);
+    let may_send = || {
+        permit.check().inspect(|_| {
+            time_limit_log::record(shared, call, chosen, time_limit, ends_at.is_some());
+        })
+    };
     let exchange = async {
         let client = &shared.replica_client;
         if needs_new_connection {
@@ -101,7 +106,6 @@
         }
     };
     let sent_at = shared.suspend_aware_now();
-    let ends_at = switch_guard::ends_at(call, time_limit);
     let outcome = match tokio::time::timeout(call.time_remaining(), exchange).await {
         Ok(Ok(pooled_response)) => {
             let metadata = platform::decode_response_headers(pooled_response.response.headers());
--- a/crates/ingress/src/stream_segment.rs
+++ b/crates/ingress/src/stream_segment.rs
@@ -27,6 +27,8 @@
     cursor: StreamCursor,
     guard: InFlightGuard,
     sent_at: Instant,
+    /// Time that the replica may work on the request.
+    time_limit: Duration,
     /// Time at which the replica ends the stream because its weights are replaced, if that is before the deadline.
     ends_at: Option<Instant>,
     first_event_at: Option<Instant>,
@@ -112,6 +114,7 @@
                 cursor: StreamCursor::new(last_event_id),
                 guard,
                 sent_at,
+                time_limit,
                 ends_at,
                 first_event_at: None,
                 is_survival_recorded: false,
@@ -216,6 +219,7 @@
                 "expect_version" => self.chosen.expect_version,
                 "switch_ms" => self.chosen.must_start_within.map(millis),
                 "switch_slack_ms" => switch_slack.map(millis),
+                "limit_ms" => millis(self.time_limit),
                 "after_event" => after,
             );
         }
@@ -269,6 +273,7 @@
                 "expect_version" => self.chosen.expect_version,
                 "switch_ms" => self.chosen.must_start_within.map(millis),
                 "switch_slack_ms" => switch_slack.map(millis),
+                "limit_ms" => millis(self.time_limit),
                 "framing" => self.framing.label(),
                 "config" => call.table.version(),
             );
