Streams that end at a switch are counted by what became of them

A replica that keeps its time limit ends responses at the switch of its weights. `stream broke off` said so, but not whether another replica continued the stream, and no metric did.

Responses that are read completely say `at_switch` when reading them fails.

No test makes a stream wait, because entries do not wait so far.

--- a/crates/ingress/src/buffered_relay.rs
+++ b/crates/ingress/src/buffered_relay.rs
@@ -67,6 +67,7 @@
                     "request" => call.id(),
                     "replica" => &chosen.replica.id,
                     "error" => err.to_string(),
+                    "at_switch" => switch_guard::is_at_switch(ends_at),
                 );
             }
             return RelayOutcome::Unknown;
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -52,6 +52,7 @@
     pub(crate) declaration_width: HistogramVec,
     pub(crate) sends_before_switch: IntCounterVec,
     pub(crate) sends_by_limit: IntCounterVec,
+    pub(crate) streams_ended_at_switch: IntCounterVec,
     pub(crate) switch_slack: Histogram,
     pub(crate) withdrawal_lateness: Histogram,
     pub(crate) config_version: IntGauge,
@@ -265,6 +266,11 @@
                 sends.with_label_values(&[NO_FENCE]);
                 sends
             },
+            streams_ended_at_switch: counters(
+                "fulmarline_streams_ended_at_switch_total",
+                "Streams that a replica ended at a switch of its weights, by what became of them.",
+                &["outcome"],
+            )?,
             switch_slack: histogram(
                 "fulmarline_switch_slack_seconds",
                 "Time left until the weights of a replica become too old, at the first event of a request there.",
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -13,7 +13,7 @@
 use crate::entry_shared::EntryShared;
 use crate::refusal::Refusal;
 use crate::stream_attempts::{StreamAttempts, StreamRead};
-use crate::stream_segment::{StreamSegment, millis};
+use crate::stream_segment::{StreamSegment, millis, record_switch_outcome};
 
 /// Waits for the first event of a stream. Then returns the response, whose body is relayed by a separate task.
 ///
@@ -99,6 +99,13 @@
         .requests
         .with_label_values(&["stream_end", "200", outcome])
         .inc();
+    let after_switch = call.take_switch_end().map(|_| match outcome {
+        "client_left" => "client_left",
+        _ => "lost",
+    });
+    if let Some(outcome) = after_switch {
+        record_switch_outcome(&shared, outcome);
+    }
     let kind = if outcome == "complete" {
         LogKind::Served
     } else {
@@ -109,6 +116,7 @@
             shared.log, "stream ended";
             "request" => call.id(),
             "outcome" => outcome,
+            "after_switch" => after_switch,
             "replica" => attempts.last_replica(),
             "last_event" => attempts.last_event_id(),
             "longest_pause_ms" => millis(longest_pause),
