--- a/crates/ingress/src/stream_segment.rs
+++ b/crates/ingress/src/stream_segment.rs
@@ -27,6 +27,8 @@
     cursor: StreamCursor,
     guard: InFlightGuard,
     sent_at: Instant,
+    /// Time that the replica may work on the request.
+    time_limit: Duration,
     /// Time at which the replica ends the stream because its weights are replaced, if that is before the deadline.
     ends_at: Option<Instant>,
     first_event_at: Option<Instant>,
@@ -112,6 +114,7 @@
                 cursor: StreamCursor::new(last_event_id),
                 guard,
                 sent_at,
+                time_limit,
                 ends_at,
                 first_event_at: None,
                 is_survival_recorded: false,
@@ -207,6 +210,17 @@
     ) {
         self.guard.record_first_event();
         let switch_slack = self.observe_switch_slack(shared);
+        let ended_at = call.take_switch_end();
+        let after_switch = ended_at.map(|it| {
+            if self.sent_at.saturating_duration_since(it) < MIN_WAIT {
+                "continued"
+            } else {
+                "waited"
+            }
+        });
+        if let Some(outcome) = after_switch {
+            record_switch_outcome(shared, outcome);
+        }
         if shared.may_log(LogKind::Failed) {
             info!(
                 shared.log, "stream resumed";
@@ -216,7 +230,10 @@
                 "expect_version" => self.chosen.expect_version,
                 "switch_ms" => self.chosen.must_start_within.map(millis),
                 "switch_slack_ms" => switch_slack.map(millis),
+                "limit_ms" => millis(self.time_limit),
                 "after_event" => after,
+                "after_switch" => after_switch,
+                "gap_ms" => ended_at.map(|it| millis(it.elapsed())),
             );
         }
     }
@@ -269,6 +286,7 @@
                 "expect_version" => self.chosen.expect_version,
                 "switch_ms" => self.chosen.must_start_within.map(millis),
                 "switch_slack_ms" => switch_slack.map(millis),
+                "limit_ms" => millis(self.time_limit),
                 "framing" => self.framing.label(),
                 "config" => call.table.version(),
             );
@@ -303,6 +321,9 @@
                 .health
                 .record_outcome(&self.chosen.replica.id, outcome, Instant::now());
         }
+        if self.is_at_switch() && self.first_event_at.is_some() {
+            call.record_switch_end();
+        }
         self.count_end(shared, interruption.label());
         if !shared.may_log(LogKind::Failed) {
             return;
@@ -332,6 +353,12 @@
     }
 }
 
+/// Counts what became of a stream that its replica ended at a switch.
+pub(crate) fn record_switch_outcome(shared: &EntryShared, outcome: &str) {
+    let ended = &shared.metrics.streams_ended_at_switch;
+    ended.with_label_values(&[outcome]).inc();
+}
+
 /// Returns `duration` in milliseconds.
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
@@ -340,5 +367,8 @@
 /// Time after the first event in which a crash of the replica may be due to the request.
 const START_GRACE: Duration = Duration::from_millis(250);
 
+/// Time without an attempt from which on a stream has waited for a replica to continue it, rather than for one that refused it.
+const MIN_WAIT: Duration = Duration::from_millis(50);
+
 /// Minimum remaining time in which a broken stream still counts as a failure of its replica.
 const MIN_JUDGED_TIME: Duration = Duration::from_millis(100);
