--- a/crates/fulmarline/tests/support/fence_site.rs
+++ b/crates/fulmarline/tests/support/fence_site.rs
@@ -37,6 +37,8 @@
     pub runs: RunCounts,
     /// Maximum number of tokens of the responses that are requested.
     pub answer_tokens: u32,
+    /// Number of tokens of the prompts.
+    pub prompt_tokens: u32,
 }
 
 /// A request that is under way.
@@ -67,6 +69,7 @@
             gate: HoldGate::default(),
             runs: RunCounts::default(),
             answer_tokens: 60,
+            prompt_tokens: 100,
         }
     }
 
@@ -135,8 +138,10 @@
         to: Duration,
         pause: Duration,
     ) -> JoinHandle<Vec<SentCall>> {
-        let tokens = self.answer_tokens;
-        let caller = self.caller().with_answer_tokens(tokens);
+        let caller = self
+            .caller()
+            .with_answer_tokens(self.answer_tokens)
+            .with_prompt_tokens(self.prompt_tokens);
         let route = route.to_owned();
         let declared_at = self.gate.time().unwrap();
         std::thread::spawn(move || {
--- a/crates/fulmarline/tests/support/site_caller.rs
+++ b/crates/fulmarline/tests/support/site_caller.rs
@@ -32,6 +32,8 @@
     patience: Duration,
     /// Maximum number of tokens of the responses.
     answer_tokens: u32,
+    /// Number of tokens of the prompts, unless a call sets its own.
+    prompt_tokens: u32,
 }
 
 impl SiteCaller {
@@ -48,6 +50,7 @@
             keeps_connections: false,
             patience: PATIENCE,
             answer_tokens: SHORT_ANSWER,
+            prompt_tokens: SHORT_PROMPT,
         }
     }
 
@@ -89,7 +92,14 @@
         self
     }
 
-    /// Sends a request with a short prompt and without a body to an entry.
+    /// Sends prompts of `prompt_tokens` tokens instead of [`SHORT_PROMPT`].
+    #[must_use]
+    pub fn with_prompt_tokens(mut self, prompt_tokens: u32) -> Self {
+        self.prompt_tokens = prompt_tokens;
+        self
+    }
+
+    /// Sends a request without a body to an entry.
     pub fn call(
         &self,
         entry: usize,
@@ -102,7 +112,14 @@
             ("Request-Id", id),
             ("Authorization", &format!("Token {key}")),
         ];
-        self.send(entry, method, path, &headers, SHORT_PROMPT, Vec::new())
+        self.send(
+            entry,
+            method,
+            path,
+            &headers,
+            self.prompt_tokens,
+            Vec::new(),
+        )
     }
 
     /// Sends a request with a body to an entry.
--- a/crates/standin/src/site/holding_replica.rs
+++ b/crates/standin/src/site/holding_replica.rs
@@ -62,7 +62,7 @@
     id: String,
     address: SocketAddr,
     version: Arc<AtomicU64>,
-    silence: Arc<Mutex<Range<Duration>>>,
+    silences: Arc<Mutex<Vec<Range<Duration>>>>,
 }
 
 /// What the connections of a replica share.
@@ -73,7 +73,7 @@
     runs: RunCounts,
     version: Arc<AtomicU64>,
     /// When the replica neither reads nor begins requests, as times after that of the gate.
-    silence: Arc<Mutex<Range<Duration>>>,
+    silences: Arc<Mutex<Vec<Range<Duration>>>>,
 }
 
 impl HoldGate {
@@ -133,14 +133,14 @@
         respond: impl Fn(&RawRequest) -> HeldAnswer + Send + Sync + 'static,
     ) -> std::io::Result<Self> {
         let version = Arc::new(AtomicU64::new(1));
-        let silence = Arc::new(Mutex::new(Duration::ZERO..Duration::ZERO));
+        let silences = Arc::new(Mutex::new(Vec::new()));
         let server = HoldingServer {
             id: id.to_owned(),
             habit,
             gate: gate.clone(),
             runs: runs.clone(),
             version: version.clone(),
-            silence: silence.clone(),
+            silences: silences.clone(),
         };
         let listener = TcpListener::bind(SocketAddr::from((ip, 0)))?;
         let address = listener.local_addr()?;
@@ -170,7 +170,7 @@
             id: id.to_owned(),
             address,
             version,
-            silence,
+            silences,
         })
     }
 
@@ -181,10 +181,20 @@
     ///
     /// Panics if another thread panicked while it held the lock.
     pub fn set_silence(&self, silence: Range<Duration>) {
+        self.set_silences(&[silence]);
+    }
+
+    /// Makes the replica silent several times, each as [`Self::set_silence`] does. It reads and begins what is due as soon as one
+    /// of them ends, also if the next one follows soon.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn set_silences(&self, silences: &[Range<Duration>]) {
         *self
-            .silence
+            .silences
             .lock()
-            .expect("no thread panics while it holds the lock of the silence") = silence;
+            .expect("no thread panics while it holds the lock of the silences") = silences.to_vec();
     }
 
     /// Returns the id under which the replica registers.
@@ -276,16 +286,17 @@
     }
 
     fn wait_for_end_of_silence(&self) {
-        let silence = self
-            .silence
+        let silences = self
+            .silences
             .lock()
-            .expect("no thread panics while it holds the lock of the silence")
+            .expect("no thread panics while it holds the lock of the silences")
             .clone();
         let Some(time) = self.gate.time() else {
             return;
         };
         let elapsed = time.elapsed();
-        if silence.contains(&elapsed) {
+        let silence = silences.iter().find(|it| it.contains(&elapsed));
+        if let Some(silence) = silence {
             std::thread::sleep(silence.end - elapsed);
         }
     }
