Each request at weights that are about to be replaced has a time limit

Cause: a request whose longest answer may outlast the switch got its whole time at its replica, so only its entry kept it from beginning late, by closing the connection. A replica that is silent or frozen for longer than the reserve, or that runs requests whose connections are closed, does not heed that, and an entry that is suspended or dead does not do it. Requests that bear a silence had 1.0 s beyond the switch, which two silences use up. The class: a promise of time that depends on a message being heard.

Change: every such request gets the time until the switch, at most, by the version table as of its write. The choice avoids replicas that will cut a response, and sends one that will be cut only if a replica with newer weights can continue it. The write may be as late as the limit allows. Expectations of choice_switch change with the rule: no extension, no unlimited long requests.

It works because the replica itself holds the limit from when it reads the request.

--- a/crates/emulator/src/room_simulation.rs
+++ b/crates/emulator/src/room_simulation.rs
@@ -223,6 +223,7 @@
             entries: self.scenario.entries,
             sample_rule: self.strategy.sample_rule,
             latest_start: None,
+            is_resumable: true,
             turns: &BTreeMap::new(),
         };
         let chosen =
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -90,7 +90,7 @@
 pub use route::{CallKind, Route, RouteTarget, ServiceConfig, WeightOrigin};
 pub use route_table::{IngressLimits, RouteTable};
 pub use row_patch::RowPatch;
-pub use sound_silence::{MAX_SOUND_SILENCE, SWITCH_RESERVE, TIMER_RESERVE};
+pub use sound_silence::{MAX_SOUND_SILENCE, SEND_RESERVE, SWITCH_RESERVE, TIMER_RESERVE};
 pub use staged_pieces::{LoadDenial, LoadPermit, MAX_VERIFICATION_AGE, StagedPieces};
 pub use store_clock::{ClockChange, StoreClock};
 pub use store_interval::StoreInterval;
--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -10,7 +10,7 @@
 use crate::replica_catalog::ReplicaCatalog;
 use crate::replica_health::HealthTable;
 use crate::route::Route;
-use crate::sound_silence::MAX_SOUND_SILENCE;
+use crate::sound_silence::{MAX_SOUND_SILENCE, SEND_RESERVE};
 use crate::version_table::VersionRequirement;
 
 /// How many replicas an entry compares.
@@ -57,6 +57,8 @@
     /// Time after which no replica starts the request any more, if its start cannot be observed: it cannot be withdrawn
     /// when the weights become too old, because it may have started. `None` if it can be.
     pub latest_start: Option<Duration>,
+    /// Whether another replica may continue the response if the one that serves it ends it.
+    pub is_resumable: bool,
     /// Ids of the replicas that have a limit for all entries together, and whether this entry may send a request to
     /// each of them now.
     pub turns: &'a BTreeMap<String, bool>,
@@ -74,13 +76,11 @@
     /// Version of the weights that the replica must have loaded, if a version is required.
     pub expect_version: Option<u64>,
     /// Time within which the replica must start the request, as known when it was chosen, because its weights are too old
-    /// afterwards. A prediction cannot guarantee that, so the request must be withdrawn if it has not started by then.
+    /// afterwards. The replica ends the request then, and it is withdrawn if it has not started. `None` also if the start cannot
+    /// be observed.
     pub must_start_within: Option<Duration>,
-    /// Whether the request will end by then, so that the replica need not get more time.
-    pub ends_before_switch: bool,
-    /// Whether the request will begin by then even if its replica is silent first. It need not end by then: it is not cut short
-    /// if its replica is slower than predicted.
-    pub bears_silence: bool,
+    /// Whether the longest response may last longer than the replica works on it. Another one has to continue it then.
+    pub may_outlast_switch: bool,
     /// Whether the request will end before a version can take effect that is not known yet, so that the replica need not get
     /// more time either. False if a known version replaces its weights.
     pub ends_before_unknown_switch: bool,
@@ -166,10 +166,13 @@
         candidates
     };
     let [first, second] = samples(request, &usable);
-    let best = best_of(request, &first, loads, health, now)
+    let predict = |it: &Replica| predicted_ms(request, it, loads, health, now);
+    let last_switch = request.last_switch(&usable, predict);
+    let best_of = |it: &[_]| best_of(request, it, last_switch, loads, health, now);
+    let best = best_of(&first)
         .filter(|it| it.0 <= request.max_first_event_ms)
-        .or_else(|| best_of(request, &second, loads, health, now))
-        .or_else(|| best_of(request, &usable, loads, health, now));
+        .or_else(|| best_of(&second))
+        .or_else(|| best_of(&usable));
     let Some((predicted_ms, replica)) = best else {
         return Err(NoReplica::NoneUsable);
     };
@@ -195,8 +198,7 @@
         must_start_within: request
             .time_to_switch(replica)
             .filter(|_| request.latest_start.is_none()),
-        ends_before_switch: request.ends_before_switch(replica, predicted_ms),
-        bears_silence: request.bears_silence(replica, predicted_ms),
+        may_outlast_switch: request.may_outlast_switch(replica, predicted_ms),
         ends_before_unknown_switch: version.is_some()
             && request.ends_before_unknown_switch(replica, predicted_ms),
         limited,
@@ -237,10 +239,12 @@
     mixed ^ (mixed >> 31)
 }
 
-/// Returns the best replica and its predicted time to the first event.
+/// Returns the best replica and its predicted time to the first event. `last_switch` is the last time at which the weights of
+/// a replica that can continue responses become too old, or `None` if some do not.
 fn best_of<'a>(
     request: &ChoiceRequest<'_>,
     replicas: &[&'a Replica],
+    last_switch: Option<Duration>,
     loads: &LoadTable,
     health: &HealthTable,
     now: Instant,
@@ -248,10 +252,15 @@
     replicas
         .iter()
         .map(|it| (predicted_ms(request, it, loads, health, now), *it))
-        .filter(|(predicted, replica)| starts_in_time(request, replica, *predicted))
+        .filter(|(predicted, replica)| starts_in_time(request, replica, *predicted, last_switch))
         .map(|(predicted, replica)| {
             let in_zone = replica.zone == request.zone;
             let zone_penalty = if in_zone { 0.0 } else { OTHER_ZONE_PENALTY_MS };
+            let cut_penalty = if request.is_likely_cut(replica, predicted) {
+                CUT_PENALTY_MS
+            } else {
+                0.0
+            };
             let turn_benefit = if request.has_turn(replica) {
                 TURN_BENEFIT_MS
             } else {
@@ -259,7 +268,7 @@
             };
             let failure_penalty = health.failure_share(&replica.id, now) * FAILURE_PENALTY_MS;
             (
-                predicted + zone_penalty + failure_penalty - turn_benefit,
+                predicted + zone_penalty + cut_penalty + failure_penalty - turn_benefit,
                 predicted,
                 replica,
             )
@@ -293,19 +302,23 @@
 /// Returns whether a request will start before the weights of `replica` become too old. If its start is observed, this is
 /// a prediction with a margin for a replica that is slower. The time until then leaves room for a silent one.
 ///
-/// Only a request that ends by then is kept from a late start by its replica as well, so one with a short answer has to.
-fn starts_in_time(request: &ChoiceRequest<'_>, replica: &Replica, predicted_ms: f64) -> bool {
+/// The replica ends the response then, so the request is not sent if it is likely to go on unless another replica, whose weights
+/// are replaced later, can continue it.
+fn starts_in_time(
+    request: &ChoiceRequest<'_>,
+    replica: &Replica,
+    predicted_ms: f64,
+    last_switch: Option<Duration>,
+) -> bool {
     let Some(remaining) = request.time_to_switch(replica) else {
         return true;
     };
-    match request.latest_start {
-        Some(latest_start) => latest_start <= remaining,
-        None => {
-            let may_outlast = request.answer_ms().is_none_or(|it| it > SHORT_ANSWER_MS);
-            predicted_ms * SLOWDOWN_MARGIN < remaining.as_secs_f64() * 1000.0
-                && (may_outlast || request.ends_before_switch(replica, predicted_ms))
-        }
+    if let Some(latest_start) = request.latest_start {
+        return latest_start <= remaining;
     }
+    let can_continue = request.is_resumable && last_switch.is_none_or(|it| it > remaining);
+    predicted_ms * SLOWDOWN_MARGIN < remaining.as_secs_f64() * 1000.0
+        && (can_continue || !request.is_likely_cut(replica, predicted_ms))
 }
 
 impl ChoiceRequest<'_> {
@@ -320,17 +333,49 @@
         self.version_requirement.as_ref()?.time_to_switch(loaded)
     }
 
-    /// Returns whether the request will end before the weights of `replica` become too old.
-    fn ends_before_switch(&self, replica: &Replica, predicted_ms: f64) -> bool {
-        self.ends_within(self.time_to_switch(replica), predicted_ms)
+    /// Returns the time for which a response may be worked on at `replica`, if its weights are about to become too old.
+    fn time_to_cut(&self, replica: &Replica) -> Option<Duration> {
+        let remaining = self.time_to_switch(replica)?;
+        Some(remaining.saturating_sub(SEND_RESERVE))
+    }
+
+    /// Returns the last time at which the weights of one of `replicas` that is not too busy to continue a response become too
+    /// old, or `None` if some do not. `predict` predicts the time to the first event in milliseconds.
+    fn last_switch(
+        &self,
+        replicas: &[&Replica],
+        predict: impl Fn(&Replica) -> f64,
+    ) -> Option<Duration> {
+        let mut last = Some(Duration::ZERO);
+        for replica in replicas {
+            match (last, self.time_to_switch(replica)) {
+                (Some(time), Some(switch)) if switch <= time => {}
+                (Some(_), switch) if predict(replica) < MAX_CONTINUATION_MS => last = switch,
+                _ => {}
+            }
+        }
+        last
+    }
+
+    /// Returns whether the longest response may not be complete before the weights of `replica` become too old.
+    fn may_outlast_switch(&self, replica: &Replica, predicted_ms: f64) -> bool {
+        self.time_to_cut(replica)
+            .is_some_and(|it| !self.ends_within(Some(it), predicted_ms))
     }
 
-    /// Returns whether the request will begin before the weights of `replica` become too old, also if `replica` is slow and
-    /// silent meanwhile. The time until then leaves room for another silence.
-    fn bears_silence(&self, replica: &Replica, predicted_ms: f64) -> bool {
-        let remaining = self.time_to_switch(replica).unwrap_or(Duration::MAX);
-        let remaining_ms = remaining.saturating_sub(MAX_SOUND_SILENCE).as_secs_f64() * 1000.0;
-        predicted_ms * SLOWDOWN_MARGIN < remaining_ms
+    /// Returns whether the response is likely to be cut, because it is not complete before the weights of `replica` become too
+    /// old. Fewer of those that cannot be continued may be cut.
+    fn is_likely_cut(&self, replica: &Replica, predicted_ms: f64) -> bool {
+        let length_factor = if self.is_resumable {
+            MEDIAN_ANSWER_FACTOR
+        } else {
+            LONG_ANSWER_FACTOR
+        };
+        let mean_ms = self.engine.map_or(0.0, EngineProfile::service_ms);
+        let likely_ms = mean_ms * length_factor;
+        let answer_ms = self.answer_ms().map_or(likely_ms, |it| it.min(likely_ms));
+        self.time_to_cut(replica)
+            .is_some_and(|it| predicted_ms + answer_ms >= it.as_secs_f64() * 1000.0)
     }
 
     /// Returns whether the request will end before a version can take effect that is not known yet, also if `replica` is slow or
@@ -397,8 +442,17 @@
 /// Factor by which a replica may be slower than predicted without a request starting too late.
 const SLOWDOWN_MARGIN: f64 = 3.0;
 
-/// Longest answer for which a request is not sent unless it ends before a switch; longer ones would be refused for too long.
-const SHORT_ANSWER_MS: f64 = 500.0;
+/// Length that half of the answers do not exceed, as a multiple of their mean, if short ones are more frequent.
+const MEDIAN_ANSWER_FACTOR: f64 = 0.7;
+
+/// Length that few answers exceed, as a multiple of their mean.
+const LONG_ANSWER_FACTOR: f64 = 2.0;
+
+/// Predicted time to the first event up to which a replica can continue a response before its client leaves it.
+const MAX_CONTINUATION_MS: f64 = 1000.0;
+
+/// Penalty of a replica that will end the response before it is complete: another one has to read the prompt again.
+const CUT_PENALTY_MS: f64 = 100.0;
 
 /// Penalty of a replica in another zone: the cost of traffic between regions, as equivalent delay of the first event.
 const OTHER_ZONE_PENALTY_MS: f64 = 60.0;
--- a/crates/fleet/src/sound_silence.rs
+++ b/crates/fleet/src/sound_silence.rs
@@ -17,3 +17,7 @@
 
 /// Usual lateness of the timers of a process. What they have been later recently is added.
 pub const TIMER_RESERVE: Duration = Duration::from_millis(100);
+
+/// Time from the choice of a replica until the request is written to a connection. A request that takes longer is not sent if
+/// its time limit has become too long.
+pub const SEND_RESERVE: Duration = Duration::from_millis(100);
--- a/crates/fleet/tests/choice_switch.rs
+++ b/crates/fleet/tests/choice_switch.rs
@@ -11,6 +11,7 @@
 fn check_pending(pending: &[(u64, u64)], expected: &Expect) {
     let case = Case {
         replicas: &[("r1", "a", Some(1), 0), ("r2", "b", Some(2), 14)],
+        answer: 20,
         pending,
         ..Case::default()
     };
@@ -31,82 +32,99 @@
     check(&[(2, 300)], &expect!["r2 in 119 ms, version Some(2)"]);
 }
 
-/// Guards against requests that begin on old weights while the entry that sent them is dead: nothing but that entry kept
-/// them from it. A replica that will end a request before the switch is given no more time than is left until then.
+/// Guards against requests that are sent to weights which are replaced right away: a silence of their replica would let them
+/// begin late, whether they end before the switch or not.
 #[test]
-fn requests_that_end_before_the_switch_get_no_time_beyond_it() {
-    let check = check_pending;
-    check(
-        &[(2, 3000)],
-        &expect![
-            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 3000 ms, ends before"
-        ],
-    );
-    // The answer takes 1.6 s. Replicas would break off the stream.
-    check(
-        &[(2, 1500)],
-        &expect![
-            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 1500 ms"
-        ],
-    );
-    // A silence would let it begin late, whether it ends before the switch or not.
+fn requests_that_cannot_bear_a_silence_are_not_sent_to_old_weights() {
     let reserve_ms = u64::try_from(SWITCH_RESERVE.as_millis()).unwrap();
     for bound_ms in [1100, 1600, 1900] {
         let switch_ms = u64::saturating_sub(bound_ms, reserve_ms);
         let expected = expect!["r2 in 119 ms, version Some(2)"];
-        check(&[(2, switch_ms)], &expected);
+        check_pending(&[(2, switch_ms)], &expected);
     }
     assert!(SWITCH_RESERVE > MAX_SOUND_SILENCE);
-    // An answer of unknown length may last longer than any other.
-    assert_eq!(engine().answer_ms(RequestSize::default()), None);
 }
 
-/// Guards against requests that begin on old weights because their replica counts their time only from the end of a silence.
+/// Guards against responses that are cut at a switch although the replicas with new weights could serve them whole.
 #[test]
-fn requests_that_cannot_bear_a_silence_get_no_time_for_it() {
-    let check = |pending, expected: Expect| {
+fn responses_that_may_be_cut_are_left_to_new_weights_unless_these_are_busy() {
+    let check = |running, expected: Expect| {
         let case = Case {
-            replicas: &[("r1", "a", Some(1), 0)],
-            answer: 8,
-            pending,
+            replicas: &[("r1", "a", Some(1), 0), ("r2", "b", Some(2), running)],
+            pending: &[(2, 1000)],
             ..Case::default()
         };
         check(&case, &expected);
     };
+    check(2, expect!["r2 in 114 ms, version Some(2)"]);
+    // One that is too busy to continue them in time leaves nothing to continue them.
+    check(60, expect!["overloaded, 4879 ms"]);
     check(
-        &[(2, 1900)],
+        18,
         expect![
-            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 1900 ms, ends before"
-        ],
-    );
-    check(
-        &[(2, 1800)],
-        expect![
-            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 1800 ms, ends before unless silent"
+            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 1000 ms, may be cut"
         ],
     );
 }
 
-/// Guards against requests that begin on old weights while the entry that sent them is starved: right before the switch, those
-/// with short answers had no time limit at their replica.
+/// Guards against streams that are cut at a switch and that no replica can continue, because all have the old weights.
 #[test]
-fn requests_with_short_answers_end_before_the_switch_or_are_not_sent() {
-    let check = |pending, expected: Expect| {
+fn old_weights_alone_get_only_responses_that_are_likely_to_end_before_the_switch() {
+    let check = |is_resumable, answer, pending, expected: Expect| {
         let case = Case {
             replicas: &[("r1", "a", Some(1), 0)],
-            answer: 20,
+            is_resumable,
+            answer,
             pending,
             ..Case::default()
         };
         check(&case, &expected);
     };
+    // The longest answer of 100 tokens takes 1.6 s, one of unknown length is taken for a usual one.
     check(
-        &[(2, 500)],
+        true,
+        100,
+        &[(2, 3000)],
         expect![
-            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 500 ms, ends before unless silent"
+            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 3000 ms"
         ],
     );
-    check(&[(2, 400)], expect!["none usable"]);
+    check(
+        true,
+        100,
+        &[(2, 1500)],
+        expect![
+            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 1500 ms, may be cut"
+        ],
+    );
+    check(true, 100, &[(2, 900)], expect!["none usable"]);
+    check(
+        true,
+        0,
+        &[(2, 1500)],
+        expect![
+            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 1500 ms, may be cut"
+        ],
+    );
+    check(
+        true,
+        20,
+        &[(2, 600)],
+        expect![
+            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 600 ms"
+        ],
+    );
+    check(true, 20, &[(2, 500)], expect!["none usable"]);
+    check(
+        false,
+        1000,
+        &[(2, 3600)],
+        expect![
+            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 3600 ms, may be cut"
+        ],
+    );
+    check(false, 1000, &[(2, 2800)], expect!["none usable"]);
+    assert_eq!(engine().answer_ms(RequestSize::default()), None);
 }
 
 /// Guards against requests that begin on old weights because a version was declared after they had been sent, while the entry
@@ -131,8 +149,7 @@
     check(None, expect!["r1 in 113 ms, version Some(1)"]);
 }
 
-/// Guards against streams that are cut at the switch of a known version which they do not end before, because they would end
-/// before one that is not known: they may run on if they have begun.
+/// Guards against time limits for a version that is not known and may never come, where a known one takes effect earlier.
 #[test]
 fn requests_that_will_run_across_a_known_switch_are_not_bounded_by_an_unknown_one() {
     let check = |pending, expected: Expect| {
@@ -148,13 +165,13 @@
     check(
         &[(2, 1500)],
         expect![
-            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 1500 ms"
+            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 1500 ms, may be cut"
         ],
     );
     check(
         &[(2, 4000)],
         expect![
-            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 4000 ms, ends before"
+            "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 4000 ms"
         ],
     );
 }
@@ -175,7 +192,7 @@
     check(
         2,
         expect![
-            "r1 in 113 ms, version Some(2), another one asked after 1040 ms, withdrawn after 4000 ms, ends before"
+            "r1 in 113 ms, version Some(2), another one asked after 1040 ms, withdrawn after 4000 ms"
         ],
     );
     check(
@@ -192,6 +209,7 @@
     check(
         &Case {
             replicas,
+            answer: 20,
             pending: &[(2, 100), (3, 900)],
             ..Case::default()
         },
@@ -209,6 +227,7 @@
     check(
         &Case {
             replicas,
+            answer: 20,
             pending: &[(2, 4000), (3, 900)],
             ..Case::default()
         },
--- a/crates/fleet/tests/support/choice_case.rs
+++ b/crates/fleet/tests/support/choice_case.rs
@@ -71,6 +71,8 @@
     pub unknown_switch: Option<u64>,
     /// Time after which the request does not start any more, in milliseconds, if its start cannot be observed.
     pub latest_start: Option<u64>,
+    /// Whether another replica can continue the response.
+    pub is_resumable: bool,
     /// Replicas with a limit, and whether the entry has a turn.
     pub turns: &'a [(&'a str, bool)],
     /// Home regions of the route and of the tenant; zone `a` is in region `x`, `b` and `c` in `y`.
@@ -99,6 +101,7 @@
             pending: &[],
             unknown_switch: None,
             latest_start: None,
+            is_resumable: true,
             turns: &[],
             homes: [&[], &[]],
             evacuated: &[],
@@ -205,15 +208,16 @@
             .map(|it| (it.0.to_owned(), it.1))
             .collect(),
         latest_start: case.latest_start.map(Duration::from_millis),
+        is_resumable: case.is_resumable,
     };
     let text = match choose_replica(&request, &catalog, &loads, &health, now) {
         Ok(it) => {
             let withdrawn = it.must_start_within.map_or_else(String::new, |withdrawal| {
                 let silence = it.silence_timeout(&resumable_route()).unwrap();
-                let end = match (it.ends_before_switch, it.bears_silence) {
-                    (true, true) => ", ends before",
-                    (true, false) => ", ends before unless silent",
-                    (false, _) => "",
+                let end = if it.may_outlast_switch {
+                    ", may be cut"
+                } else {
+                    ""
                 };
                 format!(
                     ", another one asked after {} ms, withdrawn after {} ms{end}",
--- a/crates/fulmarline/tests/platform_fence.rs
+++ b/crates/fulmarline/tests/platform_fence.rs
@@ -423,15 +423,15 @@
     check_fence("fence-starved", 116, starve);
 }
 
-/// Guards against a starved entry that withdraws requests late which would not end before the switch, and so have no
-/// deadline there at their replica.
+/// Guards against requests that would not end before the switch and have no time limit there at their replica, while a starved
+/// entry withdraws them late.
 #[test]
 fn long_requests_of_a_starved_entry_do_not_begin_after_the_switch() {
     check_requests("fence-long", 244, LONG_ANSWER, WaitHabit::Drops, starve);
 }
 
-/// Guards against a suspended entry that withdraws no requests which would not end before the switch, and so have no
-/// deadline there at their replica.
+/// Guards against requests that would not end before the switch and have no time limit there at their replica, while a
+/// suspended entry withdraws none.
 #[test]
 fn long_requests_of_a_suspended_entry_do_not_begin_after_the_switch() {
     check_requests(
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -253,7 +253,7 @@
             },
             sends_before_switch: counters(
                 "fulmarline_sends_before_switch_total",
-                "Sends to weights that are about to be replaced, by what keeps them from beginning later: a time limit of the replica, or only their withdrawal.",
+                "Sends to weights that are about to be replaced: the response will be whole by then, or may be cut.",
                 &["guard"],
             )?,
             sends_by_limit: {
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -275,10 +275,10 @@
     let Some(time_to_switch) = chosen.must_start_within else {
         return;
     };
-    let guard = if chosen.ends_before_switch {
-        "time_limit"
+    let guard = if chosen.may_outlast_switch {
+        "cut"
     } else {
-        "withdrawal"
+        "whole"
     };
     let sends = &shared.metrics.sends_before_switch;
     sends.with_label_values(&[guard]).inc();
@@ -343,6 +343,7 @@
         // The bounded rule is emulated, but was not measured on a deployment; see `docs/design/long-prompts.md`.
         sample_rule: SampleRule::All,
         latest_start: (call.route.kind != CallKind::Stream).then(|| call.time_remaining()),
+        is_resumable: call.route.is_retryable() && call.sends() + 1 < call.route.max_attempts,
         turns: &turns,
     };
     fleet::choose_replica(&request, &state.catalog, &state.loads, &state.health, now)
--- a/crates/ingress/src/send_permit.rs
+++ b/crates/ingress/src/send_permit.rs
@@ -94,20 +94,20 @@
             .then(|| boot_clock::now() + self.max_write_delay())
     }
 
-    /// Returns how long the write may be delayed. The replica counts its time from when it reads the request, so weights that are
-    /// about to be replaced leave little, and a turn at a cold replica holds for a short time.
+    /// Returns how long the write may be delayed: until the time limit, which the replica counts from when it reads the request, would
+    /// end after the switch of its weights. A turn at a cold replica holds for a short time.
     fn max_write_delay(&self) -> Duration {
-        match self.chosen.must_start_within {
-            None if !self.is_cold() => MAX_WRITE_DELAY,
-            _ => TIMER_RESERVE,
-        }
+        let remaining = switch_guard::time_to_known_switch(self.shared, self.chosen);
+        let spare = remaining.map(|it| it.saturating_sub(self.time_limit));
+        let turn_time = self.is_cold().then_some(TIMER_RESERVE);
+        let delays = spare.into_iter().chain(turn_time);
+        delays.fold(MAX_WRITE_DELAY, Duration::min)
     }
 
     /// Returns whether the weights of the replica have become too old, or the replica would be allowed to begin the request after
     /// they do: opening the connection took long, or the switch was found to be earlier.
     fn is_outdated(&self) -> bool {
-        let weights = self.chosen.weights.as_ref();
-        let remaining = weights.and_then(|it| switch_guard::time_to_switch(self.shared, it));
+        let remaining = switch_guard::time_to_known_switch(self.shared, self.chosen);
         remaining.is_some_and(|it| it.is_zero())
             || switch_guard::is_exceeded(self.shared, self.chosen, self.time_limit)
     }
--- a/crates/ingress/src/switch_guard.rs
+++ b/crates/ingress/src/switch_guard.rs
@@ -1,15 +1,16 @@
 //! Keeps a request from beginning after the weights of its replica have become too old.
 //!
-//! Two guards do not depend on each other. A replica that will end a request before the switch is given no more time than is
-//! left until then, so it refuses to begin later even if this entry is dead or late; it counts that time from when it reads the
-//! request. The same holds for the earliest possible switch of a version that is not known yet, if no known one replaces the
-//! weights. And the entry withdraws each request at the switch, also if that is found to be earlier than it was when the request
-//! was sent. See `docs/decisions/0050-requests-across-a-switch.md`.
+//! The replica is the fence: it is given no more time than is left until the switch, counted from when it reads the request, whether
+//! or not it hears of a withdrawal and whether or not this entry is alive. A stream that is not complete by then is continued elsewhere.
+//! The same holds for the earliest possible switch of a version that is not known yet, if the request will end by then.
+//!
+//! The entry also withdraws each request that has not begun by the switch, which may be found to be earlier than it was when the
+//! request was sent. See `docs/decisions/0051-a-time-limit-at-old-weights.md`.
 
 use std::future;
 use std::time::{Duration, Instant};
 
-use fleet::{ChosenReplica, LoadedModel, LogKind, MAX_SOUND_SILENCE, VersionRequirement};
+use fleet::{ChosenReplica, LoadedModel, LogKind, SEND_RESERVE, VersionRequirement};
 use relay::boot_clock;
 use slog::info;
 
@@ -39,14 +40,18 @@
         .time_to_unknown_switch(complete_ms, latest_ms)
 }
 
-/// Returns the time that a request may take at `chosen`, at most `limit`. A request that will not end before the switch gets
-/// its whole time, because the replica would break it off.
+/// Returns the time that a request may take at `chosen`, at most `limit`.
+///
+/// The replica ends a response that is not complete by the switch. It counts the time from when it reads the request, so a request
+/// that is read within a silence of being written does not begin after the bound, whatever happens to the replica, the
+/// connection or this entry later.
 pub(crate) fn time_limit(
     shared: &EntryShared,
     chosen: &ChosenReplica,
     limit: Duration,
 ) -> Duration {
-    let known = time_to_known_end(shared, chosen);
+    let known = time_to_known_switch(shared, chosen);
+    let known = known.map(|it| it.saturating_sub(SEND_RESERVE));
     let unknown = time_to_unknown_end(shared, chosen);
     let unknown = unknown.map(|it| it.saturating_sub(OPENING_TIME));
     known.into_iter().chain(unknown).fold(limit, Duration::min)
@@ -59,26 +64,17 @@
     chosen: &ChosenReplica,
     time_limit: Duration,
 ) -> bool {
-    let known = time_to_known_end(shared, chosen);
+    let known = time_to_known_switch(shared, chosen);
     let unknown = time_to_unknown_end(shared, chosen);
-    known.is_some_and(|it| it + MAX_DELAY < time_limit) || unknown.is_some_and(|it| it < time_limit)
+    known.into_iter().chain(unknown).any(|it| it < time_limit)
 }
 
-/// Returns the time until the switch by which a request at `chosen` will end, if it is known. It may have become known after the
-/// choice.
-///
-/// A replica counts it from when it reads the request. If the request is sure to begin early even so, the replica may work on it
-/// for as long as a silence is reserved.
-fn time_to_known_end(shared: &EntryShared, chosen: &ChosenReplica) -> Option<Duration> {
-    let weights = chosen.weights.as_ref();
-    let is_bounded = chosen.ends_before_switch || chosen.ends_before_unknown_switch;
-    let weights = weights.filter(|_| is_bounded)?;
-    let extension = if chosen.bears_silence {
-        MAX_SOUND_SILENCE.saturating_sub(MAX_DELIVERY_TIME)
-    } else {
-        Duration::ZERO
-    };
-    time_to_switch(shared, weights).map(|it| it + extension)
+/// Returns the time until the weights of `chosen` become too old, if it is known. It may have become known after the choice.
+pub(crate) fn time_to_known_switch(
+    shared: &EntryShared,
+    chosen: &ChosenReplica,
+) -> Option<Duration> {
+    time_to_switch(shared, chosen.weights.as_ref()?)
 }
 
 /// Returns the time until a version can take effect that is not known, if a request at `chosen` will end by then.
@@ -157,18 +153,12 @@
     }
 }
 
-/// Time for a request to reach a replica that is not silent, also if a host is busy.
-const MAX_DELIVERY_TIME: Duration = Duration::from_millis(500);
-
 /// Longest time between two looks at the clock that advances while the host is suspended.
 const MAX_PAUSE: Duration = Duration::from_millis(250);
 
-/// Time that opening a connection may take of the time that is left until a switch.
-const MAX_DELAY: Duration = Duration::from_millis(100);
-
 /// Time that is left for opening a connection before a switch of an unknown version. The switch of a known version needs none:
 /// a request whose connection opens late is sent elsewhere then.
-pub(crate) const OPENING_TIME: Duration = REPLICA_CONNECT_TIMEOUT.saturating_add(MAX_DELAY);
+pub(crate) const OPENING_TIME: Duration = REPLICA_CONNECT_TIMEOUT.saturating_add(SEND_RESERVE);
 
 /// Time before the end of its time limit from which on a replica may end a request because of it.
 const SWITCH_TOLERANCE: Duration = Duration::from_millis(100);
