Streams that are cut at a switch wait for a replica that can continue them

Callers would see a stream broken off at a switch, although weights are loaded right then. Cause: a stream that its replica ended at its time limit ended if no replica could continue it at that moment. And a response without a length or chunks that ends between two events at its time limit looked complete (by reading; no test).

Change: such a stream tries again every 50 ms until its client would leave, unless the denial is final. The end of an unframed response at its time limit is an interruption.

--- a/crates/ingress/src/stream_attempts.rs
+++ b/crates/ingress/src/stream_attempts.rs
@@ -55,6 +55,10 @@
     has_arrived: bool,
     /// Whether an attempt broke off at its start, so that the request may have crashed the replica.
     broke_at_start: bool,
+    /// Time until which a stream that its replica has ended at a switch of weights waits for another one to continue it.
+    waits_until: Option<Instant>,
+    /// Whether the stream has looked for one in vain.
+    is_waiting: bool,
 }
 
 /// Result of reading from the attempts.
@@ -95,6 +99,8 @@
             may_have_run: false,
             has_arrived: false,
             broke_at_start: false,
+            waits_until: None,
+            is_waiting: false,
         }
     }
 
@@ -132,6 +138,11 @@
                 && self.starting.is_empty()
                 && let Err(denial) = self.ask_replica()
             {
+                if self.may_wait(denial) {
+                    self.is_waiting = true;
+                    tokio::time::sleep(WEIGHTS_POLL_INTERVAL).await;
+                    continue;
+                }
                 if !self.tried.is_empty() {
                     log_denial(&self.shared, &self.call, denial, &self.tried);
                 }
@@ -202,6 +213,7 @@
                 self.may_have_run = true;
                 self.has_arrived = true;
                 self.broke_at_start |= segment.may_be_crash(interruption);
+                self.wait_after_switch(&segment);
                 segment.chosen.replica.id
             }
             AttemptStart::Responded(mut segment, read) => {
@@ -268,6 +280,7 @@
                 self.has_events = true;
                 self.last_event_id = segment.last_event_id();
                 self.ask_at = None;
+                self.waits_until = None;
                 segment.record_survival(&self.shared, &self.call);
                 self.serving = Some(segment);
                 Some(StreamRead::Events(bytes))
@@ -285,11 +298,26 @@
                 self.may_have_run = true;
                 self.has_arrived = true;
                 self.broke_at_start |= segment.may_be_crash(interruption) && segment.is_starting();
+                self.wait_after_switch(&segment);
                 None
             }
         }
     }
 
+    /// Lets a stream that has begun wait for another replica until its client would leave, if `segment` was ended at a switch.
+    fn wait_after_switch(&mut self, segment: &StreamSegment) {
+        if self.has_events && segment.is_at_switch() && self.waits_until.is_none() {
+            let patience = self.call.route.client_patience();
+            self.waits_until = after(Some(patience.saturating_sub(RESPONSE_RESERVE)));
+        }
+    }
+
+    /// Returns whether a replica may soon continue a stream that none can continue now: weights are loaded around a switch.
+    fn may_wait(&self, denial: RetryDenial) -> bool {
+        let now = Instant::now();
+        !denial.is_final() && self.waits_until.is_some_and(|it| now < it) && now < self.deadline()
+    }
+
     /// Returns whether the error response of an attempt is replaced by another attempt, which is made if necessary.
     fn is_replaceable(&mut self, segment: &StreamSegment) -> bool {
         if !segment.status().is_server_error() || !self.call.route.is_retryable() {
@@ -334,7 +362,9 @@
         }
         let chosen = choose_replica(&self.shared, &self.call, &self.tried, self.last_event_id);
         let chosen = chosen.map_err(|cause| {
-            log_no_replica(&self.shared, &self.call, cause, &self.tried);
+            if !self.is_waiting {
+                log_no_replica(&self.shared, &self.call, cause, &self.tried);
+            }
             RetryDenial::from(cause)
         })?;
         if !self.tried.is_empty() {
@@ -344,6 +374,7 @@
         self.tried.push(chosen.replica.id.clone());
         self.newest = Some(chosen.clone());
         self.is_silent = false;
+        self.is_waiting = false;
         self.ask_at = after(chosen.silence_timeout(&self.call.route));
         self.starting.push(Box::pin(start_attempt(
             self.shared.clone(),
@@ -441,5 +472,8 @@
     delay.map(|it| Instant::now() + it)
 }
 
+/// Interval at which a stream that its replica has ended at a switch of weights looks for another one.
+const WEIGHTS_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time in which a final response reaches a client before it leaves; several round trips.
 const RESPONSE_RESERVE: Duration = Duration::from_millis(150);
--- a/crates/ingress/src/stream_segment.rs
+++ b/crates/ingress/src/stream_segment.rs
@@ -167,6 +167,10 @@
     }
 
     fn finish(&mut self) -> SegmentRead {
+        if self.framing == BodyFraming::Connection && self.is_at_switch() {
+            // The replica closes the connection at its time limit as it does at the end of the response.
+            return SegmentRead::Interrupted(Interruption::ConnectionLost);
+        }
         match self.cursor.finish(self.framing != BodyFraming::Connection) {
             Ok(rest) => SegmentRead::Complete(Bytes::from(rest)),
             Err(err) => SegmentRead::Interrupted(Interruption::Stream(err)),
@@ -179,7 +183,7 @@
     }
 
     /// Returns whether the replica was allowed to work on the request until about now.
-    fn is_at_switch(&self) -> bool {
+    pub(crate) fn is_at_switch(&self) -> bool {
         switch_guard::is_at_switch(self.ends_at)
     }
 
