Agents load before the last responses at old weights are cut

Cause: loads were spread until entries stop using the served weights, so that the responses in progress were cut at replicas that loaded last, and old replicas stood idle before.

Change: the window ends 1.5 s earlier, or at half of what is left.

No change where weights are whole late.

--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -189,7 +189,8 @@
     // Without a clock, the deadline may have passed.
     let window = deadline.map(|it| {
         let now = now.unwrap_or(it);
-        it.saturating_sub(now)
+        let window = it.saturating_sub(now);
+        window - LOAD_LEAD.min(window / 2)
     });
     // If a newer version is waiting, the replica can be updated to it only afterwards.
     let has_successor = shared.state().deadlines.deadline(target.version).is_some();
@@ -343,6 +344,10 @@
 /// long, so that agents that fail at the same time do not retry at the same time.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Time before entries stop using the served weights by which loads begin, so that new weights are usable when the last responses
+/// at old ones are cut.
+const LOAD_LEAD: Duration = Duration::from_millis(1500);
+
 /// Maximum time over which loads are spread if a newer version is waiting; a few load times, so that not all replicas
 /// load at the same time.
 const MAX_SHORT_WINDOW: Duration = Duration::from_millis(2000);
