A reset does not take back what the peer has received

The comments said that the peer discards what it has not read. On loopback, a server read 200 of 200 bytes after a reset of the connection, and learned of the reset only then. No logic is changed.

--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -117,8 +117,8 @@
         self
     }
 
-    /// Closes connections with a TCP reset, so that the part of a cancelled request that the peer has not read
-    /// is discarded.
+    /// Closes connections with a TCP reset, so that the peer learns at its next read or write that a request was cancelled. It may still
+    /// read what it had received before.
     #[must_use]
     pub fn with_reset_on_close(mut self) -> Self {
         self.reset_on_close = true;
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -150,8 +150,8 @@
         let store = StoreClient::new(store_client, settings.store.address, STORE_TIMEOUT);
         let replica_client = HttpClient::new(None, REPLICA_CONNECT_TIMEOUT)
             .with_tcp_user_timeout(UNACKNOWLEDGED_TIMEOUT);
-        // Connections end with a reset. Otherwise a replica on a frozen host would, once resumed, run requests whose
-        // clients have left.
+        // With a reset, a replica learns at its next read or write that a request was cancelled. One on a frozen host learns it
+        // once it is resumed.
         let replica_client = replica_client.with_reset_on_close();
         let max_config_age = settings
             .bounds
