Gate: no attempt as old as a dropped record is admitted

An order whose revocation was confirmed could run, beside the repeat that took its claim over.

Cause: the gate drops the records of attempts that are older than 300 s by its host's time of day, because it refuses such attempts on arrival. When the time of day is set back afterwards, the attempt is recent again and its record is gone.

Evidence: a_forgotten_attempt_is_not_admitted_after_the_clock_is_set_back (routing, gate) failed before the change: a revoked attempt created at 1,000 s, dropped at 1,301 s, was admitted at 1,250 s.

Change: the gate keeps the newest attempt whose record it dropped. Attempts that are as old are refused and cannot be revoked.

Result: the new test passes, and so do the other tests of routing/tests/gate.rs and orders.rs. Not played with processes.

--- a/crates/routing/src/admission_gate.rs
+++ b/crates/routing/src/admission_gate.rs
@@ -56,8 +56,8 @@
 /// Decides on each attempt once and stores the decision for as long as the attempt may still arrive.
 ///
 /// Attempt ids contain their creation time. Attempts created outside of a window around `now` are refused, so their
-/// records can be dropped safely. When the attempt table is full, new work is refused instead of evicting records
-/// early.
+/// records can be dropped safely. No attempt as old as a dropped record is admitted later, even if the time of day is
+/// set back. When the attempt table is full, new work is refused instead of evicting records early.
 #[derive(Clone, Debug)]
 pub struct AdmissionGate {
     incarnation: Incarnation,
@@ -65,6 +65,8 @@
     serving: Option<VersionDigest>,
     limit: u32,
     attempts: BTreeMap<AttemptId, AttemptState>,
+    /// The newest attempt whose record was dropped.
+    newest_dropped: Option<AttemptId>,
     in_flight: u32,
     refused: u64,
 }
@@ -78,6 +80,7 @@
             serving: None,
             limit,
             attempts: BTreeMap::new(),
+            newest_dropped: None,
             in_flight: 0,
             refused: 0,
         }
@@ -137,7 +140,7 @@
             Some(AttemptState::Finished) => RevokeReply::Finished,
             Some(AttemptState::Revoked) => RevokeReply::Revoked,
             // Expired attempts are refused on arrival, but this one may have run before its record was dropped.
-            None if is_expired(now, attempt) => RevokeReply::Unproven,
+            None if self.may_be_dropped(now, attempt) => RevokeReply::Unproven,
             None if self.attempts.len() >= MAX_ATTEMPTS => RevokeReply::Unproven,
             None => {
                 self.attempts.insert(attempt, AttemptState::Revoked);
@@ -236,7 +239,9 @@
                 "the deadline has passed",
             ));
         }
-        if is_expired(now, request.attempt) || request.attempt.created() > now + MAX_CLOCK_SKEW {
+        if self.may_be_dropped(now, request.attempt)
+            || request.attempt.created() > now + MAX_CLOCK_SKEW
+        {
             return Err(refusal(
                 ResultCode::DeadlineNotRun,
                 "the attempt's creation time is too far from this host's clock",
@@ -264,9 +269,15 @@
             if !is_expired(now, *entry.key()) || *entry.get() == AttemptState::Running {
                 return;
             }
-            entry.remove();
+            let (attempt, _) = entry.remove_entry();
+            self.newest_dropped = self.newest_dropped.max(Some(attempt));
         }
     }
+
+    /// Returns whether the record of `attempt` may have been dropped, now or before the time of day was set back.
+    fn may_be_dropped(&self, now: Duration, attempt: AttemptId) -> bool {
+        is_expired(now, attempt) || Some(attempt) <= self.newest_dropped
+    }
 }
 
 fn is_expired(now: Duration, attempt: AttemptId) -> bool {
--- a/crates/routing/tests/gate.rs
+++ b/crates/routing/tests/gate.rs
@@ -200,3 +200,39 @@
     );
     assert_eq!(gate.tracked_attempts(), 1);
 }
+
+/// Guards against an order that runs although its revocation was confirmed: the gate forgets the attempt, and then the time of
+/// day of its host is set back.
+#[test]
+fn a_forgotten_attempt_is_not_admitted_after_the_clock_is_set_back() {
+    let mut gate = open_gate(1);
+    let (revoked, finished) = (attempt(1_000_000, 1), attempt(1_000_000, 2));
+    let now = Duration::from_secs(1_000);
+    assert_eq!(
+        gate.revoke(now, revoked, Incarnation(1)),
+        RevokeReply::Revoked
+    );
+    assert!(gate.admit(now, &request(finished, CallKind::Order)).is_ok());
+    gate.finish(finished, CallKind::Order);
+
+    let forgotten_at = Duration::from_secs(1_301);
+    let other = attempt(1_301_000, 3);
+    assert!(
+        gate.admit(forgotten_at, &request(other, CallKind::Order))
+            .is_ok()
+    );
+    gate.finish(other, CallKind::Order);
+    assert_eq!(gate.tracked_attempts(), 1);
+
+    let set_back = Duration::from_secs(1_250);
+    for id in [revoked, finished] {
+        let refusal = gate.admit(set_back, &request(id, CallKind::Order)).err();
+        assert_eq!(refusal.map(|it| it.code), Some(ResultCode::DeadlineNotRun));
+        assert_eq!(
+            gate.revoke(set_back, id, Incarnation(1)),
+            RevokeReply::Unproven
+        );
+    }
+    let new = attempt(1_250_000, 4);
+    assert!(gate.admit(set_back, &request(new, CallKind::Order)).is_ok());
+}
