Gate: the deadline of a request counts from its head

Callers: none has reported it. An order, or any other call on the own interface, could begin after its caller's deadline, although 203 deadline-not-run says that it is refused then.

Cause: the gate compared the time that is left with zero when the whole body had arrived, without what had passed since the head that names it. A slow link, or a gate that is suspended in between, adds all of its time.

Evidence: an_order_whose_body_arrives_after_the_deadline_does_not_run (late_bodies), a deadline of 0.5 s and a body 1.5 s after the head: before the change the order ran and was answered with 200.

Change: the gate takes the time since the head off before it admits the request. What passed before the gate read the head is still not known to it.

--- a/crates/agent/src/gate/gate_server.rs
+++ b/crates/agent/src/gate/gate_server.rs
@@ -78,6 +78,7 @@
 
 impl Forwarder {
     async fn forward(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<HttpBody> {
+        let received_at = Instant::now();
         let (mut parts, body) = request.into_parts();
         if !self.strip_and_verify_token(&mut parts.headers) {
             warn!(self.log, "request without the gate's token"; "peer" => %peer);
@@ -114,7 +115,7 @@
                 );
             }
         };
-        let request = admission_request(&parts.headers, attempt);
+        let request = admission_request(&parts.headers, attempt, received_at);
         let params = completion_params(request.kind, &body);
         let tokens = params.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
         let version = match self.gate.admit(&request, tokens) {
@@ -212,8 +213,14 @@
     rate.map_or(NamedLimit::Unreadable, NamedLimit::Limit)
 }
 
-fn admission_request(headers: &HeaderMap, attempt: AttemptId) -> AdmissionRequest {
-    let time_remaining = header(headers, model::DEADLINE_HEADER)
+/// Returns the request for admission of an attempt whose head was received at `received_at`. Its body may have taken long, or this
+/// process may have been suspended since.
+fn admission_request(
+    headers: &HeaderMap,
+    attempt: AttemptId,
+    received_at: Instant,
+) -> AdmissionRequest {
+    let time_limit = header(headers, model::DEADLINE_HEADER)
         .map_or(DEFAULT_TIME_REMAINING, Duration::from_millis);
     AdmissionRequest {
         attempt,
@@ -221,7 +228,7 @@
         kind: header(headers, model::CALL_KIND_HEADER).unwrap_or(CallKind::Order),
         incarnation: header(headers, model::INCARNATION_HEADER).map(Incarnation),
         version: header(headers, model::REQUIRE_VERSION_HEADER),
-        time_remaining,
+        time_remaining: time_limit.saturating_sub(received_at.elapsed()),
     }
 }
 
