Agent: an unanswered order stays unsettled while its replica is silent

Callers: none has reported it. A replica could load pieces of two versions, which WHOLE forbids at any time.

Cause: an order to load that got no answer counts as lost 10 s after it was sent, and pieces of the next version may be staged then. The time went on while the replica was silent, so the first report after a long silence settled the order, although the replica might read it only after that report.

Evidence: an_order_from_before_a_long_silence_loads_no_mixed_weights (platform_silence), a silence of 13 s and an order that is read 4 s after the first report: one load of pieces of two versions before the change.

Change: each report that fails begins the 10 s anew. A replica that has started again has forgotten its orders, as before.

--- a/crates/fulmarline/tests/platform_silence.rs
+++ b/crates/fulmarline/tests/platform_silence.rs
@@ -323,6 +323,27 @@
     wait_for_version(&site, 3);
 }
 
+/// Guards against weights that mix two versions: a replica answers its agent again after a long silence, before it reads the order that
+/// it was sent.
+#[test]
+fn an_order_from_before_a_long_silence_loads_no_mixed_weights() {
+    let (_slot, site) = start_site("silence-long-order", 3, &[1]);
+    let replica = &site.models[0];
+    replica.set_silent(&[ReplicaCalls::Orders], true);
+    site.declare(2);
+    site.wait("an order", |_| {
+        (replica.received(ReplicaCalls::Orders) > 0).then_some(())
+    });
+    replica.set_silent(&[ReplicaCalls::Reports], true);
+    site.declare(3);
+    std::thread::sleep(Duration::from_secs(13));
+    replica.set_silent(&[ReplicaCalls::Reports], false);
+    // The agent could stage all pieces of the newer version.
+    std::thread::sleep(Duration::from_secs(4));
+    replica.set_silent(&[ReplicaCalls::Orders], false);
+    wait_for_version(&site, 3);
+}
+
 /// Guards against pieces that the origin sends again because a replica does not answer when they are staged.
 #[test]
 fn a_silence_while_pieces_are_staged_repeats_no_transfer() {
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -38,8 +38,8 @@
     pub(crate) target: WeightTarget,
     /// Number of orders that the replica had started. The order is settled once there are more.
     pub(crate) orders_started: u64,
-    /// When the order was last sent.
-    pub(crate) sent_at: Instant,
+    /// When the order was last sent, or the replica last failed to report.
+    pub(crate) pending_since: Instant,
 }
 
 /// Mutable state of an agent.
@@ -145,9 +145,16 @@
     pub(crate) fn settle_order(&mut self, orders_started: u64, now: Instant) {
         self.unsettled_order.take_if(|it| {
             it.orders_started != orders_started
-                || now.saturating_duration_since(it.sent_at) > UNSETTLED_ORDER_LIFETIME
+                || now.saturating_duration_since(it.pending_since) > UNSETTLED_ORDER_LIFETIME
         });
     }
+
+    /// Keeps the unsettled order while the replica is silent: it may read the order only after it has answered a report again.
+    pub(crate) fn defer_settling(&mut self, now: Instant) {
+        if let Some(order) = &mut self.unsettled_order {
+            order.pending_since = now;
+        }
+    }
 }
 
 impl AgentShared {
@@ -217,8 +224,8 @@
 /// Timeout for a response of the replica, which runs on the same host.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Time after which an order that was not answered and could not be sent again is assumed to be lost; several times as
-/// long as a sound replica is silent.
+/// Time after which an order that was not answered and could not be sent again is assumed to be lost, if the replica has
+/// answered its agent all the while; several times as long as a sound replica is silent.
 const UNSETTLED_ORDER_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Maximum number of pieces that are sent concurrently. The link also carries the streams of the replica, which must
--- a/crates/stager/src/load_order.rs
+++ b/crates/stager/src/load_order.rs
@@ -34,7 +34,7 @@
     let earlier = shared.state().unsettled_order.replace(UnsettledOrder {
         target: target.clone(),
         orders_started: order.orders_started,
-        sent_at: Instant::now(),
+        pending_since: Instant::now(),
     });
     count_call(shared, "order");
     shared.state().ordered_at = Some(Instant::now());
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -23,7 +23,11 @@
         // A notification and the timeout are handled alike.
         let _ = tokio::time::timeout(POLL_INTERVAL, shared.target_changed.notified()).await;
         let polled_at = Instant::now();
-        let report = match current_report(&shared).await {
+        let report = current_report(&shared).await;
+        if report.is_err() {
+            shared.state().defer_settling(Instant::now());
+        }
+        let report = match report {
             Ok(it) => it,
             // A sound replica may be silent for a moment, and goes on with its requests afterwards.
             Err(CallError::TimedOut)
