A back end's response with an invalid status is no response

Callers of the own interface got responses with the status 101, 600 or 999, with the result code 0, and a stream that had begun was continued from a response with the status 600 or 999. Cause: the HTTP parser refuses statuses below 100 and malformed status lines and skips 1xx other than 101, and nothing else compared the status; the gate relays it and the entry copies it. At the users' platform the entry already refuses statuses outside 200 to 599.

The new test plays 12 status lines on lookups, orders, keyed orders, completions, streams and resumed streams. Now the gate reports the target as lost, and the entry takes a status outside 200 to 599 from a gate of an older agent for no response.

--- a/crates/agent/src/gate/gate_server.rs
+++ b/crates/agent/src/gate/gate_server.rs
@@ -179,6 +179,14 @@
             }
         };
         self.probe.record_alive();
+        if !pooled_response.has_valid_status() {
+            let status = pooled_response.response.status().as_u16();
+            warn!(self.log, "response of the back end has an invalid status"; "status" => status);
+            return error_response(
+                ResultCode::TargetLost,
+                "the response of the back end has an invalid status",
+            );
+        }
         let named = named_limit(pooled_response.response.headers());
         self.gate.record_limit(named, sent_at);
         let (response, _sender, _address) = pooled_response.into_parts();
--- a/crates/entry/src/calls/dispatcher.rs
+++ b/crates/entry/src/calls/dispatcher.rs
@@ -104,7 +104,9 @@
         let code = pooled_response.response.headers().get(model::RESULT_HEADER);
         let code = code
             .and_then(|it| it.to_str().ok())
-            .and_then(ResultCode::from_header);
+            .and_then(ResultCode::from_header)
+            // The gate of an older agent relays any status of its back end.
+            .filter(|_| pooled_response.has_valid_status());
         match code {
             Some(ResultCode::Ok) => {
                 self.scheduler.on_success(&row.host);
--- /dev/null
+++ b/crates/fulmarline/tests/invalid_statuses.rs
@@ -0,0 +1,199 @@
+//! Engines and services that send responses with invalid status lines.
+
+#[path = "support/status_changer.rs"]
+mod status_changer;
+mod support;
+
+use std::path::{Path, PathBuf};
+
+use httpio::{Method, Request, Response};
+use serde_json::{Value, json};
+use standin::{DeterministicResponse, FleetPlan, ProcessFleet};
+use status_changer::StatusLog;
+
+/// The invalid status lines, each of which replaces that of a response.
+const STATUS_LINES: [&str; 12] = [
+    "HTTP/1.1 000 ",
+    "HTTP/1.1 099 Low",
+    "HTTP/1.1 100 Continue",
+    "HTTP/1.1 101 Switching Protocols",
+    "HTTP/1.1 199 Odd",
+    "HTTP/1.1 600 High",
+    "HTTP/1.1 999 High",
+    "HTTP/1.1 2OO OK",
+    "HTTP/1.1 2000 OK",
+    "HTTP/1.1  OK",
+    "HTTP/1.1 ",
+    "HTTP/1.1",
+];
+
+/// The kinds of requests, and the run of each whose status line is replaced.
+const KINDS: [(&str, u32); 6] = [
+    ("lookup", 0),
+    ("order", 0),
+    ("keyed", 0),
+    ("completion", 0),
+    ("stream", 0),
+    ("stream", 1),
+];
+
+/// Number of requests for one status line; some of them are refused.
+const MAX_TRIES: usize = 40;
+
+/// Number of requests from which the retries of one request result.
+const FUNDING_REQUESTS: usize = 12;
+
+/// Number of generated tokens.
+const TOKEN_COUNT: usize = 6;
+
+/// Starts a fleet whose agents reach their engines and services through proxies.
+fn start_fleet(name: &str, log: &StatusLog) -> ProcessFleet {
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let binary = PathBuf::from(env!("CARGO_BIN_EXE_fulmarline"));
+    // A stream can lose two replicas.
+    let mut plan = FleetPlan::uniform(binary, dir.clone(), 1, 3);
+    plan.weight_bytes = 1 << 20;
+    plan.chunk_bytes = 64 << 10;
+    plan.add_service("orders-1", "orders", 0);
+    plan.add_service("orders-2", "orders", 0);
+    let mut fleet = ProcessFleet::prepare(plan).unwrap();
+    let engines = fleet.engines.iter().map(|it| (it.0, it.1.address()));
+    let services = fleet.services.iter().map(|it| (it.0, it.1.address()));
+    for (host, address) in engines.chain(services) {
+        let file: PathBuf = dir.join(format!("{host}.jsonc"));
+        let settings = std::fs::read_to_string(&file).unwrap();
+        let proxy = status_changer::start(address, &STATUS_LINES, log).to_string();
+        let proxied = settings.replace(&address.to_string(), &proxy);
+        assert_ne!(settings, proxied, "{settings}");
+        std::fs::write(&file, proxied).unwrap();
+    }
+    for process in fleet.process_names() {
+        fleet.start_process(&process).unwrap();
+    }
+    support::serve_first_version(&fleet);
+    fleet
+}
+
+fn call_service(
+    fleet: &ProcessFleet,
+    method: Method,
+    path: &str,
+    key: Option<&str>,
+) -> Response<String> {
+    let uri = format!("/services/orders/{path}");
+    let mut builder = Request::builder().method(method).uri(uri);
+    if let Some(key) = key {
+        builder = builder.header("idempotency-key", key);
+    }
+    support::send_for_text(fleet, 0, builder.body(httpio::full("{}")).unwrap())
+}
+
+fn call_model(fleet: &ProcessFleet, prompt: &str, stream: bool) -> Response<String> {
+    let body = json!({
+        "model": "demo", "prompt": prompt, "max_tokens": TOKEN_COUNT, "stream": stream,
+    });
+    let request = Request::post("/v1/completions").body(httpio::full(body.to_string()));
+    support::send_for_text(fleet, 0, request.unwrap())
+}
+
+fn call(fleet: &ProcessFleet, kind: &str, demand: &str, id: &str) -> Response<String> {
+    let prompt = format!("{demand} ");
+    match kind {
+        "lookup" => call_service(fleet, Method::GET, demand, None),
+        "order" => call_service(fleet, Method::POST, demand, None),
+        "keyed" => call_service(fleet, Method::POST, demand, Some(id)),
+        _ => call_model(fleet, &prompt, kind == "stream"),
+    }
+}
+
+/// Returns whether the response to a request with `demand` is complete.
+fn is_whole(fleet: &ProcessFleet, kind: &str, demand: &str, response: &Response<String>) -> bool {
+    let body = response.body();
+    let json: Value = serde_json::from_str(body).unwrap_or_default();
+    let tokens = DeterministicResponse::new(fleet.manifests["v1"].version(), &format!("{demand} "));
+    let text: String = (0..TOKEN_COUNT).map(|it| tokens.token(it)).collect();
+    response.status() == httpio::StatusCode::OK
+        && match kind {
+            "completion" => json["choices"][0]["text"].as_str() == Some(&text),
+            "stream" => {
+                let events = body.split("\n\n");
+                let received: String = events
+                    .filter_map(|it| serde_json::from_str::<Value>(it.strip_prefix("data: ")?).ok())
+                    .filter_map(|it| it["choices"][0]["text"].as_str().map(str::to_owned))
+                    .collect();
+                received == text && body.ends_with("data: [DONE]\n\n")
+            }
+            _ => json["path"].as_str().is_some_and(|it| it.contains(demand)),
+        }
+}
+
+/// Returns whether `response` says that the outcome of a request is unknown.
+fn is_unknown(response: &Response<String>, codes: [&str; 2]) -> bool {
+    let result = response.headers().get(model::RESULT_HEADER);
+    let result = result.map_or("", |it| it.to_str().unwrap());
+    response.status().is_server_error() && codes.iter().any(|it| result.starts_with(it))
+}
+
+/// Returns what is wrong with the response to a request, whose run number `run` got an invalid status.
+fn mismatch(
+    fleet: &ProcessFleet,
+    (kind, run): (&str, u32),
+    (demand, id): (&str, &str),
+    response: &Response<String>,
+    log: &StatusLog,
+) -> Option<String> {
+    let runs = log.runs(id);
+    let is_expected = match kind {
+        "order" => is_unknown(response, ["302", "302"]) && runs == 1,
+        "keyed" => is_unknown(response, ["301", "302"]) && runs == 1,
+        _ => is_whole(fleet, kind, demand, response) && runs > run + 1,
+    };
+    if !is_expected {
+        return Some(format!("{runs} runs, {response:?}"));
+    }
+    if kind != "keyed" {
+        return None;
+    }
+    let repeat = call(fleet, kind, demand, id);
+    let is_expected = is_unknown(&repeat, ["301", "301"]) && log.runs(id) == 1;
+    (!is_expected).then(|| format!("{} runs, repeat {repeat:?}", log.runs(id)))
+}
+
+/// Sends requests until one of them gets the status line with `index`, and returns what is wrong with its response.
+fn check(fleet: &ProcessFleet, log: &StatusLog, kind: (&str, u32), index: usize) -> Option<String> {
+    let (kind, run) = kind;
+    let line = STATUS_LINES[index];
+    for tried in 0..MAX_TRIES {
+        for number in 0..FUNDING_REQUESTS {
+            call_service(fleet, Method::GET, &format!("warm-{number}"), None);
+        }
+        let id = format!("{kind}{run}x{index}x{tried}");
+        let demand = format!("status-{run}-{index}-{id}");
+        let response = call(fleet, kind, &demand, &id);
+        if log.runs(&id) > run {
+            let mismatch = mismatch(fleet, (kind, run), (&demand, &id), &response, log);
+            return mismatch.map(|it| format!("{kind} {run} {line:?}: {it}"));
+        }
+    }
+    Some(format!("{kind} {run} {line:?}: no response got the status"))
+}
+
+/// Guards against MIXED and ORDER: a back end in trouble sent a response with the status 000, and the caller received it as the
+/// response, or an order that had run counted as not run.
+#[test]
+fn a_response_with_an_invalid_status_is_no_response() {
+    let log = StatusLog::default();
+    let fleet = start_fleet("invalid-statuses", &log);
+    let mut mismatches = Vec::new();
+    for kind in KINDS {
+        let indexes = 0..STATUS_LINES.len();
+        mismatches.extend(indexes.filter_map(|it| check(&fleet, &log, kind, it)));
+    }
+    assert!(
+        mismatches.is_empty(),
+        "{} of {}\n{}",
+        mismatches.len(),
+        KINDS.len() * STATUS_LINES.len(),
+        mismatches.join("\n")
+    );
+}
--- a/crates/fulmarline/tests/support/mod.rs
+++ b/crates/fulmarline/tests/support/mod.rs
@@ -173,6 +173,21 @@
 
 /// Sends a request to an entry and reads the response.
 pub fn send(fleet: &ProcessFleet, entry: usize, request: Request<HttpBody>) -> CallResponse {
+    let response = send_for_text(fleet, entry, request);
+    let result = response.headers().get(model::RESULT_HEADER);
+    CallResponse {
+        status: response.status().as_u16(),
+        result: result.map_or_else(String::new, |it| it.to_str().unwrap().to_owned()),
+        body: serde_json::from_str(response.body()).unwrap_or(Value::Null),
+    }
+}
+
+/// Sends a request to an entry and reads the response, whose body need not be JSON.
+pub fn send_for_text(
+    fleet: &ProcessFleet,
+    entry: usize,
+    request: Request<HttpBody>,
+) -> Response<String> {
     let address = fleet.callers()[entry];
     fleet.runtime().block_on(async {
         let client = HttpClient::new(None, WAIT_TIMEOUT);
@@ -184,11 +199,6 @@
             .read(&client, 1 << 20, WAIT_TIMEOUT)
             .await
             .unwrap();
-        let result = response.headers().get(model::RESULT_HEADER);
-        CallResponse {
-            status: response.status().as_u16(),
-            result: result.map_or_else(String::new, |it| it.to_str().unwrap().to_owned()),
-            body: serde_json::from_slice(response.body()).unwrap_or(Value::Null),
-        }
+        response.map(|it| String::from_utf8_lossy(&it).into_owned())
     })
 }
--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -396,6 +396,12 @@
 }
 
 impl PooledResponse {
+    /// Returns whether the status is one of a final response. Others are parsed too, but say nothing about the request: 101 answers an
+    /// upgrade, which no request asks for, and a status above 599 has no meaning.
+    pub fn has_valid_status(&self) -> bool {
+        (200..600).contains(&self.response.status().as_u16())
+    }
+
     /// Reads the complete body and returns the connection to the pool of `client`.
     ///
     /// # Errors
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -179,10 +179,10 @@
     pooled_response: PooledResponse,
     metadata: ResponseMetadata,
 ) -> SendOutcome {
-    let status = pooled_response.response.status();
-    if !(200..600).contains(&status.as_u16()) {
+    if !pooled_response.has_valid_status() {
         return SendOutcome::Unknown("invalid_status");
     }
+    let status = pooled_response.response.status();
     if is_foreign(call, &pooled_response, &metadata) {
         return SendOutcome::Unknown("foreign_answer");
     }
