A table or object response with an invalid status has an unknown outcome

A transaction whose response had the status 101, 600 or 999 counted as not applied (`Unavailable`), and a read of an object as without effect; by reading, so do a put and a load order. Cause: every status outside 200 to 299 but 404, 409 aside where it has a meaning, counted as a rejection. Only a final response says that.

--- a/crates/upstream/src/http_transport.rs
+++ b/crates/upstream/src/http_transport.rs
@@ -124,6 +124,10 @@
 
 fn read_response(response: ureq::http::Response<ureq::Body>) -> Result<CallResponse, CallError> {
     let status = response.status().as_u16();
+    // Only the status of a final response says whether the call had an effect.
+    if !(200..600).contains(&status) {
+        return Err(CallError::NoResponse(format!("invalid status {status}")));
+    }
     let mut body = Vec::new();
     response
         .into_body()
