A recorded outcome with an invalid status is unknown

A repeat of a keyed order got the status 101, 600 or 999 that the row of the order names, as `1 replayed`; statuses that cannot be sent came as a 500 without a result code, or as a 502 with the result `1 replayed`. By reading, entries without the check of responses record such statuses. Cause: the status of the row is copied without a check.

The new test edits the status in the table. Before the change, each of nine statuses failed. Now the repeat gets 301 `order-unknown`.

--- a/crates/entry/src/calls/service_call.rs
+++ b/crates/entry/src/calls/service_call.rs
@@ -212,13 +212,18 @@
 }
 
 fn outcome_response(outcome: &OrderOutcome, code: ResultCode) -> CallResult {
+    // Older entries recorded statuses that are not valid.
+    let status = httpio::StatusCode::from_u16(outcome.status).ok();
+    let Some(status) = status.filter(|it| httpio::is_valid_status(*it)) else {
+        let message = "the recorded outcome of the order has an invalid status";
+        return Err(CallError::new(ResultCode::OrderUnknown, message));
+    };
     let body = match outcome.is_hex {
         false => Bytes::from(outcome.body.clone()),
         true => from_hex(&outcome.body).into(),
     };
     let mut response = Response::new(httpio::full(body));
-    *response.status_mut() =
-        httpio::StatusCode::from_u16(outcome.status).unwrap_or(httpio::StatusCode::BAD_GATEWAY);
+    *response.status_mut() = status;
     if let Some(Ok(value)) = outcome.content_type.as_deref().map(str::parse) {
         let headers = response.headers_mut();
         headers.insert(httpio::header::CONTENT_TYPE, value);
--- a/crates/fulmarline/tests/invalid_statuses.rs
+++ b/crates/fulmarline/tests/invalid_statuses.rs
@@ -5,11 +5,13 @@
 mod support;
 
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use httpio::{Method, Request, Response};
 use serde_json::{Value, json};
 use standin::{DeterministicResponse, FleetPlan, ProcessFleet};
 use status_changer::StatusLog;
+use upstream::{TableClient, TableTransaction};
 
 /// The invalid status lines, each of which replaces that of a response.
 const STATUS_LINES: [&str; 12] = [
@@ -46,6 +48,9 @@
 /// Number of generated tokens.
 const TOKEN_COUNT: usize = 6;
 
+/// Timeout of every wait and call, well above what a loaded machine needs.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Starts a fleet whose agents reach their engines and services through proxies.
 fn start_fleet(name: &str, log: &StatusLog) -> ProcessFleet {
     let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -197,3 +202,32 @@
         mismatches.join("\n")
     );
 }
+
+/// Guards against MIXED: an outcome with an invalid status that an older entry has recorded for an order is returned to the caller.
+#[test]
+fn a_recorded_outcome_with_an_invalid_status_is_unknown() {
+    let fleet = support::start_serving_fleet("invalid-outcomes", support::single_zone_plan);
+    let table = TableClient::new(fleet.table.address(), WAIT_TIMEOUT);
+    let mut mismatches = Vec::new();
+    for status in [0, 99, 100, 101, 199, 600, 999, 1000, u16::MAX] {
+        let key = format!("key-{status}");
+        let ran = support::send_order(&fleet, 0, "castings", &key);
+        assert_eq!(ran.result, "0 ok", "{ran:?}");
+        let recorded = fleet.wait_for("the recorded outcome", WAIT_TIMEOUT, |_| {
+            let rows = table.scan("", "", 1000).ok()?;
+            let mut rows = rows.into_iter();
+            rows.find(|it| it.value["state"]["done"]["status"] == 200)
+        });
+        let mut row = recorded.unwrap();
+        row.value["state"]["done"]["status"] = status.into();
+        let transaction = TableTransaction::default().expect(&row.key, Some(row.version));
+        table
+            .transact(&transaction.put(&row.key, row.value))
+            .unwrap();
+        let repeat = support::send_order(&fleet, 0, "castings", &key);
+        if repeat.result != "301 order-unknown" {
+            mismatches.push(format!("{status}: {repeat:?}"));
+        }
+    }
+    assert!(mismatches.is_empty(), "{}", mismatches.join("\n"));
+}
--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt;
 
 use crate::body::HttpBody;
@@ -395,11 +395,16 @@
     std::io::Error::other("the caller prevented it when a connection was open")
 }
 
+/// Returns whether `status` is one of a final response. Others are parsed too, but say nothing about the request: 101 answers an
+/// upgrade, which no request asks for, and a status above 599 has no meaning.
+pub fn is_valid_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 impl PooledResponse {
-    /// Returns whether the status is one of a final response. Others are parsed too, but say nothing about the request: 101 answers an
-    /// upgrade, which no request asks for, and a status above 599 has no meaning.
+    /// Returns whether the response has a status of [`is_valid_status`].
     pub fn has_valid_status(&self) -> bool {
-        (200..600).contains(&self.response.status().as_u16())
+        is_valid_status(self.response.status())
     }
 
     /// Reads the complete body and returns the connection to the pool of `client`.
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -28,7 +28,9 @@
 pub use client_account::{ClientAccount, ClientCounts, ClientHandle};
 pub use client_table::{CONNECTION_BYTES, ClientId, ClientTable, MIN_HOLD_TIME, ScarceRoom};
 pub use head_error::{HeadError, HeadErrorHandler};
-pub use http_client::{ClientConnection, ClientError, HttpClient, PooledResponse, SendCondition};
+pub use http_client::{
+    ClientConnection, ClientError, HttpClient, PooledResponse, SendCondition, is_valid_status,
+};
 pub use http_server::{HttpServer, ServerHandle, StopSignal, WriteDeadline};
 pub use server_limits::ServerLimits;
 
