Streams that cannot be resumed are not sent where a switch may cut them

Callers would see a stream that cannot be resumed break off at a switch: with time limits at old weights, one was sent if twice the mean answer fits before the switch. Evidence: streams_that_run_across_the_switch_are_complete failed, "/once/across/0-0 is cut", replicas ten times slower than their engine's figures.

Change: the longest answer must fit for those. They are refused as not run otherwise, until newer weights are usable.

--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -364,16 +364,15 @@
     }
 
     /// Returns whether the response is likely to be cut, because it is not complete before the weights of `replica` become too
-    /// old. Fewer of those that cannot be continued may be cut.
+    /// old. For one that cannot be continued, the longest answer counts.
     fn is_likely_cut(&self, replica: &Replica, predicted_ms: f64) -> bool {
-        let length_factor = if self.is_resumable {
-            MEDIAN_ANSWER_FACTOR
-        } else {
-            LONG_ANSWER_FACTOR
-        };
         let mean_ms = self.engine.map_or(0.0, EngineProfile::service_ms);
-        let likely_ms = mean_ms * length_factor;
-        let answer_ms = self.answer_ms().map_or(likely_ms, |it| it.min(likely_ms));
+        let answer_ms = match self.answer_ms() {
+            Some(longest_ms) if self.is_resumable => longest_ms.min(mean_ms * MEDIAN_ANSWER_FACTOR),
+            Some(longest_ms) => longest_ms,
+            None if self.is_resumable => mean_ms * MEDIAN_ANSWER_FACTOR,
+            None => mean_ms * LONG_ANSWER_FACTOR,
+        };
         self.time_to_cut(replica)
             .is_some_and(|it| predicted_ms + answer_ms >= it.as_secs_f64() * 1000.0)
     }
@@ -446,7 +445,7 @@
 const MEDIAN_ANSWER_FACTOR: f64 = 0.7;
 
 /// Length that few answers exceed, as a multiple of their mean.
-const LONG_ANSWER_FACTOR: f64 = 2.0;
+const LONG_ANSWER_FACTOR: f64 = 4.0;
 
 /// Predicted time to the first event up to which a replica can continue a response before its client leaves it.
 const MAX_CONTINUATION_MS: f64 = 1000.0;
