--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -168,11 +168,11 @@
     let [first, second] = samples(request, &usable);
     let predict = |it: &Replica| predicted_ms(request, it, loads, health, now);
     let last_switch = request.last_switch(&usable, predict);
-    let best_of = |it: &[_]| best_of(request, it, last_switch, loads, health, now);
-    let best = best_of(&first)
+    let best_among = |it: &[_]| best_of(request, it, last_switch, loads, health, now);
+    let best = best_among(&first)
         .filter(|it| it.0 <= request.max_first_event_ms)
-        .or_else(|| best_of(&second))
-        .or_else(|| best_of(&usable));
+        .or_else(|| best_among(&second))
+        .or_else(|| best_among(&usable));
     let Some((predicted_ms, replica)) = best else {
         return Err(NoReplica::NoneUsable);
     };
@@ -346,15 +346,15 @@
         replicas: &[&Replica],
         predict: impl Fn(&Replica) -> f64,
     ) -> Option<Duration> {
-        let mut last = Some(Duration::ZERO);
+        let mut last = Duration::ZERO;
         for replica in replicas {
-            match (last, self.time_to_switch(replica)) {
-                (Some(time), Some(switch)) if switch <= time => {}
-                (Some(_), switch) if predict(replica) < MAX_CONTINUATION_MS => last = switch,
-                _ => {}
+            let switch = self.time_to_switch(replica);
+            let is_earlier = switch.is_some_and(|it| it <= last);
+            if !is_earlier && predict(replica) < MAX_CONTINUATION_MS {
+                last = switch?;
             }
         }
-        last
+        Some(last)
     }
 
     /// Returns whether the longest response may not be complete before the weights of `replica` become too old.
