Clients that are refused for weights come back when new ones are loaded

Callers that were refused because no replica had weights that may serve came back after 0.3 to 0.9 s, were refused again, and had no further try. Cause: that case was told like an outage of all replicas. With time limits at old weights it lasts for the length of an answer longer.

Change: the choice distinguishes it (NoReplica::Outdated), and the refusal says outdated_weights and to come back in 1.2 to 2.4 s. Expectations of choice and choice_switch say "outdated" where they said "none usable".

--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -104,8 +104,10 @@
 /// Reason why no replica was selected.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum NoReplica {
-    /// No replica is registered, healthy and has an allowed version.
+    /// No replica is registered that could serve the request with any weights.
     NoneUsable,
+    /// The weights of all replicas that could serve the request are too old, or will be before they have served it.
+    Outdated,
     /// All replicas that could serve the request are in zones that are ruled out for it; the reason of one of them.
     Excluded(ZoneExclusion),
     /// The predicted time to the first event of the best replica is too long, in milliseconds.
@@ -128,11 +130,13 @@
     health: &HealthTable,
     now: Instant,
 ) -> Result<ChosenReplica, NoReplica> {
-    let candidates: Vec<&Replica> = catalog
-        .ready(request.service, now)
-        .filter(|it| !request.tried.contains(&it.id))
-        .filter(|it| has_allowed_version(request, it))
-        .collect();
+    let ready = catalog.ready(request.service, now);
+    let ready: Vec<&Replica> = ready.filter(|it| !request.tried.contains(&it.id)).collect();
+    let is_allowed = |it: &&Replica| has_allowed_version(request, it);
+    let candidates: Vec<&Replica> = ready.iter().copied().filter(is_allowed).collect();
+    if candidates.is_empty() && !ready.is_empty() {
+        return Err(NoReplica::Outdated);
+    }
     let is_placed = |it: &&Replica| request.placement.exclusion(&it.zone).is_none();
     let (candidates, excluded): (Vec<&Replica>, Vec<&Replica>) =
         candidates.into_iter().partition(is_placed);
@@ -174,7 +178,11 @@
         .or_else(|| best_among(&second))
         .or_else(|| best_among(&usable));
     let Some((predicted_ms, replica)) = best else {
-        return Err(NoReplica::NoneUsable);
+        return Err(if usable.is_empty() {
+            NoReplica::NoneUsable
+        } else {
+            NoReplica::Outdated
+        });
     };
     let unloaded_ms = request.engine.map_or(0.0, |it| {
         it.first_event_ms(BatchLoad::default(), request.size)
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -95,7 +95,7 @@
             oldest_allowed: 2,
             ..Case::default()
         },
-        &expect!["none usable"],
+        &expect!["outdated"],
     );
 }
 
--- a/crates/fleet/tests/choice_switch.rs
+++ b/crates/fleet/tests/choice_switch.rs
@@ -97,7 +97,7 @@
             "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 1500 ms, may be cut"
         ],
     );
-    check(true, 100, &[(2, 900)], expect!["none usable"]);
+    check(true, 100, &[(2, 900)], expect!["outdated"]);
     check(
         true,
         0,
@@ -114,7 +114,7 @@
             "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 600 ms"
         ],
     );
-    check(true, 20, &[(2, 500)], expect!["none usable"]);
+    check(true, 20, &[(2, 500)], expect!["outdated"]);
     // One that cannot be continued must not be cut.
     check(
         false,
@@ -124,8 +124,8 @@
             "r1 in 113 ms, version None, another one asked after 1040 ms, withdrawn after 3000 ms"
         ],
     );
-    check(false, 100, &[(2, 1500)], expect!["none usable"]);
-    check(false, 0, &[(2, 3000)], expect!["none usable"]);
+    check(false, 100, &[(2, 1500)], expect!["outdated"]);
+    check(false, 0, &[(2, 3000)], expect!["outdated"]);
     assert_eq!(engine().answer_ms(RequestSize::default()), None);
 }
 
@@ -255,5 +255,5 @@
     };
     check(replicas, 3500, &expect!["r1 in 113 ms, version None"]);
     check(replicas, 2900, &expect!["r2 in 119 ms, version Some(2)"]);
-    check(&replicas[..1], 2900, &expect!["none usable"]);
+    check(&replicas[..1], 2900, &expect!["outdated"]);
 }
--- a/crates/fleet/tests/support/choice_case.rs
+++ b/crates/fleet/tests/support/choice_case.rs
@@ -236,6 +236,7 @@
             )
         }
         Err(NoReplica::NoneUsable) => "none usable".to_owned(),
+        Err(NoReplica::Outdated) => "outdated".to_owned(),
         Err(NoReplica::Excluded(it)) => format!("excluded: {}", it.label()),
         Err(NoReplica::Limited) => "limited".to_owned(),
         Err(NoReplica::Full) => "full".to_owned(),
--- a/crates/ingress/src/refusal.rs
+++ b/crates/ingress/src/refusal.rs
@@ -20,8 +20,10 @@
     OutOfMemory,
     /// The configuration is not known or may be outdated; not run.
     NoConfig,
-    /// No replica is registered, healthy and has an allowed version of the weights; not run.
+    /// No replica is registered and healthy; not run.
     NoReplica,
+    /// The weights of all replicas are too old, or about to be replaced; not run.
+    OutdatedWeights,
     /// All replicas that could serve it are outside its home regions or in evacuated zones; not run.
     NoPlacement,
     /// Even the best replica is predicted to respond too late; not run.
@@ -55,6 +57,7 @@
             Self::OutOfMemory
             | Self::NoConfig
             | Self::NoReplica
+            | Self::OutdatedWeights
             | Self::NoPlacement
             | Self::Overloaded
             | Self::Leaving
@@ -78,6 +81,7 @@
             Self::OutOfMemory => "out_of_memory",
             Self::NoConfig => "no_config",
             Self::NoReplica => "no_replica",
+            Self::OutdatedWeights => "outdated_weights",
             Self::NoPlacement => "no_placement",
             Self::Overloaded => "overloaded",
             Self::Leaving => "leaving",
@@ -96,6 +100,7 @@
         let range = match self {
             Self::Overloaded | Self::RefusedByReplicas | Self::OutOfMemory => OVERLOAD_RETRY_MS,
             Self::NoReplica | Self::NoPlacement | Self::NoConfig => OUTAGE_RETRY_MS,
+            Self::OutdatedWeights => WEIGHTS_RETRY_MS,
             Self::Leaving => LEAVING_RETRY_MS,
             Self::HeldBack(delay) | Self::Limited(delay) => return Some(delay),
             Self::Suspected => TRIAL_RETRY_MS,
@@ -121,6 +126,10 @@
 /// Range of the retry delay while replicas or the configuration are unavailable, in milliseconds.
 const OUTAGE_RETRY_MS: (u64, u64) = (300, 900);
 
+/// Range of the retry delay while no weights may serve, in milliseconds: replicas load new ones within seconds, and a client that
+/// comes back before is refused again.
+const WEIGHTS_RETRY_MS: (u64, u64) = (1200, 2400);
+
 /// Range of the delay after which a trial of a suspected part has ended, in milliseconds.
 const TRIAL_RETRY_MS: (u64, u64) = (500, 1000);
 
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -139,6 +139,7 @@
         _ if may_have_run => Refusal::Unknown,
         _ if !tried.is_empty() => Refusal::RefusedByReplicas,
         NoReplica::NoneUsable => Refusal::NoReplica,
+        NoReplica::Outdated => Refusal::OutdatedWeights,
         NoReplica::Excluded(_) => Refusal::NoPlacement,
         NoReplica::Overloaded(_) | NoReplica::Full => Refusal::Overloaded,
         NoReplica::Limited => limit_guard::refuse(shared, call),
@@ -160,9 +161,11 @@
         return;
     }
     let predicted_ms = match cause {
-        NoReplica::NoneUsable | NoReplica::Excluded(_) | NoReplica::Full | NoReplica::Limited => {
-            None
-        }
+        NoReplica::NoneUsable
+        | NoReplica::Outdated
+        | NoReplica::Excluded(_)
+        | NoReplica::Full
+        | NoReplica::Limited => None,
         NoReplica::Overloaded(predicted) => Some(predicted.round()),
     };
     let state = shared.state();
--- a/crates/ingress/src/retry_denial.rs
+++ b/crates/ingress/src/retry_denial.rs
@@ -15,8 +15,10 @@
     SuspectedCrash,
     /// The retry budget of the service is used up.
     Budget,
-    /// No other replica is registered, healthy and has an allowed version of the weights.
+    /// No other replica is registered and healthy.
     NoReplica,
+    /// The weights of all other replicas are too old, or will be before they have served the request.
+    Outdated,
     /// The other replicas are in zones that are ruled out for the request.
     Excluded,
     /// Even the best other replica is predicted to respond too late.
@@ -43,6 +45,7 @@
             Self::SuspectedCrash => "suspected_crash",
             Self::Budget => "budget",
             Self::NoReplica => "no_replica",
+            Self::Outdated => "outdated_weights",
             Self::Excluded => "excluded",
             Self::Overloaded => "overloaded",
             Self::Limited => "limited",
@@ -54,6 +57,7 @@
     fn from(cause: NoReplica) -> Self {
         match cause {
             NoReplica::NoneUsable => Self::NoReplica,
+            NoReplica::Outdated => Self::Outdated,
             NoReplica::Excluded(_) => Self::Excluded,
             NoReplica::Overloaded(_) | NoReplica::Full => Self::Overloaded,
             NoReplica::Limited => Self::Limited,
--- a/crates/ingress/src/stream_attempts.rs
+++ b/crates/ingress/src/stream_attempts.rs
@@ -404,6 +404,7 @@
             _ if !self.tried.is_empty() => Refusal::RefusedByReplicas,
             RetryDenial::Overloaded => Refusal::Overloaded,
             RetryDenial::Excluded => Refusal::NoPlacement,
+            RetryDenial::Outdated => Refusal::OutdatedWeights,
             RetryDenial::Limited => limit_guard::refuse(&self.shared, &self.call),
             _ => Refusal::NoReplica,
         }
