--- a/crates/fleet/src/engine_profile.rs
+++ b/crates/fleet/src/engine_profile.rs
@@ -123,5 +123,5 @@
 const USABLE_SHARE: f64 = 0.8;
 
 /// Length of a prompt or answer that is not declared, as a multiple of the mean and in tokens at least.
-const LONG_FACTOR: f64 = 4.0;
+pub(crate) const LONG_FACTOR: f64 = 4.0;
 const MIN_LONG_TOKENS: f64 = 1024.0;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -47,6 +47,7 @@
 mod store_times;
 mod stream_cursor;
 mod suspension_watch;
+mod switch_choice;
 mod switch_deadlines;
 mod timer_lateness;
 mod version_table;
--- a/crates/fleet/src/replica_choice.rs
+++ b/crates/fleet/src/replica_choice.rs
@@ -10,7 +10,6 @@
 use crate::replica_catalog::ReplicaCatalog;
 use crate::replica_health::HealthTable;
 use crate::route::Route;
-use crate::sound_silence::{MAX_SOUND_SILENCE, SEND_RESERVE};
 use crate::version_table::VersionRequirement;
 
 /// How many replicas an entry compares.
@@ -79,8 +78,8 @@
     /// afterwards. The replica ends the request then, and it is withdrawn if it has not started. `None` also if the start cannot
     /// be observed.
     pub must_start_within: Option<Duration>,
-    /// Whether the longest response may last longer than the replica works on it. Another one has to continue it then.
-    pub may_outlast_switch: bool,
+    /// Whether the replica is likely to end the response before it is complete, so that another one has to continue it.
+    pub is_likely_cut: bool,
     /// Whether the request will end before a version can take effect that is not known yet, so that the replica need not get
     /// more time either. False if a known version replaces its weights.
     pub ends_before_unknown_switch: bool,
@@ -206,7 +205,7 @@
         must_start_within: request
             .time_to_switch(replica)
             .filter(|_| request.latest_start.is_none()),
-        may_outlast_switch: request.may_outlast_switch(replica, predicted_ms),
+        is_likely_cut: request.is_likely_cut(replica, predicted_ms),
         ends_before_unknown_switch: version.is_some()
             && request.ends_before_unknown_switch(replica, predicted_ms),
         limited,
@@ -260,7 +259,7 @@
     replicas
         .iter()
         .map(|it| (predicted_ms(request, it, loads, health, now), *it))
-        .filter(|(predicted, replica)| starts_in_time(request, replica, *predicted, last_switch))
+        .filter(|(predicted, replica)| request.starts_in_time(replica, *predicted, last_switch))
         .map(|(predicted, replica)| {
             let in_zone = replica.zone == request.zone;
             let zone_penalty = if in_zone { 0.0 } else { OTHER_ZONE_PENALTY_MS };
@@ -307,118 +306,11 @@
         .is_none_or(|it| version >= it.oldest_allowed)
 }
 
-/// Returns whether a request will start before the weights of `replica` become too old. If its start is observed, this is
-/// a prediction with a margin for a replica that is slower. The time until then leaves room for a silent one.
-///
-/// The replica ends the response then, so the request is not sent if it is likely to go on unless another replica, whose weights
-/// are replaced later, can continue it.
-fn starts_in_time(
-    request: &ChoiceRequest<'_>,
-    replica: &Replica,
-    predicted_ms: f64,
-    last_switch: Option<Duration>,
-) -> bool {
-    let Some(remaining) = request.time_to_switch(replica) else {
-        return true;
-    };
-    if let Some(latest_start) = request.latest_start {
-        return latest_start <= remaining;
-    }
-    let can_continue = request.is_resumable && last_switch.is_none_or(|it| it > remaining);
-    predicted_ms * SLOWDOWN_MARGIN < remaining.as_secs_f64() * 1000.0
-        && (can_continue || !request.is_likely_cut(replica, predicted_ms))
-}
-
 impl ChoiceRequest<'_> {
     /// Returns whether `replica` has a limit and this entry may send a request to it.
     fn has_turn(&self, replica: &Replica) -> bool {
         self.turns.get(&replica.id) == Some(&true)
     }
-
-    /// Returns the time until the weights of `replica` become too old, if a newer version has been declared.
-    fn time_to_switch(&self, replica: &Replica) -> Option<Duration> {
-        let loaded = replica.version_of(&self.engine?.model);
-        self.version_requirement.as_ref()?.time_to_switch(loaded)
-    }
-
-    /// Returns the time for which a response may be worked on at `replica`, if its weights are about to become too old.
-    fn time_to_cut(&self, replica: &Replica) -> Option<Duration> {
-        let remaining = self.time_to_switch(replica)?;
-        Some(remaining.saturating_sub(SEND_RESERVE))
-    }
-
-    /// Returns the last time at which the weights of one of `replicas` that is not too busy to continue a response become too
-    /// old, or `None` if some do not. `predict` predicts the time to the first event in milliseconds.
-    fn last_switch(
-        &self,
-        replicas: &[&Replica],
-        predict: impl Fn(&Replica) -> f64,
-    ) -> Option<Duration> {
-        let mut last = Duration::ZERO;
-        for replica in replicas {
-            let switch = self.time_to_switch(replica);
-            let is_earlier = switch.is_some_and(|it| it <= last);
-            if !is_earlier && predict(replica) < MAX_CONTINUATION_MS {
-                last = switch?;
-            }
-        }
-        Some(last)
-    }
-
-    /// Returns whether the longest response may not be complete before the weights of `replica` become too old.
-    fn may_outlast_switch(&self, replica: &Replica, predicted_ms: f64) -> bool {
-        self.time_to_cut(replica)
-            .is_some_and(|it| !self.ends_within(Some(it), predicted_ms))
-    }
-
-    /// Returns whether the response is likely to be cut, because it is not complete before the weights of `replica` become too
-    /// old. For one that cannot be continued, the longest answer counts.
-    fn is_likely_cut(&self, replica: &Replica, predicted_ms: f64) -> bool {
-        let mean_ms = self.engine.map_or(0.0, EngineProfile::service_ms);
-        let answer_ms = match self.answer_ms() {
-            Some(longest_ms) if self.is_resumable => longest_ms.min(mean_ms * MEDIAN_ANSWER_FACTOR),
-            Some(longest_ms) => longest_ms,
-            None if self.is_resumable => mean_ms * MEDIAN_ANSWER_FACTOR,
-            None => mean_ms * LONG_ANSWER_FACTOR,
-        };
-        self.time_to_cut(replica)
-            .is_some_and(|it| predicted_ms + answer_ms >= it.as_secs_f64() * 1000.0)
-    }
-
-    /// Returns whether the request will end before a version can take effect that is not known yet, also if `replica` is slow or
-    /// silent meanwhile. It must not be broken off for a version that may never come. Where a known version replaces the weights
-    /// of the replica, the request must begin before that one takes effect, which is earlier.
-    fn ends_before_unknown_switch(&self, replica: &Replica, predicted_ms: f64) -> bool {
-        if self.time_to_switch(replica).is_some() {
-            return false;
-        }
-        let silence_ms = MAX_SOUND_SILENCE.as_secs_f64() * 1000.0;
-        let slowest_ms = predicted_ms * SLOWDOWN_MARGIN + silence_ms;
-        self.ends_within(self.time_to_unknown_switch, slowest_ms)
-    }
-
-    /// Returns the time from the first event to the last one in a full batch, if the longest answer is known.
-    fn answer_ms(&self) -> Option<f64> {
-        self.engine.and_then(|it| it.answer_ms(self.size))
-    }
-
-    /// Returns whether the request will end in less than `remaining`, if that is known.
-    fn ends_within(&self, remaining: Option<Duration>, predicted_ms: f64) -> bool {
-        let (Some(answer_ms), Some(remaining)) = (self.answer_ms(), remaining) else {
-            return false;
-        };
-        predicted_ms + answer_ms < remaining.as_secs_f64() * 1000.0
-    }
-
-    /// Returns whether the replica must confirm the weights `loaded` that it is listed with: a replica that has restarted may
-    /// have others by now. Only a replica that is known to have weights which are about to be replaced need not, because
-    /// the request is withdrawn there, and the next version serves as well.
-    fn relies_on_version(&self, loaded: u64) -> bool {
-        self.version_requirement.as_ref().is_none_or(|it| {
-            let is_ahead = it.pending.first().is_none_or(|it| loaded >= it.version);
-            it.oldest_allowed > 0 || is_ahead
-        })
-    }
 }
 
 fn predicted_ms(
@@ -446,18 +338,6 @@
 /// Time that is added to that.
 const FIRST_EVENT_MIN_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Factor by which a replica may be slower than predicted without a request starting too late.
-const SLOWDOWN_MARGIN: f64 = 3.0;
-
-/// Length that half of the answers do not exceed, as a multiple of their mean, if short ones are more frequent.
-const MEDIAN_ANSWER_FACTOR: f64 = 0.7;
-
-/// Length that few answers exceed, as a multiple of their mean.
-const LONG_ANSWER_FACTOR: f64 = 4.0;
-
-/// Predicted time to the first event up to which a replica can continue a response before its client leaves it.
-const MAX_CONTINUATION_MS: f64 = 1000.0;
-
 /// Penalty of a replica that will end the response before it is complete: another one has to read the prompt again.
 const CUT_PENALTY_MS: f64 = 100.0;
 
--- a/crates/fulmarline/tests/platform_unheard_withdrawal.rs
+++ b/crates/fulmarline/tests/platform_unheard_withdrawal.rs
@@ -9,10 +9,10 @@
 mod site;
 
 use std::ops::Range;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fence_site::{FenceSite, SWITCH_BOUND, SentCall, events, rounds};
-use standin::{HeldAnswer, HeldResponse, HoldingReplica, RunCounts, WaitHabit};
+use standin::{ChildProcess, HeldAnswer, HeldResponse, HoldingReplica, RunCounts, WaitHabit};
 
 /// Number of replicas with old weights.
 const OLD_REPLICAS: u8 = 6;
@@ -196,6 +196,18 @@
     }
 }
 
+/// Gives the entries a twentieth of a processor.
+fn starve(fence: &mut FenceSite) {
+    fence.sleep_until(ENTRY_FAILURE);
+    let end = fence.gate.time().unwrap() + SWITCH_BOUND + Duration::from_millis(800);
+    while Instant::now() < end {
+        fence.site.entries.iter().for_each(ChildProcess::suspend);
+        std::thread::sleep(Duration::from_millis(95));
+        fence.site.entries.iter().for_each(ChildProcess::resume);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// Guards against VERSION by requests that a replica read before a silence longer than any that is reserved for.
 #[test]
 fn requests_read_before_a_long_silence_do_not_begin_after_the_switch() {
@@ -280,6 +292,27 @@
     );
 }
 
+/// Guards against VERSION by requests that a starved entry withdraws late while their replica is silent.
+#[test]
+fn requests_of_starved_entries_at_silent_replicas_do_not_begin_after_the_switch() {
+    let troubles = [TWO_SILENCES, CUT_OFF];
+    check("unheard-starved", 74, 0, troubles, SHORT_PROMPTS, starve);
+}
+
+/// Guards against VERSION by requests of starved entries at silent replicas that were listed beside new weights.
+#[test]
+fn requests_of_starved_entries_at_silent_replicas_do_not_begin_beside_new_weights() {
+    let troubles = [TWO_SILENCES, CUT_OFF];
+    check(
+        "unheard-starved-new",
+        76,
+        NEW_REPLICAS,
+        troubles,
+        SHORT_PROMPTS,
+        starve,
+    );
+}
+
 /// Guards against VERSION by requests that a sound replica begins ten times later than predicted, after a silence.
 #[test]
 fn requests_at_a_slow_and_silent_replica_do_not_begin_after_the_switch() {
--- a/crates/fulmarline/tests/support/mod.rs
+++ b/crates/fulmarline/tests/support/mod.rs
@@ -4,12 +4,14 @@
 #![allow(dead_code)]
 
 pub mod raw_http;
+pub mod response_proxy;
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use httpio::{HttpBody, HttpClient, Request, Response};
+use httpio::{HttpBody, HttpClient, Method, Request, Response};
 use serde_json::{Value, json};
 use standin::{FleetPlan, ProcessFleet};
 
@@ -49,6 +51,50 @@
     fleet
 }
 
+/// Starts a fleet whose agents reach their engines and services through the proxies that `start_proxy` starts, and waits until
+/// every target accepts requests.
+pub fn start_proxied_fleet(
+    plan: FleetPlan,
+    start_proxy: impl Fn(SocketAddr) -> SocketAddr,
+) -> ProcessFleet {
+    let dir = plan.dir.clone();
+    let mut fleet = ProcessFleet::prepare(plan).unwrap();
+    let engines = fleet.engines.iter().map(|it| (it.0, it.1.address()));
+    let services = fleet.services.iter().map(|it| (it.0, it.1.address()));
+    for (host, address) in engines.chain(services) {
+        let file = dir.join(format!("{host}.jsonc"));
+        let settings = std::fs::read_to_string(&file).unwrap();
+        let proxy = start_proxy(address).to_string();
+        let proxied = settings.replace(&address.to_string(), &proxy);
+        assert_ne!(settings, proxied, "{settings}");
+        std::fs::write(&file, proxied).unwrap();
+    }
+    for process in fleet.process_names() {
+        fleet.start_process(&process).unwrap();
+    }
+    serve_first_version(&fleet);
+    fleet
+}
+
+/// Returns a request to the order service, with the idempotency key `key` if there is one.
+pub fn service_request(method: Method, path: &str, key: Option<&str>) -> Request<HttpBody> {
+    let uri = format!("/services/orders/{path}");
+    let mut builder = Request::builder().method(method).uri(uri);
+    if let Some(key) = key {
+        builder = builder.header("idempotency-key", key);
+    }
+    builder.body(httpio::full("{}")).unwrap()
+}
+
+/// Returns the text of the tokens in the events of a completion.
+pub fn streamed_text(body: &str) -> String {
+    let events = body.split("\n\n");
+    let events =
+        events.filter_map(|it| serde_json::from_str::<Value>(it.strip_prefix("data: ")?).ok());
+    let texts = events.filter_map(|it| it["choices"][0]["text"].as_str().map(str::to_owned));
+    texts.collect()
+}
+
 /// Rolls out `v1` and waits until every target accepts requests.
 pub fn serve_first_version(fleet: &ProcessFleet) {
     let target_count = fleet.plan().agents.len();
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -211,6 +211,16 @@
         }
     }
 
+    /// Restarts an entry with `replacement` in place of `text` in its settings.
+    pub fn restart_entry_with(&mut self, index: usize, text: &str, replacement: &str) {
+        let name = self.hosts[index].name.clone();
+        let settings = std::fs::read_to_string(self.settings_file(&name)).unwrap();
+        let replaced = settings.replace(text, replacement);
+        assert_ne!(settings, replaced, "{settings}");
+        self.entries[index].kill();
+        self.entries[index] = self.spawn("entry", &name, &replaced);
+    }
+
     fn store_address(&self) -> SocketAddr {
         self.store_proxy.unwrap_or(self.store.address())
     }
--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -9,11 +9,12 @@
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use hyper_util::rt;
 
 use crate::body::HttpBody;
 use crate::client_stream::{ClientStream, SocketView};
+use crate::pooled_response::PooledResponse;
 
 /// A client with a pool of idle connections for each address.
 ///
@@ -43,19 +44,6 @@
     socket: SocketView,
 }
 
-/// A response with an unread body, and the connection that it arrives on.
-///
-/// [`PooledResponse::read`] returns the connection to the pool; [`HttpClient::recycle`] does so after
-/// [`PooledResponse::into_parts`].
-#[derive(Debug)]
-pub struct PooledResponse {
-    /// The response with its unread body.
-    pub response: Response<Incoming>,
-    connection: ClientConnection,
-    address: SocketAddr,
-    is_reused: bool,
-}
-
 /// Decides whether a request may be sent now. Returns the time since boot, see [`crate::boot_clock`], by which it must be written,
 /// or `None` if it may not be sent.
 ///
@@ -395,65 +383,6 @@
     std::io::Error::other("the caller prevented it when a connection was open")
 }
 
-/// Returns whether `status` is one of a final response. Others are parsed too, but say nothing about the request: 101 answers an
-/// upgrade, which no request asks for, and a status above 599 has no meaning.
-pub fn is_valid_status(status: StatusCode) -> bool {
-    (200..600).contains(&status.as_u16())
-}
-
-impl PooledResponse {
-    /// Returns whether the response has a status of [`is_valid_status`].
-    pub fn has_valid_status(&self) -> bool {
-        is_valid_status(self.response.status())
-    }
-
-    /// Reads the complete body and returns the connection to the pool of `client`.
-    ///
-    /// # Errors
-    ///
-    /// Returns the same errors as [`crate::read_limited`].
-    pub async fn read(
-        self,
-        client: &HttpClient,
-        max_bytes: usize,
-        timeout: time::Duration,
-    ) -> std::io::Result<Response<bytes::Bytes>> {
-        let (parts, body) = self.response.into_parts();
-        let bytes = crate::body::read_limited(body, max_bytes, timeout).await?;
-        client.recycle(self.connection, self.address);
-        Ok(Response::from_parts(parts, bytes))
-    }
-
-    /// Reads the complete body as [`Self::read`] does, but fails only if it makes no progress for `idle_timeout`.
-    ///
-    /// # Errors
-    ///
-    /// Returns the same errors as [`crate::read_limited`].
-    pub async fn read_with_idle_timeout(
-        self,
-        client: &HttpClient,
-        max_bytes: usize,
-        idle_timeout: time::Duration,
-    ) -> std::io::Result<Response<bytes::Bytes>> {
-        let (parts, body) = self.response.into_parts();
-        let bytes = crate::body::read_with_idle_timeout(body, max_bytes, idle_timeout).await?;
-        client.recycle(self.connection, self.address);
-        Ok(Response::from_parts(parts, bytes))
-    }
-
-    /// Returns the response, the connection and its address, for reading a streamed body and recycling the connection
-    /// afterwards.
-    pub fn into_parts(self) -> (Response<Incoming>, ClientConnection, SocketAddr) {
-        (self.response, self.connection, self.address)
-    }
-
-    /// Returns whether another request was sent on the connection before, to which a late duplicate response may still
-    /// arrive.
-    pub fn is_reused(&self) -> bool {
-        self.is_reused
-    }
-}
-
 impl ClientConnection {
     /// Sends `request`, which must be written by `write_by`, if that is set.
     async fn send(
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -17,6 +17,7 @@
 mod head_error;
 mod http_client;
 mod http_server;
+mod pooled_response;
 mod server_limits;
 
 pub use body::{
@@ -28,10 +29,9 @@
 pub use client_account::{ClientAccount, ClientCounts, ClientHandle};
 pub use client_table::{CONNECTION_BYTES, ClientId, ClientTable, MIN_HOLD_TIME, ScarceRoom};
 pub use head_error::{HeadError, HeadErrorHandler};
-pub use http_client::{
-    ClientConnection, ClientError, HttpClient, PooledResponse, SendCondition, is_valid_status,
-};
+pub use http_client::{ClientConnection, ClientError, HttpClient, SendCondition};
 pub use http_server::{HttpServer, ServerHandle, StopSignal, WriteDeadline};
+pub use pooled_response::{PooledResponse, is_valid_status};
 pub use server_limits::ServerLimits;
 
 pub use hyper::body::Incoming;
--- a/crates/ingress/src/entry_metrics.rs
+++ b/crates/ingress/src/entry_metrics.rs
@@ -50,7 +50,6 @@
     pub(crate) weights_version: IntGaugeVec,
     pub(crate) weights_age: GaugeVec,
     pub(crate) declaration_width: HistogramVec,
-    pub(crate) sends_before_switch: IntCounterVec,
     pub(crate) sends_by_limit: IntCounterVec,
     pub(crate) streams_ended_at_switch: IntCounterVec,
     pub(crate) switch_slack: Histogram,
@@ -251,11 +250,6 @@
                 registry.register(Box::new(widths.clone()))?;
                 widths
             },
-            sends_before_switch: counters(
-                "fulmarline_sends_before_switch_total",
-                "Sends to weights that are about to be replaced: the response will be whole by then, or may be cut.",
-                &["guard"],
-            )?,
             sends_by_limit: {
                 let sends = counters(
                     "fulmarline_sends_by_limit_total",
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -36,6 +36,7 @@
 mod stream_relay;
 mod stream_segment;
 mod switch_guard;
+mod switch_wait;
 mod time_limit_log;
 mod weight_announcer;
 mod zone_exchange;
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -15,7 +15,6 @@
 use crate::refusal::Refusal;
 use crate::replica_send::{NotRunReason, SendOutcome};
 use crate::retry_denial::RetryDenial;
-use crate::stream_segment::millis;
 use crate::{buffered_relay, peer_evidence, placement_guard, stop, stream_relay, switch_guard};
 
 /// Handles one request of a client.
@@ -275,29 +274,6 @@
     limit_guard::take_turn(shared, chosen);
     let predicted = chosen.predicted_ms / 1000.0;
     shared.metrics.predicted_first_event.observe(predicted);
-    let Some(time_to_switch) = chosen.must_start_within else {
-        return;
-    };
-    let guard = if chosen.may_outlast_switch {
-        "cut"
-    } else {
-        "whole"
-    };
-    let sends = &shared.metrics.sends_before_switch;
-    sends.with_label_values(&[guard]).inc();
-    if shared.may_log(LogKind::Served) {
-        info!(
-            shared.log, "sent before a switch";
-            "request" => call.id(),
-            "replica" => &chosen.replica.id,
-            "weights" => chosen.weights.as_ref().map(|it| it.version),
-            "expect_version" => chosen.expect_version,
-            "switch_ms" => millis(time_to_switch),
-            "guard" => guard,
-            "predicted_ms" => chosen.predicted_ms.round(),
-            "left_ms" => millis(call.time_remaining()),
-        );
-    }
 }
 
 /// Chooses a replica for `call`.
--- a/crates/ingress/src/stream_attempts.rs
+++ b/crates/ingress/src/stream_attempts.rs
@@ -28,6 +28,7 @@
 };
 use crate::retry_denial::RetryDenial;
 use crate::stream_segment::{SegmentRead, StreamSegment, millis};
+use crate::switch_wait::{SwitchGap, SwitchWait};
 
 /// The attempts to serve one stream.
 pub(crate) struct StreamAttempts {
@@ -55,10 +56,7 @@
     has_arrived: bool,
     /// Whether an attempt broke off at its start, so that the request may have crashed the replica.
     broke_at_start: bool,
-    /// Time until which a stream that its replica has ended at a switch of weights waits for another one to continue it.
-    waits_until: Option<Instant>,
-    /// Whether the stream has looked for one in vain.
-    is_waiting: bool,
+    switch_wait: SwitchWait,
 }
 
 /// Result of reading from the attempts.
@@ -99,8 +97,7 @@
             may_have_run: false,
             has_arrived: false,
             broke_at_start: false,
-            waits_until: None,
-            is_waiting: false,
+            switch_wait: SwitchWait::default(),
         }
     }
 
@@ -110,6 +107,11 @@
         serving.or(self.tried.last()).map(String::as_str)
     }
 
+    /// Returns what became of the stream with `outcome`, if it was ended at a switch and no replica has continued it.
+    pub(crate) fn end_switch_wait(&mut self, outcome: &'static str) -> Option<SwitchGap> {
+        self.switch_wait.end_as(outcome)
+    }
+
     /// Returns the id of the last event that was read.
     pub(crate) fn last_event_id(&self) -> Option<u64> {
         self.last_event_id
@@ -138,8 +140,9 @@
                 && self.starting.is_empty()
                 && let Err(denial) = self.ask_replica()
             {
-                if self.may_wait(denial) {
-                    self.is_waiting = true;
+                let deadline = self.deadline();
+                let now = Instant::now();
+                if self.switch_wait.may_wait(denial, now, deadline) {
                     tokio::time::sleep(WEIGHTS_POLL_INTERVAL).await;
                     continue;
                 }
@@ -218,7 +221,8 @@
             }
             AttemptStart::Responded(mut segment, read) => {
                 if self.has_events {
-                    segment.record_resumed(&self.shared, &self.call, self.last_event_id);
+                    let gap = self.switch_wait.end();
+                    segment.record_resumed(&self.shared, &self.call, self.last_event_id, gap);
                 } else {
                     segment.record_first_event(&self.shared, &self.call);
                 }
@@ -280,7 +284,6 @@
                 self.has_events = true;
                 self.last_event_id = segment.last_event_id();
                 self.ask_at = None;
-                self.waits_until = None;
                 segment.record_survival(&self.shared, &self.call);
                 self.serving = Some(segment);
                 Some(StreamRead::Events(bytes))
@@ -306,18 +309,13 @@
 
     /// Lets a stream that has begun wait for another replica until its client would leave, if `segment` was ended at a switch.
     fn wait_after_switch(&mut self, segment: &StreamSegment) {
-        if self.has_events && segment.is_at_switch() && self.waits_until.is_none() {
+        if self.has_events && segment.is_at_switch() {
             let patience = self.call.route.client_patience();
-            self.waits_until = after(Some(patience.saturating_sub(RESPONSE_RESERVE)));
+            let patience = patience.saturating_sub(RESPONSE_RESERVE);
+            self.switch_wait.begin(Instant::now(), patience);
         }
     }
 
-    /// Returns whether a replica may soon continue a stream that none can continue now: weights are loaded around a switch.
-    fn may_wait(&self, denial: RetryDenial) -> bool {
-        let now = Instant::now();
-        !denial.is_final() && self.waits_until.is_some_and(|it| now < it) && now < self.deadline()
-    }
-
     /// Returns whether the error response of an attempt is replaced by another attempt, which is made if necessary.
     fn is_replaceable(&mut self, segment: &StreamSegment) -> bool {
         if !segment.status().is_server_error() || !self.call.route.is_retryable() {
@@ -362,7 +360,7 @@
         }
         let chosen = choose_replica(&self.shared, &self.call, &self.tried, self.last_event_id);
         let chosen = chosen.map_err(|cause| {
-            if !self.is_waiting {
+            if !self.switch_wait.has_waited() {
                 log_no_replica(&self.shared, &self.call, cause, &self.tried);
             }
             RetryDenial::from(cause)
@@ -374,7 +372,6 @@
         self.tried.push(chosen.replica.id.clone());
         self.newest = Some(chosen.clone());
         self.is_silent = false;
-        self.is_waiting = false;
         self.ask_at = after(chosen.silence_timeout(&self.call.route));
         self.starting.push(Box::pin(start_attempt(
             self.shared.clone(),
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -13,7 +13,7 @@
 use crate::entry_shared::EntryShared;
 use crate::refusal::Refusal;
 use crate::stream_attempts::{StreamAttempts, StreamRead};
-use crate::stream_segment::{StreamSegment, millis, record_switch_outcome};
+use crate::stream_segment::{StreamSegment, millis};
 
 /// Waits for the first event of a stream. Then returns the response, whose body is relayed by a separate task.
 ///
@@ -99,12 +99,12 @@
         .requests
         .with_label_values(&["stream_end", "200", outcome])
         .inc();
-    let after_switch = call.take_switch_end().map(|_| match outcome {
+    let gap = attempts.end_switch_wait(match outcome {
         "client_left" => "client_left",
         _ => "lost",
     });
-    if let Some(outcome) = after_switch {
-        record_switch_outcome(&shared, outcome);
+    if let Some(gap) = gap {
+        gap.record(&shared);
     }
     let kind = if outcome == "complete" {
         LogKind::Served
@@ -116,7 +116,7 @@
             shared.log, "stream ended";
             "request" => call.id(),
             "outcome" => outcome,
-            "after_switch" => after_switch,
+            "after_switch" => gap.map(|it| it.outcome),
             "replica" => attempts.last_replica(),
             "last_event" => attempts.last_event_id(),
             "longest_pause_ms" => millis(longest_pause),
--- a/crates/ingress/src/stream_segment.rs
+++ b/crates/ingress/src/stream_segment.rs
@@ -17,6 +17,7 @@
 use crate::in_flight_guard::InFlightGuard;
 use crate::replica_send::{SendOutcome, send};
 use crate::switch_guard;
+use crate::switch_wait::SwitchGap;
 
 /// The segment of a stream that one replica sends.
 pub(crate) struct StreamSegment {
@@ -205,25 +206,18 @@
     }
 
     /// Records that the replica continues a stream after the event `after`, which says nothing about the time to the
-    /// client's first event.
+    /// client's first event. `gap` is set if the one before it was ended at a switch.
     pub(crate) fn record_resumed(
         &mut self,
         shared: &EntryShared,
         call: &ClientCall,
         after: Option<u64>,
+        gap: Option<SwitchGap>,
     ) {
         self.guard.record_first_event();
         let switch_slack = self.observe_switch_slack(shared);
-        let ended_at = call.take_switch_end();
-        let after_switch = ended_at.map(|it| {
-            if self.sent_at.saturating_duration_since(it) < MIN_WAIT {
-                "continued"
-            } else {
-                "waited"
-            }
-        });
-        if let Some(outcome) = after_switch {
-            record_switch_outcome(shared, outcome);
+        if let Some(gap) = gap {
+            gap.record(shared);
         }
         if shared.may_log(LogKind::Failed) {
             info!(
@@ -236,8 +230,8 @@
                 "switch_slack_ms" => switch_slack.map(millis),
                 "limit_ms" => millis(self.time_limit),
                 "after_event" => after,
-                "after_switch" => after_switch,
-                "gap_ms" => ended_at.map(|it| millis(it.elapsed())),
+                "after_switch" => gap.map(|it| it.outcome),
+                "gap_ms" => gap.map(|it| millis(it.since.elapsed())),
             );
         }
     }
@@ -325,9 +319,6 @@
                 .health
                 .record_outcome(&self.chosen.replica.id, outcome, Instant::now());
         }
-        if self.is_at_switch() && self.first_event_at.is_some() {
-            call.record_switch_end();
-        }
         self.count_end(shared, interruption.label());
         if !shared.may_log(LogKind::Failed) {
             return;
@@ -357,12 +348,6 @@
     }
 }
 
-/// Counts what became of a stream that its replica ended at a switch.
-pub(crate) fn record_switch_outcome(shared: &EntryShared, outcome: &str) {
-    let ended = &shared.metrics.streams_ended_at_switch;
-    ended.with_label_values(&[outcome]).inc();
-}
-
 /// Returns `duration` in milliseconds.
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
@@ -371,8 +356,5 @@
 /// Time after the first event in which a crash of the replica may be due to the request.
 const START_GRACE: Duration = Duration::from_millis(250);
 
-/// Time without an attempt from which on a stream has waited for a replica to continue it, rather than for one that refused it.
-const MIN_WAIT: Duration = Duration::from_millis(50);
-
 /// Minimum remaining time in which a broken stream still counts as a failure of its replica.
 const MIN_JUDGED_TIME: Duration = Duration::from_millis(100);
--- a/crates/ingress/src/time_limit_log.rs
+++ b/crates/ingress/src/time_limit_log.rs
@@ -26,8 +26,7 @@
     time_limit: Duration,
     is_shortened: bool,
 ) {
-    let weights = chosen.weights.as_ref();
-    let switch = weights.and_then(|it| switch_guard::time_to_switch(shared, it));
+    let switch = switch_guard::time_to_known_switch(shared, chosen);
     let limited_by = match switch {
         // Whatever the limit was computed from, it is no fence then.
         Some(time_to_switch) if time_to_switch < time_limit => NO_FENCE,
@@ -52,11 +51,14 @@
             shared.log, "time limit of a request";
             "request" => call.id(),
             "replica" => &chosen.replica.id,
-            "weights" => weights.map(|it| it.version),
+            "weights" => chosen.weights.as_ref().map(|it| it.version),
+            "expect_version" => chosen.expect_version,
             "limit_ms" => millis(time_limit),
             "limited_by" => limited_by,
             "switch_ms" => millis(time_to_switch),
             "left_ms" => millis(call.time_remaining()),
+            "predicted_ms" => chosen.predicted_ms.round(),
+            "likely_cut" => chosen.is_likely_cut,
         );
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -43,10 +43,10 @@
 pub use run_counters::{RunCount, RunCounters};
 pub use site::{
     CrashLog, CrashPlan, CrashingReplica, EXCUSED_CORRUPTION, EndlessBytes, EndlessProxy,
-    HeldAnswer, HeldResponse, HoldGate, HoldingReplica, RawConnection, RawEnd, RawFraming,
-    RawReplica, RawRequest, RawResponse, ReplicaCalls, ReplicaFaults, ReplicaKind, RunCounts,
-    RunStart, SilenceSwitch, SiteHost, SiteOrigin, SitePorts, SiteReplica, SiteStore, SiteWeights,
-    StoreCopy, WaitHabit, reset_on_close,
+    HeldAnswer, HeldResponse, HoldGate, HoldingReplica, INVALID_STATUS_LINES, RawConnection,
+    RawEnd, RawFraming, RawReplica, RawRequest, RawResponse, ReplicaCalls, ReplicaFaults,
+    ReplicaKind, RunCounts, RunStart, SilenceSwitch, SiteHost, SiteOrigin, SitePorts, SiteReplica,
+    SiteStore, SiteWeights, StoreCopy, WaitHabit, reset_on_close, start_status_service,
 };
 pub use standin_runtime::StandinRuntime;
 pub use table::{TableCounters, TableFaults, TableService};
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -13,6 +13,7 @@
 mod site_store;
 mod site_weights;
 mod staged_store;
+mod status_service;
 
 pub use crashing_replica::{CrashLog, CrashPlan, CrashingReplica};
 pub use endless_bytes::EndlessBytes;
@@ -30,3 +31,4 @@
 pub use site_store::{SiteStore, StoreCopy};
 pub use site_weights::SiteWeights;
 pub use staged_store::EXCUSED_CORRUPTION;
+pub use status_service::{INVALID_STATUS_LINES, start_status_service};
