--- /dev/null
+++ b/crates/fulmarline/tests/platform_late_orders.rs
@@ -0,0 +1,47 @@
+//! Replicas that read an order to load late, after a newer version was declared.
+
+#[path = "support/site.rs"]
+mod site;
+
+use std::time::Duration;
+
+use site::TestSite;
+use standin::{ReplicaCalls, SiteReplica};
+
+/// Checks that a replica which reads its order only after `meanwhile` loads no pieces of the version that was declared then.
+fn check(name: &str, first_index: u8, meanwhile: impl Fn(&TestSite, &SiteReplica)) {
+    let site = TestSite::start(name, first_index, &[1]);
+    let replica = &site.models[0];
+    replica.set_silent(&[ReplicaCalls::Orders], true);
+    site.declare(2);
+    site.wait("an order", |_| {
+        (replica.received(ReplicaCalls::Orders) > 0).then_some(())
+    });
+    meanwhile(&site, replica);
+    replica.set_silent(&[ReplicaCalls::Orders], false);
+    site.wait_for_weights(3);
+}
+
+/// Guards against weights that mix two versions: an order to load is read late, after a newer version was staged.
+#[test]
+fn a_late_order_loads_no_mixed_weights() {
+    check("late-order", 66, |site, _| {
+        site.declare(3);
+        // The agent gives up waiting for the response, and could stage all pieces of the newer version.
+        std::thread::sleep(Duration::from_millis(6000));
+    });
+}
+
+/// Guards against weights that mix two versions: a replica answers its agent again after a long silence, before it reads the order that
+/// it was sent.
+#[test]
+fn an_order_from_before_a_long_silence_loads_no_mixed_weights() {
+    check("late-order-silence", 68, |site, replica| {
+        replica.set_silent(&[ReplicaCalls::Reports], true);
+        site.declare(3);
+        std::thread::sleep(Duration::from_secs(13));
+        replica.set_silent(&[ReplicaCalls::Reports], false);
+        // The agent could stage all pieces of the newer version.
+        std::thread::sleep(Duration::from_secs(4));
+    });
+}
--- a/crates/fulmarline/tests/platform_silence.rs
+++ b/crates/fulmarline/tests/platform_silence.rs
@@ -144,15 +144,6 @@
     }
 }
 
-fn wait_for_version(site: &TestSite, version: u64) {
-    site.wait("the declared version on every replica", |it| {
-        let mut models = it.models.iter();
-        models.all(|it| it.version() == version).then_some(())
-    });
-    let mixed_loads: u64 = site.models.iter().map(|it| it.mixed_loads()).sum();
-    assert_eq!(mixed_loads, 0, "loads of pieces of two versions");
-}
-
 /// Checks by the logs that no entry went back to an older configuration.
 fn check_config_order(site: &TestSite) {
     for entry in &site.entries {
@@ -190,7 +181,7 @@
     });
     let statuses = check_calls(&site, &calls);
     assert!(statuses.keys().all(|it| [200, 503].contains(it)));
-    wait_for_version(&site, 3);
+    site.wait_for_weights(3);
     check_config_order(&site);
 }
 
@@ -298,50 +289,12 @@
             it.models[0].set_silent(&calls, true);
             std::thread::sleep(Duration::from_millis(2000));
             it.models[0].set_silent(&calls, false);
-            wait_for_version(it, version);
+            it.wait_for_weights(version);
         }
     });
     let statuses = check_calls(&site, &calls);
     assert!(statuses.keys().all(|it| [200, 503].contains(it)));
-    wait_for_version(&site, 3);
-}
-
-/// Guards against weights that mix two versions: an order to load is read late, after a newer version was staged.
-#[test]
-fn a_late_order_loads_no_mixed_weights() {
-    let (_slot, site) = start_site("silence-order", 3, &[1]);
-    let replica = &site.models[0];
-    replica.set_silent(&[ReplicaCalls::Orders], true);
-    site.declare(2);
-    site.wait("an order", |_| {
-        (replica.received(ReplicaCalls::Orders) > 0).then_some(())
-    });
-    site.declare(3);
-    // The agent gives up waiting for the response, and could stage all pieces of the newer version.
-    std::thread::sleep(Duration::from_millis(6000));
-    replica.set_silent(&[ReplicaCalls::Orders], false);
-    wait_for_version(&site, 3);
-}
-
-/// Guards against weights that mix two versions: a replica answers its agent again after a long silence, before it reads the order that
-/// it was sent.
-#[test]
-fn an_order_from_before_a_long_silence_loads_no_mixed_weights() {
-    let (_slot, site) = start_site("silence-long-order", 3, &[1]);
-    let replica = &site.models[0];
-    replica.set_silent(&[ReplicaCalls::Orders], true);
-    site.declare(2);
-    site.wait("an order", |_| {
-        (replica.received(ReplicaCalls::Orders) > 0).then_some(())
-    });
-    replica.set_silent(&[ReplicaCalls::Reports], true);
-    site.declare(3);
-    std::thread::sleep(Duration::from_secs(13));
-    replica.set_silent(&[ReplicaCalls::Reports], false);
-    // The agent could stage all pieces of the newer version.
-    std::thread::sleep(Duration::from_secs(4));
-    replica.set_silent(&[ReplicaCalls::Orders], false);
-    wait_for_version(&site, 3);
+    site.wait_for_weights(3);
 }
 
 /// Guards against pieces that the origin sends again because a replica does not answer when they are staged.
@@ -357,7 +310,7 @@
     });
     std::thread::sleep(Duration::from_millis(2000));
     replica.set_silent(&[ReplicaCalls::Staging], false);
-    wait_for_version(&site, 1);
+    site.wait_for_weights(1);
     assert_eq!(site.origin.pieces_sent(), WEIGHTS.pieces as u64);
 }
 
@@ -380,7 +333,7 @@
     std::thread::sleep(Duration::from_millis(6500));
     assert_eq!(replica.version(), 0);
     replica.set_silent(&[ReplicaCalls::Staging], false);
-    wait_for_version(&site, 1);
+    site.wait_for_weights(1);
     site.wait("a served stream", |it| {
         let response = it.call(0, Method::POST, "/open/1", "open", "none")?;
         (response.status == StatusCode::OK).then_some(())
@@ -422,7 +375,7 @@
         it.configure(&json!([public_route("during")]));
         it.origin.set_silent(false);
         wait_for_route(it, "during");
-        wait_for_version(it, 2);
+        it.wait_for_weights(2);
     });
     let statuses = check_calls(&site, &calls);
     assert!(statuses.keys().all(|it| [200, 503].contains(it)));
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -211,6 +211,16 @@
         }
     }
 
+    /// Waits until all model replicas have `version` of the weights, and checks that none has loaded pieces of two versions.
+    pub fn wait_for_weights(&self, version: u64) {
+        self.wait("the declared version on every replica", |it| {
+            let mut models = it.models.iter();
+            models.all(|it| it.version() == version).then_some(())
+        });
+        let mixed_loads: u64 = self.models.iter().map(|it| it.mixed_loads()).sum();
+        assert_eq!(mixed_loads, 0, "loads of pieces of two versions");
+    }
+
     /// Restarts an entry with `replacement` in place of `text` in its settings.
     pub fn restart_entry_with(&mut self, index: usize, text: &str, replacement: &str) {
         let name = self.hosts[index].name.clone();
--- a/crates/httpio/src/http_client.rs
+++ b/crates/httpio/src/http_client.rs
@@ -6,14 +6,13 @@
 use std::{fmt, time};
 
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
-use hyper::client::conn::TrySendError;
-use hyper::client::conn::http1::SendRequest;
+use hyper::body::Body;
 use hyper::{Request, Response};
 use hyper_util::rt;
 
 use crate::body::HttpBody;
-use crate::client_stream::{ClientStream, SocketView};
+use crate::client_connection::ClientConnection;
+use crate::client_stream::ClientStream;
 use crate::pooled_response::PooledResponse;
 
 /// A client with a pool of idle connections for each address.
@@ -37,13 +36,6 @@
     expires_at: time::Instant,
 }
 
-/// A connection whose task reads and writes its socket.
-#[derive(Debug)]
-pub struct ClientConnection {
-    sender: SendRequest<HttpBody>,
-    socket: SocketView,
-}
-
 /// Decides whether a request may be sent now. Returns the time since boot, see [`crate::boot_clock`], by which it must be written,
 /// or `None` if it may not be sent.
 ///
@@ -383,31 +375,6 @@
     std::io::Error::other("the caller prevented it when a connection was open")
 }
 
-impl ClientConnection {
-    /// Sends `request`, which must be written by `write_by`, if that is set.
-    async fn send(
-        &mut self,
-        request: Request<HttpBody>,
-        write_by: Option<time::Duration>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<HttpBody>>> {
-        if let Some(write_by) = write_by {
-            self.socket.limit_next_write(write_by);
-        }
-        self.socket.set_awaits_head(true);
-        let result = self.sender.try_send_request(request).await;
-        self.socket.set_awaits_head(false);
-        result
-    }
-
-    /// Returns what a failed send says about the request.
-    fn send_error(&self, err: TrySendError<Request<HttpBody>>) -> ClientError {
-        if self.socket.is_write_limit_passed() {
-            return ClientError::NotSent(std::io::ErrorKind::Interrupted.into());
-        }
-        ClientError::NoResponse(err.into_error())
-    }
-}
-
 fn with_host_header(mut request: Request<HttpBody>, address: SocketAddr) -> Request<HttpBody> {
     if !request.headers().contains_key(hyper::header::HOST) {
         let value = hyper::header::HeaderValue::from_str(&address.to_string())
--- a/crates/httpio/src/pooled_response.rs
+++ b/crates/httpio/src/pooled_response.rs
@@ -7,7 +7,8 @@
 use hyper::{Response, StatusCode};
 
 use crate::body;
-use crate::http_client::{ClientConnection, HttpClient};
+use crate::client_connection::ClientConnection;
+use crate::http_client::HttpClient;
 
 /// A response with an unread body, and the connection that it arrives on.
 ///
--- a/crates/ingress/src/stream_attempts.rs
+++ b/crates/ingress/src/stream_attempts.rs
@@ -4,17 +4,18 @@
 //! A silent replica may be sound and go on, so its attempt ends only when another replica has sent an event. See
 //! `docs/incidents/lost-version.md`.
 
+mod silence;
+
 use std::future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{ChosenReplica, LogKind, ReplicaOutcome};
+use fleet::ChosenReplica;
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use httpio::Response;
-use slog::info;
 
 use crate::attempt_start::{AttemptStart, start_attempt};
 use crate::client_call::ClientCall;
@@ -27,7 +28,7 @@
     MIN_SEND_TIME, acquire_retry, begin_send, choose_replica, log_denial, log_no_replica,
 };
 use crate::retry_denial::RetryDenial;
-use crate::stream_segment::{SegmentRead, StreamSegment, millis};
+use crate::stream_segment::{SegmentRead, StreamSegment};
 use crate::switch_wait::{SwitchGap, SwitchWait};
 
 /// The attempts to serve one stream.
@@ -284,6 +285,7 @@
                 self.has_events = true;
                 self.last_event_id = segment.last_event_id();
                 self.ask_at = None;
+                self.switch_wait = SwitchWait::default();
                 segment.record_survival(&self.shared, &self.call);
                 self.serving = Some(segment);
                 Some(StreamRead::Events(bytes))
@@ -406,50 +408,6 @@
             _ => Refusal::NoReplica,
         }
     }
-
-    /// Records that the newest attempt is silent.
-    fn record_silence(&mut self) {
-        if std::mem::replace(&mut self.is_silent, true) {
-            return;
-        }
-        let serving = self.serving.as_ref().map(|it| &it.chosen);
-        let newest = self.newest.as_ref().filter(|_| !self.starting.is_empty());
-        let Some(silent) = newest.or(serving) else {
-            return;
-        };
-        let id = &silent.replica.id;
-        self.shared
-            .state()
-            .health
-            .record_outcome(id, ReplicaOutcome::Unreachable, Instant::now());
-        self.shared
-            .replica_client
-            .drop_idle_connections(silent.replica.address);
-        self.log_silence("replica silent", id);
-    }
-
-    /// Records that a silent replica has gone on.
-    fn record_return(&self, segment: &StreamSegment) {
-        let id = &segment.chosen.replica.id;
-        self.shared
-            .state()
-            .health
-            .record_outcome(id, ReplicaOutcome::Served, Instant::now());
-        self.log_silence("silent replica went on", id);
-    }
-
-    fn log_silence(&self, message: &'static str, replica: &str) {
-        if self.shared.may_log(LogKind::Failed) {
-            info!(
-                self.shared.log, "{}", message;
-                "request" => self.call.id(),
-                "replica" => replica,
-                "last_event" => self.last_event_id,
-                "attempts" => self.starting.len() + usize::from(self.serving.is_some()),
-                "left_ms" => millis(self.call.time_remaining()),
-            );
-        }
-    }
 }
 
 async fn read_serving(serving: Option<&mut StreamSegment>) -> SegmentRead {
