--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -202,17 +202,21 @@
     def __init__(self, site, address, pieces, piece_bytes):
         super().__init__(site, address)
         self.pieces, self.piece_bytes = pieces, piece_bytes
-        self.link = asyncio.Lock()
+        self.link, self.newest, self.digests = asyncio.Lock(), 1, {}
 
     def piece(self, version, index):
         return random.Random(f"{version}/{index}").randbytes(self.piece_bytes)
 
     def digest(self, version, index):
-        return hashlib.sha256(self.piece(version, index)).hexdigest()
+        if (version, index) not in self.digests:
+            self.digests[version, index] = hashlib.sha256(self.piece(version, index)).hexdigest()
+        return self.digests[version, index]
 
     async def answer(self, request, reader, writer):
         version = int(request.query.get("version", "1"))
         model = request.path.rsplit("/", 1)[1]
+        if version <= self.newest - 2:
+            return encode_response(410)
         if request.path.startswith("/fulmarline/manifest/"):
             digests = [self.digest(version, index) for index in range(self.pieces)]
             return json_response(200, {"model": model, "version": version, "chunkBytes": self.piece_bytes,
@@ -269,7 +273,7 @@
         counts = {}
         for index in range(origin.pieces):
             digest = hashlib.sha256(self.staged.get(index, b"")).hexdigest()
-            known = [it for it in range(1, 12) if digest == origin.digest(it, index)]
+            known = [it for it in range(1, origin.newest + 1) if digest == origin.digest(it, index)]
             name = f"version {known[0]}" if known else "missing or spoilt"
             counts[name] = counts.get(name, 0) + 1
         self.loads.append((version, counts))
@@ -428,6 +432,7 @@
 
     def declare(self, version):
         self.log(f"version {version} of the weights is named")
+        self.origin.newest = version
         return self.store.put("op", "version/m", {"model": "m", "version": version})
 
     def settings(self, name, index, zone, side=None):
