Agent: a line says that a load is about to be ordered

`load ordered` is written after the replica has responded, so an agent that ends before leaves no trace of its order, and the log of the next agent does not tell whether the pieces under it were replaced by this process or by the one before. Change: `sending load order` with the version and the number of orders that the replica had begun; `replica started` has that number too.

--- a/crates/stager/src/load_order.rs
+++ b/crates/stager/src/load_order.rs
@@ -37,6 +37,12 @@
         pending_since: Instant::now(),
     });
     count_call(shared, "order");
+    // The line that tells the outcome is missing if the process ends before the replica responds.
+    info!(
+        shared.log, "sending load order";
+        "version" => target.version,
+        "orders_begun" => order.orders_started,
+    );
     shared.state().ordered_at = Some(Instant::now());
     let permit = Mutex::new(None);
     // The agent may have been suspended since the verification, and opening a connection may take long.
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -44,7 +44,7 @@
         };
         silent_since = None;
         if incarnation != Some(report.started_ms) {
-            info!(shared.log, "replica started"; "born_ms" => report.started_ms, "models" => report.models.len());
+            info!(shared.log, "replica started"; "born_ms" => report.started_ms, "models" => report.models.len(), "orders_begun" => report.orders_started);
             incarnation = Some(report.started_ms);
             let mut state = shared.state();
             state.staged_pieces.clear();
