An agent that has started stages nothing under an order of the process before it

Cause: an agent stages no other version while its order to load is unsettled, but knew of that only in its memory. The agent that started after it overwrote the pieces, and the replica accepted the order in the middle of that. Ruled out: pieces that the first agent replaced itself, and an order that is accepted although a later one has begun. Change: an agent orders a load only once all pieces of the version are staged, so the staged pieces show what may have been ordered. An agent that has started reads them before it stages a version if one that is neither served nor the target may have been, until the replica has begun an order or has answered for 10 s. What may have been ordered becomes the unsettled order and is loaded first; the number of begun orders then makes the replica reject the other one. Without a manifest that would tell, nothing is staged until the 10 s are over. In the usual case, one version after the one in service, nothing is read.

--- a/crates/fulmarline/tests/platform_late_orders.rs
+++ b/crates/fulmarline/tests/platform_late_orders.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use site::TestSite;
-use standin::{ReplicaCalls, SiteReplica};
+use standin::{ChildProcess, ReplicaCalls, SiteReplica};
 
 /// Checks that a replica which reads its order only after `meanwhile` loads no pieces of the version that was declared then.
 fn check(name: &str, first_index: u8, meanwhile: impl Fn(&TestSite, &SiteReplica)) {
@@ -45,3 +45,42 @@
         std::thread::sleep(Duration::from_secs(4));
     });
 }
+
+/// Checks that an order which its agent did not see answered before it ended loads no mixed weights: `end` ends the agent, and the replica
+/// reads the order after the next agent could have staged all pieces of a newer version.
+fn check_restart(name: &str, first_index: u8, end: impl Fn(&mut ChildProcess)) {
+    let mut site = TestSite::start(name, first_index, &[1]);
+    site.models[0].set_silent(&[ReplicaCalls::Orders], true);
+    site.declare(2);
+    site.wait("an order", |it| {
+        (it.models[0].received(ReplicaCalls::Orders) > 0).then_some(())
+    });
+    site.declare(3);
+    for _ in 0..2 {
+        end(&mut site.agents[0]);
+        site.restart_agent(0);
+        std::thread::sleep(NEXT_AGENT_TIME);
+    }
+    site.models[0].set_silent(&[ReplicaCalls::Orders], false);
+    site.wait_for_weights(3);
+}
+
+/// Guards against weights that mix two versions: an agent is killed while its order is unanswered, and the next one stages a newer
+/// version under it.
+#[test]
+fn an_order_of_an_agent_that_was_killed_loads_no_mixed_weights() {
+    check_restart("late-order-killed", 70, ChildProcess::kill);
+}
+
+/// Guards against weights that mix two versions: an agent is stopped while its order is unanswered, and the next one stages a newer
+/// version under it.
+#[test]
+fn an_order_of_an_agent_that_was_stopped_loads_no_mixed_weights() {
+    check_restart("late-order-stopped", 72, |it| {
+        it.terminate();
+        it.wait(site::WAIT_TIMEOUT);
+    });
+}
+
+/// Time in which an agent that has started learns of the newest version and could stage all its pieces.
+const NEXT_AGENT_TIME: Duration = Duration::from_millis(3500);
--- a/crates/stager/src/agent_metrics.rs
+++ b/crates/stager/src/agent_metrics.rs
@@ -16,6 +16,7 @@
     registry: Registry,
     pub(crate) pieces: IntCounterVec,
     pub(crate) orders: IntCounterVec,
+    pub(crate) prior_orders: IntCounterVec,
     pub(crate) replica_calls: IntCounterVec,
     pub(crate) version: IntGauge,
     pub(crate) verification_age: Histogram,
@@ -39,6 +40,13 @@
             ),
             &["outcome"],
         )?;
+        let prior_orders = IntCounterVec::new(
+            Opts::new(
+                "fulmarline_prior_orders_total",
+                "Searches for a load that an earlier process of the agent may have ordered, by finding.",
+            ),
+            &["finding"],
+        )?;
         let replica_calls = IntCounterVec::new(
             Opts::new(
                 "fulmarline_replica_calls_total",
@@ -65,12 +73,14 @@
         registry.register(Box::new(verification_age.clone()))?;
         registry.register(Box::new(pieces.clone()))?;
         registry.register(Box::new(orders.clone()))?;
+        registry.register(Box::new(prior_orders.clone()))?;
         registry.register(Box::new(replica_calls.clone()))?;
         registry.register(Box::new(version.clone()))?;
         Ok(Self {
             registry,
             pieces,
             orders,
+            prior_orders,
             replica_calls,
             version,
             verification_age,
--- a/crates/stager/src/agent_shared.rs
+++ b/crates/stager/src/agent_shared.rs
@@ -7,8 +7,8 @@
 
 use anyhow::Context;
 use fleet::{
-    FeedMirror, FeedTable, LoadDenial, LoadPermit, LoadedModel, PieceManifest, PieceSet,
-    SWITCH_RESERVE, StagedPieces, StoreTimes, SwitchDeadlines, VersionTable,
+    FeedMirror, FeedTable, LoadDenial, LoadPermit, LoadedModel, OrderWindow, PieceManifest,
+    PieceSet, SWITCH_RESERVE, StagedPieces, StoreTimes, SwitchDeadlines, VersionTable,
 };
 use httpio::HttpClient;
 use platform::{NodeSettings, ReplicaClient, ReplicaReport, StoreClient};
@@ -36,10 +36,17 @@
 pub(crate) struct UnsettledOrder {
     /// Weights that the order is for.
     pub(crate) target: WeightTarget,
-    /// Number of orders that the replica had started. The order is settled once there are more.
-    pub(crate) orders_started: u64,
-    /// When the order was last sent, or the replica last failed to report.
-    pub(crate) pending_since: Instant,
+    /// Opened when the order was last sent.
+    pub(crate) window: OrderWindow,
+}
+
+/// Load orders that an earlier process of this agent may have sent, and of which this one knows nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct PriorOrders {
+    /// Opened when this process first polled the replica.
+    pub(crate) window: OrderWindow,
+    /// When the staged pieces were last read to find out what may have been ordered.
+    pub(crate) surveyed_at: Option<Instant>,
 }
 
 /// Mutable state of an agent.
@@ -65,6 +72,8 @@
     pub(crate) ordered_version: Option<u64>,
     /// Load order that the replica has not answered. Pieces of no other version may be staged meanwhile.
     pub(crate) unsettled_order: Option<UnsettledOrder>,
+    /// Orders of an earlier process, until it is known that none of them can take effect.
+    pub(crate) prior_orders: Option<PriorOrders>,
     /// Weights that the replica serves, as reported to entries, or `None` until the replica has first been polled.
     pub(crate) serving: Option<Vec<LoadedModel>>,
     /// When the replica was last ordered to load weights.
@@ -140,19 +149,21 @@
         latest_ms.map(Duration::from_millis)
     }
 
-    /// Forgets the unsettled order if a replica that has started `orders_started` orders has answered it in effect, or
-    /// if it was not answered for so long that it was most likely lost.
-    pub(crate) fn settle_order(&mut self, orders_started: u64, now: Instant) {
-        self.unsettled_order.take_if(|it| {
-            it.orders_started != orders_started
-                || now.saturating_duration_since(it.pending_since) > UNSETTLED_ORDER_LIFETIME
-        });
+    /// Forgets the orders that a replica which has started `orders_started` orders has answered in effect, or that were
+    /// not answered for so long that they were most likely lost.
+    pub(crate) fn settle_orders(&mut self, orders_started: u64, now: Instant) {
+        self.unsettled_order
+            .take_if(|it| it.window.is_closed(orders_started, now));
+        self.prior_orders
+            .take_if(|it| it.window.is_closed(orders_started, now));
     }
 
-    /// Keeps the unsettled order while the replica is silent: it may read the order only after it has answered a report again.
+    /// Keeps orders unsettled while the replica is silent.
     pub(crate) fn defer_settling(&mut self, now: Instant) {
-        if let Some(order) = &mut self.unsettled_order {
-            order.pending_since = now;
+        let unsettled = self.unsettled_order.as_mut().map(|it| &mut it.window);
+        let prior = self.prior_orders.as_mut().map(|it| &mut it.window);
+        for window in unsettled.into_iter().chain(prior) {
+            window.extend(now);
         }
     }
 }
@@ -189,6 +200,7 @@
                 staged_pieces: StagedPieces::default(),
                 ordered_version: None,
                 unsettled_order: None,
+                prior_orders: None,
                 serving: None,
                 ordered_at: None,
                 last_report: None,
@@ -224,10 +236,6 @@
 /// Timeout for a response of the replica, which runs on the same host.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Time after which an order that was not answered and could not be sent again is assumed to be lost, if the replica has
-/// answered its agent all the while; several times as long as a sound replica is silent.
-const UNSETTLED_ORDER_LIFETIME: Duration = Duration::from_secs(10);
-
 /// Maximum number of pieces that are sent concurrently. The link also carries the streams of the replica, which must
 /// not queue behind pieces.
 const MAX_UPLOADS: usize = 2;
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -12,6 +12,7 @@
 mod load_order;
 mod piece_fetch;
 mod piece_server;
+mod prior_orders;
 mod source_client;
 mod staged_check;
 mod status_loop;
--- a/crates/stager/src/load_order.rs
+++ b/crates/stager/src/load_order.rs
@@ -3,7 +3,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use fleet::{LoadDenial, LoadPermit};
+use fleet::{LoadDenial, LoadPermit, OrderWindow};
 use platform::{CallError, LoadOrder, OrderResponse, ReplicaReport};
 use relay::boot_clock;
 use slog::info;
@@ -33,8 +33,7 @@
     // The replica may accept the order later even if it is not answered, so it is sent again until it is.
     let earlier = shared.state().unsettled_order.replace(UnsettledOrder {
         target: target.clone(),
-        orders_started: order.orders_started,
-        pending_since: Instant::now(),
+        window: OrderWindow::open(order.orders_started, Instant::now()),
     });
     count_call(shared, "order");
     // The line that tells the outcome is missing if the process ends before the replica responds.
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -119,6 +119,19 @@
     shared.state().staged_pieces.record_confirmation();
 }
 
+/// Fetches the manifest of a version from the agents of `plan` or else from the origin; returns `None` if none of them has it.
+pub(crate) async fn find_manifest(
+    shared: &AgentShared,
+    target: &WeightTarget,
+    plan: &FetchPlan,
+) -> Option<PieceManifest> {
+    if let Some(manifest) = fetch_manifest(shared, target, plan, 0).await {
+        return Some(manifest);
+    }
+    let fetched = fetch_manifest_from(shared, target, ManifestSource::Origin).await;
+    fetched.ok()
+}
+
 async fn fetch_manifest_from(
     shared: &AgentShared,
     target: &WeightTarget,
--- a/crates/stager/src/staged_check.rs
+++ b/crates/stager/src/staged_check.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use fleet::{LoadDenial, PieceVerification};
+use fleet::{LoadDenial, PieceManifest, PieceVerification};
 use futures::StreamExt;
-use futures::stream::FuturesUnordered;
+use futures::stream::{FuturesOrdered, FuturesUnordered};
 use platform::CallError;
 use relay::boot_clock;
 use slog::{info, warn};
@@ -58,7 +58,7 @@
     let mut all_valid = true;
     loop {
         while let Some(index) = verification.next_read() {
-            reads.push(read_piece(shared, target, index));
+            reads.push(read_piece(shared, &target.model, index));
         }
         let Some(read) = reads.next().await else {
             return all_valid;
@@ -86,6 +86,32 @@
     }
 }
 
+/// Reads the pieces in the order of their indexes; returns the digest of each, or `None` for one that is not staged. A piece
+/// that is not staged ends the list.
+pub(crate) async fn read_digests(
+    shared: &AgentShared,
+    manifest: &PieceManifest,
+) -> Result<Vec<Option<[u8; 32]>>, CallError> {
+    let indexes = (0..manifest.len()).collect();
+    let mut verification = PieceVerification::new(indexes, manifest.piece_bytes);
+    let mut reads = FuturesOrdered::new();
+    let mut digests = Vec::new();
+    loop {
+        while let Some(index) = verification.next_read() {
+            reads.push_back(read_piece(shared, &manifest.model, index));
+        }
+        let Some(read) = reads.next().await else {
+            return Ok(digests);
+        };
+        verification.record_read(boot_clock::now().saturating_sub(read.sent_at));
+        let digest = read.bytes?.as_deref().map(PieceManifest::digest);
+        digests.push(digest);
+        if digest.is_none() {
+            return Ok(digests);
+        }
+    }
+}
+
 /// A read of a staged piece that has ended.
 struct PieceRead {
     index: usize,
@@ -93,10 +119,10 @@
     bytes: Result<Option<Vec<u8>>, CallError>,
 }
 
-async fn read_piece(shared: &AgentShared, target: &WeightTarget, index: usize) -> PieceRead {
+async fn read_piece(shared: &AgentShared, model: &str, index: usize) -> PieceRead {
     let sent_at = boot_clock::now();
     let client = &shared.replica_client;
-    let bytes = client.read_staged_piece(&target.model, index).await;
+    let bytes = client.read_staged_piece(model, index).await;
     PieceRead {
         index,
         sent_at,
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -11,7 +11,7 @@
 use slog::{info, warn};
 
 use crate::agent_shared::{AgentShared, WeightTarget};
-use crate::{load_order, piece_fetch};
+use crate::{load_order, piece_fetch, prior_orders};
 
 /// Reconciles the weights that the replica serves with the target, for the lifetime of the process.
 pub(crate) async fn run(shared: Arc<AgentShared>) {
@@ -45,15 +45,18 @@
         silent_since = None;
         if incarnation != Some(report.started_ms) {
             info!(shared.log, "replica started"; "born_ms" => report.started_ms, "models" => report.models.len(), "orders_begun" => report.orders_started);
+            // Whoever ordered a load in an earlier incarnation of the replica, its orders are lost.
+            let prior_orders = prior_orders::of_earlier_process(&report, incarnation.is_none());
             incarnation = Some(report.started_ms);
             let mut state = shared.state();
             state.staged_pieces.clear();
             state.ordered_version = None;
             state.unsettled_order = None;
+            state.prior_orders = prior_orders;
         }
         shared
             .state()
-            .settle_order(report.orders_started, Instant::now());
+            .settle_orders(report.orders_started, Instant::now());
         report_serving(
             &shared,
             if report.load_in_progress {
@@ -166,6 +169,9 @@
     report: &ReplicaReport,
     attempts: &mut ManifestAttempts,
 ) {
+    if !prior_orders::may_stage(shared, target, report).await {
+        return;
+    }
     let started_at = Instant::now();
     // Staged pieces may be replaced during a load, since the replica reads them when it accepts the order.
     let Some(rollout_position) = stage_pieces(shared, target, attempts).await else {
