A replica's failure of a request that may run once is no promise that it has not run

Cause: a response of a replica that was no refusal was passed on with its status, also with 408, 429 and 503. Evidence: `request ended` has reason=answered and status=503 for the orders of the case, so the entry relayed them. Ruled out: a refusal by the entry after a send of unknown outcome, and a truthful refusal by a second replica, which have reasons of their own. Change: platform::promises_not_run names these statuses, and classify_head, through which every response of a replica goes, takes such a response without the replica's statement for an unknown outcome if the request may run once only: 502 without the replica's stamp. A 408 with the statement is a refusal now, as 429 and 503 were. Requests that may be repeated keep the status.

--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -190,19 +190,18 @@
     if is_foreign(call, &pooled_response, &metadata) {
         return SendOutcome::Unknown("foreign_answer");
     }
-    let is_refusal = metadata.not_executed
-        && matches!(
-            status,
-            StatusCode::SERVICE_UNAVAILABLE
-                | StatusCode::TOO_MANY_REQUESTS
-                | StatusCode::BAD_REQUEST
-        );
+    let is_promise = platform::promises_not_run(status);
     if status == StatusCode::MISDIRECTED_REQUEST {
         return SendOutcome::NotRun(NotRunReason::Misdirected);
     }
-    if is_refusal {
+    if metadata.not_executed && (is_promise || status == StatusCode::BAD_REQUEST) {
         return SendOutcome::NotRun(NotRunReason::Refused);
     }
+    // The replica may have run the request and failed it, while its client would send it again and have it run twice. See
+    // `docs/incidents/unproven-refusals.md`.
+    if is_promise && !call.route.is_retryable() {
+        return SendOutcome::Unknown(UNPROVEN_REFUSAL);
+    }
     if status.is_success()
         && (!metadata.signed || metadata.request_id.is_none() || metadata.encoded)
     {
@@ -260,6 +259,7 @@
     let is_sound = matches!(
         outcome,
         SendOutcome::Response(..)
+            | SendOutcome::Unknown(UNPROVEN_REFUSAL)
             | SendOutcome::NotRun(
                 NotRunReason::Limited
                     | NotRunReason::Leaving
@@ -307,6 +307,9 @@
     }
 }
 
+/// Label of a response whose status promises that a request has not run, although the replica does not state it.
+const UNPROVEN_REFUSAL: &str = "unproven_refusal";
+
 /// Fraction of a replica's idle timeout for which a connection is kept, so that it is not reused while the replica
 /// closes it.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
