A failed load order leaves the one before it unsettled

Cause: a replica did not answer an order and answered the repeated one with 500, which ended the record of both. The agent staged a newer version, and the replica accepted the first order in the middle of that. Change: only the begin of an order makes a replica reject all earlier ones, so only 202 ends the record; any other response settles its own order.

--- a/crates/fulmarline/tests/platform_late_orders.rs
+++ b/crates/fulmarline/tests/platform_late_orders.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use site::TestSite;
-use standin::{ChildProcess, ReplicaCalls, SiteReplica};
+use standin::{ChildProcess, ReplicaCalls, ReplicaFaults, SiteReplica};
 
-/// Checks that a replica which reads its order only after `meanwhile` loads no pieces of the version that was declared then.
-fn check(name: &str, first_index: u8, meanwhile: impl Fn(&TestSite, &SiteReplica)) {
+/// Checks that a replica which reads its order only after `meanwhile` loads no pieces of the versions that were declared then, the last of
+/// which is `newest`.
+fn check(name: &str, first_index: u8, newest: u64, meanwhile: impl Fn(&TestSite, &SiteReplica)) {
     let site = TestSite::start(name, first_index, &[1]);
     let replica = &site.models[0];
     replica.set_silent(&[ReplicaCalls::Orders], true);
@@ -19,13 +20,13 @@
     });
     meanwhile(&site, replica);
     replica.set_silent(&[ReplicaCalls::Orders], false);
-    site.wait_for_weights(3);
+    site.wait_for_weights(newest);
 }
 
 /// Guards against weights that mix two versions: an order to load is read late, after a newer version was staged.
 #[test]
 fn a_late_order_loads_no_mixed_weights() {
-    check("late-order", 66, |site, _| {
+    check("late-order", 66, 3, |site, _| {
         site.declare(3);
         // The agent gives up waiting for the response, and could stage all pieces of the newer version.
         std::thread::sleep(Duration::from_millis(6000));
@@ -36,7 +37,7 @@
 /// it was sent.
 #[test]
 fn an_order_from_before_a_long_silence_loads_no_mixed_weights() {
-    check("late-order-silence", 68, |site, replica| {
+    check("late-order-silence", 68, 3, |site, replica| {
         replica.set_silent(&[ReplicaCalls::Reports], true);
         site.declare(3);
         std::thread::sleep(Duration::from_secs(13));
@@ -46,6 +47,25 @@
     });
 }
 
+/// Guards against weights that mix two versions: the failure of a repeated order ends the record of the first one, which the replica
+/// accepts after newer pieces were staged.
+#[test]
+fn an_order_before_a_failed_one_loads_no_mixed_weights() {
+    check("late-order-failed", 74, 4, |site, replica| {
+        replica.set_faults(ReplicaFaults {
+            fail_orders: true,
+            ..ReplicaFaults::default()
+        });
+        site.declare(3);
+        site.declare(4);
+        site.wait("a failed order", |_| {
+            (replica.received(ReplicaCalls::Orders) > 1).then_some(())
+        });
+        std::thread::sleep(NEXT_AGENT_TIME);
+        replica.set_faults(ReplicaFaults::default());
+    });
+}
+
 /// Checks that an order which its agent did not see answered before it ended loads no mixed weights: `end` ends the agent, and the replica
 /// reads the order after the next agent could have staged all pieces of a newer version.
 fn check_restart(name: &str, first_index: u8, end: impl Fn(&mut ChildProcess)) {
--- a/crates/stager/src/load_order.rs
+++ b/crates/stager/src/load_order.rs
@@ -60,8 +60,10 @@
     let mut state = shared.state();
     match &response {
         Err(CallError::TimedOut | CallError::NoResponse(_)) => {}
-        Err(CallError::NotSent(_)) => state.unsettled_order = earlier,
-        _ => state.unsettled_order = None,
+        // The replica rejects all earlier orders once it has begun one.
+        Ok(OrderResponse::Started) => state.unsettled_order = None,
+        // Any other response settles this order only.
+        _ => state.unsettled_order = earlier,
     }
     if matches!(response, Ok(OrderResponse::Started)) {
         state.ordered_version = Some(target.version);
--- a/crates/standin/src/site/replica_faults.rs
+++ b/crates/standin/src/site/replica_faults.rs
@@ -31,6 +31,8 @@
     /// Requests a second that the replica claims to take from all hosts together, as the value of the header that all
     /// its responses contain.
     pub named_limit: Option<&'static str>,
+    /// Whether orders are answered with 500 at once, without effect.
+    pub fail_orders: bool,
     /// Whether the replica leaves, as the value of the header that all its responses contain.
     pub leaving: Option<&'static str>,
 }
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -242,6 +242,9 @@
 ) -> Response<HttpBody> {
     let calls = ReplicaCalls::of(request.uri().path());
     shared.lock().record_call(calls);
+    if calls == ReplicaCalls::Orders && shared.lock().faults.fail_orders {
+        return empty_response(StatusCode::INTERNAL_SERVER_ERROR);
+    }
     let work = handle_request(shared.clone(), request);
     let mut response = if calls == ReplicaCalls::Requests {
         let response = work.await;
