A transfer ends when the order that it is for is settled or given up

Cause: while an order is unsettled its version is staged, and only the loop that waits for the transfer looked at the replica's report and at the lapse of the record after 10 s. Evidence: in the new test the agent stayed in the transfer for the 60 s of the test, with version 4 at the origin. Ruled out: a record that does not lapse, and a newest version that cannot be fetched. Change: the replica is polled once a second during a transfer while an order is unsettled.

--- a/crates/fulmarline/tests/platform_late_orders.rs
+++ b/crates/fulmarline/tests/platform_late_orders.rs
@@ -66,6 +66,19 @@
     });
 }
 
+/// Guards against a replica that is never updated again: its agent waits for a piece that no source has, of a version whose order is
+/// lost.
+#[test]
+fn a_version_without_sources_is_given_up_when_its_order_is_lost() {
+    check("late-order-lost", 64, 4, |site, replica| {
+        replica.corrupt_staged_piece(0);
+        site.declare(3);
+        site.declare(4);
+        site.origin.withdraw_before(3);
+        replica.end_silence_with_loss(ReplicaCalls::Orders);
+    });
+}
+
 /// Checks that an order which its agent did not see answered before it ended loads no mixed weights: `end` ends the agent, and the replica
 /// reads the order after the next agent could have staged all pieces of a newer version.
 fn check_restart(name: &str, first_index: u8, end: impl Fn(&mut ChildProcess)) {
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -19,7 +19,7 @@
 
 use crate::agent_shared::{AgentShared, WeightTarget};
 use crate::source_client::{FetchError, NeighborPieces};
-use crate::{feed_reader, source_client};
+use crate::{feed_reader, source_client, weight_loop};
 
 /// Reads the list of replicas and creates the fetch plan of this agent.
 pub(crate) async fn create_plan(
@@ -158,6 +158,8 @@
     let mut polled = BTreeSet::new();
     let mut next_plan: Pin<Box<dyn Future<Output = Result<FetchPlan, String>> + Send + '_>> =
         Box::pin(refresh_plan(shared, target));
+    let mut next_settling: Pin<Box<dyn Future<Output = ()> + Send + '_>> =
+        Box::pin(weight_loop::poll_unsettled_order(shared));
     let mut last_report = Instant::now();
     loop {
         let is_doubted = shared.state().staged_pieces.is_manifest_doubted();
@@ -212,6 +214,9 @@
                 }
                 next_plan = Box::pin(refresh_plan(shared, target));
             }
+            () = &mut next_settling => {
+                next_settling = Box::pin(weight_loop::poll_unsettled_order(shared));
+            }
             () = timeout => {}
         }
     }
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -113,6 +113,26 @@
     Ok(report)
 }
 
+/// Waits, and then finds out whether the replica has settled the unsettled order, if there is one.
+///
+/// Transfers last for as long as no source has a piece, and the loop does not poll the replica meanwhile.
+pub(crate) async fn poll_unsettled_order(shared: &AgentShared) {
+    tokio::time::sleep(SETTLING_POLL_INTERVAL).await;
+    if shared.state().unsettled_order.is_none() {
+        return;
+    }
+    let before = shared.state().last_report.clone();
+    let report = current_report(shared).await;
+    let mut state = shared.state();
+    match report {
+        Ok(report) if before.is_some_and(|it| it.0.started_ms != report.started_ms) => {
+            state.unsettled_order = None;
+        }
+        Ok(report) => state.settle_orders(report.orders_started, Instant::now()),
+        Err(_) => state.defer_settling(Instant::now()),
+    }
+}
+
 /// Counts the failed attempts to fetch the manifest of a version.
 #[derive(Debug, Default)]
 struct ManifestAttempts {
@@ -344,6 +364,9 @@
 /// Interval at which the replica is polled, which is cheap because it runs on the same host.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Interval at which the replica is polled during a transfer while an order is unsettled.
+const SETTLING_POLL_INTERVAL: Duration = Duration::from_millis(1000);
+
 /// Interval at which a replica with a limit is polled while it loads weights, when entries send it no requests.
 const LOADING_POLL_INTERVAL: Duration = Duration::from_millis(1000);
 
--- a/crates/standin/src/site/site_origin.rs
+++ b/crates/standin/src/site/site_origin.rs
@@ -25,6 +25,8 @@
     corrupts_pieces: AtomicBool,
     /// Number of manifests that are still sent with a wrong digest.
     corrupt_manifests: AtomicU64,
+    /// Oldest version that is still served.
+    oldest_version: AtomicU64,
     silence: SilenceSwitch,
 }
 
@@ -40,6 +42,7 @@
             pieces_sent: AtomicU64::new(0),
             corrupts_pieces: AtomicBool::new(false),
             corrupt_manifests: AtomicU64::new(0),
+            oldest_version: AtomicU64::new(0),
             silence: SilenceSwitch::default(),
         });
         let server_shared = shared.clone();
@@ -70,6 +73,11 @@
         self.shared.silence.set_silent(is_silent);
     }
 
+    /// Stops serving versions before `version`.
+    pub fn withdraw_before(&self, version: u64) {
+        self.shared.oldest_version.store(version, Ordering::Relaxed);
+    }
+
     /// Makes the next `count` manifests name a wrong digest for the first piece.
     pub fn corrupt_manifests(&self, count: u64) {
         self.shared
@@ -97,6 +105,11 @@
     let weights = &shared.weights;
     let version = param("version").unwrap_or(1);
     let path = request.uri().path();
+    if version < shared.oldest_version.load(Ordering::Relaxed) {
+        let mut response = Response::new(httpio::empty());
+        *response.status_mut() = StatusCode::GONE;
+        return response;
+    }
     if let Some(model) = path.strip_prefix("/fulmarline/manifest/") {
         let digests = (0..weights.pieces).map(|it| weights.digest(version, it));
         let mut digests: Vec<String> = digests.collect();
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Ends a silence of `calls` in which everything received was lost.
+    pub fn end_silence_with_loss(&self, calls: ReplicaCalls) {
+        self.shared.silences[&calls].end_with_loss();
+    }
+
     /// Returns the loaded version; 0 for none.
     pub fn version(&self) -> u64 {
         self.shared.lock().version
