Prior orders: clearer names

Cause: read as a newcomer would: two functions were called find_manifest, a first poll has_started, and has_lapsed had one user. Change: names only, and the one expression in place of the function.

--- a/crates/fleet/src/order_window.rs
+++ b/crates/fleet/src/order_window.rs
@@ -23,12 +23,8 @@
     /// Returns whether no order of this window takes effect any more at a replica that has started `orders_started` orders:
     /// it has started another one, or the order was not answered for so long that it was most likely lost.
     pub fn is_closed(&self, orders_started: u64, now: Instant) -> bool {
-        self.orders_started != orders_started || self.has_lapsed(now)
-    }
-
-    /// Returns whether orders of this window have been pending for so long that they were most likely lost.
-    pub fn has_lapsed(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.pending_since) > MAX_PENDING_TIME
+        let pending_time = now.saturating_duration_since(self.pending_since);
+        self.orders_started != orders_started || pending_time > MAX_PENDING_TIME
     }
 
     /// Keeps the window open while the replica is silent: it may read the order only after it has answered a report again.
--- a/crates/fleet/src/prior_order.rs
+++ b/crates/fleet/src/prior_order.rs
@@ -71,18 +71,18 @@
     let names = |manifest: &PieceManifest, index: usize| {
         manifest.digests.get(index) == Some(&staged[index])
     };
-    let is_known = |index: usize| manifests.values().any(|it| names(it, index));
-    let known: Vec<usize> = (0..staged.len()).filter(|it| is_known(*it)).collect();
+    let is_named = |index: usize| manifests.values().any(|it| names(it, index));
+    let named: Vec<usize> = (0..staged.len()).filter(|it| is_named(*it)).collect();
     // Corrupt pieces do not show that a version was incomplete when it was ordered, but those of another version do.
     let is_staged =
-        |manifest: &PieceManifest| !known.is_empty() && known.iter().all(|it| names(manifest, *it));
+        |manifest: &PieceManifest| !named.is_empty() && named.iter().all(|it| names(manifest, *it));
     let mut newest_first = manifests.iter().rev();
     let ordered = newest_first.find(|it| candidates.contains(*it.0) && is_staged(it.1));
     if let Some((version, _)) = ordered {
         return PriorOrder::Possible(*version);
     }
-    let all_named = known.len() == staged.len();
-    if all_named || candidates.iter().all(|it| manifests.contains_key(&it)) {
+    let are_all_named = named.len() == staged.len();
+    if are_all_named || candidates.iter().all(|it| manifests.contains_key(&it)) {
         PriorOrder::None
     } else {
         PriorOrder::Undetermined
--- a/crates/stager/src/piece_fetch.rs
+++ b/crates/stager/src/piece_fetch.rs
@@ -120,7 +120,7 @@
 }
 
 /// Fetches the manifest of a version from the agents of `plan` or else from the origin; returns `None` if none of them has it.
-pub(crate) async fn find_manifest(
+pub(crate) async fn fetch_manifest_anywhere(
     shared: &AgentShared,
     target: &WeightTarget,
     plan: &FetchPlan,
--- a/crates/stager/src/prior_orders.rs
+++ b/crates/stager/src/prior_orders.rs
@@ -13,11 +13,11 @@
 use crate::agent_shared::{AgentShared, PriorOrders, UnsettledOrder, WeightTarget};
 use crate::{piece_fetch, staged_check};
 
-/// Returns the orders that an earlier process may have sent to the replica with `report`, if this process `has_started` since
-/// and has not polled the replica before.
-pub(crate) fn of_earlier_process(report: &ReplicaReport, has_started: bool) -> Option<PriorOrders> {
+/// Returns the orders that an earlier process may have sent to the replica with `report`, if this is its first report to this
+/// process.
+pub(crate) fn of_earlier_process(report: &ReplicaReport, is_first: bool) -> Option<PriorOrders> {
     // No load is ordered during another one, and all earlier orders are rejected since it began.
-    let is_possible = has_started && !report.load_in_progress;
+    let is_possible = is_first && !report.load_in_progress;
     is_possible.then(|| PriorOrders {
         window: OrderWindow::open(report.orders_started, Instant::now()),
         surveyed_at: None,
@@ -125,7 +125,7 @@
             return None;
         }
     };
-    let manifest = piece_fetch::find_manifest(shared, &target, &plan).await;
+    let manifest = piece_fetch::fetch_manifest_anywhere(shared, &target, &plan).await;
     manifest.map(Arc::new)
 }
 
