Soak: unanswered orders with restarts of their agents, and failures that replicas do not call refusals

Change: the soak leaves a replica's orders unanswered while versions are declared and its agent is killed or stopped, and lets replicas fail requests that they have run with 408, 429, 500 and 503. A refusal is checked with 408 and 421 too. Another first address lets several runs fit on one machine. The stand-in's responses have a file of their own.

--- a/crates/fulmarline/tests/platform_soak.rs
+++ b/crates/fulmarline/tests/platform_soak.rs
@@ -1,8 +1,9 @@
 //! Randomized soak test: injects random faults into a site of real processes, and checks the guarantees against what
 //! clients and replicas observe.
 //!
-//! The seeds in [`SEEDS`] run in CI; `FULMARLINE_SOAK_SEEDS=100..150` selects other seeds for a manual run. Every seed
-//! that has failed is added to [`SEEDS`] with a comment on the cause.
+//! The seeds in [`SEEDS`] run in CI; `FULMARLINE_SOAK_SEEDS=100..150` selects other seeds for a manual run, and
+//! `FULMARLINE_SOAK_ADDRESS=200` the first address of the site, so that several runs fit on one machine. Every seed that has
+//! failed is added to [`SEEDS`] with a comment on the cause.
 
 #[path = "support/site.rs"]
 mod site;
@@ -15,17 +16,26 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use site::TestSite;
-use standin::ReplicaFaults;
+use standin::{ReplicaCalls, ReplicaFaults};
 
 /// Seeds that run by default.
 const SEEDS: [u64; 2] = [1, 2];
 
+/// Last number of the first address of the site.
+const FIRST_INDEX: u8 = 61;
+
 /// Number of faults that are injected per seed.
 const FAULT_COUNT: u32 = 14;
 
 /// Number of concurrent clients, each of which sends one request after another.
 const CLIENT_COUNT: u8 = 4;
 
+/// Statuses with which replicas fail requests that they have run.
+const FAIL_STATUSES: [Option<u16>; 5] = [None, Some(408), Some(429), Some(500), Some(503)];
+
+/// Statuses that promise that a request has not run.
+const REFUSAL_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
 /// A request and the response that the client received.
 struct CallRecord {
     id: String,
@@ -44,15 +54,17 @@
         }
         Err(_) => SEEDS.to_vec(),
     };
+    let first_index = std::env::var("FULMARLINE_SOAK_ADDRESS");
+    let first_index = first_index.map_or(FIRST_INDEX, |it| it.parse().unwrap());
     for seed in seeds {
         println!("seed {seed}");
-        soak(seed);
+        soak(seed, first_index);
     }
 }
 
-fn soak(seed: u64) {
+fn soak(seed: u64, first_index: u8) {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut site = TestSite::start(&format!("soak-{seed}"), 61, &[1, 1, 0]);
+    let mut site = TestSite::start(&format!("soak-{seed}"), first_index, &[1, 1, 0]);
     let stop = AtomicBool::new(false);
     let next_id = AtomicU64::new(0);
     let mut version = 1;
@@ -105,7 +117,7 @@
 fn inject_fault(site: &mut TestSite, rng: &mut StdRng, version: u64) -> u64 {
     let entry = rng.random_range(0..2);
     let pause = Duration::from_millis(rng.random_range(100..900));
-    match rng.random_range(0..8) {
+    match rng.random_range(0..10) {
         0 => {
             site.entries[entry].kill();
             std::thread::sleep(pause);
@@ -142,6 +154,7 @@
         6 => {
             let faults = ReplicaFaults {
                 drop_responses: rng.random(),
+                fail_status: FAIL_STATUSES[rng.random_range(0..FAIL_STATUSES.len())],
                 full: rng.random(),
                 ..ReplicaFaults::default()
             };
@@ -152,6 +165,7 @@
             };
             replicas[rng.random_range(0..replicas.len())].set_faults(faults);
         }
+        7 | 8 => return interrupt_order(site, rng, version),
         _ => {
             site.origin.set_corrupt_pieces(rng.random());
             site.declare(version + 1);
@@ -162,6 +176,32 @@
     version
 }
 
+/// Declares versions while a replica answers no order to load, and ends its agent once or twice meanwhile. The replica accepts the
+/// orders afterwards, or they are lost. Returns the version that was declared last.
+fn interrupt_order(site: &mut TestSite, rng: &mut StdRng, mut version: u64) -> u64 {
+    let index = rng.random_range(0..site.models.len());
+    site.models[index].set_silent(&[ReplicaCalls::Orders], true);
+    for _ in 0..rng.random_range(1..3) {
+        version += 1;
+        site.declare(version);
+        std::thread::sleep(Duration::from_millis(rng.random_range(100..1500)));
+        if rng.random() {
+            site.agents[index].kill();
+        } else {
+            site.agents[index].terminate();
+            site.agents[index].wait(site::WAIT_TIMEOUT);
+        }
+        site.restart_agent(index);
+    }
+    std::thread::sleep(Duration::from_millis(rng.random_range(100..3500)));
+    if rng.random() {
+        site.models[index].set_silent(&[ReplicaCalls::Orders], false);
+    } else {
+        site.models[index].end_silence_with_loss(ReplicaCalls::Orders);
+    }
+    version
+}
+
 /// Ends all faults that last until they are reset.
 fn clear_faults(site: &mut TestSite) {
     site.store.set_down(false);
@@ -225,8 +265,7 @@
         }
         if call.kind == "order" {
             assert!(run_count <= 1, "{id}: ran {run_count} times");
-            let is_refusal = *status == StatusCode::SERVICE_UNAVAILABLE
-                || *status == StatusCode::TOO_MANY_REQUESTS;
+            let is_refusal = REFUSAL_STATUSES.contains(&status.as_u16());
             assert!(
                 !is_refusal || run_count == 0,
                 "{id}: refused with {status}, but it ran"
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -6,6 +6,7 @@
 mod holding_replica;
 mod raw_replica;
 mod replica_faults;
+mod replica_responses;
 mod silence_switch;
 mod site_origin;
 mod site_replica;
--- a/crates/standin/src/site/replica_faults.rs
+++ b/crates/standin/src/site/replica_faults.rs
@@ -21,6 +21,8 @@
     pub unframed: bool,
     /// Runs requests but closes the connection without a response.
     pub drop_responses: bool,
+    /// Runs requests and responds with this status, without a statement on whether they have run.
+    pub fail_status: Option<u16>,
     /// Rejects requests as if there were no capacity.
     pub full: bool,
     /// Seconds after which clients may return that are rejected for lack of capacity, as the value of the header.
