--- a/crates/fulmarline/tests/platform_leaving.rs
+++ b/crates/fulmarline/tests/platform_leaving.rs
@@ -19,10 +19,12 @@
     truncate_next_after: None,
     unframed: false,
     drop_responses: false,
+    fail_status: None,
     full: false,
     retry_after: None,
     crash_part: None,
     named_limit: None,
+    fail_orders: false,
     leaving: Some("1"),
 };
 
