A version that is staged only in part has not been ordered

What callers saw: refusals while an agent finished a version that no source had any more, because some of its pieces were staged when the agent started (a trial of three versions in 5 s with agents stopped in turn). Cause: pieces that no known manifest names were taken for corrupt ones, any number of them, so a version that was being staged over one whose manifest nobody has any more counted as ordered. Change: at most a quarter of the pieces may be unnamed, several times what one disruption corrupts.

--- a/crates/fleet/src/prior_order.rs
+++ b/crates/fleet/src/prior_order.rs
@@ -73,21 +73,27 @@
     };
     let is_named = |index: usize| manifests.values().any(|it| names(it, index));
     let named: Vec<usize> = (0..staged.len()).filter(|it| is_named(*it)).collect();
-    // Corrupt pieces do not show that a version was incomplete when it was ordered, but those of another version do.
+    // Some corrupt pieces do not show that a version was incomplete when it was ordered. Pieces of another version do, and so do
+    // too many that no manifest names.
+    let unnamed = staged.len() - named.len();
+    let may_be_complete = unnamed <= staged.len() / CORRUPT_DIVISOR;
     let is_staged =
-        |manifest: &PieceManifest| !named.is_empty() && named.iter().all(|it| names(manifest, *it));
+        |manifest: &PieceManifest| may_be_complete && named.iter().all(|it| names(manifest, *it));
     let mut newest_first = manifests.iter().rev();
     let ordered = newest_first.find(|it| candidates.contains(*it.0) && is_staged(it.1));
     if let Some((version, _)) = ordered {
         return PriorOrder::Possible(*version);
     }
-    let are_all_named = named.len() == staged.len();
-    if are_all_named || candidates.iter().all(|it| manifests.contains_key(&it)) {
+    if unnamed == 0 || candidates.iter().all(|it| manifests.contains_key(&it)) {
         PriorOrder::None
     } else {
         PriorOrder::Undetermined
     }
 }
 
+/// Part of the staged pieces that may have become corrupt since an order; several times as many as one disruption of the platform
+/// corrupts.
+const CORRUPT_DIVISOR: usize = 4;
+
 /// The version that replicas may serve before any is declared.
 const FIRST_VERSION: u64 = 1;
