Prior orders: comments that say which rule they ground

Cause: read as a newcomer would, two comments named an actor where they meant the loss of orders, and one rule had its ground in another paragraph. Change: comments only.

--- a/crates/fleet/src/prior_order.rs
+++ b/crates/fleet/src/prior_order.rs
@@ -20,9 +20,8 @@
     Undetermined,
 }
 
-/// Versions that an earlier process may have ordered: all that are newer than the one that is served, except the target.
-///
-/// To stage the target under an order for it only completes or repairs what that order loads.
+/// Versions that an earlier process may have ordered and that must not be staged over: all that are newer than the one that is
+/// served, except the target. Staging the target under an order for it only completes or repairs what that order loads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OrderCandidates {
     first: u64,
@@ -73,8 +72,8 @@
     };
     let is_named = |index: usize| manifests.values().any(|it| names(it, index));
     let named: Vec<usize> = (0..staged.len()).filter(|it| is_named(*it)).collect();
-    // Some corrupt pieces do not show that a version was incomplete when it was ordered. Pieces of another version do, and so do
-    // too many that no manifest names.
+    // A few corrupt pieces do not show that a version was incomplete when it was ordered. Pieces of another version do, and so do
+    // many that no manifest names.
     let unnamed = staged.len() - named.len();
     let may_be_complete = unnamed <= staged.len() / CORRUPT_DIVISOR;
     let is_staged =
--- a/crates/stager/src/weight_loop.rs
+++ b/crates/stager/src/weight_loop.rs
@@ -45,7 +45,7 @@
         silent_since = None;
         if incarnation != Some(report.started_ms) {
             info!(shared.log, "replica started"; "born_ms" => report.started_ms, "models" => report.models.len(), "orders_begun" => report.orders_started);
-            // Whoever ordered a load in an earlier incarnation of the replica, its orders are lost.
+            // Orders that an earlier incarnation of the replica received are lost with it.
             let prior_orders = prior_orders::of_earlier_process(&report, incarnation.is_none());
             incarnation = Some(report.started_ms);
             let mut state = shared.state();
