Test sites end the old process before they start an entry again

The entry's log says "cannot bind the front address: Address already in use": start_entry spawned the new process and ended the old one by dropping it afterwards, so the new one ended if it bound its addresses first. Change: start_entry kills a process that still runs before it spawns the new one. No check or wait is changed.

--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -203,7 +203,12 @@
     pub fn start_entry(&mut self, index: usize) {
         let host = &self.hosts[index];
         let settings = host.entry_settings(self.ports, self.store_address());
-        let entry = self.spawn("entry", &host.name.clone(), &settings);
+        let name = host.name.clone();
+        if let Some(running) = self.entries.get_mut(index) {
+            // A process that still runs would hold the addresses of the new one.
+            running.kill();
+        }
+        let entry = self.spawn("entry", &name, &settings);
         if index < self.entries.len() {
             self.entries[index] = entry;
         } else {
