Log lines of requests name the tenant and the age of the configuration

`request ended` and `stream ended` have the tenant, the version of the configuration and its age at the arrival now, so `fulmarline explain` shows them; for a request that is refused before it has a route they are those of the moment.

--- a/crates/ingress/src/client_call.rs
+++ b/crates/ingress/src/client_call.rs
@@ -32,6 +32,8 @@
     /// Parts of the prompt that other requests may share.
     pub(crate) parts: Vec<PartId>,
     pub(crate) tenant: Option<Arc<ApiTenant>>,
+    /// Age of the configuration when the request arrived.
+    pub(crate) config_age: Option<Duration>,
     pub(crate) method: Method,
     pub(crate) target: http::Uri,
     pub(crate) headers: HeaderMap,
@@ -50,6 +52,11 @@
         self.metadata.id.as_deref().unwrap_or("")
     }
 
+    /// Returns the name of the tenant that is passed on to replicas.
+    pub(crate) fn tenant_name(&self) -> Option<&str> {
+        self.tenant.as_ref().map(|it| it.name.as_str())
+    }
+
     /// Returns how urgent the request is beside others of its service; 0 is first.
     pub(crate) fn rank(&self) -> u32 {
         let tenant = self.tenant.as_ref().and_then(|it| it.rank);
@@ -106,16 +113,14 @@
     arrived: Instant,
 ) -> Result<ClientCall, Refusal> {
     let metadata = platform::decode_request_headers(request.headers());
-    let (table, is_trusted, is_current) = {
+    let (table, is_trusted, config_age) = {
         let state = shared.state();
         let now = boot_clock::now();
         let table = state.routes.clone().ok_or(Refusal::NoConfig)?;
-        let is_current = state
-            .freshness
-            .age(now)
-            .is_some_and(|it| it < MAX_CURRENT_AGE);
-        (table, state.freshness.is_trusted(now), is_current)
+        let config_age = state.freshness.age(now);
+        (table, state.freshness.is_trusted(now), config_age)
     };
+    let is_current = config_age.is_some_and(|it| it < MAX_CURRENT_AGE);
     let host = request
         .headers()
         .get(header::HOST)
@@ -195,6 +200,7 @@
         metadata,
         service,
         tenant,
+        config_age,
         method: parts.method,
         target: parts.uri,
         headers: parts.headers,
--- a/crates/ingress/src/entry_shared.rs
+++ b/crates/ingress/src/entry_shared.rs
@@ -251,6 +251,13 @@
         self.started_at + boot_clock::now().saturating_sub(self.boot_age_at_start)
     }
 
+    /// Returns the version of the configuration in force, and the time since it was confirmed to be the newest one.
+    pub(crate) fn config_in_force(&self) -> (Option<u64>, Option<Duration>) {
+        let state = self.state();
+        let version = state.routes.as_ref().map(|it| it.version());
+        (version, state.freshness.age(boot_clock::now()))
+    }
+
     /// Locks the state; never held across an await.
     pub(crate) fn state(&self) -> MutexGuard<'_, EntryState> {
         self.state
--- a/crates/ingress/src/replica_send.rs
+++ b/crates/ingress/src/replica_send.rs
@@ -71,7 +71,7 @@
     let metadata = ForwardMetadata {
         time_limit,
         replica: &replica.id,
-        tenant: call.tenant.as_ref().map(|it| it.name.as_str()),
+        tenant: call.tenant_name(),
         rank: call
             .table
             .ranks()
--- a/crates/ingress/src/request_handler.rs
+++ b/crates/ingress/src/request_handler.rs
@@ -15,6 +15,7 @@
 use crate::refusal::Refusal;
 use crate::replica_send::{NotRunReason, SendOutcome};
 use crate::retry_denial::RetryDenial;
+use crate::stream_segment::millis;
 use crate::{buffered_relay, peer_evidence, placement_guard, stop, stream_relay, switch_guard};
 
 /// Handles one request of a client.
@@ -26,15 +27,15 @@
     let id = platform::decode_request_headers(request.headers())
         .id
         .unwrap_or_default();
-    let (kind, mut response, reason) = match read_call(&shared, request, arrived).await {
+    let call = read_call(&shared, request, arrived).await.map(Arc::new);
+    let (kind, mut response, reason) = match &call {
         Err(refusal) => ("unrouted", refusal.response(), refusal.reason()),
         Ok(call) => {
             let kind = kind_label(call.route.kind);
-            let call = Arc::new(call);
             let outcome = tokio::select! {
                 biased;
                 outcome = dispatch(&shared, call.clone()) => outcome,
-                () = stop::final_response_due(&shared) => Err(stop::final_refusal(&call)),
+                () = stop::final_response_due(&shared) => Err(stop::final_refusal(call)),
             };
             match outcome {
                 Ok(response) => (kind, response, "answered"),
@@ -57,6 +58,10 @@
     };
     // A successful stream gets its log line when it ends.
     if !(is_served && kind == "stream") && shared.may_log(line_kind) {
+        let (config, config_age) = match &call {
+            Ok(call) => (Some(call.table.version()), call.config_age),
+            Err(_) => shared.config_in_force(),
+        };
         info!(
             shared.log, "request ended";
             "request" => id,
@@ -64,6 +69,9 @@
             "status" => status.as_u16(),
             "reason" => reason,
             "ms" => u64::try_from(arrived.elapsed().as_millis()).unwrap_or(u64::MAX),
+            "tenant" => call.as_ref().ok().and_then(|it| it.tenant_name()),
+            "config" => config,
+            "config_age_ms" => config_age.map(millis),
         );
     }
     response
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -121,6 +121,9 @@
             "last_event" => attempts.last_event_id(),
             "longest_pause_ms" => millis(longest_pause),
             "ms" => millis(call.arrived.elapsed()),
+            "tenant" => call.tenant_name(),
+            "config" => call.table.version(),
+            "config_age_ms" => call.config_age.map(millis),
         );
     }
 }
