A key names its tenant only while the configuration is recent

Cause: `read_call` asked for the age of the configuration in the branch for routes that need a key, and looked the key up at any age in the branch for public ones. Ruled out so: a wrong age, a late send, a forged header.

`KeyTable::identify` is now the only way to a tenant and takes the age; a request with a key is refused with 503 and the time to come back where the tenant cannot be known, on public routes too, and served without a key as before. Decision 52 has the table of what a request takes from the configuration, and the ways that were weighed.

Tests that sent a key which no tenant holds to public routes meant no key, and send none now; one of them ran while the store was silent, where a request with a key is refused.

--- a/crates/fleet/src/api_keys.rs
+++ b/crates/fleet/src/api_keys.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
+
+use crate::freshness::ConfigFreshness;
 
 /// A tenant from the operator's configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,6 +18,15 @@
     pub home_regions: Vec<String>,
 }
 
+/// Why a request is not accepted because of its key, or because it has none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyDenial {
+    /// The configuration was confirmed too long ago to tell who holds the key.
+    Outdated,
+    /// No tenant holds the key, or the route requires one and the request has none.
+    Unknown,
+}
+
 /// The valid API keys. Without configured tenants the table is empty and every request is accepted.
 #[derive(Clone, Default)]
 pub struct KeyTable {
@@ -37,20 +49,40 @@
         }
     }
 
-    /// Returns whether requests on non-public routes need a key.
-    pub fn required(&self) -> bool {
-        self.required
-    }
-
     /// Returns the number of keys whose tenants have a rank of their own.
     pub fn ranked_count(&self) -> usize {
         let tenants = self.tenants.values();
         tenants.filter(|it| it.rank.is_some()).count()
     }
 
-    /// Returns the tenant that holds `key`.
-    pub fn tenant(&self, key: &str) -> Option<&Arc<ApiTenant>> {
-        self.tenants.get(key)
+    /// Returns the tenant on whose behalf a request with `key` runs at `now`, or `None` if it needs no tenant.
+    ///
+    /// Keys are revoked and move between tenants, so the result is only as recent as the configuration that the keys come
+    /// from. There is no other way to a tenant than with the `freshness` of that configuration, on public routes too:
+    /// replicas take the tenant for granted, whatever the route requires. See
+    /// `docs/decisions/0052-age-of-what-a-request-is-given.md`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the request must not run.
+    pub fn identify(
+        &self,
+        key: Option<&str>,
+        is_public: bool,
+        freshness: &ConfigFreshness,
+        now: Duration,
+    ) -> Result<Option<&Arc<ApiTenant>>, KeyDenial> {
+        if !self.required || key.is_none() && is_public {
+            return Ok(None);
+        }
+        if !freshness.is_trusted(now) {
+            return Err(KeyDenial::Outdated);
+        }
+        let holder = key.and_then(|it| self.tenants.get(it));
+        if holder.is_none() && !is_public {
+            return Err(KeyDenial::Unknown);
+        }
+        Ok(holder)
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -55,7 +55,7 @@
 mod version_table;
 mod zone_exchange;
 
-pub use api_keys::{ApiTenant, KeyTable};
+pub use api_keys::{ApiTenant, KeyDenial, KeyTable};
 pub use client_limits::{ClientLimits, ClientMemory};
 pub use cold_table::{ColdStart, ColdTable};
 pub use config_history::ConfigHistory;
--- a/crates/fulmarline/tests/support/site_caller.rs
+++ b/crates/fulmarline/tests/support/site_caller.rs
@@ -122,6 +122,19 @@
         )
     }
 
+    /// Sends a request without a key and without a body to an entry.
+    pub fn call_without_key(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        id: &str,
+    ) -> Option<SiteResponse> {
+        let headers = [("Request-Id", id)];
+        let body = Vec::new();
+        self.send(entry, method, path, &headers, self.prompt_tokens, body)
+    }
+
     /// Sends a request with a body to an entry.
     pub fn call_with_body(
         &self,
--- a/crates/ingress/src/client_call.rs
+++ b/crates/ingress/src/client_call.rs
@@ -5,18 +5,18 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{ApiTenant, CallKind, Route, RouteTable};
+use fleet::{ApiTenant, CallKind, KeyDenial, Route, RouteTable};
 use httpio::{BufferShare, ClientHandle, HeaderMap, Incoming, Method, Request, header};
 use hyper::body::Body;
 use platform::RequestMetadata;
 use rand::RngExt;
+use relay::boot_clock;
 use routing::{PartId, PoolId};
 
 use crate::client_accounts;
 use crate::crash_guard::TrialGuard;
 use crate::entry_shared::EntryShared;
 use crate::refusal::Refusal;
-use relay::boot_clock;
 
 /// A client's request, read completely.
 #[derive(Debug)]
@@ -31,6 +31,8 @@
     pub(crate) pool: PoolId,
     /// Parts of the prompt that other requests may share.
     pub(crate) parts: Vec<PartId>,
+    /// The tenant that held the request's key when the request arrived. It stays the same for all sends, since the segments
+    /// of a stream must belong to one tenant.
     pub(crate) tenant: Option<Arc<ApiTenant>>,
     /// Age of the configuration when the request arrived.
     pub(crate) config_age: Option<Duration>,
@@ -113,13 +115,12 @@
     arrived: Instant,
 ) -> Result<ClientCall, Refusal> {
     let metadata = platform::decode_request_headers(request.headers());
-    let (table, is_trusted, config_age) = {
+    let (table, freshness, now) = {
         let state = shared.state();
-        let now = boot_clock::now();
         let table = state.routes.clone().ok_or(Refusal::NoConfig)?;
-        let config_age = state.freshness.age(now);
-        (table, state.freshness.is_trusted(now), config_age)
+        (table, state.freshness, boot_clock::now())
     };
+    let config_age = freshness.age(now);
     let is_current = config_age.is_some_and(|it| it < MAX_CURRENT_AGE);
     let host = request
         .headers()
@@ -139,18 +140,14 @@
         .find(host, path)
         .ok_or_else(|| unless_outdated(Refusal::NoRoute))?
         .clone();
-    let tenant = match (table.keys().required() && !route.public, &metadata.api_key) {
-        (false, key) => key.as_ref().and_then(|it| table.keys().tenant(it)).cloned(),
-        (true, _) if !is_trusted => return Err(Refusal::NoConfig),
-        (true, key) => {
-            let tenant = key.as_ref().and_then(|it| table.keys().tenant(it));
-            Some(
-                tenant
-                    .ok_or_else(|| unless_outdated(Refusal::UnknownKey))?
-                    .clone(),
-            )
-        }
-    };
+    let key = metadata.api_key.as_deref();
+    let keys = table.keys();
+    let tenant = keys.identify(key, route.public, &freshness, now);
+    let tenant = tenant.map_err(|denial| match denial {
+        KeyDenial::Outdated => Refusal::NoConfig,
+        KeyDenial::Unknown => unless_outdated(Refusal::UnknownKey),
+    })?;
+    let tenant = tenant.cloned();
     let (parts, body) = request.into_parts();
     let time_limit = metadata
         .time_limit
--- a/crates/standin/src/site/site_replica.rs
+++ b/crates/standin/src/site/site_replica.rs
@@ -51,6 +51,8 @@
     /// platform excuses.
     invalid_loads: u64,
     runs: BTreeMap<String, u64>,
+    /// Tenant of each run by request ID, in order.
+    tenants: BTreeMap<String, Vec<Option<String>>>,
     forbidden_headers: Vec<String>,
     /// Number of received calls, answered or not.
     received: BTreeMap<ReplicaCalls, u64>,
@@ -150,6 +152,11 @@
         self.shared.lock().runs.clone()
     }
 
+    /// Returns by request ID the tenants for which requests have run; `None` stands for a request without one.
+    pub fn tenants(&self) -> BTreeMap<String, Vec<Option<String>>> {
+        self.shared.lock().tenants.clone()
+    }
+
     /// Returns the number of load orders for which the staged pieces did not all match the ordered version.
     pub fn mixed_loads(&self) -> u64 {
         self.shared.lock().mixed_loads
@@ -377,6 +384,8 @@
             }
         }
         *state.runs.entry(id.clone()).or_default() += 1;
+        let tenant = header("tenant").map(str::to_owned);
+        state.tenants.entry(id.clone()).or_default().push(tenant);
         if state.faults.drop_responses {
             return response_without_body(shared.event_interval);
         }
