A key that no tenant holds is refused on public routes too

Requests with a key that had been taken away, or that no configuration ever held, ran on public routes without a tenant, at entries in touch as well; their senders took the answers for those of a known customer.

Cause: on public routes an unknown key counted as no key. PROTOCOL says that a public route needs no key, and that "A request with an unknown key receives 401"; ROUTE and CONFIG (`strictRevoke`) name no exception for public routes.

Such a request gets 401 while the configuration is recent, as on other routes, and 503 otherwise.

The new test of platform_keys and one of api_keys failed before (200 instead of 401, one run without a tenant) and pass.

--- a/crates/fleet/src/api_keys.rs
+++ b/crates/fleet/src/api_keys.rs
@@ -79,10 +79,7 @@
             return Err(KeyDenial::Outdated);
         }
         let holder = key.and_then(|it| self.tenants.get(it));
-        if holder.is_none() && !is_public {
-            return Err(KeyDenial::Unknown);
-        }
-        Ok(holder)
+        holder.map(Some).ok_or(KeyDenial::Unknown)
     }
 }
 
--- a/crates/fleet/tests/api_keys.rs
+++ b/crates/fleet/tests/api_keys.rs
@@ -84,7 +84,7 @@
         Some("other"),
         expect![[r#"
             None: Err(Outdated), public Err(Outdated)
-            Some(0): Err(Unknown), public Ok(None)
+            Some(0): Err(Unknown), public Err(Unknown)
             Some(4000): Err(Outdated), public Err(Outdated)"#]],
     );
 }
--- a/crates/fulmarline/tests/platform_keys.rs
+++ b/crates/fulmarline/tests/platform_keys.rs
@@ -173,3 +173,27 @@
     }
     wait_for_tenant(&site, "chain");
 }
+
+/// Guards against CONFIG and ROUTE for keys on public routes: requests whose key was taken away, or was never given out, ran.
+#[test]
+fn a_key_that_no_tenant_holds_is_refused_on_public_routes() {
+    let mut site = start("keys-revoked", 160);
+    site.tenants = vec![("dealer", vec!["key-2"]), ("chain", vec!["key-3"])];
+    site.configure(&public_routes());
+    for entry in 0..2 {
+        site.wait("the revocation", |it| {
+            let response = it.call(entry, Method::GET, "/lookup/1", "revoked", "key-1")?;
+            (response.status == StatusCode::UNAUTHORIZED).then_some(())
+        });
+        for (kind, _) in KINDS {
+            for key in ["key-1", "key-9"] {
+                let id = format!("unknown-{entry}-{kind}-{key}");
+                let response = site.call(entry, Method::POST, &format!("/{kind}/1"), &id, key);
+                let status = response.map(|it| it.status);
+                let tenants = tenants(&site, &id);
+                assert_eq!(status, Some(StatusCode::UNAUTHORIZED), "{id}: {tenants:?}");
+                assert!(tenants.is_empty(), "{id}: {tenants:?}");
+            }
+        }
+    }
+}
