Ten requests earn a retry of an exhausted budget, not eleven

On the own interface a lost attempt was not repeated although ten requests had been served since the budget was used up: the credit was a sum of tenths, and ten of them add up to less than one.

The budget counts requests in whole numbers now.

--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -3,33 +3,39 @@
 /// Limits retries and hedges to a tenth of the requests, so that they cannot turn an overload into a collapse.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    credit: f64,
+    /// Number of requests whose retries have not been taken yet.
+    requests: u32,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { credit: MAX_CREDIT }
+        Self {
+            requests: MAX_RETRIES * REQUESTS_PER_RETRY,
+        }
     }
 }
 
 impl RetryBudget {
     /// Records a request of a caller, which earns a fraction of a retry.
     pub fn on_request(&mut self) {
-        self.credit = (self.credit + CREDIT_PER_REQUEST).min(MAX_CREDIT);
+        self.requests = (self.requests + 1).min(MAX_RETRIES * REQUESTS_PER_RETRY);
+    }
+
+    /// Returns the number of retries that can be taken now.
+    pub fn available(&self) -> u32 {
+        self.requests / REQUESTS_PER_RETRY
     }
 
     /// Takes one retry from the budget and returns `true`, or returns `false` if the budget is exhausted.
     pub fn try_acquire(&mut self) -> bool {
-        if self.credit < 1.0 {
-            return false;
-        }
-        self.credit -= 1.0;
-        true
+        let rest = self.requests.checked_sub(REQUESTS_PER_RETRY);
+        self.requests = rest.unwrap_or(self.requests);
+        rest.is_some()
     }
 }
 
-/// Fraction of a retry that each request earns.
-const CREDIT_PER_REQUEST: f64 = 0.1;
+/// Number of requests that earn a retry.
+const REQUESTS_PER_RETRY: u32 = 10;
 
 /// Maximum number of accumulated retries.
-const MAX_CREDIT: f64 = 10.0;
+const MAX_RETRIES: u32 = 10;
--- a/crates/routing/tests/load.rs
+++ b/crates/routing/tests/load.rs
@@ -57,6 +57,21 @@
     assert!((100..=110).contains(&retries), "{retries}");
 }
 
+/// Guards against a retry that ten requests have earned and that is denied, because a sum of tenths is less than one.
+#[test]
+fn ten_requests_earn_one_retry_of_an_exhausted_budget() {
+    let mut budget = RetryBudget::default();
+    while budget.try_acquire() {}
+    for round in 0..1_000 {
+        for number in 0..10 {
+            assert!(!budget.try_acquire(), "round {round}, {number} requests");
+            budget.on_request();
+        }
+        assert_eq!(budget.available(), 1, "round {round}");
+        assert!(budget.try_acquire(), "round {round}");
+    }
+}
+
 #[test]
 fn only_lookups_with_enough_time_are_hedged() {
     let mut timer = HedgeTimer::default();
