Soak: a key that moves, is revoked and comes back

A key now changes hands, also while the store turns the entries away or one of them is suspended for longer than keys may be accepted; requests with it go to a public route and to one that needs a key. Checked: each ran for a tenant that held the key at most `revokeMs` before it was sent.

--- a/crates/fulmarline/tests/platform_soak.rs
+++ b/crates/fulmarline/tests/platform_soak.rs
@@ -10,7 +10,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use httpio::{Method, StatusCode};
 use rand::rngs::StdRng;
@@ -36,10 +36,22 @@
 /// Statuses that promise that a request has not run.
 const REFUSAL_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+/// Key that is revoked, moved to another tenant and given out again.
+const MOVED_KEY: &str = "key-2";
+
+/// Tenants that hold [`MOVED_KEY`] in turn, or none.
+const HOLDERS: [Option<&str>; 3] = [None, Some("dealer"), Some("chain")];
+
+/// Time for which a request may still run for a former holder of its key (`revokeMs` of the site).
+const REVOCATION_BOUND: Duration = Duration::from_secs(5);
+
 /// A request and the response that the client received.
 struct CallRecord {
     id: String,
     kind: &'static str,
+    key: &'static str,
+    sent: Instant,
+    ended: Instant,
     status: StatusCode,
     body: String,
     complete: bool,
@@ -68,6 +80,9 @@
     let stop = AtomicBool::new(false);
     let next_id = AtomicU64::new(0);
     let mut version = 1;
+    let mut holders = Vec::new();
+    set_holder(&mut site, &mut holders, Some("dealer"));
+    site.wait_for_route(&[0, 1], "notice");
     let caller = site.caller();
     let calls = std::thread::scope(|scope| {
         let clients: Vec<_> = (0..CLIENT_COUNT)
@@ -78,16 +93,23 @@
                     let mut calls = Vec::new();
                     while !stop.load(Ordering::Relaxed) {
                         let id = format!("soak-{seed}-{}", next_id.fetch_add(1, Ordering::Relaxed));
-                        let (kind, method, path) = match rng.random_range(0..3) {
-                            0 => ("stream", Method::POST, "/draft/1"),
-                            1 => ("order", Method::POST, "/order/1"),
-                            _ => ("lookup", Method::GET, "/lookup/1"),
+                        let (kind, method, path, key) = match rng.random_range(0..5) {
+                            0 => ("stream", Method::POST, "/draft/1", "key-1"),
+                            1 => ("order", Method::POST, "/order/1", "key-1"),
+                            2 => ("lookup", Method::GET, "/lookup/1", "key-1"),
+                            3 => ("lookup", Method::GET, "/lookup/1", MOVED_KEY),
+                            // The route is public.
+                            _ => ("notice", Method::GET, "/notice/1", MOVED_KEY),
                         };
                         let entry = rng.random_range(0..2);
-                        match caller.call(entry, method, path, &id, "key-1") {
+                        let sent = Instant::now();
+                        match caller.call(entry, method, path, &id, key) {
                             Some(it) => calls.push(CallRecord {
                                 id,
                                 kind,
+                                key,
+                                sent,
+                                ended: Instant::now(),
                                 status: it.status,
                                 body: it.body,
                                 complete: it.complete,
@@ -100,7 +122,10 @@
             })
             .collect();
         for _ in 0..FAULT_COUNT {
-            version = inject_fault(&mut site, &mut rng, version);
+            match rng.random_range(0..6) {
+                0 => move_key(&mut site, &mut rng, &mut holders),
+                _ => version = inject_fault(&mut site, &mut rng, version),
+            }
         }
         clear_faults(&mut site);
         stop.store(true, Ordering::Relaxed);
@@ -111,6 +136,81 @@
     });
     check_recovered(&site, version);
     check_guarantees(&site, &calls);
+    check_tenants(&site, &calls, &holders);
+}
+
+/// Gives [`MOVED_KEY`] to `holder` or takes it away, and records when this was acknowledged.
+fn set_holder(
+    site: &mut TestSite,
+    holders: &mut Vec<(Instant, Option<&'static str>)>,
+    holder: Option<&'static str>,
+) {
+    site.tenants = vec![("dealer", vec!["key-1"]), ("chain", vec!["key-3"])];
+    let tenants = site.tenants.iter_mut();
+    for (_, keys) in tenants.filter(|it| Some(it.0) == holder) {
+        keys.push(MOVED_KEY);
+    }
+    site.configure(&site::route("notice"));
+    holders.push((Instant::now(), holder));
+}
+
+/// Changes who holds [`MOVED_KEY`], once or several times, while the store turns the entries away for longer than keys may be
+/// accepted, or an entry is suspended, or neither.
+fn move_key(
+    site: &mut TestSite,
+    rng: &mut StdRng,
+    holders: &mut Vec<(Instant, Option<&'static str>)>,
+) {
+    let entry = rng.random_range(0..2);
+    let is_turned_away = rng.random();
+    let is_suspended = rng.random();
+    if is_turned_away {
+        site.store.set_down(true);
+    }
+    if is_suspended {
+        site.entries[entry].suspend();
+    }
+    for _ in 0..rng.random_range(1..4) {
+        set_holder(site, holders, HOLDERS[rng.random_range(0..HOLDERS.len())]);
+        std::thread::sleep(Duration::from_millis(rng.random_range(50..500)));
+    }
+    if is_turned_away || is_suspended {
+        std::thread::sleep(REVOCATION_BOUND);
+    }
+    if is_suspended {
+        site.entries[entry].resume();
+    }
+    std::thread::sleep(Duration::from_millis(rng.random_range(100..900)));
+    site.store.set_down(false);
+}
+
+/// Checks that requests with [`MOVED_KEY`] ran only for a tenant that held it, at the earliest [`REVOCATION_BOUND`] before they
+/// were sent.
+fn check_tenants(
+    site: &TestSite,
+    calls: &[CallRecord],
+    holders: &[(Instant, Option<&'static str>)],
+) {
+    let mut tenants: BTreeMap<String, Vec<Option<String>>> = BTreeMap::new();
+    for (id, of_runs) in site.orders.iter().flat_map(|it| it.tenants()) {
+        tenants.entry(id).or_default().extend(of_runs);
+    }
+    for call in calls.iter().filter(|it| it.key == MOVED_KEY) {
+        let allowed = holders.iter().enumerate().filter(|(index, (since, _))| {
+            let until = holders.get(index + 1).map(|it| it.0);
+            let is_past = until.is_some_and(|it| it + REVOCATION_BOUND < call.sent);
+            !is_past && *since <= call.ended
+        });
+        let allowed: Vec<_> = allowed.filter_map(|(_, (_, holder))| *holder).collect();
+        for tenant in tenants.get(&call.id).into_iter().flatten() {
+            let is_allowed = tenant.as_deref().is_some_and(|it| allowed.contains(&it));
+            assert!(
+                is_allowed,
+                "{} ({}): ran for {tenant:?}, allowed {allowed:?}",
+                call.id, call.kind
+            );
+        }
+    }
 }
 
 /// Injects one fault and returns the version that was declared last.
