--- a/crates/fulmarline/tests/platform_keys.rs
+++ b/crates/fulmarline/tests/platform_keys.rs
@@ -101,8 +101,8 @@
     statuses
 }
 
-/// Checks that no request with a key ran for its former tenant or for none, that each of them was refused with the promise that it
-/// has not run and the time to come back, and that requests without a key were served.
+/// Checks that no request with a key ran, for its former tenant or for none, that each of them was refused with the promise that it
+/// has not run, and that requests without a key were served.
 fn check_outdated(site: &TestSite, statuses: &Statuses) {
     let mut mismatches = Vec::new();
     for (id, status) in &statuses.with_key {
--- a/crates/standin/src/harness/fleet_calls.rs
+++ b/crates/standin/src/harness/fleet_calls.rs
@@ -98,7 +98,7 @@
     ///
     /// # Errors
     ///
-    /// Fails after `timeout` with an error that mentions `what`.
+    /// Fails after `timeout` with an error that mentions `what` and has the states of all processes.
     pub fn wait_for<T>(
         &self,
         what: &str,
@@ -111,12 +111,23 @@
                 return Ok(it);
             }
             if start.elapsed() > timeout {
-                bail!("timed out after {timeout:?} waiting for {what}");
+                let states = self.describe_states();
+                bail!("timed out after {timeout:?} waiting for {what}\n{states}");
             }
             std::thread::sleep(POLL_INTERVAL);
         }
     }
 
+    /// Returns the debug state of each process, or why it has none, in a line of its own.
+    fn describe_states(&self) -> String {
+        let names = self.process_names().into_iter();
+        let lines = names.map(|name| match self.state(&name) {
+            Ok(state) => format!("{name}: {state}"),
+            Err(err) => format!("{name}: {err:#}"),
+        });
+        lines.collect::<Vec<_>>().join("\n")
+    }
+
     /// Returns whether all engines, except those on the hosts in `except`, serve the version `label`.
     pub fn all_engines_serve(&self, label: &str, except: &[&str]) -> bool {
         let Some(manifest) = self.manifests.get(label) else {
