--- a/crates/fulmarline/tests/platform_endless_sources.rs
+++ b/crates/fulmarline/tests/platform_endless_sources.rs
@@ -29,7 +29,8 @@
 const MAX_ENTRY_PEAK_KB: u64 = 130_000;
 const MAX_AGENT_PEAK_KB: u64 = 64_000;
 
-/// Makes the proxy respond without end in each way, while clients of `entry` are served on `path`.
+/// Makes the proxy respond without end in each way, while clients of `entry` are served on `path`, which needs no key: a store
+/// without end confirms no configuration, so requests with a key are refused after a while.
 fn check_clients(site: &TestSite, proxy: &EndlessProxy, entry: usize, path: &str) {
     for kind in KINDS {
         let answered = proxy.endless_count();
@@ -37,7 +38,7 @@
         let begin = Instant::now();
         let is_read = || proxy.endless_count() > answered;
         while begin.elapsed() < KIND_TIME || (!is_read() && begin.elapsed() < MAX_IDLE_TIME) {
-            let response = site.call(entry, Method::GET, path, "during", "key-1");
+            let response = site.call_without_key(entry, Method::GET, path, "during");
             let status = response.map(|it| it.status);
             assert_eq!(status, Some(StatusCode::OK), "{kind:?}");
             std::thread::sleep(Duration::from_millis(20));
--- a/crates/fulmarline/tests/platform_placement.rs
+++ b/crates/fulmarline/tests/platform_placement.rs
@@ -138,7 +138,7 @@
             let caller = caller.clone();
             std::thread::spawn(move || {
                 let id = format!("woken-{it}");
-                caller.call(suspended, Method::GET, "/open/1", &id, "")
+                caller.call_without_key(suspended, Method::GET, "/open/1", &id)
             })
         })
         .collect();
