Tests: one way to send a request without a key

TestSite::call_without_key forwarded to SiteCaller::call_without_key with the same list of parameters. Its seven users ask the caller now; what they check is unchanged.

--- a/crates/fulmarline/tests/platform_endless_sources.rs
+++ b/crates/fulmarline/tests/platform_endless_sources.rs
@@ -38,7 +38,9 @@
         let begin = Instant::now();
         let is_read = || proxy.endless_count() > answered;
         while begin.elapsed() < KIND_TIME || (!is_read() && begin.elapsed() < MAX_IDLE_TIME) {
-            let response = site.call_without_key(entry, Method::GET, path, "during");
+            let response = site
+                .caller()
+                .call_without_key(entry, Method::GET, path, "during");
             let status = response.map(|it| it.status);
             assert_eq!(status, Some(StatusCode::OK), "{kind:?}");
             std::thread::sleep(Duration::from_millis(20));
--- a/crates/fulmarline/tests/platform_outages.rs
+++ b/crates/fulmarline/tests/platform_outages.rs
@@ -36,7 +36,9 @@
         for entry in 0..2 {
             site.wait("the new route", |it| {
                 let path = format!("/{name}/1");
-                let response = it.call_without_key(entry, Method::GET, &path, "new")?;
+                let response = it
+                    .caller()
+                    .call_without_key(entry, Method::GET, &path, "new")?;
                 (response.status == StatusCode::OK).then_some(())
             });
             site.wait("the state of the replica", |it| {
--- a/crates/fulmarline/tests/platform_path.rs
+++ b/crates/fulmarline/tests/platform_path.rs
@@ -259,7 +259,9 @@
     site.configure(&json!([route]));
     for entry in 0..2 {
         site.wait("the new route", |it| {
-            let response = it.call_without_key(entry, Method::GET, "/new/1", "new")?;
+            let response = it
+                .caller()
+                .call_without_key(entry, Method::GET, "/new/1", "new")?;
             (response.status == StatusCode::OK).then_some(())
         });
     }
--- a/crates/fulmarline/tests/platform_returns.rs
+++ b/crates/fulmarline/tests/platform_returns.rs
@@ -102,7 +102,9 @@
     let returned = Instant::now();
     while returned.elapsed() < CATCH_UP {
         for entry in ZONE_ENTRIES {
-            let response = site.call_without_key(entry, Method::GET, "/other/1", "kept");
+            let response = site
+                .caller()
+                .call_without_key(entry, Method::GET, "/other/1", "kept");
             assert_eq!(
                 response.unwrap().status,
                 StatusCode::OK,
--- a/crates/fulmarline/tests/platform_silence.rs
+++ b/crates/fulmarline/tests/platform_silence.rs
@@ -134,7 +134,9 @@
 }
 
 fn has_route(site: &TestSite, entry: usize, name: &str) -> bool {
-    let response = site.call_without_key(entry, Method::GET, &format!("/{name}/1"), name);
+    let response = site
+        .caller()
+        .call_without_key(entry, Method::GET, &format!("/{name}/1"), name);
     response.is_some_and(|it| it.status == StatusCode::OK)
 }
 
@@ -335,7 +337,9 @@
     replica.set_silent(&[ReplicaCalls::Staging], false);
     site.wait_for_weights(1);
     site.wait("a served stream", |it| {
-        let response = it.call_without_key(0, Method::POST, "/open/1", "open")?;
+        let response = it
+            .caller()
+            .call_without_key(0, Method::POST, "/open/1", "open")?;
         (response.status == StatusCode::OK).then_some(())
     });
 }
--- a/crates/fulmarline/tests/support/site.rs
+++ b/crates/fulmarline/tests/support/site.rs
@@ -167,7 +167,9 @@
         for entry in entries {
             self.wait("the new route", |it| {
                 let path = format!("/{name}/1");
-                let response = it.call_without_key(*entry, Method::GET, &path, "new")?;
+                let response = it
+                    .caller()
+                    .call_without_key(*entry, Method::GET, &path, "new")?;
                 (response.status == StatusCode::OK).then_some(())
             });
         }
@@ -351,17 +353,6 @@
         self.caller().call(entry, method, path, id, key)
     }
 
-    /// Sends a request without a key to an entry.
-    pub fn call_without_key(
-        &self,
-        entry: usize,
-        method: Method,
-        path: &str,
-        id: &str,
-    ) -> Option<SiteResponse> {
-        self.caller().call_without_key(entry, method, path, id)
-    }
-
     /// Returns a client that does not borrow the site, so that it can send requests while the site is modified.
     pub fn caller(&self) -> SiteCaller {
         let hosts = self.hosts.iter();
